Lay out the workspace and the types that every package shares

Cause: nothing stands yet; work on the scheduler, the cluster, the node and the tool can only go side by side once names, objects and the scheduler's inputs and outputs are typed. Conclusion: packages can be filled independently.

--- /dev/null
+++ b/crates/balance/src/lib.rs
@@ -0,0 +1,1 @@
+//! Chooses the endpoint of a call: load, affinity, nearness and stragglers.
--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Policy benchmark in virtual time, its baselines, tables and plots.
--- /dev/null
+++ b/crates/entity/src/ids.rs
@@ -0,0 +1,95 @@
+//! Numeric identifiers.
+
+use core::fmt;
+use serde::{Deserialize, Serialize};
+
+macro_rules! number_id {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(
+            Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub u64);
+
+        impl $name {
+            /// The identifier that follows this one.
+            #[must_use]
+            pub const fn next(self) -> Self {
+                Self(self.0.wrapping_add(1))
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "{}", self.0)
+            }
+        }
+    };
+}
+
+number_id! {
+    /// Counts the accepted sets; only ever goes up.
+    Generation
+}
+number_id! {
+    /// The version of a lease, carried by each order.
+    FencingNumber
+}
+number_id! {
+    /// Hash of a workspace and the start of its prompt.
+    PrefixHash
+}
+
+/// One life of a process, drawn at random when it starts.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Incarnation(pub u64);
+
+impl fmt::Display for Incarnation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl core::str::FromStr for Incarnation {
+    type Err = core::num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u64::from_str_radix(text, 16).map(Self)
+    }
+}
+
+/// A call, unique over all processes and all their lives.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct CallId {
+    /// The process that holds the caller's connection.
+    pub origin: Incarnation,
+    /// Counts the calls of that process.
+    pub seq: u64,
+}
+
+impl fmt::Display for CallId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}-{}", self.origin, self.seq)
+    }
+}
+
+/// Counts the dispatches of one call, from zero.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Attempt(pub u32);
+
+impl Attempt {
+    /// The attempt that follows this one.
+    #[must_use]
+    pub const fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
--- /dev/null
+++ b/crates/entity/src/time.rs
@@ -0,0 +1,52 @@
+//! Points in time as the decision cores see them.
+
+use core::{
+    ops::{Add, Sub},
+    time::Duration,
+};
+use serde::{Deserialize, Serialize};
+
+/// Microseconds on the clock of the process, real or virtual.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Time(pub u64);
+
+impl Time {
+    /// The start of the clock.
+    pub const ZERO: Self = Self(0);
+    /// Later than any other time.
+    pub const MAX: Self = Self(u64::MAX);
+
+    /// A number of milliseconds after the start of the clock.
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(millis * 1_000)
+    }
+
+    /// The duration since an earlier time, or zero.
+    pub const fn since(self, earlier: Self) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+
+    /// Seconds since the start of the clock.
+    pub fn as_secs_f64(self) -> f64 {
+        self.0 as f64 / 1e6
+    }
+}
+
+impl Add<Duration> for Time {
+    type Output = Self;
+
+    fn add(self, rhs: Duration) -> Self {
+        Self(self.0.saturating_add(rhs.as_micros() as u64))
+    }
+}
+
+impl Sub<Duration> for Time {
+    type Output = Self;
+
+    fn sub(self, rhs: Duration) -> Self {
+        Self(self.0.saturating_sub(rhs.as_micros() as u64))
+    }
+}
--- /dev/null
+++ b/crates/estimate/src/lib.rs
@@ -0,0 +1,1 @@
+//! Online, decaying quantiles of durations and lengths.
--- /dev/null
+++ b/crates/keys/src/lib.rs
@@ -0,0 +1,1 @@
+//! At-most-once execution of calls that must not be repeated.
--- /dev/null
+++ b/crates/members/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership of VMs by heartbeats, incarnations and shared suspicion.
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,1 @@
+//! The entry VM's process: ports, adapters, threads, metrics and time line.
--- /dev/null
+++ b/crates/node/src/main.rs
@@ -0,0 +1,3 @@
+//! The entry VM's process.
+
+fn main() {}
--- /dev/null
+++ b/crates/oracle/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stateful fuzzing of the cores against simple oracles.
--- /dev/null
+++ b/crates/orders/src/lib.rs
@@ -0,0 +1,1 @@
+//! Leases, fencing numbers and desired-state orders to engines.
--- /dev/null
+++ b/crates/peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! Links between VMs: WebSocket connections that carry typed messages.
--- /dev/null
+++ b/crates/publish/src/lib.rs
@@ -0,0 +1,1 @@
+//! Publication of checked sets and their spread to every VM.
--- /dev/null
+++ b/crates/queue/src/lib.rs
@@ -0,0 +1,1 @@
+//! The tiered, fair, bounded queue of waiting calls.
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! A process's settings: parses, validates and prints itself.
--- /dev/null
+++ b/crates/util/src/main.rs
@@ -0,0 +1,3 @@
+//! The operators' tool.
+
+fn main() {}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Typed messages between VMs, and the headers and bodies of the HTTP edge.
