Add the platform's requests and replies with an in-memory double

Cause: publication, leases and claims must be testable with lost, late and ambiguous answers. Change: a store package with typed requests, replies with a third outcome, and a double. Conclusion: cores can emit requests and be fed replies without I/O.

--- /dev/null
+++ b/crates/store/src/memory.rs
@@ -0,0 +1,103 @@
+//! An in-memory double of the object API.
+
+use crate::{Guard, Key, Listed, MAX_VALUE_BYTES, Reply, Request, Version, Versioned, VmRecord};
+use core::time::Duration;
+use std::{collections::BTreeMap, sync::Arc};
+
+/// Retry time told for a value that is too large.
+const NEVER: Duration = Duration::from_secs(3_600);
+
+/// Objects and the list of VMs, with versions that only go up.
+#[derive(Clone, Debug, Default)]
+pub struct MemoryStore {
+    objects: BTreeMap<Key, Versioned>,
+    vms: Vec<VmRecord>,
+    last: Version,
+}
+
+impl MemoryStore {
+    /// Starts empty.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Replaces the list of VMs.
+    pub fn set_vms(&mut self, vms: Vec<VmRecord>) {
+        self.vms = vms;
+    }
+
+    /// Reads an object without a request.
+    pub fn peek(&self, key: &Key) -> Option<&Versioned> {
+        self.objects.get(key)
+    }
+
+    /// Carries out one request; a watch answers at once.
+    pub fn apply(&mut self, request: &Request) -> Reply {
+        match request {
+            Request::Get { key } => Reply::Object(self.objects.get(key).cloned()),
+            Request::Put { key, value, guard } => self.put(key, value, *guard),
+            Request::Delete { key, guard } => self.delete(key, *guard),
+            Request::List { prefix } => Reply::Listing(self.list(prefix)),
+            Request::Watch { key, after, .. } => self.watch(key, *after),
+            Request::Vms => Reply::Vms(self.vms.clone()),
+        }
+    }
+
+    fn put(&mut self, key: &Key, value: &Arc<[u8]>, guard: Guard) -> Reply {
+        if value.len() > MAX_VALUE_BYTES {
+            return Reply::Unavailable { retry_after: NEVER };
+        }
+        if !self.holds(key, guard) {
+            return self.conflict(key);
+        }
+        self.last = Version(self.last.0 + 1);
+        let object = Versioned {
+            version: self.last,
+            value: Arc::clone(value),
+        };
+        self.objects.insert(key.clone(), object);
+        Reply::Done { version: self.last }
+    }
+
+    fn delete(&mut self, key: &Key, guard: Guard) -> Reply {
+        if !self.holds(key, guard) {
+            return self.conflict(key);
+        }
+        self.last = Version(self.last.0 + 1);
+        self.objects.remove(key);
+        Reply::Done { version: self.last }
+    }
+
+    fn holds(&self, key: &Key, guard: Guard) -> bool {
+        let current = self.objects.get(key).map(|object| object.version);
+        match guard {
+            Guard::Absent => current.is_none(),
+            Guard::Matches(version) => current == Some(version),
+            Guard::Always => true,
+        }
+    }
+
+    fn conflict(&self, key: &Key) -> Reply {
+        Reply::Conflict {
+            current: self.objects.get(key).cloned(),
+        }
+    }
+
+    fn list(&self, prefix: &Key) -> Vec<Listed> {
+        self.objects
+            .range(prefix.clone()..)
+            .take_while(|(key, _)| key.as_str().starts_with(prefix.as_str()))
+            .map(|(key, object)| Listed {
+                key: key.clone(),
+                version: object.version,
+            })
+            .collect()
+    }
+
+    fn watch(&self, key: &Key, after: Version) -> Reply {
+        match self.objects.get(key) {
+            Some(object) if object.version > after => Reply::Object(Some(object.clone())),
+            Some(_) | None => Reply::Unchanged,
+        }
+    }
+}
