State the double's retry time in hours

Cause: the linter refuses a whole hour given in seconds. Change: the constant uses the larger unit. Conclusion: no change in behaviour.

--- a/crates/store/src/memory.rs
+++ b/crates/store/src/memory.rs
@@ -5,7 +5,7 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 /// Retry time told for a value that is too large.
-const NEVER: Duration = Duration::from_secs(3_600);
+const NEVER: Duration = Duration::from_hours(1);
 
 /// Objects and the list of VMs, with versions that only go up.
 #[derive(Clone, Debug, Default)]
