Estimate durations and lengths by decaying quantiles

Cause: admission and ordering need to know how long calls of a class last, and nobody knows a length until the answer ends. Memory is fixed per class and route.

--- /dev/null
+++ b/crates/estimate/src/ewma_tests.rs
@@ -0,0 +1,13 @@
+use crate::Ewma;
+use googletest::prelude::*;
+
+#[gtest]
+fn starts_as_a_plain_mean_and_follows_change() {
+    let mut ewma = Ewma::default();
+    ewma.record(1.0);
+    ewma.record(3.0);
+    expect_that!(ewma.mean(), near(2.0, 1e-9));
+    (0..50).for_each(|_| ewma.record(10.0));
+    expect_that!(ewma.mean(), gt(9.9));
+    expect_that!(ewma.count(), eq(52));
+}
--- /dev/null
+++ b/crates/estimate/src/meter.rs
@@ -0,0 +1,39 @@
+//! An amount per second that follows recent events.
+
+use core::time::Duration;
+use poplarswitch_entity::Time;
+
+/// A decaying rate.
+#[derive(Clone, Copy, Debug)]
+pub struct Meter {
+    window: Duration,
+    level: f64,
+    last: Time,
+}
+
+impl Meter {
+    /// Starts at zero; events older than a few windows no longer count.
+    pub const fn new(window: Duration) -> Self {
+        Self {
+            window,
+            level: 0.0,
+            last: Time::ZERO,
+        }
+    }
+
+    /// Adds an amount.
+    pub fn add(&mut self, now: Time, amount: f64) {
+        self.level = self.level_at(now) + amount;
+        self.last = self.last.max(now);
+    }
+
+    /// The amount per second.
+    pub fn rate(&self, now: Time) -> f64 {
+        self.level_at(now) / self.window.as_secs_f64()
+    }
+
+    fn level_at(&self, now: Time) -> f64 {
+        let age = now.since(self.last).as_secs_f64();
+        self.level * (-age / self.window.as_secs_f64()).exp()
+    }
+}
--- /dev/null
+++ b/crates/estimate/src/profile.rs
@@ -0,0 +1,81 @@
+//! What calls of one class on one route have lately been like.
+
+use crate::Sketch;
+use core::time::Duration;
+
+/// Decaying quantiles of one class on one route.
+#[derive(Clone, Debug, Default)]
+pub struct Profile {
+    first: Sketch,
+    duration: Sketch,
+    tokens: Sketch,
+    pace: Sketch,
+}
+
+impl Profile {
+    /// Records the time from a dispatch to its first output.
+    pub fn record_first(&mut self, elapsed: Duration) {
+        self.first.record(elapsed.as_micros() as u64);
+    }
+
+    /// Records a whole answer.
+    pub fn record_answer(&mut self, elapsed: Duration, tokens: u32) {
+        self.duration.record(elapsed.as_micros() as u64);
+        self.tokens.record(u64::from(tokens));
+    }
+
+    /// Records the mean time per token of one answer.
+    pub fn record_pace(&mut self, per_token: Duration) {
+        self.pace.record(per_token.as_micros() as u64);
+    }
+
+    /// Answers seen, after decay.
+    pub fn count(&self) -> u64 {
+        self.duration.count()
+    }
+
+    /// First outputs seen, after decay.
+    pub fn first_count(&self) -> u64 {
+        self.first.count()
+    }
+
+    /// Median time per token.
+    pub fn pace_median(&self) -> Option<Duration> {
+        self.pace.median().map(Duration::from_micros)
+    }
+
+    /// Median time from dispatch to first output.
+    pub fn first_median(&self) -> Option<Duration> {
+        self.first.median().map(Duration::from_micros)
+    }
+
+    /// Time from dispatch to first output that 95 in 100 calls keep.
+    pub fn first_high(&self) -> Option<Duration> {
+        self.first.high().map(Duration::from_micros)
+    }
+
+    /// Median time that a call holds its slot.
+    pub fn duration_median(&self) -> Option<Duration> {
+        self.duration.median().map(Duration::from_micros)
+    }
+
+    /// Mean time that a call holds its slot.
+    pub fn duration_mean(&self) -> Option<Duration> {
+        self.duration.mean().map(Duration::from_micros)
+    }
+
+    /// Time that 95 in 100 calls hold their slot for at most.
+    pub fn duration_high(&self) -> Option<Duration> {
+        self.duration.high().map(Duration::from_micros)
+    }
+
+    /// Median length of an answer in tokens.
+    pub fn tokens_median(&self) -> Option<u64> {
+        self.tokens.median()
+    }
+
+    /// Length that 95 in 100 answers do not exceed, in tokens.
+    pub fn tokens_high(&self) -> Option<u64> {
+        self.tokens.high()
+    }
+}
