--- /dev/null
+++ b/crates/queue/src/lane.rs
@@ -0,0 +1,230 @@
+//! The waiting calls of one class: by workspace, and within a workspace by slack.
+//!
+//! A workspace stands in `ready` while its virtual time is not ahead of its tier's by more
+//! than the lead, else in `ahead`. The head of `ready` is the call with the least slack.
+//! Calls that have already missed their target go behind those that can still meet it,
+//! so that an overload makes few calls late instead of all of them.
+
+use crate::{AccountKey, CallKey};
+use poplarswitch_entity::Time;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Refers to a lane of a route's queue.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct LaneKey(pub(crate) usize);
+
+impl LaneKey {
+    /// Counts the lanes of a route in the order in which they were added.
+    pub const fn index(self) -> usize {
+        self.0
+    }
+}
+
+/// A call's place in its workspace's order.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Place {
+    /// Whether the target is already missed.
+    pub late: bool,
+    /// When the call has to start to meet its target.
+    pub deadline: Time,
+    /// Counts the calls in the order of their arrival.
+    pub arrival: u64,
+    /// The call.
+    pub call: CallKey,
+}
+
+/// Where a workspace is listed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Listing {
+    Ready(Place),
+    Ahead(u64),
+    Held,
+}
+
+#[derive(Debug)]
+struct Backlog {
+    places: BTreeSet<Place>,
+    listing: Listing,
+}
+
+/// How a workspace stands against its tier's virtual time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Standing {
+    /// May be served by slack.
+    Ready,
+    /// Has run ahead to this virtual time.
+    Ahead(u64),
+    /// May not run more calls at the moment.
+    Held,
+}
+
+/// The next call of a lane.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Head {
+    /// The virtual time that the workspace has run ahead to; zero if it has not.
+    pub ahead: u64,
+    pub place: Place,
+    pub account: AccountKey,
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct Lane {
+    backlogs: BTreeMap<AccountKey, Backlog>,
+    ready: BTreeSet<(Place, AccountKey)>,
+    ahead: BTreeSet<(u64, AccountKey)>,
+    late: BTreeSet<(Place, AccountKey)>,
+    len: usize,
+}
+
+impl Lane {
+    pub(crate) const fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Whether no call could go even if a slot were free.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.ready.is_empty() && self.ahead.is_empty()
+    }
+
+    pub(crate) fn insert(&mut self, place: Place, account: AccountKey, standing: Standing) {
+        let backlog = self.backlogs.entry(account).or_insert_with(|| Backlog {
+            places: BTreeSet::new(),
+            listing: Listing::Held,
+        });
+        backlog.places.insert(place);
+        self.len += 1;
+        if place.late {
+            self.late.insert((place, account));
+        }
+        self.list(account, standing);
+    }
+
+    /// Takes a call out, whether it has become late or not.
+    pub(crate) fn remove(&mut self, place: Place, account: AccountKey, standing: Standing) -> bool {
+        let Some(backlog) = self.backlogs.get_mut(&account) else {
+            return false;
+        };
+        let late = Place {
+            late: true,
+            ..place
+        };
+        let found = backlog.places.remove(&place) || backlog.places.remove(&late);
+        if !found {
+            return false;
+        }
+        self.late.remove(&(late, account));
+        self.len -= 1;
+        self.list(account, standing);
+        true
+    }
+
+    /// Lists a workspace anew after its standing or its head changed.
+    pub(crate) fn list(&mut self, account: AccountKey, standing: Standing) {
+        let Some(backlog) = self.backlogs.get_mut(&account) else {
+            return;
+        };
+        let old = backlog.listing;
+        let head = backlog.places.first().copied();
+        let new = match (head, standing) {
+            (None, _) | (_, Standing::Held) => Listing::Held,
+            (Some(place), Standing::Ready) => Listing::Ready(place),
+            (Some(_), Standing::Ahead(time)) => Listing::Ahead(time),
+        };
+        backlog.listing = new;
+        if head.is_none() {
+            self.backlogs.remove(&account);
+        }
+        if old != new {
+            self.unlist(account, old);
+            self.enlist(account, new);
+        }
+    }
+
+    fn unlist(&mut self, account: AccountKey, listing: Listing) {
+        match listing {
+            Listing::Ready(place) => self.ready.remove(&(place, account)),
+            Listing::Ahead(time) => self.ahead.remove(&(time, account)),
+            Listing::Held => false,
+        };
+    }
+
+    fn enlist(&mut self, account: AccountKey, listing: Listing) {
+        match listing {
+            Listing::Ready(place) => self.ready.insert((place, account)),
+            Listing::Ahead(time) => self.ahead.insert((time, account)),
+            Listing::Held => false,
+        };
+    }
+
+    /// The next call: the least slack among ready workspaces, else the one least ahead.
+    pub(crate) fn head(&mut self, now: Time, horizon: u64) -> Option<Head> {
+        self.catch_up(horizon);
+        loop {
+            let head = self.first()?;
+            if head.place.late || head.place.deadline >= now {
+                return Some(head);
+            }
+            self.mark_late(head);
+        }
+    }
+
+    /// The late call that has been late for longest.
+    pub(crate) fn oldest_late(&self) -> Option<Head> {
+        let listed = |account: &AccountKey| {
+            let backlog = self.backlogs.get(account);
+            backlog.is_some_and(|backlog| backlog.listing != Listing::Held)
+        };
+        let (place, account) = self.late.iter().find(|(_, account)| listed(account))?;
+        Some(Head {
+            ahead: 0,
+            place: *place,
+            account: *account,
+        })
+    }
+
+    fn first(&self) -> Option<Head> {
+        if let Some((place, account)) = self.ready.first() {
+            return Some(Head {
+                ahead: 0,
+                place: *place,
+                account: *account,
+            });
+        }
+        let (ahead, account) = self.ahead.first()?;
+        let place = self.backlogs.get(account)?.places.first()?;
+        Some(Head {
+            ahead: *ahead,
+            place: *place,
+            account: *account,
+        })
+    }
+
+    /// Makes workspaces ready whose virtual time the tier has reached.
+    fn catch_up(&mut self, horizon: u64) {
+        while let Some((time, account)) = self.ahead.first().copied() {
+            if time > horizon {
+                return;
+            }
+            self.list(account, Standing::Ready);
+        }
+    }
+
+    fn mark_late(&mut self, head: Head) {
+        let Some(backlog) = self.backlogs.get_mut(&head.account) else {
+            return;
+        };
+        let late = Place {
+            late: true,
+            ..head.place
+        };
+        backlog.places.remove(&head.place);
+        backlog.places.insert(late);
+        self.late.insert((late, head.account));
+        let standing = match backlog.listing {
+            Listing::Ready(_) => Standing::Ready,
+            Listing::Ahead(time) => Standing::Ahead(time),
+            Listing::Held => Standing::Held,
+        };
+        self.list(head.account, standing);
+    }
+}
