Choose endpoints by load, affinity, nearness and health

Cause: a choice that walks all endpoints costs too much at 6,500 of them, and crashed or slow endpoints have to be found from the calls themselves. Change: sites are listed by load in ordered views per kind of call, so a choice reads the top of a set; a ring of hashed points keeps a prefix on one site while that is not loaded beyond a bound; lagging reports count only the excess over own calls and expire; crashes, refusals and stragglers put a site out with doubling time and bring it back through single probes.

--- /dev/null
+++ b/crates/balance/src/health.rs
@@ -0,0 +1,150 @@
+//! Whether an endpoint is believed to be up.
+//!
+//! Crashes are seen from the calls themselves, stragglers by comparison with siblings. An
+//! endpoint that is out comes back through probes: one call at a time until enough of them
+//! went well. Each time that it is put out again it stays out for twice as long. Faults of
+//! calls that started before it was put out say nothing new and are not counted again.
+
+use core::time::Duration;
+use poplarswitch_entity::Time;
+
+/// Lost calls in a row after which an endpoint counts as crashed.
+const LOST_STREAK: u32 = 2;
+/// First time out after a crash.
+const CRASH_BACKOFF: Duration = Duration::from_millis(250);
+/// First time out after the endpoint declined a call.
+const DECLINED_BACKOFF: Duration = Duration::from_millis(100);
+/// First time out of a straggler.
+const SLOW_BACKOFF: Duration = Duration::from_secs(10);
+/// Longest time out.
+const MAX_BACKOFF: Duration = Duration::from_secs(30);
+/// Longest time out after declined calls.
+const MAX_DECLINED: Duration = Duration::from_secs(2);
+/// Probes that have to go well.
+const GOOD_PROBES: u32 = 2;
+/// Good calls after which the next time out starts small again.
+const TRUST: u32 = 50;
+
+/// How a dispatch spoke for or against its endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// It produced output in good time.
+    Good,
+    /// It produced output much more slowly than its siblings.
+    Slow,
+    /// The connection was refused.
+    Unreached,
+    /// The endpoint refused the call.
+    Declined,
+    /// The connection was lost.
+    Lost,
+    /// It says nothing about the endpoint.
+    Neutral,
+}
+
+/// What an endpoint may be given.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Phase {
+    /// As many calls as it has slots.
+    #[default]
+    Up,
+    /// Nothing until a time.
+    Out(Time),
+    /// One call at a time.
+    Probing,
+}
+
+/// The health of one endpoint.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Health {
+    phase: Phase,
+    backoff: Duration,
+    lost: u32,
+    good: u32,
+    since: Time,
+    slow: bool,
+}
+
+impl Health {
+    /// What the endpoint may be given.
+    pub const fn phase(&self) -> Phase {
+        self.phase
+    }
+
+    /// Whether it may get work as usual.
+    pub const fn is_up(&self) -> bool {
+        matches!(self.phase, Phase::Up)
+    }
+
+    /// Whether it is not up because it is slow.
+    pub const fn is_ejected(&self) -> bool {
+        self.slow && !self.is_up()
+    }
+
+    /// Records how a call that started at a time went; tells whether the phase changed.
+    pub(crate) fn record(&mut self, now: Time, started: Time, outcome: Outcome) -> bool {
+        let before = self.phase;
+        let stale = started < self.since;
+        match outcome {
+            Outcome::Neutral => {}
+            _ if stale => {}
+            Outcome::Good => self.praise(),
+            Outcome::Slow if self.phase == Phase::Probing => self.eject(now),
+            Outcome::Slow => {}
+            Outcome::Unreached => self.put_out(now, CRASH_BACKOFF, MAX_BACKOFF),
+            Outcome::Declined => self.put_out(now, DECLINED_BACKOFF, MAX_DECLINED),
+            Outcome::Lost => self.lose(now),
+        }
+        before != self.phase
+    }
+
+    /// Puts a straggler out.
+    pub(crate) fn eject(&mut self, now: Time) {
+        self.put_out(now, SLOW_BACKOFF, MAX_BACKOFF);
+        self.slow = true;
+    }
+
+    /// Starts probing if the time out is over.
+    pub(crate) fn wake(&mut self, now: Time) -> bool {
+        match self.phase {
+            Phase::Out(until) if until <= now => {
+                self.phase = Phase::Probing;
+                self.good = 0;
+                self.since = now;
+                true
+            }
+            _ => false,
+        }
+    }
+
+    fn praise(&mut self) {
+        self.lost = 0;
+        self.good += 1;
+        if self.phase == Phase::Probing && self.good >= GOOD_PROBES {
+            self.phase = Phase::Up;
+            self.slow = false;
+            self.good = 0;
+        }
+        if self.phase == Phase::Up && self.good >= TRUST {
+            self.backoff = Duration::ZERO;
+        }
+    }
+
+    fn lose(&mut self, now: Time) {
+        self.lost += 1;
+        if self.lost >= LOST_STREAK || self.phase == Phase::Probing {
+            self.put_out(now, CRASH_BACKOFF, MAX_BACKOFF);
+        }
+    }
+
+    fn put_out(&mut self, now: Time, first: Duration, most: Duration) {
+        if matches!(self.phase, Phase::Out(_)) {
+            return;
+        }
+        self.backoff = (self.backoff * 2).clamp(first, most);
+        self.phase = Phase::Out(now + self.backoff);
+        self.since = now;
+        self.lost = 0;
+        self.good = 0;
+    }
+}
--- /dev/null
+++ b/crates/balance/src/sync.rs
@@ -0,0 +1,153 @@
+//! Takes over the endpoints of a new set.
+//!
+//! An endpoint keeps its state as long as its name and route stay. One that is gone keeps
+//! its calls until they end; one that moved to another route starts anew there, but the
+//! slots that its old calls hold stay taken.
+
+use crate::load::Load;
+use crate::pool::Pool;
+use crate::ring::Ring;
+use crate::site::Site;
+use crate::{Balancer, Health, PoolKey, SiteKey};
+use poplarswitch_catalog::{Catalog, EndpointEntry, Route};
+use poplarswitch_entity::{AdapterName, EndpointName, Time};
+use poplarswitch_estimate::Ewma;
+use poplarswitch_objects::Serves;
+use std::collections::HashSet;
+
+impl Balancer {
+    /// Puts a set into force.
+    pub fn sync(&mut self, now: Time, catalog: &Catalog) {
+        for route in catalog.routes.values() {
+            self.open_pool(route);
+        }
+        for entry in catalog.endpoints.values() {
+            self.take_over(now, entry, &catalog.routes[entry.route]);
+        }
+        let present: HashSet<&EndpointName> = catalog
+            .endpoints
+            .values()
+            .map(|entry| &entry.endpoint.name)
+            .collect();
+        self.retire_missing(&present);
+        self.rebuild_pools();
+    }
+
+    fn open_pool(&mut self, route: &Route) {
+        if !self.routes.contains_key(route) {
+            let key = self.pools.insert(Pool::default());
+            self.routes.insert(route.clone(), key);
+        }
+    }
+
+    fn take_over(&mut self, now: Time, entry: &EndpointEntry, route: &Route) {
+        let pool = self.routes[route];
+        let name = &entry.endpoint.name;
+        match self.find(name) {
+            Some(key) if self.sites[key].pool == pool => self.update(key, entry),
+            Some(old) => self.move_site(now, old, entry, pool),
+            None => {
+                self.add(entry, pool);
+            }
+        }
+    }
+
+    fn update(&mut self, key: SiteKey, entry: &EndpointEntry) {
+        let site = &mut self.sites[key];
+        // The data centre names the list that the site stands in, so it leaves that first.
+        self.pools[site.pool].unlist(key, site);
+        site.slots = entry.endpoint.slots;
+        site.data_centre = entry.endpoint.data_centre.clone();
+        site.adapters = adapters(entry);
+    }
+
+    fn add(&mut self, entry: &EndpointEntry, pool: PoolKey) -> SiteKey {
+        let site = Site {
+            name: entry.endpoint.name.clone(),
+            slots: entry.endpoint.slots,
+            pool,
+            index: 0,
+            data_centre: entry.endpoint.data_centre.clone(),
+            adapters: adapters(entry),
+            load: Load::default(),
+            health: Health::default(),
+            held: Vec::new(),
+            first: Ewma::default(),
+            pace: Ewma::default(),
+            listed: Vec::new(),
+            retired: false,
+            successor: None,
+        };
+        let key = self.sites.insert(site);
+        self.names.insert(entry.endpoint.name.clone(), key);
+        key
+    }
+
+    fn move_site(&mut self, now: Time, old: SiteKey, entry: &EndpointEntry, pool: PoolKey) {
+        let new = self.add(entry, pool);
+        let taken = self.sites[old].outstanding();
+        (0..taken).for_each(|_| self.sites[new].load.add(now));
+        self.sites[old].successor = Some(new);
+        self.retire(old);
+    }
+
+    fn retire_missing(&mut self, present: &HashSet<&EndpointName>) {
+        let mut gone: Vec<SiteKey> = Vec::new();
+        for (key, site) in &self.sites {
+            if !site.retired && !present.contains(&site.name) {
+                gone.push(key);
+            }
+        }
+        for key in gone {
+            let name = self.sites[key].name.clone();
+            self.names.remove(&name);
+            self.retire(key);
+        }
+    }
+
+    fn retire(&mut self, key: SiteKey) {
+        let site = &mut self.sites[key];
+        site.retired = true;
+        self.pools[site.pool].unlist(key, site);
+        if site.outstanding() == 0 {
+            self.sites.remove(key);
+        }
+    }
+
+    fn rebuild_pools(&mut self) {
+        for pool in self.pools.values_mut() {
+            pool.sites.clear();
+        }
+        for (key, site) in &self.sites {
+            if !site.retired {
+                self.pools[site.pool].sites.push(key);
+            }
+        }
+        let keys: Vec<PoolKey> = self.pools.keys().collect();
+        for key in keys {
+            self.rebuild(key);
+        }
+    }
+
+    fn rebuild(&mut self, key: PoolKey) {
+        let sites = &self.sites;
+        let pool = &mut self.pools[key];
+        pool.sites
+            .sort_by(|a, b| sites[*a].name.cmp(&sites[*b].name));
+        for (index, site) in (0..).zip(&pool.sites) {
+            self.sites[*site].index = index;
+        }
+        let sites = &self.sites;
+        let named = pool.sites.iter().map(|site| (*site, &sites[*site].name));
+        pool.ring = Ring::new(named);
+        self.recount(key);
+        self.relist_all(key);
+    }
+}
+
+fn adapters(entry: &EndpointEntry) -> Vec<AdapterName> {
+    match &entry.endpoint.serves {
+        Serves::Model { adapters, .. } => adapters.clone(),
+        Serves::Service { .. } => Vec::new(),
+    }
+}
