Schedule calls by tiers, slack, fairness, limits and health

Cause: the first scheduler kept arrival order, retried without bound and walked its whole queue at each input. Change: call table with typed keys, states queued and dispatched, and passes that admit, serve, finish, retry, expire and reload; baselines share the table and the retry rules but keep arrival or tier order and a plain choice of endpoint. Retries follow what a fault proves; a stream is resumed at its own endpoint or fails; limits, overload and waits refuse before anything is sent.

--- /dev/null
+++ b/crates/scheduler/src/expire.rs
@@ -0,0 +1,15 @@
+//! Ends the waits that have lasted as long as their class allows.
+
+use crate::{Output, RefusalReason, Scheduler};
+use poplarswitch_entity::Time;
+
+impl Scheduler {
+    pub(crate) fn expire(&mut self, now: Time, out: &mut Vec<Output>) {
+        while let Some((time, key)) = self.expiry.first().copied()
+            && time <= now
+        {
+            self.dequeue(key);
+            self.give_up(now, key, RefusalReason::WaitExpired, out);
+        }
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/group.rs
@@ -0,0 +1,173 @@
+//! The calls of one route: their queue, their lanes, and the route's recent demand.
+
+use crate::Policy;
+use crate::call::{KindKey, ProfileKey};
+use bon::Builder;
+use core::time::Duration;
+use poplarswitch_balance::{CapKey, PoolKey, ViewKey};
+use poplarswitch_entity::{AdapterName, Time};
+use poplarswitch_estimate::Meter;
+use poplarswitch_queue::{AccountKey, LaneKey, Place, RouteQueue, Waiting};
+use slotmap::new_key_type;
+use std::collections::{BTreeSet, HashMap};
+
+new_key_type! {
+    /// Refers to the calls of a route.
+    pub(crate) struct GroupKey;
+}
+
+/// Time over which a tier's demand is averaged.
+const DEMAND_WINDOW: Duration = Duration::from_secs(20);
+
+/// A class on a route, with an adapter.
+#[derive(Clone, Debug, Builder)]
+pub(crate) struct LaneInfo {
+    pub lane: LaneKey,
+    pub tier: usize,
+    pub profile: ProfileKey,
+    pub adapter: Option<AdapterName>,
+    /// Time within which its calls expect their first output.
+    pub target: Duration,
+    /// Time per token that its calls expect; zero if the answer comes as a whole.
+    pub per_token: Duration,
+    /// Whether an endpoint could serve its calls if all were up.
+    pub served: bool,
+    /// The class's own bound, if it has one.
+    pub cap: Option<CapKey>,
+    /// Sites within the class's own bound.
+    pub own: ViewKey,
+    /// Sites that also keep the reserve free, once the class counts as long.
+    pub reserved: Option<ViewKey>,
+    /// Calls that wait or run.
+    #[builder(default)]
+    pub live: u32,
+    /// Most calls that were live at once, fading.
+    #[builder(default)]
+    pub peak: f64,
+}
+
+/// The order in which a route's calls are served.
+#[derive(Debug)]
+pub(crate) enum Order {
+    /// By tier (always zero for plain arrival order), then by arrival.
+    Arrival(BTreeSet<(usize, Place, AccountKey)>),
+    /// Tiers with floors, slack and fairness.
+    Full(RouteQueue),
+}
+
+impl Order {
+    pub(crate) fn new(policy: Policy, floors: &[u8]) -> Self {
+        match policy {
+            Policy::Full => Self::Full(RouteQueue::new(floors)),
+            Policy::FifoRoundRobin
+            | Policy::FifoLeastOutstanding
+            | Policy::StrictLeastOutstanding => Self::Arrival(BTreeSet::new()),
+        }
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        match self {
+            Self::Arrival(calls) => calls.len(),
+            Self::Full(queue) => queue.len(),
+        }
+    }
+
+    pub(crate) fn insert(&mut self, tier: usize, waiting: Waiting, weight: u32) {
+        match self {
+            Self::Arrival(calls) => {
+                calls.insert((tier, waiting.place, waiting.account));
+            }
+            Self::Full(queue) => queue.insert(waiting, weight),
+        }
+    }
+
+    pub(crate) fn remove(&mut self, tier: usize, waiting: Waiting) {
+        match self {
+            Self::Arrival(calls) => {
+                calls.remove(&(tier, waiting.place, waiting.account));
+            }
+            Self::Full(queue) => {
+                queue.remove(waiting);
+            }
+        }
+    }
+}
+
+/// Tokens of a retry budget.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Budget {
+    tokens: f64,
+    most: f64,
+    share: f64,
+}
+
+impl Budget {
+    pub(crate) fn new(percent: u32, reserve: u32) -> Self {
+        Self {
+            tokens: f64::from(reserve),
+            most: f64::from(reserve),
+            share: f64::from(percent) / 100.0,
+        }
+    }
+
+    /// Counts a fresh dispatch.
+    pub(crate) fn earn(&mut self) {
+        self.tokens = (self.tokens + self.share).min(self.most);
+    }
+
+    /// Takes a retry out of the budget, if there is one.
+    pub(crate) fn spend(&mut self) -> bool {
+        let has = self.tokens >= 1.0;
+        self.tokens -= f64::from(u8::from(has));
+        has
+    }
+}
+
+/// The slots kept free for short urgent classes.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Reserve {
+    pub cap: CapKey,
+    pub slots: u32,
+    pub checked: Time,
+}
+
+/// The calls of one route.
+#[derive(Debug)]
+pub(crate) struct Group {
+    pub pool: PoolKey,
+    pub order: Order,
+    pub lanes: Vec<LaneInfo>,
+    pub index: HashMap<(KindKey, Option<AdapterName>), usize>,
+    pub caps: HashMap<KindKey, CapKey>,
+    /// Slot time asked for, by tier.
+    pub demand: Vec<Meter>,
+    pub budget: Budget,
+    pub reserve: Reserve,
+}
+
+impl Group {
+    pub(crate) fn new(pool: PoolKey, order: Order, budget: Budget, spare: CapKey) -> Self {
+        Self {
+            pool,
+            order,
+            lanes: Vec::new(),
+            index: HashMap::new(),
+            caps: HashMap::new(),
+            demand: Vec::new(),
+            budget,
+            reserve: Reserve {
+                cap: spare,
+                slots: 0,
+                checked: Time::ZERO,
+            },
+        }
+    }
+
+    /// Forgets queue and lanes for a set with other tiers.
+    pub(crate) fn reset(&mut self, policy: Policy, floors: &[u8]) {
+        self.order = Order::new(policy, floors);
+        self.lanes.clear();
+        self.index.clear();
+        self.demand = vec![Meter::new(DEMAND_WINDOW); floors.len()];
+    }
+}
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -3,15 +3,51 @@
 //! The scheduler takes `(now, input)` and appends outputs. It opens no socket, reads no
 //! clock and draws randomness from a seeded generator only, so that the same inputs give
 //! the same outputs in a test, in the benchmark and in a VM.
+//!
+//! Data and passes are apart. `call`, `table`, `group` and `book` hold what is known; `submit`
+//! admits, `serve` dispatches, `finish` takes ends, `retry` decides what follows a fault,
+//! `expire` ends waits, `reload` puts a new set into force.
 
+mod adopt;
 mod api;
+mod book;
+mod call;
+mod counters;
+mod drain;
+mod expire;
+mod finish;
+mod group;
+mod reload;
+mod reserve;
+mod retry;
 mod scheduler;
+mod serve;
+mod submit;
+mod table;
+mod tuning;
 
+#[cfg(test)]
+mod finish_tests;
+#[cfg(test)]
+mod reload_tests;
+#[cfg(test)]
+mod retry_tests;
 #[cfg(test)]
 mod scheduler_tests;
+#[cfg(test)]
+mod serve_tests;
+#[cfg(test)]
+mod stand;
+#[cfg(test)]
+mod stress_tests;
+#[cfg(test)]
+mod submit_tests;
 
 pub use api::{
     CacheEvent, Dispatch, End, Ended, Fault, Input, LoadReport, Mode, Output, Policy, Progress,
     Refusal, RefusalReason, Request, Running, Stop, StopReason, Verdict, VerdictKind,
 };
+pub use counters::Counters;
+pub use poplarswitch_queue::starvation_bound;
 pub use scheduler::Scheduler;
+pub use tuning::Tuning;
--- /dev/null
+++ b/crates/scheduler/src/retry_tests.rs
@@ -0,0 +1,155 @@
+use crate::stand::{Stand, dispatches, places, refusals, sent, set, verdicts};
+use crate::{End, Fault, Mode, Policy, RefusalReason, Tuning, VerdictKind};
+use googletest::prelude::*;
+
+#[gtest]
+fn a_call_that_was_not_run_is_sent_elsewhere_even_if_it_may_run_only_once() {
+    for fault in [Fault::Unreached, Fault::Declined] {
+        let mut stand = Stand::new(1, 1);
+        let first = places(&stand.submit(0, "book"))[0].clone();
+        let out = stand.fail(0, 0, fault);
+        expect_that!(dispatches(&out)[0].attempt.0, eq(1));
+        expect_that!(dispatches(&out)[0].endpoint, not(eq(&first)));
+    }
+}
+
+#[gtest]
+fn a_lost_call_that_may_run_only_once_is_in_doubt() {
+    let mut stand = Stand::new(1, 1);
+    stand.submit(0, "book");
+    let out = stand.fail(0, 0, Fault::Lost);
+    expect_that!(sent(&out), is_empty());
+    expect_that!(verdicts(&out)[0].kind, eq(VerdictKind::InDoubt));
+}
+
+#[gtest]
+fn a_lost_call_is_tried_elsewhere_a_bounded_number_of_times() {
+    let mut stand = Stand::new(4, 1);
+    let first = places(&stand.submit(0, "ask"));
+    let second = stand.fail(0, 0, Fault::Lost);
+    expect_that!(places(&second), not(eq(&first)));
+    expect_that!(sent(&stand.fail(0, 1, Fault::Lost)), eq(&[0]));
+    let last = stand.fail(0, 2, Fault::Lost);
+    expect_that!(verdicts(&last)[0].kind, eq(VerdictKind::InDoubt));
+}
+
+#[gtest]
+fn retries_stay_within_their_budget() {
+    let tuning = Tuning::builder().retry_reserve(3).build();
+    let mut stand = Stand::with(set(9, 9), Policy::Full, tuning);
+    (0..9).for_each(|seq| {
+        stand.submit(seq, "ask");
+    });
+    let retried = (0..9).filter(|seq| !sent(&stand.fail(*seq, 0, Fault::Lost)).is_empty());
+    expect_that!(retried.count(), eq(3));
+    expect_that!(stand.scheduler.counters().unbudgeted, eq(6));
+}
+
+#[gtest]
+fn a_call_that_was_lost_before_is_never_called_not_run() {
+    let mut stand = Stand::new(2, 1);
+    stand.submit(0, "ask");
+    stand.fail(0, 0, Fault::Lost);
+    stand.submit(5, "ask");
+    stand.fail(0, 1, Fault::Unreached);
+    stand.submit(6, "ask");
+    let out = stand.pass(10_000);
+    let doubtful: Vec<u64> = verdicts(&out)
+        .iter()
+        .map(|verdict| verdict.call.seq)
+        .collect();
+    expect_that!(doubtful, contains(eq(&0)));
+    expect_that!(
+        refusals(&out).iter().any(|refusal| refusal.call.seq == 0),
+        eq(false)
+    );
+}
+
+#[gtest]
+fn a_call_that_no_endpoint_takes_is_refused_as_not_run() {
+    let mut stand = Stand::new(1, 1);
+    stand.submit(0, "ask");
+    let mut refused = Vec::new();
+    for attempt in 0..20 {
+        refused.extend(refusals(&stand.fail(0, attempt, Fault::Declined)));
+        stand.pass(2_000);
+        if !refused.is_empty() {
+            break;
+        }
+    }
+    let reasons = [RefusalReason::NoEndpoint, RefusalReason::WaitExpired];
+    expect_that!(
+        stand.scheduler.queued() + stand.scheduler.in_flight(),
+        eq(0)
+    );
+    let counters = stand.scheduler.counters();
+    let refused: u64 = reasons
+        .iter()
+        .map(|reason| counters.refused_for(*reason))
+        .sum();
+    expect_that!(refused, eq(1));
+}
+
+fn lose_after(stand: &mut Stand, attempt: u32, emitted: u32) -> Vec<crate::Output> {
+    let fault = Fault::Lost;
+    stand.end(0, attempt, End::Failed { fault, emitted })
+}
+
+#[gtest]
+fn a_stream_is_resumed_at_its_own_endpoint_or_fails() {
+    let mut stand = Stand::new(3, 2);
+    let first = places(&stand.submit(0, "chat"));
+    stand.progress(0, 0, 12);
+    let out = lose_after(&mut stand, 0, 12);
+    expect_that!(places(&out), eq(&first));
+    expect_that!(dispatches(&out)[0].mode, eq(Mode::Resume { emitted: 12 }));
+    // The second loss in a row makes the endpoint count as crashed.
+    let out = lose_after(&mut stand, 1, 15);
+    expect_that!(sent(&out), is_empty());
+    expect_that!(verdicts(&out)[0].kind, eq(VerdictKind::Failed));
+}
+
+#[gtest]
+fn a_stream_whose_resumption_is_declined_fails() {
+    let mut stand = Stand::new(3, 2);
+    stand.submit(0, "chat");
+    lose_after(&mut stand, 0, 12);
+    let out = stand.fail(0, 1, Fault::Declined);
+    expect_that!(sent(&out), is_empty());
+    expect_that!(verdicts(&out)[0].kind, eq(VerdictKind::Failed));
+}
+
+#[gtest]
+fn output_known_from_progress_counts_as_seen() {
+    let mut stand = Stand::new(3, 2);
+    stand.submit(0, "chat");
+    stand.progress(0, 0, 4);
+    let out = lose_after(&mut stand, 0, 0);
+    expect_that!(dispatches(&out)[0].mode, eq(Mode::Resume { emitted: 4 }));
+}
+
+#[gtest]
+fn an_answer_that_reports_an_error_is_a_failure() {
+    let mut stand = Stand::new(3, 2);
+    stand.submit(0, "ask");
+    let out = stand.fail(0, 0, Fault::Errored);
+    expect_that!(sent(&out), is_empty());
+    expect_that!(verdicts(&out)[0].kind, eq(VerdictKind::Failed));
+}
+
+#[gtest]
+fn a_crashed_endpoint_gets_no_work_until_a_probe_went_well() {
+    let mut stand = Stand::new(2, 4);
+    let crashed = places(&stand.submit(0, "ask"))[0].clone();
+    stand.fail(0, 0, Fault::Unreached);
+    let next: Vec<_> = (1..4)
+        .flat_map(|seq| places(&stand.submit(seq, "ask")))
+        .collect();
+    expect_that!(next, each(not(eq(&crashed))));
+    stand.pass(250);
+    let later: Vec<_> = (4..6)
+        .flat_map(|seq| places(&stand.submit(seq, "ask")))
+        .collect();
+    let probes = later.iter().filter(|place| **place == crashed);
+    expect_that!(probes.count(), eq(1));
+}
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -1,47 +1,69 @@
-//! The state machine.
+//! The state machine's data, and the entry points.
 
+use crate::book::Book;
+use crate::group::{Group, GroupKey};
+use crate::table::Table;
 use crate::{
-    Dispatch, End, Ended, Fault, Input, Mode, Output, Policy, Refusal, RefusalReason, Request,
-    Stop, StopReason, Verdict, VerdictKind,
+    Counters, Input, LoadReport, Output, Policy, Refusal, RefusalReason, Tuning, Verdict,
+    VerdictKind,
 };
 use core::time::Duration;
-use poplarswitch_catalog::{Catalog, EndpointKey};
-use poplarswitch_entity::{Attempt, CallId, EndpointName, Time};
+use poplarswitch_balance::{Balancer, Options, PoolKey, Style};
+use poplarswitch_catalog::{Catalog, Route};
+use poplarswitch_entity::{CallId, Time};
+use poplarswitch_queue::CallKey;
+use slotmap::{SecondaryMap, SlotMap};
 use std::{
-    collections::{HashMap, VecDeque},
+    collections::{BTreeSet, HashMap},
     sync::Arc,
 };
 
-/// Retry time told with a refusal.
-const RETRY_AFTER: Duration = Duration::from_secs(1);
-
-#[derive(Debug)]
-struct Flight {
-    request: Request,
-    endpoint: EndpointName,
-    attempt: Attempt,
-}
-
 /// Orders calls over the endpoints of its routes.
 #[derive(Debug)]
 pub struct Scheduler {
-    catalog: Arc<Catalog>,
-    policy: Policy,
-    waiting: VecDeque<(Request, Attempt)>,
-    flights: HashMap<CallId, Flight>,
-    outstanding: HashMap<EndpointName, u32>,
+    pub(crate) catalog: Arc<Catalog>,
+    pub(crate) policy: Policy,
+    pub(crate) tuning: Tuning,
+    pub(crate) table: Table,
+    pub(crate) book: Book,
+    pub(crate) groups: SlotMap<GroupKey, Group>,
+    pub(crate) routes: HashMap<Route, GroupKey>,
+    pub(crate) pools: SecondaryMap<PoolKey, GroupKey>,
+    pub(crate) balancer: Balancer,
+    /// Ends of waits, the earliest first.
+    pub(crate) expiry: BTreeSet<(Time, CallKey)>,
+    /// Routes whose calls may be able to go.
+    pub(crate) dirty: Vec<GroupKey>,
+    pub(crate) counters: Counters,
+    /// Calls that have started to wait, for the order of arrival.
+    pub(crate) arrivals: u64,
 }
 
 impl Scheduler {
+    /// Starts without calls, with the default tuning.
+    pub fn new(catalog: Arc<Catalog>, policy: Policy, seed: u64) -> Self {
+        Self::with_tuning(catalog, policy, seed, Tuning::default())
+    }
+
     /// Starts without calls.
-    pub fn new(catalog: Arc<Catalog>, policy: Policy, _seed: u64) -> Self {
-        Self {
-            catalog,
+    pub fn with_tuning(catalog: Arc<Catalog>, policy: Policy, seed: u64, tuning: Tuning) -> Self {
+        let mut scheduler = Self {
+            catalog: Arc::clone(&catalog),
             policy,
-            waiting: VecDeque::new(),
-            flights: HashMap::new(),
-            outstanding: HashMap::new(),
-        }
+            tuning,
+            table: Table::default(),
+            book: Book::default(),
+            groups: SlotMap::with_key(),
+            routes: HashMap::new(),
+            pools: SecondaryMap::new(),
+            balancer: Balancer::new(options(policy, &tuning), seed),
+            expiry: BTreeSet::new(),
+            dirty: Vec::new(),
+            counters: Counters::default(),
+            arrivals: 0,
+        };
+        scheduler.reload(Time::ZERO, catalog, &mut Vec::new());
+        scheduler
     }
 
     /// The policy in use.
@@ -49,142 +71,112 @@
         self.policy
     }
 
+    /// What was done so far.
+    pub fn counters(&self) -> Counters {
+        Counters {
+            ejected: self.balancer.ejections(),
+            ..self.counters.clone()
+        }
+    }
+
     /// Calls that wait for a slot.
     pub fn queued(&self) -> usize {
-        self.waiting.len()
+        self.table.waiting()
     }
 
     /// Calls that run at an endpoint.
-    pub fn in_flight(&self) -> usize {
-        self.flights.len()
-    }
-
-    /// Puts a new set into force; calls that wait or run stay.
-    pub fn reload(&mut self, _now: Time, catalog: Arc<Catalog>, out: &mut Vec<Output>) {
-        self.catalog = catalog;
-        self.dispatch(out);
+    pub const fn in_flight(&self) -> usize {
+        self.table.running()
     }
 
     /// When `tick` is next worth calling.
     pub fn next_wake(&self) -> Option<Time> {
-        None
+        let expiry = self.expiry.first().map(|(time, _)| *time);
+        let wake = self.balancer.next_wake();
+        expiry.into_iter().chain(wake).min()
     }
 
     /// Lets time pass.
-    pub fn tick(&mut self, _now: Time, out: &mut Vec<Output>) {
-        self.dispatch(out);
+    pub fn tick(&mut self, now: Time, out: &mut Vec<Output>) {
+        self.pass(now, out);
+        self.serve(now, out);
     }
 
     /// Reacts to one input.
-    pub fn handle(&mut self, _now: Time, input: Input, out: &mut Vec<Output>) {
+    pub fn handle(&mut self, now: Time, input: Input, out: &mut Vec<Output>) {
+        self.pass(now, out);
         match input {
-            Input::Submit(request) => self.submit(request, out),
-            Input::Adopt(running) => {
-                *self
-                    .outstanding
-                    .entry(running.endpoint.clone())
-                    .or_default() += 1;
-                let flight = Flight {
-                    request: running.request,
-                    endpoint: running.endpoint,
-                    attempt: running.attempt,
-                };
-                self.flights.insert(flight.request.call, flight);
+            Input::Submit(request) => self.submit(now, request, out),
+            Input::Adopt(running) => self.adopt(now, running, out),
+            Input::Cancel(call) => self.cancel(now, call, out),
+            Input::Ended(ended) => self.ended(now, ended, out),
+            Input::Progress(progress) => self.progress(now, progress),
+            Input::Load(report) => self.load(now, &report),
+            Input::Cache(event) => {
+                self.balancer
+                    .cache(&event.endpoint, event.prefix, event.held);
             }
-            Input::Cancel(call) => self.cancel(call, out),
-            Input::Ended(ended) => self.ended(ended, out),
-            Input::Progress(_) | Input::Load(_) | Input::Cache(_) => {}
         }
-        self.dispatch(out);
+        self.serve(now, out);
     }
 
-    fn submit(&mut self, request: Request, out: &mut Vec<Output>) {
-        if self.catalog.route(&request.route).is_none() {
-            out.push(Output::Refuse(Refusal {
-                call: request.call,
-                reason: RefusalReason::Unknown,
-                retry_after: RETRY_AFTER,
-            }));
-            return;
+    /// Ends waits that are over and lets endpoints come back.
+    fn pass(&mut self, now: Time, out: &mut Vec<Output>) {
+        self.expire(now, out);
+        for pool in self.balancer.tick(now) {
+            self.mark(pool);
         }
-        self.waiting.push_back((request, Attempt::default()));
     }
 
-    fn cancel(&mut self, call: CallId, out: &mut Vec<Output>) {
-        self.waiting.retain(|(request, _)| request.call != call);
-        if let Some(flight) = self.flights.get(&call) {
-            out.push(Output::Stop(Stop {
-                call,
-                attempt: flight.attempt,
-                reason: StopReason::Cancelled,
-            }));
-        }
+    fn load(&mut self, now: Time, report: &LoadReport) {
+        let calls = report.running.saturating_add(report.queued);
+        self.balancer
+            .report(now, &report.endpoint, calls, report.age);
     }
 
-    fn ended(&mut self, ended: Ended, out: &mut Vec<Output>) {
-        let Some(flight) = self.flights.remove(&ended.call) else {
-            return;
-        };
-        if let Some(count) = self.outstanding.get_mut(&flight.endpoint) {
-            *count = count.saturating_sub(1);
-        }
-        let End::Failed { fault, .. } = ended.end else {
-            return;
-        };
-        match fault {
-            Fault::Unreached | Fault::Declined => {
-                self.waiting
-                    .push_front((flight.request, flight.attempt.next()));
-            }
-            Fault::Lost => out.push(Output::Conclude(Verdict {
-                call: ended.call,
-                kind: VerdictKind::InDoubt,
-            })),
-            Fault::Errored => out.push(Output::Conclude(Verdict {
-                call: ended.call,
-                kind: VerdictKind::Failed,
-            })),
+    /// Notes that calls of a pool may be able to go.
+    pub(crate) fn mark(&mut self, pool: PoolKey) {
+        if let Some(group) = self.pools.get(pool) {
+            self.dirty.push(*group);
         }
     }
 
-    fn dispatch(&mut self, out: &mut Vec<Output>) {
-        let waiting = core::mem::take(&mut self.waiting);
-        for (request, attempt) in waiting {
-            let Some(endpoint) = self.free_endpoint(&request) else {
-                self.waiting.push_back((request, attempt));
-                continue;
-            };
-            *self.outstanding.entry(endpoint.clone()).or_default() += 1;
-            out.push(Output::Dispatch(Dispatch {
-                call: request.call,
-                endpoint: endpoint.clone(),
-                attempt,
-                mode: Mode::Fresh,
-            }));
-            self.flights.insert(
-                request.call,
-                Flight {
-                    request,
-                    endpoint,
-                    attempt,
-                },
-            );
+    /// Tells a caller that its call was not run.
+    pub(crate) fn refuse(
+        &mut self,
+        call: CallId,
+        reason: RefusalReason,
+        retry_after: Duration,
+        out: &mut Vec<Output>,
+    ) {
+        *self.counters.refused.entry(reason).or_default() += 1;
+        out.push(Output::Refuse(Refusal {
+            call,
+            reason,
+            retry_after,
+        }));
+    }
+
+    /// Tells a caller that its call failed or is in doubt.
+    pub(crate) fn conclude(&mut self, call: CallId, kind: VerdictKind, out: &mut Vec<Output>) {
+        match kind {
+            VerdictKind::Failed => self.counters.failed += 1,
+            VerdictKind::InDoubt => self.counters.doubtful += 1,
         }
+        out.push(Output::Conclude(Verdict { call, kind }));
     }
+}
 
-    fn free_endpoint(&self, request: &Request) -> Option<EndpointName> {
-        let route = self.catalog.route(&request.route)?;
-        let load = |key: &EndpointKey| {
-            let name = &self.catalog.endpoints[*key].endpoint.name;
-            self.outstanding.get(name).copied().unwrap_or_default()
-        };
-        let key = self
-            .catalog
-            .endpoints_of(route)
-            .iter()
-            .copied()
-            .filter(|key| load(key) < self.catalog.endpoints[*key].endpoint.slots)
-            .min_by_key(load)?;
-        Some(self.catalog.endpoints[key].endpoint.name.clone())
+const fn options(policy: Policy, tuning: &Tuning) -> Options {
+    let style = match policy {
+        Policy::FifoRoundRobin => Style::Turn,
+        Policy::FifoLeastOutstanding | Policy::StrictLeastOutstanding => Style::Least,
+        Policy::Full => Style::Full,
+    };
+    let full = matches!(policy, Policy::Full);
+    Options {
+        style,
+        affinity: full && tuning.affinity,
+        ejection: full && tuning.ejection,
     }
 }
