--- /dev/null
+++ b/crates/keys/src/core_machine.rs
@@ -0,0 +1,297 @@
+//! The state machine: where a keyed call goes, and what its caller is told.
+
+use crate::{
+    CallKey, Counts, Input, KeyedCall, KeysMessage, NotRunReason, Output, RunEnd, Settings,
+    Succession, Token, Told,
+    claim::Op,
+    entry::{Entry, Waiter, tell},
+    forward::Forwards,
+    handover::{Handover, Staged},
+};
+use core::time::Duration;
+use poplarswitch_entity::{CallId, Incarnation, Time};
+use poplarswitch_store::{Reply, Request, RequestId};
+use rand::{Rng as _, SeedableRng as _};
+use rand_pcg::Pcg64Mcg;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// Refused calls that are remembered apart from their keys.
+const MAX_REFUSED: usize = 4_096;
+/// Time between two sweeps of old keys.
+const SWEEP: Duration = Duration::from_secs(10);
+/// Most VMs that answered for one another in turn.
+const MAX_CHAIN: usize = 64;
+const SECONDS_PER_MINUTE: u64 = 60;
+
+/// The keys of one VM.
+#[derive(Debug)]
+pub struct Core {
+    pub(crate) me: Incarnation,
+    pub(crate) settings: Settings,
+    rng: Pcg64Mcg,
+    started: Time,
+    start_minute: u64,
+    ids: RequestId,
+    pub(crate) entries: BTreeMap<CallKey, Entry>,
+    pub(crate) running: BTreeMap<CallId, CallKey>,
+    pub(crate) pending: BTreeMap<RequestId, (CallKey, Op)>,
+    pub(crate) again: Vec<(Time, CallKey, Op)>,
+    pub(crate) forwards: Forwards,
+    pub(crate) links: BTreeSet<Incarnation>,
+    pub(crate) successions: BTreeMap<Incarnation, Succession>,
+    pub(crate) staged: BTreeMap<Incarnation, Staged>,
+    pub(crate) leaving: bool,
+    pub(crate) handover: Handover,
+    refused: VecDeque<CallId>,
+    refused_set: BTreeSet<CallId>,
+    pub(crate) answer_bytes: usize,
+    next_sweep: Time,
+}
+
+impl Core {
+    /// Starts without keys; `minute` is the time of day, in minutes since the Unix epoch.
+    pub fn new(now: Time, me: Incarnation, minute: u64, settings: Settings, seed: u64) -> Self {
+        Self {
+            me,
+            settings,
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            started: now,
+            start_minute: minute,
+            ids: RequestId(0),
+            entries: BTreeMap::new(),
+            running: BTreeMap::new(),
+            pending: BTreeMap::new(),
+            again: Vec::new(),
+            forwards: Forwards::default(),
+            links: BTreeSet::new(),
+            successions: BTreeMap::new(),
+            staged: BTreeMap::new(),
+            leaving: false,
+            handover: Handover::None,
+            refused: VecDeque::new(),
+            refused_set: BTreeSet::new(),
+            answer_bytes: 0,
+            next_sweep: now + SWEEP,
+        }
+    }
+
+    /// Minutes since the Unix epoch, counted from the start on a clock that never jumps.
+    pub const fn minute(&self, now: Time) -> u64 {
+        self.start_minute + now.since(self.started).as_secs() / SECONDS_PER_MINUTE
+    }
+
+    /// A token for keys whose home is this VM.
+    pub const fn token(&self, now: Time) -> Token {
+        Token {
+            home: self.me,
+            minute: self.minute(now),
+        }
+    }
+
+    /// Numbers for metrics.
+    pub fn counts(&self) -> Counts {
+        Counts {
+            keys: self.entries.len(),
+            answer_bytes: self.answer_bytes,
+            running: self.running.len(),
+            forwarded: self.forwards.len(),
+        }
+    }
+
+    /// Who answers for whom, as this VM knows.
+    pub fn successions(&self) -> impl Iterator<Item = &Succession> {
+        self.successions.values()
+    }
+
+    /// When `tick` is next worth calling.
+    pub fn next_wake(&self) -> Option<Time> {
+        let again = self.again.iter().map(|(at, ..)| *at);
+        let busy = self.entries.values().filter_map(Self::deadline);
+        again
+            .chain(busy)
+            .chain(self.forwards.next_wake())
+            .chain(self.handover.deadline())
+            .chain([self.next_sweep])
+            .min()
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, now: Time, out: &mut Vec<Output>) {
+        self.expire_claims(now, out);
+        self.repeat_requests(now, out);
+        self.expire_forwards(now, out);
+        self.expire_handover(now, out);
+        if now >= self.next_sweep {
+            self.next_sweep = now + SWEEP;
+            self.sweep(now);
+        }
+    }
+
+    /// Reacts to one input.
+    pub fn handle(&mut self, now: Time, input: Input, out: &mut Vec<Output>) {
+        match input {
+            Input::Submit(call) => self.submit(now, Waiter { from: None, call }, out),
+            Input::Ended { call, end } => self.ended(now, call, end, out),
+            Input::Message { from, message } => self.message(now, from, message, out),
+            Input::Reply { id, reply } => self.reply(now, id, &reply, out),
+            Input::Linked(peer) => self.linked(now, peer, out),
+            Input::Unlinked(peer) => {
+                self.links.remove(&peer);
+                self.forwards.unlinked(now, peer);
+                self.handover_unlinked(now, peer, out);
+            }
+            Input::Leave => self.leaving = true,
+            Input::HandOver(candidates) => self.hand_over(now, candidates, out),
+        }
+    }
+
+    fn message(
+        &mut self,
+        now: Time,
+        from: Incarnation,
+        message: KeysMessage,
+        out: &mut Vec<Output>,
+    ) {
+        match message {
+            KeysMessage::Forward(call) => {
+                let from = Some(from);
+                self.submit(now, Waiter { from, call }, out);
+            }
+            KeysMessage::Told { call, told } => self.relay(from, call, told, out),
+            KeysMessage::Handover {
+                part,
+                parts,
+                records,
+            } => self.stage(from, part, parts, records, out),
+            KeysMessage::Staged => self.staged(now, from, out),
+            KeysMessage::Commit { floor, inherited } => {
+                self.commit(now, from, floor, &inherited, out);
+            }
+            KeysMessage::Committed => self.committed(now, from, out),
+            KeysMessage::Successions(list) => self.learn(now, Some(from), &list, out),
+        }
+    }
+
+    fn linked(&mut self, now: Time, peer: Incarnation, out: &mut Vec<Output>) {
+        self.links.insert(peer);
+        if !self.successions.is_empty() {
+            let list = self.successions.values().copied().collect();
+            let message = KeysMessage::Successions(list);
+            out.push(Output::Send { to: peer, message });
+        }
+        self.resend(now, out);
+    }
+
+    /// Sends a call to where its key belongs.
+    pub(crate) fn submit(&mut self, now: Time, waiter: Waiter, out: &mut Vec<Output>) {
+        if self.refused_set.contains(&waiter.call.call) {
+            return tell(&waiter, Told::NotRunHere, out);
+        }
+        if !waiter.call.key.text.is_valid() {
+            return self.refuse(&waiter, Told::NotRun(NotRunReason::Malformed), out);
+        }
+        let Some(token) = waiter.call.key.token() else {
+            return self.submit_claimed(now, waiter, out);
+        };
+        let home = self.home_of(token.home);
+        if home == self.me {
+            self.submit_home(now, token, waiter, out);
+        } else if Some(home) == waiter.from {
+            self.refuse(&waiter, Told::NotRunHere, out);
+        } else {
+            self.forward(now, home, waiter, out);
+        }
+    }
+
+    /// The VM that answers for a home today.
+    pub(crate) fn home_of(&self, home: Incarnation) -> Incarnation {
+        let mut home = home;
+        for _ in 0..MAX_CHAIN {
+            match self.successions.get(&home) {
+                Some(succession) => home = succession.by,
+                None => break,
+            }
+        }
+        home
+    }
+
+    /// Orders the run of a claimed key.
+    pub(crate) fn run(&mut self, call: KeyedCall, out: &mut Vec<Output>) {
+        self.running.insert(call.call, call.key.clone());
+        out.push(Output::Run(call));
+    }
+
+    fn ended(&mut self, now: Time, call: CallId, end: RunEnd, out: &mut Vec<Output>) {
+        let Some(key) = self.running.remove(&call) else {
+            return;
+        };
+        match end {
+            RunEnd::Answered(answer) => self.conclude_answer(now, &key, answer, out),
+            RunEnd::NotRun => self.conclude_void(now, &key, out),
+            RunEnd::InDoubt => self.conclude_doubt(now, &key, out),
+        }
+    }
+
+    /// Tells a call that it was not run, and remembers that it must not run later.
+    pub(crate) fn refuse(&mut self, waiter: &Waiter, told: Told, out: &mut Vec<Output>) {
+        let call = waiter.call.call;
+        if self.refused_set.insert(call) {
+            self.refused.push_back(call);
+        }
+        if self.refused.len() > MAX_REFUSED
+            && let Some(oldest) = self.refused.pop_front()
+        {
+            self.refused_set.remove(&oldest);
+        }
+        tell(waiter, told, out);
+    }
+
+    pub(crate) fn request(
+        &mut self,
+        key: CallKey,
+        op: Op,
+        request: Request,
+        out: &mut Vec<Output>,
+    ) {
+        self.ids.0 += 1;
+        let id = self.ids;
+        self.pending.insert(id, (key, op));
+        out.push(Output::Request { id, request });
+    }
+
+    pub(crate) fn nonce(&mut self) -> u64 {
+        self.rng.next_u64()
+    }
+
+    fn reply(&mut self, now: Time, id: RequestId, reply: &Reply, out: &mut Vec<Output>) {
+        if let Some((key, op)) = self.pending.remove(&id) {
+            match op {
+                Op::Claim(nonce) => self.claim_reply(now, &key, nonce, reply, out),
+                Op::Conclude(nonce) => self.conclude_reply(now, &key, nonce, reply, out),
+            }
+        }
+    }
+
+    fn sweep(&mut self, now: Time) {
+        let floor = self.floor(now);
+        let keep = Duration::from_secs(self.settings.retention_min * SECONDS_PER_MINUTE);
+        let mut freed = 0;
+        self.entries.retain(|key, entry| {
+            let old = match key.token() {
+                Some(token) => token.minute < floor,
+                None => now.since(entry.touched) >= keep,
+            };
+            let stays = entry.is_busy() || !old;
+            if !stays {
+                freed += entry.answer_bytes();
+            }
+            stays
+        });
+        self.answer_bytes -= freed;
+        let expired = self
+            .minute(now)
+            .saturating_sub(2 * self.settings.retention_min);
+        self.successions
+            .retain(|_, succession| succession.floor >= expired);
+    }
+}
--- /dev/null
+++ b/crates/keys/src/handover.rs
@@ -0,0 +1,293 @@
+//! The way of a leaving VM's keys to a successor.
+//!
+//! The leaving VM runs nothing any more. It sends its keys in parts; the candidate keeps them
+//! aside and says so; then the leaving VM sends the commit. From that moment it runs nothing
+//! and asks no other candidate, so at most one VM ever answers for its keys. If the commit is
+//! lost, nobody does, and the keys are left open, never run twice.
+
+use crate::{
+    Concluded, Core, KeysMessage, Output, Record, Succession,
+    entry::{Entry, State},
+};
+use poplarswitch_entity::{Incarnation, Time};
+use std::collections::BTreeMap;
+
+/// Keys in one message.
+const PART_KEYS: usize = 256;
+
+/// The leaving VM's side.
+#[derive(Clone, Debug)]
+pub(crate) enum Handover {
+    /// Not begun.
+    None,
+    /// A candidate is being sent the keys.
+    Staging {
+        to: Incarnation,
+        others: Vec<Incarnation>,
+        deadline: Time,
+    },
+    /// The commit was sent, once and for all.
+    Committing { to: Incarnation, deadline: Time },
+    /// It is over.
+    Over,
+}
+
+impl Handover {
+    /// Whether another VM may by now run keys of this one.
+    pub(crate) const fn is_sent(&self) -> bool {
+        matches!(self, Self::Committing { .. } | Self::Over)
+    }
+
+    pub(crate) const fn deadline(&self) -> Option<Time> {
+        match self {
+            Self::Staging { deadline, .. } | Self::Committing { deadline, .. } => Some(*deadline),
+            Self::None | Self::Over => None,
+        }
+    }
+}
+
+/// The successor's side: keys that are kept aside.
+#[derive(Debug, Default)]
+pub(crate) struct Staged {
+    parts: BTreeMap<u32, Vec<Record>>,
+    total: u32,
+}
+
+impl Core {
+    pub(crate) fn hand_over(
+        &mut self,
+        now: Time,
+        candidates: Vec<Incarnation>,
+        out: &mut Vec<Output>,
+    ) {
+        self.leaving = true;
+        let ready = matches!(self.handover, Handover::None) && self.running.is_empty();
+        if ready {
+            let mut others = candidates;
+            others.reverse();
+            self.next_candidate(now, others, out);
+        }
+    }
+
+    fn next_candidate(&mut self, now: Time, mut others: Vec<Incarnation>, out: &mut Vec<Output>) {
+        let links = &self.links;
+        while let Some(to) = others.pop() {
+            if to == self.me || !links.contains(&to) {
+                continue;
+            }
+            let deadline = now + self.settings.handover_timeout;
+            self.handover = Handover::Staging {
+                to,
+                others,
+                deadline,
+            };
+            return self.send_parts(to, out);
+        }
+        self.handover = Handover::Over;
+        out.push(Output::HandedOver(None));
+    }
+
+    fn send_parts(&self, to: Incarnation, out: &mut Vec<Output>) {
+        let records: Vec<Record> = self.records();
+        let chunks: Vec<&[Record]> = records.chunks(PART_KEYS).collect();
+        let parts = chunks.len().max(1) as u32;
+        for part in 0..parts {
+            let chunk = chunks.get(part as usize).copied().unwrap_or_default();
+            let message = KeysMessage::Handover {
+                part,
+                parts,
+                records: chunk.to_vec(),
+            };
+            out.push(Output::Send { to, message });
+        }
+    }
+
+    /// Keys with a token; claimed keys are in the platform.
+    fn records(&self) -> Vec<Record> {
+        let tokened = self.entries.iter().filter(|(key, _)| key.token().is_some());
+        tokened
+            .map(|(key, entry)| Record {
+                key: key.clone(),
+                digest: entry.digest,
+                state: match &entry.state {
+                    State::Concluded(concluded) => concluded.clone(),
+                    State::Claiming(_) | State::Running | State::Voiding(_) => Concluded::InDoubt,
+                },
+                voided: entry.voided.clone(),
+            })
+            .collect()
+    }
+
+    pub(crate) fn stage(
+        &mut self,
+        from: Incarnation,
+        part: u32,
+        parts: u32,
+        records: Vec<Record>,
+        out: &mut Vec<Output>,
+    ) {
+        if self.leaving || self.successions.contains_key(&from) {
+            return;
+        }
+        let staged = self.staged.entry(from).or_default();
+        if staged.total != parts {
+            staged.parts.clear();
+            staged.total = parts;
+        }
+        staged.parts.insert(part, records);
+        if staged.parts.len() == parts as usize {
+            let message = KeysMessage::Staged;
+            out.push(Output::Send { to: from, message });
+        }
+    }
+
+    pub(crate) fn staged(&mut self, now: Time, from: Incarnation, out: &mut Vec<Output>) {
+        let Handover::Staging { to, .. } = &self.handover else {
+            return;
+        };
+        if *to != from {
+            return;
+        }
+        let deadline = now + self.settings.handover_timeout;
+        self.handover = Handover::Committing { to: from, deadline };
+        let inherited = self.successions.values();
+        let inherited = inherited.filter(|succession| succession.by == self.me);
+        let message = KeysMessage::Commit {
+            floor: self.floor(now),
+            inherited: inherited.copied().collect(),
+        };
+        out.push(Output::Send { to: from, message });
+    }
+
+    pub(crate) fn commit(
+        &mut self,
+        now: Time,
+        from: Incarnation,
+        floor: u64,
+        inherited: &[Succession],
+        out: &mut Vec<Output>,
+    ) {
+        let Some(staged) = self.staged.get(&from) else {
+            if self.home_of(from) == self.me {
+                let message = KeysMessage::Committed;
+                out.push(Output::Send { to: from, message });
+            }
+            return;
+        };
+        // Keys that were already sent on would miss the ones that come now.
+        if staged.parts.len() != staged.total as usize || !matches!(self.handover, Handover::None) {
+            return;
+        }
+        let staged = self.staged.remove(&from).unwrap_or_default();
+        for record in staged.parts.into_values().flatten() {
+            self.take_over(now, record);
+        }
+        let mut list = vec![Succession {
+            of: from,
+            by: self.me,
+            floor,
+        }];
+        list.extend(inherited.iter().map(|succession| Succession {
+            by: self.me,
+            floor: succession.floor.max(floor),
+            ..*succession
+        }));
+        for succession in &list {
+            self.successions.insert(succession.of, *succession);
+        }
+        let message = KeysMessage::Committed;
+        out.push(Output::Send { to: from, message });
+        self.broadcast(None, &list, out);
+        self.resend(now, out);
+    }
+
+    fn take_over(&mut self, now: Time, record: Record) {
+        let state = State::Concluded(record.state);
+        let mut entry = Entry::new(now, record.digest, state);
+        entry.voided = record.voided;
+        self.answer_bytes += entry.answer_bytes();
+        self.entries.insert(record.key, entry);
+    }
+
+    pub(crate) fn committed(&mut self, now: Time, from: Incarnation, out: &mut Vec<Output>) {
+        let Handover::Committing { to, .. } = self.handover else {
+            return;
+        };
+        if to != from {
+            return;
+        }
+        self.handover = Handover::Over;
+        let succession = Succession {
+            of: self.me,
+            by: from,
+            floor: self.floor(now),
+        };
+        self.successions.insert(self.me, succession);
+        self.broadcast(None, &[succession], out);
+        out.push(Output::HandedOver(Some(from)));
+    }
+
+    /// Takes word of who answers for whom, and passes on what is new.
+    pub(crate) fn learn(
+        &mut self,
+        now: Time,
+        from: Option<Incarnation>,
+        list: &[Succession],
+        out: &mut Vec<Output>,
+    ) {
+        let mut news = Vec::new();
+        for succession in list {
+            // This VM knows best whom it answers for and who answers for it.
+            if succession.by == self.me || succession.of == self.me {
+                continue;
+            }
+            let known = self.successions.get(&succession.of);
+            if known.is_none_or(|known| known.by != succession.by && known.floor < succession.floor)
+            {
+                self.successions.insert(succession.of, *succession);
+                news.push(*succession);
+            }
+        }
+        if !news.is_empty() {
+            self.broadcast(from, &news, out);
+            self.resend(now, out);
+        }
+    }
+
+    fn broadcast(&self, except: Option<Incarnation>, list: &[Succession], out: &mut Vec<Output>) {
+        for to in self.links.iter().filter(|peer| Some(**peer) != except) {
+            let message = KeysMessage::Successions(list.to_vec());
+            out.push(Output::Send { to: *to, message });
+        }
+    }
+
+    pub(crate) fn handover_unlinked(
+        &mut self,
+        now: Time,
+        peer: Incarnation,
+        out: &mut Vec<Output>,
+    ) {
+        if let Handover::Staging { to, others, .. } = &self.handover
+            && *to == peer
+        {
+            let others = others.clone();
+            self.next_candidate(now, others, out);
+        }
+    }
+
+    pub(crate) fn expire_handover(&mut self, now: Time, out: &mut Vec<Output>) {
+        match &self.handover {
+            Handover::Staging {
+                others, deadline, ..
+            } if now >= *deadline => {
+                let others = others.clone();
+                self.next_candidate(now, others, out);
+            }
+            Handover::Committing { deadline, .. } if now >= *deadline => {
+                self.handover = Handover::Over;
+                out.push(Output::HandedOver(None));
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/keys/src/home.rs
@@ -0,0 +1,172 @@
+//! Keys whose home is this VM.
+
+use crate::{
+    CallKey, Concluded, Core, NotRunReason, Output, Token, Told,
+    entry::{Entry, MAX_VOIDED, State, Waiter, tell, told},
+};
+use poplarswitch_entity::Time;
+use std::sync::Arc;
+
+/// How far the clock of a token's issuer may be ahead, in minutes.
+const MAX_AHEAD_MIN: u64 = 30;
+
+impl Core {
+    /// The issue minute below which keys are no longer taken; it never goes down.
+    pub(crate) const fn floor(&self, now: Time) -> u64 {
+        self.minute(now).saturating_sub(self.settings.retention_min)
+    }
+
+    fn floor_of(&self, now: Time, token: Token) -> u64 {
+        let inherited = self.successions.get(&token.home);
+        let floor = inherited.map_or(0, |succession| succession.floor);
+        self.floor(now).max(floor)
+    }
+
+    /// Takes a call whose key this VM is the home of.
+    pub(crate) fn submit_home(
+        &mut self,
+        now: Time,
+        token: Token,
+        waiter: Waiter,
+        out: &mut Vec<Output>,
+    ) {
+        if self.entries.contains_key(&waiter.call.key) {
+            return self.join(now, waiter, out);
+        }
+        // A key older than this may have been forgotten, so it may have run.
+        if token.minute < self.floor_of(now, token) || self.handover.is_sent() {
+            return self.refuse(&waiter, Told::NotRunHere, out);
+        }
+        let reason = if token.minute > self.minute(now) + MAX_AHEAD_MIN {
+            Some(NotRunReason::Malformed)
+        } else if self.entries.len() >= self.settings.max_keys {
+            Some(NotRunReason::Full)
+        } else {
+            None
+        };
+        if let Some(reason) = reason {
+            return self.refuse(&waiter, Told::NotRun(reason), out);
+        }
+        let call = waiter.call.clone();
+        let void = State::Concluded(Concluded::Void);
+        let entry = Entry::new(now, call.digest, void);
+        self.entries.insert(call.key, entry);
+        self.join(now, waiter, out);
+    }
+
+    /// Adds a call to a key that this VM already holds.
+    pub(crate) fn join(&mut self, now: Time, waiter: Waiter, out: &mut Vec<Output>) {
+        let Some(entry) = self.entries.get_mut(&waiter.call.key) else {
+            return;
+        };
+        let call = waiter.call.call;
+        if entry.voided.contains(&call) {
+            return tell(&waiter, Told::NotRun(NotRunReason::Refused), out);
+        }
+        if entry.digest != waiter.call.digest {
+            return self.refuse(&waiter, Told::Mismatch, out);
+        }
+        let concluded = match &entry.state {
+            State::Concluded(concluded) => concluded,
+            State::Claiming(_) | State::Running | State::Voiding(_) => {
+                return entry.wait(waiter);
+            }
+        };
+        match told(concluded) {
+            Some(told) => tell(&waiter, told, out),
+            None => self.run_void(now, waiter, out),
+        }
+    }
+
+    /// Runs a key that has not run, or says why it will not.
+    fn run_void(&mut self, now: Time, waiter: Waiter, out: &mut Vec<Output>) {
+        let key = waiter.call.key.clone();
+        if self.handover.is_sent() {
+            return self.refuse(&waiter, Told::NotRunHere, out);
+        }
+        let Some(entry) = self.entries.get_mut(&key) else {
+            return;
+        };
+        let refusal = if self.leaving {
+            Some(NotRunReason::Leaving)
+        } else if entry.voided.len() >= MAX_VOIDED {
+            Some(NotRunReason::Refused)
+        } else {
+            None
+        };
+        if let Some(reason) = refusal {
+            if entry.voided.len() < MAX_VOIDED {
+                entry.voided.push(waiter.call.call);
+            }
+            return tell(&waiter, Told::NotRun(reason), out);
+        }
+        if key.token().is_none() {
+            return self.claim(now, waiter, out);
+        }
+        let call = waiter.call.clone();
+        entry.state = State::Running;
+        entry.wait(waiter);
+        self.run(call, out);
+    }
+
+    pub(crate) fn conclude_answer(
+        &mut self,
+        now: Time,
+        key: &CallKey,
+        answer: Arc<[u8]>,
+        out: &mut Vec<Output>,
+    ) {
+        let fits = answer.len() <= self.settings.max_answer
+            && self.answer_bytes + answer.len() <= self.settings.max_answer_bytes;
+        let kept = fits.then(|| Arc::clone(&answer));
+        self.answer_bytes += kept.as_ref().map_or(0, |kept| kept.len());
+        self.conclude(now, key, Concluded::Answered(kept), out);
+        self.tell_all(key, &Told::Answer(answer), out);
+    }
+
+    pub(crate) fn conclude_doubt(&mut self, now: Time, key: &CallKey, out: &mut Vec<Output>) {
+        self.conclude(now, key, Concluded::InDoubt, out);
+        self.tell_all(key, &Told::InDoubt, out);
+    }
+
+    pub(crate) fn conclude_void(&mut self, now: Time, key: &CallKey, out: &mut Vec<Output>) {
+        let claimed = self
+            .entries
+            .get(key)
+            .is_some_and(|entry| entry.granted.is_some());
+        if claimed {
+            return self.void_claim(now, key, out);
+        }
+        self.conclude(now, key, Concluded::Void, out);
+        self.void_all(key, out);
+    }
+
+    fn conclude(&mut self, now: Time, key: &CallKey, concluded: Concluded, out: &mut Vec<Output>) {
+        let Some(entry) = self.entries.get_mut(key) else {
+            return;
+        };
+        entry.state = State::Concluded(concluded);
+        entry.touched = now;
+        if entry.granted.is_some() {
+            self.save(key, out);
+        }
+    }
+
+    /// Tells all waiting calls that the key was not run, and remembers them.
+    pub(crate) fn void_all(&mut self, key: &CallKey, out: &mut Vec<Output>) {
+        if let Some(entry) = self.entries.get_mut(key) {
+            let calls = entry.waiters.iter().map(|waiter| waiter.call.call);
+            entry.voided.extend(calls);
+        }
+        self.tell_all(key, &Told::NotRun(NotRunReason::Refused), out);
+    }
+
+    pub(crate) fn tell_all(&mut self, key: &CallKey, told: &Told, out: &mut Vec<Output>) {
+        let Some(entry) = self.entries.get_mut(key) else {
+            return;
+        };
+        for waiter in core::mem::take(&mut entry.waiters) {
+            tell(&waiter, told.clone(), out);
+        }
+    }
+}
--- a/crates/keys/src/lib.rs
+++ b/crates/keys/src/lib.rs
@@ -1,1 +1,31 @@
 //! At-most-once execution of calls that must not be repeated.
+//!
+//! A key names its home: the one process that may run calls with it. Any other VM forwards
+//! to the home, so no write to the platform stands on the path of a booking. Keys without a
+//! home are claimed in the platform instead, by a conditional write that makes the claimant
+//! the home. Whoever cannot reach the home says that the call did not run here and leaves
+//! open whether an earlier one did; it never runs the call itself.
+
+mod api;
+mod claim;
+mod core_machine;
+mod entry;
+mod forward;
+mod handover;
+mod home;
+mod token;
+
+#[cfg(test)]
+mod claim_tests;
+#[cfg(test)]
+mod core_machine_tests;
+#[cfg(test)]
+mod handover_tests;
+
+pub use api::{
+    CallKey, ClaimObject, ClaimState, Concluded, Counts, Input, KeyedCall, KeysMessage,
+    NotRunReason, Output, Record, RunEnd, Settings, Succession, Told,
+};
+pub use claim::claim_key;
+pub use core_machine::Core;
+pub use token::{BadToken, KeyText, MAX_KEY_BYTES, Token};
--- /dev/null
+++ b/crates/members/src/core_machine.rs
@@ -0,0 +1,353 @@
+//! The state machine.
+
+use crate::{
+    Identity, Input, Mark, Member, MembersMessage, Output, Seen, Settings, State,
+    links::Links,
+    suspicion::RUMOUR_ROUNDS,
+    table::{Record, Table, Witness},
+};
+use poplarswitch_entity::{Incarnation, Time};
+use rand::SeedableRng as _;
+use rand_pcg::Pcg64Mcg;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Membership as one VM sees it.
+#[derive(Debug)]
+pub struct Core {
+    pub(crate) me: Identity,
+    pub(crate) settings: Settings,
+    pub(crate) rng: Pcg64Mcg,
+    seq: u64,
+    load: u16,
+    leaving: bool,
+    fresh: bool,
+    pub(crate) table: Table,
+    pub(crate) links: Links,
+    pub(crate) rumours: BTreeMap<Incarnation, u8>,
+    states: BTreeMap<Incarnation, State>,
+    last_tick: Option<Time>,
+    next_beat: Time,
+    next_summary: Time,
+    next_compare: Time,
+    next_list: Time,
+}
+
+impl Core {
+    /// Starts knowing nobody.
+    pub fn new(me: Identity, settings: Settings, seed: u64) -> Self {
+        Self {
+            me,
+            settings,
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            seq: 0,
+            load: 0,
+            leaving: false,
+            fresh: true,
+            table: Table::default(),
+            links: Links::default(),
+            rumours: BTreeMap::new(),
+            states: BTreeMap::new(),
+            last_tick: None,
+            next_beat: Time::ZERO,
+            next_summary: Time::ZERO,
+            next_compare: Time::ZERO,
+            next_list: Time::ZERO,
+        }
+    }
+
+    /// This VM.
+    pub const fn me(&self) -> &Identity {
+        &self.me
+    }
+
+    /// Whether this VM has announced that it leaves.
+    pub const fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
+    /// Whether a peer has been heard since the last pause of this VM.
+    pub const fn is_fresh(&self) -> bool {
+        self.fresh
+    }
+
+    /// All members with this VM among them, in the order of their incarnations.
+    pub fn members(&self) -> Vec<Member> {
+        let others = self.table.iter().map(|(incarnation, record)| {
+            let linked = self.links.open().contains(incarnation);
+            record.member(linked)
+        });
+        let mut members: Vec<Member> = others.chain([self.myself()]).collect();
+        members.sort_by_key(|member| member.identity.incarnation);
+        members
+    }
+
+    /// One member.
+    pub fn member(&self, incarnation: Incarnation) -> Option<Member> {
+        if incarnation == self.me.incarnation {
+            return Some(self.myself());
+        }
+        let linked = self.links.open().contains(&incarnation);
+        let record = self.table.get(incarnation);
+        record.map(|record| record.member(linked))
+    }
+
+    /// Members of this VM's cell that take new work, this VM among them; for choosing homes.
+    pub fn cell(&self) -> Vec<Incarnation> {
+        let mut cell: Vec<Incarnation> = self
+            .table
+            .iter()
+            .filter(|(_, record)| self.is_near(record) && record.state() == State::Alive)
+            .map(|(incarnation, _)| *incarnation)
+            .collect();
+        if !self.leaving {
+            cell.push(self.me.incarnation);
+        }
+        cell.sort();
+        cell
+    }
+
+    /// Peers with an open link.
+    pub const fn links(&self) -> &BTreeSet<Incarnation> {
+        self.links.open()
+    }
+
+    /// When `tick` is next worth calling.
+    pub const fn next_wake(&self) -> Option<Time> {
+        Some(self.next_beat)
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, now: Time, out: &mut Vec<Output>) {
+        self.notice_pause(now, out);
+        if now < self.next_beat {
+            return;
+        }
+        self.next_beat = now + self.settings.heartbeat;
+        self.beat(out);
+        self.suspect(now, out);
+        self.spread(now, out);
+        if now >= self.next_summary {
+            self.next_summary = now + self.settings.summary;
+            self.summarise(now, out);
+        }
+        if now >= self.next_compare {
+            self.next_compare = now + self.settings.compare;
+            self.compare(now, out);
+        }
+        if now >= self.next_list {
+            self.next_list = now + self.settings.list_every;
+            out.push(Output::List);
+        }
+        self.table.forget(now, self.settings.forget_after);
+        let dials = self.links.dial(now, &self.me, &self.settings, &self.table);
+        out.extend(dials.into_iter().map(Output::Dial));
+        self.report(out);
+    }
+
+    /// Reacts to one input.
+    pub fn handle(&mut self, now: Time, input: Input, out: &mut Vec<Output>) {
+        self.notice_pause(now, out);
+        match input {
+            Input::Message { from, message } => self.message(now, from, message, out),
+            Input::Linked(peer) => self.linked(now, &peer, out),
+            Input::Unlinked(peer) => {
+                self.links.closed(peer);
+            }
+            Input::DialFailed(_) => {}
+            Input::Listed(records) => {
+                self.links.list(records.iter().map(|record| record.address));
+            }
+            Input::Load(load) => self.load = load,
+            Input::Leave => {
+                self.leaving = true;
+                self.beat(out);
+            }
+        }
+        self.report(out);
+    }
+
+    fn message(
+        &mut self,
+        now: Time,
+        from: Incarnation,
+        message: MembersMessage,
+        out: &mut Vec<Output>,
+    ) {
+        self.fresh = true;
+        match message {
+            MembersMessage::Heartbeat(seen) => self.digest(now, from, &[seen], out),
+            MembersMessage::Digest(seen) => self.digest(now, from, &seen, out),
+            MembersMessage::Doubt(about) => {
+                let known = about.into_iter().filter_map(|peer| self.seen(now, peer));
+                let message = MembersMessage::Digest(known.collect());
+                out.push(Output::Send { to: from, message });
+            }
+            MembersMessage::Want(wanted) => {
+                let known = wanted.into_iter().filter_map(|peer| self.member(peer));
+                let identities = known.map(|member| member.identity).collect();
+                let message = MembersMessage::Identities(identities);
+                out.push(Output::Send { to: from, message });
+            }
+            MembersMessage::Identities(identities) => {
+                for identity in identities {
+                    self.meet(now, &identity);
+                }
+            }
+        }
+    }
+
+    fn linked(&mut self, now: Time, peer: &Identity, out: &mut Vec<Output>) {
+        if peer.incarnation == self.me.incarnation {
+            return;
+        }
+        let to = peer.incarnation;
+        self.links.opened(peer);
+        self.meet(now, peer);
+        let message = MembersMessage::Heartbeat(self.my_seen());
+        out.push(Output::Send { to, message });
+        let message = MembersMessage::Digest(self.everything(now));
+        out.push(Output::Send { to, message });
+    }
+
+    fn meet(&mut self, now: Time, identity: &Identity) {
+        let incarnation = identity.incarnation;
+        if incarnation != self.me.incarnation && self.table.add(now, identity) {
+            self.rumours.insert(incarnation, RUMOUR_ROUNDS);
+        }
+    }
+
+    fn digest(&mut self, now: Time, from: Incarnation, seen: &[Seen], out: &mut Vec<Output>) {
+        let mut wanted = Vec::new();
+        for entry in seen {
+            if entry.incarnation == self.me.incarnation {
+                self.refute(entry);
+                continue;
+            }
+            if self.table.get(entry.incarnation).is_none() {
+                if entry.mark != Mark::Gone {
+                    wanted.push(entry.incarnation);
+                }
+                continue;
+            }
+            self.testify(now, from, entry);
+            if self.table.learn(now, entry) {
+                self.rumours.insert(entry.incarnation, RUMOUR_ROUNDS);
+            }
+        }
+        if !wanted.is_empty() {
+            let message = MembersMessage::Want(wanted);
+            out.push(Output::Send { to: from, message });
+        }
+    }
+
+    /// Outruns a mark that others have put on this VM.
+    fn refute(&mut self, entry: &Seen) {
+        if entry.mark != Mark::Fine && entry.seq >= self.seq {
+            self.seq = entry.seq + 1;
+            self.rumours.insert(self.me.incarnation, RUMOUR_ROUNDS);
+        }
+    }
+
+    /// Remembers that another VM has not heard a member either.
+    fn testify(&mut self, now: Time, from: Incarnation, entry: &Seen) {
+        if let Some(record) = self.table.get_mut(entry.incarnation)
+            && from != entry.incarnation
+            && entry.seq <= record.seq
+        {
+            let age_ms = entry.age_ms;
+            record.witnesses.insert(from, Witness { at: now, age_ms });
+        }
+    }
+
+    fn notice_pause(&mut self, now: Time, out: &mut Vec<Output>) {
+        let last = self.last_tick.replace(now).unwrap_or(now);
+        let gap = now.since(last);
+        if gap >= self.settings.pause {
+            self.table.excuse(now, gap);
+            self.fresh = self.links.open().is_empty();
+            self.next_list = now;
+            out.push(Output::Paused(gap));
+        }
+    }
+
+    fn beat(&mut self, out: &mut Vec<Output>) {
+        self.seq += 1;
+        let seen = self.my_seen();
+        for to in self.links.open() {
+            let message = MembersMessage::Heartbeat(seen);
+            out.push(Output::Send { to: *to, message });
+        }
+    }
+
+    pub(crate) fn everything(&self, now: Time) -> Vec<Seen> {
+        let known = self.table.iter().map(|(incarnation, _)| *incarnation);
+        let all = known.chain([self.me.incarnation]);
+        all.filter_map(|peer| self.seen(now, peer)).collect()
+    }
+
+    pub(crate) fn seen(&self, now: Time, incarnation: Incarnation) -> Option<Seen> {
+        if incarnation == self.me.incarnation {
+            return Some(self.my_seen());
+        }
+        let record = self.table.get(incarnation)?;
+        let mark = if record.replaced {
+            Mark::Gone
+        } else {
+            record.mark
+        };
+        Some(Seen {
+            incarnation,
+            seq: record.seq,
+            age_ms: now.since(record.heard).as_millis() as u32,
+            mark,
+            leaving: record.leaving,
+            load: record.load,
+        })
+    }
+
+    const fn my_seen(&self) -> Seen {
+        Seen {
+            incarnation: self.me.incarnation,
+            seq: self.seq,
+            age_ms: 0,
+            mark: Mark::Fine,
+            leaving: self.leaving,
+            load: self.load,
+        }
+    }
+
+    fn myself(&self) -> Member {
+        let state = if self.leaving {
+            State::Leaving
+        } else {
+            State::Alive
+        };
+        Member {
+            identity: self.me.clone(),
+            state,
+            load: self.load,
+            linked: true,
+        }
+    }
+
+    pub(crate) fn is_near(&self, record: &Record) -> bool {
+        record.identity.cell == self.me.cell
+    }
+
+    /// Reports states that differ from those reported last.
+    fn report(&mut self, out: &mut Vec<Output>) {
+        for (incarnation, record) in self.table.iter() {
+            let state = record.state();
+            if self.states.insert(*incarnation, state) == Some(state) {
+                continue;
+            }
+            let incarnation = *incarnation;
+            out.push(Output::Changed { incarnation, state });
+            if state == State::Gone && self.links.closed(incarnation) {
+                out.push(Output::Close(incarnation));
+            }
+        }
+        let table = &self.table;
+        self.states.retain(|peer, _| table.get(*peer).is_some());
+    }
+}
--- /dev/null
+++ b/crates/members/src/links.rs
@@ -0,0 +1,106 @@
+//! Which links this VM keeps open.
+//!
+//! All members of a cell are linked with one another. Beyond the cell a VM opens a few links,
+//! chosen by rendezvous hashing so that the choice is stable while members come and go and
+//! that all VMs together form a well-connected graph.
+
+use crate::{Identity, Settings, State, table::Table};
+use core::{net::SocketAddr, time::Duration};
+use poplarswitch_entity::{Incarnation, Time};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Time between two attempts at one address.
+const REDIAL: Duration = Duration::from_secs(2);
+/// Time for which the VM with the higher incarnation waits for the other to dial.
+const YIELD: Duration = Duration::from_secs(3);
+
+/// Open links and attempts at opening some.
+#[derive(Debug, Default)]
+pub(crate) struct Links {
+    open: BTreeSet<Incarnation>,
+    dialed: BTreeMap<SocketAddr, Time>,
+    listed: BTreeSet<SocketAddr>,
+}
+
+impl Links {
+    pub(crate) const fn open(&self) -> &BTreeSet<Incarnation> {
+        &self.open
+    }
+
+    pub(crate) fn opened(&mut self, peer: &Identity) {
+        self.open.insert(peer.incarnation);
+        self.dialed.remove(&peer.address);
+    }
+
+    pub(crate) fn closed(&mut self, peer: Incarnation) -> bool {
+        self.open.remove(&peer)
+    }
+
+    pub(crate) fn list(&mut self, addresses: impl Iterator<Item = SocketAddr>) {
+        self.listed = addresses.collect();
+    }
+
+    /// Addresses to dial now.
+    pub(crate) fn dial(
+        &mut self,
+        now: Time,
+        me: &Identity,
+        settings: &Settings,
+        table: &Table,
+    ) -> Vec<SocketAddr> {
+        self.dialed.retain(|_, at| now.since(*at) < REDIAL);
+        let mut wanted = self.wanted(now, me, settings, table);
+        wanted.extend(self.unknown(settings, table));
+        wanted.remove(&me.address);
+        wanted.retain(|address| !self.dialed.contains_key(address));
+        for address in &wanted {
+            self.dialed.insert(*address, now);
+        }
+        wanted.into_iter().collect()
+    }
+
+    fn wanted(
+        &self,
+        now: Time,
+        me: &Identity,
+        settings: &Settings,
+        table: &Table,
+    ) -> BTreeSet<SocketAddr> {
+        let live = table
+            .iter()
+            .filter(|(_, record)| record.state() != State::Gone);
+        let (near, mut far): (Vec<_>, Vec<_>) =
+            live.partition(|(_, record)| record.identity.cell == me.cell);
+        let near = near.into_iter().filter(|(peer, record)| {
+            me.incarnation < **peer || now.since(record.known_since) >= YIELD
+        });
+        far.sort_by_key(|(peer, _)| core::cmp::Reverse(mix(me.incarnation, **peer)));
+        far.truncate(settings.far_links);
+        near.chain(far)
+            .filter(|(peer, _)| !self.open.contains(*peer))
+            .map(|(_, record)| record.identity.address)
+            .collect()
+    }
+
+    /// Seeds and listed addresses at which no live member is known.
+    fn unknown(&self, settings: &Settings, table: &Table) -> BTreeSet<SocketAddr> {
+        let known: BTreeSet<SocketAddr> = table
+            .iter()
+            .filter(|(_, record)| record.state() != State::Gone)
+            .map(|(_, record)| record.identity.address)
+            .collect();
+        let candidates = settings.seeds.iter().chain(&self.listed);
+        candidates
+            .filter(|address| !known.contains(address))
+            .copied()
+            .collect()
+    }
+}
+
+/// Mixes two numbers into a well-spread one.
+fn mix(a: Incarnation, b: Incarnation) -> u64 {
+    let mut x = a.0 ^ b.0.rotate_left(32) ^ 0x9e37_79b9_7f4a_7c15;
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
--- /dev/null
+++ b/crates/members/src/suspicion.rs
@@ -0,0 +1,98 @@
+//! When a silent member is suspected, and when it counts as dead.
+//!
+//! In the own cell one silent observer is not enough: another VM that is itself heard has to
+//! confirm, and only an observer that nobody answers decides alone, later. Members of other
+//! cells are judged by their own cell; they are suspected from afar only if their whole cell
+//! is silent.
+
+use crate::{Core, Mark, MembersMessage, Output, State, table::Record};
+use core::time::Duration;
+use poplarswitch_entity::Time;
+use rand::seq::IteratorRandom as _;
+
+/// Rounds for which a change is passed on.
+pub(crate) const RUMOUR_ROUNDS: u8 = 6;
+/// Peers that are asked about silent members at once.
+const FAN_OUT: usize = 3;
+/// Age of a witness's answer from which it no longer counts.
+const WITNESS_LIFE: Duration = Duration::from_secs(2);
+
+impl Core {
+    pub(crate) fn suspect(&mut self, now: Time, out: &mut Vec<Output>) {
+        let mut doubts = Vec::new();
+        let mut marks = Vec::new();
+        for (incarnation, record) in self.table.iter() {
+            if record.state() == State::Gone {
+                continue;
+            }
+            if let Some(mark) = self.judge(now, record) {
+                marks.push((*incarnation, mark));
+            } else if self.is_near(record)
+                && now.since(record.heard) >= self.settings.suspect_after / 2
+            {
+                doubts.push(*incarnation);
+            }
+        }
+        for (incarnation, mark) in marks {
+            if let Some(record) = self.table.get_mut(incarnation) {
+                record.set_mark(now, mark);
+                self.rumours.insert(incarnation, RUMOUR_ROUNDS);
+            }
+        }
+        if doubts.is_empty() {
+            return;
+        }
+        let mut near = self.links.open().clone();
+        near.retain(|peer| {
+            let record = self.table.get(*peer);
+            !doubts.contains(peer) && record.is_some_and(|record| self.is_near(record))
+        });
+        for to in near.into_iter().sample(&mut self.rng, FAN_OUT) {
+            let message = MembersMessage::Doubt(doubts.clone());
+            out.push(Output::Send { to, message });
+        }
+    }
+
+    /// The mark that a silent member gets now, if it is worse than the one it has.
+    fn judge(&self, now: Time, record: &Record) -> Option<Mark> {
+        let silence = now.since(record.heard);
+        let settings = &self.settings;
+        let mark = if self.is_near(record) {
+            let confirmed = self.is_confirmed(now, record);
+            if silence >= settings.gone_after {
+                Mark::Gone
+            } else if silence >= settings.lone_after
+                || (silence >= settings.suspect_after && confirmed)
+            {
+                Mark::Suspect
+            } else {
+                Mark::Fine
+            }
+        } else {
+            let cell = now.since(self.table.cell_heard(&record.identity.cell));
+            if cell >= settings.gone_after.max(settings.far_after)
+                || silence >= settings.forget_after
+            {
+                Mark::Gone
+            } else if cell >= settings.far_after {
+                Mark::Suspect
+            } else {
+                Mark::Fine
+            }
+        };
+        (mark > record.mark).then_some(mark)
+    }
+
+    /// Whether another VM of the cell, heard of late, has not heard this member either.
+    fn is_confirmed(&self, now: Time, record: &Record) -> bool {
+        let bound = self.settings.suspect_after / 2;
+        record.witnesses.iter().any(|(witness, said)| {
+            let age = Duration::from_millis(u64::from(said.age_ms));
+            let witness = self.table.get(*witness);
+            let lives = witness.is_some_and(|witness| {
+                self.is_near(witness) && now.since(witness.heard) < self.settings.suspect_after
+            });
+            lives && now.since(said.at) < WITNESS_LIFE && age >= bound
+        })
+    }
+}
--- /dev/null
+++ b/crates/members/src/table.rs
@@ -0,0 +1,187 @@
+//! The members that this VM has heard of.
+
+use crate::{Identity, Mark, Member, Seen, State};
+use core::time::Duration;
+use poplarswitch_entity::{CellName, Incarnation, Time, VmName};
+use std::collections::BTreeMap;
+
+/// What another VM said when it was asked about a silent member.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Witness {
+    pub(crate) at: Time,
+    pub(crate) age_ms: u32,
+}
+
+/// One member.
+#[derive(Clone, Debug)]
+pub(crate) struct Record {
+    pub(crate) identity: Identity,
+    pub(crate) seq: u64,
+    /// When the newest heartbeat was heard, by anybody.
+    pub(crate) heard: Time,
+    pub(crate) known_since: Time,
+    pub(crate) mark: Mark,
+    pub(crate) marked_at: Time,
+    pub(crate) leaving: bool,
+    /// Another life of the same VM has begun.
+    pub(crate) replaced: bool,
+    pub(crate) load: u16,
+    pub(crate) witnesses: BTreeMap<Incarnation, Witness>,
+}
+
+impl Record {
+    fn new(now: Time, identity: Identity) -> Self {
+        Self {
+            identity,
+            seq: 0,
+            heard: now,
+            known_since: now,
+            mark: Mark::Fine,
+            marked_at: now,
+            leaving: false,
+            replaced: false,
+            load: 0,
+            witnesses: BTreeMap::new(),
+        }
+    }
+
+    pub(crate) const fn state(&self) -> State {
+        match self.mark {
+            Mark::Gone => State::Gone,
+            _ if self.replaced => State::Gone,
+            Mark::Suspect => State::Suspect,
+            Mark::Fine if self.leaving => State::Leaving,
+            Mark::Fine => State::Alive,
+        }
+    }
+
+    pub(crate) fn member(&self, linked: bool) -> Member {
+        Member {
+            identity: self.identity.clone(),
+            state: self.state(),
+            load: self.load,
+            linked,
+        }
+    }
+
+    /// Takes what somebody knows of this member; says whether others should hear of it.
+    fn learn(&mut self, now: Time, seen: &Seen) -> bool {
+        let before = (self.mark, self.leaving);
+        self.leaving |= seen.leaving;
+        if seen.seq > self.seq {
+            self.seq = seen.seq;
+            self.load = seen.load;
+            let heard = now - Duration::from_millis(u64::from(seen.age_ms));
+            self.heard = self.heard.max(heard);
+            self.set_mark(now, seen.mark);
+            self.witnesses.clear();
+        } else if seen.seq == self.seq && seen.mark > self.mark {
+            self.set_mark(now, seen.mark);
+        }
+        before != (self.mark, self.leaving)
+    }
+
+    pub(crate) fn set_mark(&mut self, now: Time, mark: Mark) {
+        if self.mark != mark {
+            self.mark = mark;
+            self.marked_at = now;
+        }
+    }
+}
+
+/// All members but this VM.
+#[derive(Debug, Default)]
+pub(crate) struct Table {
+    records: BTreeMap<Incarnation, Record>,
+    names: BTreeMap<VmName, Incarnation>,
+    cells: BTreeMap<CellName, Time>,
+}
+
+impl Table {
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (&Incarnation, &Record)> {
+        self.records.iter()
+    }
+
+    pub(crate) fn get(&self, incarnation: Incarnation) -> Option<&Record> {
+        self.records.get(&incarnation)
+    }
+
+    pub(crate) fn get_mut(&mut self, incarnation: Incarnation) -> Option<&mut Record> {
+        self.records.get_mut(&incarnation)
+    }
+
+    /// When any member of a cell was last heard.
+    pub(crate) fn cell_heard(&self, cell: &CellName) -> Time {
+        self.cells.get(cell).copied().unwrap_or_default()
+    }
+
+    /// Adds a member; of two lives of one VM only the later one stays.
+    pub(crate) fn add(&mut self, now: Time, identity: &Identity) -> bool {
+        if self.records.contains_key(&identity.incarnation) {
+            return false;
+        }
+        let mut record = Record::new(now, identity.clone());
+        if let Some(other) = self.names.get(&identity.vm).copied()
+            && let Some(old) = self.records.get_mut(&other)
+        {
+            if order(&old.identity) > order(identity) {
+                record.replaced = true;
+            } else {
+                old.replaced = true;
+                old.marked_at = now;
+            }
+        }
+        if !record.replaced {
+            self.names.insert(identity.vm.clone(), identity.incarnation);
+        }
+        self.touch_cell(&identity.cell, now);
+        self.records.insert(identity.incarnation, record);
+        true
+    }
+
+    /// Takes what somebody knows of a known member; says whether others should hear of it.
+    pub(crate) fn learn(&mut self, now: Time, seen: &Seen) -> bool {
+        let Some(record) = self.records.get_mut(&seen.incarnation) else {
+            return false;
+        };
+        let newer = seen.seq > record.seq;
+        let told = record.learn(now, seen);
+        if newer && !record.replaced {
+            let (cell, heard) = (record.identity.cell.clone(), record.heard);
+            self.touch_cell(&cell, heard);
+        }
+        told
+    }
+
+    fn touch_cell(&mut self, cell: &CellName, heard: Time) {
+        let entry = self.cells.entry(cell.clone()).or_default();
+        *entry = heard.max(*entry);
+    }
+
+    /// Forgets members that have been gone for long.
+    pub(crate) fn forget(&mut self, now: Time, after: Duration) {
+        let names = &mut self.names;
+        self.records.retain(|incarnation, record| {
+            let stays = record.state() != State::Gone || now.since(record.marked_at) < after;
+            if !stays && names.get(&record.identity.vm) == Some(incarnation) {
+                names.remove(&record.identity.vm);
+            }
+            stays
+        });
+    }
+
+    /// Counts a pause of this VM as time in which nobody was silent.
+    pub(crate) fn excuse(&mut self, now: Time, gap: Duration) {
+        for record in self.records.values_mut() {
+            record.heard = now.min(record.heard + gap);
+            record.witnesses.clear();
+        }
+        for heard in self.cells.values_mut() {
+            *heard = now.min(*heard + gap);
+        }
+    }
+}
+
+fn order(identity: &Identity) -> (u64, Incarnation) {
+    (identity.started, identity.incarnation)
+}
--- /dev/null
+++ b/crates/orders/src/core_machine.rs
@@ -0,0 +1,238 @@
+//! The state machine.
+
+use crate::{
+    EndpointStatus, Input, Load, Observation, Order, OrderEnd, Output, Settings, Wait,
+    desired::Group,
+    lease::Lease,
+    reconcile::{Engine, Given, View},
+};
+use poplarswitch_entity::{EndpointName, FencingNumber, Incarnation, Time};
+use rand::SeedableRng as _;
+use rand_pcg::Pcg64Mcg;
+use std::collections::BTreeMap;
+
+/// Brings the engines of one group to what the set declares.
+#[derive(Debug)]
+pub struct Core {
+    settings: Settings,
+    rng: Pcg64Mcg,
+    lease: Lease,
+    group: Group,
+    engines: BTreeMap<EndpointName, Engine>,
+    store_free: Time,
+}
+
+impl Core {
+    /// Starts without a lease and without a set.
+    pub fn new(me: Incarnation, settings: Settings, seed: u64) -> Self {
+        Self {
+            settings,
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            lease: Lease::new(me),
+            group: Group::default(),
+            engines: BTreeMap::new(),
+            store_free: Time::ZERO,
+        }
+    }
+
+    /// The fencing number, if this VM holds the lease now.
+    pub fn fencing(&self, now: Time) -> Option<FencingNumber> {
+        self.lease.held(now).map(|held| held.fencing)
+    }
+
+    /// Orders whose end is not known.
+    pub fn in_flight(&self) -> usize {
+        let open = |engine: &&Engine| {
+            let given = engine.given.as_ref();
+            given.is_some_and(|given| given.ended.is_none())
+        };
+        self.engines.values().filter(open).count()
+    }
+
+    /// Where every engine of the group stands.
+    pub fn status(&self, now: Time) -> Vec<EndpointStatus> {
+        let view = self.view(now);
+        let engines = self.group.engines.iter();
+        engines
+            .map(|(name, desired)| EndpointStatus {
+                endpoint: name.clone(),
+                desired: desired.load.clone(),
+                observed: self.observation(name).cloned(),
+                waits: view.waits(name, desired).unwrap_or(Wait::Order),
+            })
+            .collect()
+    }
+
+    /// When `tick` is next worth calling.
+    pub fn next_wake(&self, now: Time) -> Option<Time> {
+        let look = self.lease.held(now).map(|_| {
+            let asked = self.group.engines.keys().map(|name| self.look_at(name));
+            asked
+                .min()
+                .unwrap_or(Time::MAX)
+                .max(now + self.settings.retry / 8)
+        });
+        [self.lease.next_wake(), look].into_iter().flatten().min()
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, now: Time, out: &mut Vec<Output>) {
+        let idle = self.in_flight() == 0;
+        self.lease
+            .tick(now, idle, &self.settings, &mut self.rng, out);
+        for engine in self.engines.values_mut() {
+            engine.settle(now, &self.settings);
+        }
+        if self.lease.held(now).is_some() {
+            self.observe(now, out);
+            self.order(now, out);
+        }
+    }
+
+    /// Reacts to one input.
+    pub fn handle(&mut self, now: Time, input: Input, out: &mut Vec<Output>) {
+        match input {
+            Input::Set(set) => {
+                self.group = Group::read(&set, self.settings.data_centre.as_ref());
+                let wanted = &self.group.engines;
+                self.engines.retain(|name, _| wanted.contains_key(name));
+            }
+            Input::Observed {
+                endpoint,
+                observation,
+            } => self.observed(now, endpoint, observation, out),
+            Input::Ended { endpoint, end } => self.ended(now, &endpoint, &end, out),
+            Input::Reply { id, reply } => {
+                let settings = &self.settings;
+                self.lease
+                    .reply(now, id, &reply, settings, &mut self.rng, out);
+            }
+            Input::Leave => self.lease.leave(),
+        }
+        self.tick(now, out);
+    }
+
+    fn observed(
+        &mut self,
+        now: Time,
+        endpoint: EndpointName,
+        observation: Option<Observation>,
+        out: &mut Vec<Output>,
+    ) {
+        if !self.group.engines.contains_key(&endpoint) {
+            return;
+        }
+        let newest = observation.as_ref().and_then(|seen| seen.fencing);
+        let engine = self.engines.entry(endpoint).or_default();
+        // The state is at least as new as the request for it.
+        engine.observed_at = engine.asked_at.take().unwrap_or(now);
+        engine.observation = observation;
+        self.yield_to(now, newest, out);
+    }
+
+    fn ended(&mut self, now: Time, endpoint: &EndpointName, end: &OrderEnd, out: &mut Vec<Output>) {
+        let Some(engine) = self.engines.get_mut(endpoint) else {
+            return;
+        };
+        match end {
+            OrderEnd::Fenced { newest } => {
+                engine.given = None;
+                self.yield_to(now, Some(*newest), out);
+            }
+            OrderEnd::NotTaken => engine.given = None,
+            OrderEnd::Taken => {
+                if let Some(given) = &mut engine.given {
+                    given.ended = Some(now);
+                    engine.sealed = engine.sealed.max(Some(given.fencing));
+                }
+            }
+            // It may take effect until the longest call is over.
+            OrderEnd::Unknown => {}
+        }
+    }
+
+    /// Gives way to a holder whose higher number an engine has seen.
+    fn yield_to(&mut self, now: Time, newest: Option<FencingNumber>, out: &mut Vec<Output>) {
+        if newest > self.fencing(now) && self.fencing(now).is_some() {
+            self.lease.outrun(now, out);
+        }
+    }
+
+    fn look_at(&self, name: &EndpointName) -> Time {
+        let engine = self.engines.get(name);
+        engine.map_or(Time::ZERO, |engine| {
+            let last = engine.asked_at.unwrap_or(engine.observed_at);
+            last + self.settings.observe
+        })
+    }
+
+    fn observe(&mut self, now: Time, out: &mut Vec<Output>) {
+        let due: Vec<EndpointName> = self
+            .group
+            .engines
+            .keys()
+            .filter(|name| now >= self.look_at(name))
+            .cloned()
+            .collect();
+        for name in due {
+            let engine = self.engines.entry(name.clone()).or_default();
+            engine.asked_at = Some(now);
+            out.push(Output::Observe(name));
+        }
+    }
+
+    fn order(&mut self, now: Time, out: &mut Vec<Output>) {
+        let names: Vec<EndpointName> = self.group.engines.keys().cloned().collect();
+        for name in &names {
+            let Some(desired) = self.group.engines.get(name) else {
+                continue;
+            };
+            if self.view(now).waits(name, desired).is_none() {
+                let load = desired.load.clone();
+                let time = self.group.load_time(name, self.settings.store_mb);
+                self.store_free = now + time;
+                self.give(now, name, load, out);
+            }
+        }
+        if self.view(now).has_work() {
+            for name in &names {
+                if let Some(load) = self.view(now).seal(name) {
+                    self.give(now, name, load, out);
+                }
+            }
+        }
+    }
+
+    fn give(&mut self, now: Time, name: &EndpointName, load: Load, out: &mut Vec<Output>) {
+        let Some(held) = self.lease.held(now) else {
+            return;
+        };
+        let fencing = held.fencing;
+        let engine = self.engines.entry(name.clone()).or_default();
+        engine.given = Some(Given {
+            load: load.clone(),
+            fencing,
+            at: now,
+            ended: None,
+        });
+        out.push(Output::Order {
+            endpoint: name.clone(),
+            order: Order { fencing, load },
+        });
+    }
+
+    fn observation(&self, name: &EndpointName) -> Option<&Observation> {
+        self.engines.get(name)?.observation.as_ref()
+    }
+
+    fn view(&self, now: Time) -> View<'_> {
+        View {
+            now,
+            settings: &self.settings,
+            group: &self.group,
+            engines: &self.engines,
+            held: self.lease.held(now),
+            store_free: self.store_free,
+        }
+    }
+}
--- a/crates/orders/src/lib.rs
+++ b/crates/orders/src/lib.rs
@@ -1,1 +1,24 @@
 //! Leases, fencing numbers and desired-state orders to engines.
+//!
+//! One VM at a time holds the lease of a group of engines and brings them to what the set
+//! declares. Orders are absolute, carry the version of the lease as their fencing number, and
+//! are verified by reading the engine back. Engines that check the number are safe from a
+//! late holder; for the others an order is given only while the lease outlasts the longest
+//! call and pause, and a new holder lets that time pass first.
+
+mod api;
+mod core_machine;
+mod desired;
+mod lease;
+mod reconcile;
+
+#[cfg(test)]
+mod core_machine_tests;
+#[cfg(test)]
+mod lease_tests;
+
+pub use api::{
+    EndpointStatus, Input, LeaseObject, Load, Observation, Order, OrderEnd, Output, Settings, Wait,
+};
+pub use core_machine::Core;
+pub use lease::lease_key;
--- /dev/null
+++ b/crates/orders/src/reconcile.rs
@@ -0,0 +1,168 @@
+//! Which orders may be given now.
+
+use crate::{
+    Load, Observation, Settings, Wait,
+    desired::{Desired, Group},
+    lease::Held,
+};
+use poplarswitch_entity::{EndpointName, FencingNumber, ModelName, Time};
+use std::collections::BTreeMap;
+
+/// An order that was given and is not yet seen to have worked.
+#[derive(Clone, Debug)]
+pub(crate) struct Given {
+    pub(crate) load: Load,
+    pub(crate) fencing: FencingNumber,
+    pub(crate) at: Time,
+    /// When its call ended, if it has.
+    pub(crate) ended: Option<Time>,
+}
+
+/// What is known of one engine.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Engine {
+    pub(crate) observation: Option<Observation>,
+    pub(crate) observed_at: Time,
+    pub(crate) asked_at: Option<Time>,
+    pub(crate) given: Option<Given>,
+    /// The highest number under which it took an order of this VM.
+    pub(crate) sealed: Option<FencingNumber>,
+}
+
+impl Engine {
+    fn is_fresh(&self, now: Time, settings: &Settings) -> bool {
+        self.observation.is_some() && now.since(self.observed_at) < settings.stale
+    }
+
+    /// The model that it serves and is ready for, as far as may be relied on.
+    fn serves(&self, now: Time, settings: &Settings) -> Option<&ModelName> {
+        let observation = self.observation.as_ref()?;
+        let reliable = observation.ready && self.given.is_none() && self.is_fresh(now, settings);
+        observation
+            .load
+            .as_ref()
+            .filter(|_| reliable)
+            .map(|load| &load.model)
+    }
+
+    /// Forgets an order that has worked or has failed for good.
+    pub(crate) fn settle(&mut self, now: Time, settings: &Settings) {
+        let Some(given) = &self.given else { return };
+        // A call without an end may still take effect for as long as a call lasts.
+        let ended = given.ended.unwrap_or(given.at + settings.call);
+        let seen = self.observed_at > ended && now >= ended;
+        let Some(observation) = self.observation.as_ref().filter(|_| seen) else {
+            return;
+        };
+        let same = observation.load.as_ref() == Some(&given.load);
+        let late = now.since(given.at) >= settings.load_timeout;
+        if !same || observation.ready || late {
+            self.given = None;
+        }
+    }
+}
+
+/// Everything that a decision on one engine looks at.
+#[derive(Debug)]
+pub(crate) struct View<'a> {
+    pub(crate) now: Time,
+    pub(crate) settings: &'a Settings,
+    pub(crate) group: &'a Group,
+    pub(crate) engines: &'a BTreeMap<EndpointName, Engine>,
+    pub(crate) held: Option<Held>,
+    pub(crate) store_free: Time,
+}
+
+impl View<'_> {
+    /// What the next order to an engine waits for; nothing means that it may be given.
+    pub(crate) fn waits(&self, name: &EndpointName, desired: &Desired) -> Option<Wait> {
+        let empty = Engine::default();
+        let engine = self.engines.get(name).unwrap_or(&empty);
+        if engine.given.is_some() {
+            return Some(Wait::Order);
+        }
+        if !engine.is_fresh(self.now, self.settings) {
+            return Some(Wait::Observation);
+        }
+        let observed = engine
+            .observation
+            .as_ref()
+            .and_then(|seen| seen.load.as_ref());
+        if observed == Some(&desired.load) {
+            return Some(Wait::Done);
+        }
+        if !self.lease_allows(desired) {
+            return Some(Wait::Lease);
+        }
+        if !self.replicas_allow(name, engine) {
+            return Some(Wait::Replicas);
+        }
+        if !self.budget_allows() {
+            return Some(Wait::Budget);
+        }
+        None
+    }
+
+    fn lease_allows(&self, desired: &Desired) -> bool {
+        let Some(held) = self.held else { return false };
+        let left = held.until.since(self.now);
+        if desired.fenced {
+            left > self.settings.call
+        } else {
+            let guard = self.settings.call + self.settings.pause;
+            left > guard && self.now >= held.settled
+        }
+    }
+
+    /// Whether enough other replicas are ready for the model that the engine serves now.
+    fn replicas_allow(&self, name: &EndpointName, engine: &Engine) -> bool {
+        let Some(model) = engine.serves(self.now, self.settings) else {
+            return true;
+        };
+        let floor = self.group.min_ready.get(model).copied().unwrap_or_default();
+        let others = self.engines.iter().filter(|(other, engine)| {
+            *other != name
+                && engine.serves(self.now, self.settings) == Some(model)
+                && self.is_sealed(other, engine)
+        });
+        others.count() as u32 >= floor
+    }
+
+    /// Whether no earlier holder can still change the engine.
+    fn is_sealed(&self, name: &EndpointName, engine: &Engine) -> bool {
+        let (Some(held), Some(desired)) = (self.held, self.group.engines.get(name)) else {
+            return false;
+        };
+        if !desired.fenced {
+            return self.now >= held.settled;
+        }
+        let seen = engine.observation.as_ref().and_then(|seen| seen.fencing);
+        engine.sealed.max(seen) >= Some(held.term)
+    }
+
+    /// Whether any engine differs from what the set wants.
+    pub(crate) fn has_work(&self) -> bool {
+        let mut engines = self.group.engines.iter();
+        engines.any(|(name, desired)| self.waits(name, desired) == Some(Wait::Replicas))
+    }
+
+    /// The load to order again so that the engine refuses earlier holders from then on.
+    pub(crate) fn seal(&self, name: &EndpointName) -> Option<Load> {
+        let desired = self.group.engines.get(name)?;
+        let engine = self.engines.get(name)?;
+        let fresh = engine.is_fresh(self.now, self.settings) && engine.given.is_none();
+        let open = desired.fenced && fresh && !self.is_sealed(name, engine);
+        let observation = engine.observation.as_ref().filter(|_| open)?;
+        self.lease_allows(desired).then_some(())?;
+        observation.load.clone()
+    }
+
+    fn budget_allows(&self) -> bool {
+        let loading = self.engines.values().filter(|engine| {
+            let seen = engine.observation.as_ref();
+            let loads = seen.is_some_and(|seen| seen.load.is_some() && !seen.ready);
+            engine.given.is_some() || loads
+        });
+        self.now >= self.store_free && loading.count() < self.settings.max_loads
+    }
+}
--- /dev/null
+++ b/crates/publish/src/assembly.rs
@@ -0,0 +1,102 @@
+//! Collects the blobs of one release.
+
+use crate::{Blob, BlobHash, BlobRef, Manifest, join};
+use poplarswitch_objects::ObjectSet;
+use std::collections::BTreeMap;
+
+/// The blobs of a release, as far as they are known.
+#[derive(Clone, Debug)]
+pub struct Assembly {
+    root: BlobRef,
+    manifest: Option<Manifest>,
+    known: BTreeMap<BlobHash, Blob>,
+}
+
+impl Assembly {
+    /// Starts with the blobs that are already known.
+    pub fn new(root: BlobRef, known: &BTreeMap<BlobHash, Blob>) -> Self {
+        let mut assembly = Self {
+            root,
+            manifest: None,
+            known: known.clone(),
+        };
+        assembly.read_manifest();
+        assembly
+    }
+
+    /// Blobs that have to be fetched next; empty once all are there.
+    pub fn missing(&self) -> Vec<BlobRef> {
+        let Some(manifest) = &self.manifest else {
+            let root = (!self.known.contains_key(&self.root.hash)).then_some(self.root);
+            return root.into_iter().collect();
+        };
+        let mut missing: Vec<BlobRef> = manifest
+            .parts
+            .iter()
+            .filter(|part| !self.known.contains_key(&part.hash))
+            .copied()
+            .collect();
+        missing.sort();
+        missing.dedup();
+        missing
+    }
+
+    /// Takes a blob if it is one of those missing.
+    pub fn add(&mut self, blob: Blob) -> bool {
+        let hash = blob.hash();
+        if !self.missing().iter().any(|blob| blob.hash == hash) {
+            return false;
+        }
+        self.known.insert(hash, blob);
+        self.read_manifest();
+        true
+    }
+
+    /// The set, once all blobs are there.
+    pub fn join(&self) -> Option<Result<ObjectSet, serde_json::Error>> {
+        if !self.missing().is_empty() {
+            return None;
+        }
+        let root = self.known.get(&self.root.hash)?;
+        let manifest = match Manifest::parse(root) {
+            Ok(manifest) => manifest,
+            Err(error) => return Some(Err(error)),
+        };
+        let parts = manifest.parts.iter();
+        Some(join(parts.filter_map(|part| self.known.get(&part.hash))))
+    }
+
+    /// The list of parts, once it is there.
+    pub fn manifest(&self) -> Option<&Manifest> {
+        self.manifest.as_ref()
+    }
+
+    /// One known blob.
+    pub fn blob(&self, hash: BlobHash) -> Option<&Blob> {
+        self.known.get(&hash)
+    }
+
+    /// Turns to another release and keeps the blobs that are already known.
+    #[must_use]
+    pub fn redirect(self, root: BlobRef) -> Self {
+        Self::new(root, &self.known)
+    }
+
+    /// The blobs of this release only.
+    pub fn into_blobs(mut self) -> BTreeMap<BlobHash, Blob> {
+        let parts = self.manifest.iter().flat_map(|manifest| &manifest.parts);
+        let wanted: Vec<BlobHash> = parts
+            .map(|part| part.hash)
+            .chain([self.root.hash])
+            .collect();
+        self.known.retain(|hash, _| wanted.contains(hash));
+        self.known
+    }
+
+    fn read_manifest(&mut self) {
+        if self.manifest.is_none() {
+            let root = self.known.get(&self.root.hash);
+            self.manifest = root.and_then(|root| Manifest::parse(root).ok());
+        }
+    }
+}
--- /dev/null
+++ b/crates/publish/src/blob.rs
@@ -0,0 +1,100 @@
+//! Content-addressed blobs and the keys under which the platform holds them.
+
+use core::fmt;
+use poplarswitch_store::Key;
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+use std::sync::Arc;
+
+/// SHA-256 of a blob's bytes.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct BlobHash([u8; 32]);
+
+impl BlobHash {
+    /// Hashes some bytes.
+    pub fn of(bytes: &[u8]) -> Self {
+        Self(Sha256::digest(bytes).into())
+    }
+
+    /// Its first byte, evenly spread over all values.
+    pub const fn first(self) -> u8 {
+        self.0[0]
+    }
+}
+
+impl fmt::Display for BlobHash {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
+
+impl fmt::Debug for BlobHash {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
+
+impl core::str::FromStr for BlobHash {
+    type Err = BadHash;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let mut bytes = [0; 32];
+        if text.len() != 2 * bytes.len() || !text.is_ascii() {
+            return Err(BadHash);
+        }
+        for (index, byte) in bytes.iter_mut().enumerate() {
+            let digits = &text[2 * index..2 * index + 2];
+            *byte = u8::from_str_radix(digits, 16).ok().ok_or(BadHash)?;
+        }
+        Ok(Self(bytes))
+    }
+}
+
+/// A text that is not a hash in hexadecimal.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, snafu::Snafu)]
+#[snafu(display("not a SHA-256 in hexadecimal"))]
+pub struct BadHash;
+
+impl Serialize for BlobHash {
+    fn serialize<S: serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(self)
+    }
+}
+
+impl<'de> Deserialize<'de> for BlobHash {
+    fn deserialize<D: serde::Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        text.parse().map_err(serde::de::Error::custom)
+    }
+}
+
+/// Where a blob is and what it holds.
+///
+/// The nonce of the publication that wrote it is part of its path, so that deleting a blob
+/// that no release needs any more can never hit one that a later publication writes anew.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct BlobRef {
+    /// The hash of its bytes.
+    pub hash: BlobHash,
+    /// The publication that wrote it.
+    pub nonce: u64,
+}
+
+impl BlobRef {
+    /// Its path in the platform.
+    pub fn key(&self) -> Key {
+        Key::new(format!("sets/{}/{:016x}", self.hash, self.nonce))
+    }
+}
+
+/// The bytes of one blob; a JSON text.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Blob(pub Arc<str>);
+
+impl Blob {
+    /// The hash of its bytes.
+    pub fn hash(&self) -> BlobHash {
+        BlobHash::of(self.0.as_bytes())
+    }
+}
--- /dev/null
+++ b/crates/publish/src/fetch.rs
@@ -0,0 +1,167 @@
+//! Brings in the blobs of one release, from peers before the platform.
+
+use crate::{Assembly, Blob, BlobHash, BlobRef, Output, PublishMessage, Release, Settings};
+use poplarswitch_entity::{Incarnation, Time};
+use poplarswitch_store::{Reply, Request, RequestId};
+use rand::RngExt as _;
+use rand_pcg::Pcg64Mcg;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Blobs that are asked of the platform at once.
+const PARALLEL: usize = 8;
+
+/// A release on its way in.
+#[derive(Debug)]
+pub(crate) struct Fetch {
+    release: Release,
+    assembly: Assembly,
+    holders: BTreeSet<Incarnation>,
+    /// The peer that was asked last, and when its answer counts as lost.
+    asked: Option<(Incarnation, Time)>,
+    /// Blobs asked of the platform, and when each answer counts as lost.
+    pending: BTreeMap<RequestId, (BlobRef, Time)>,
+    platform_at: Time,
+}
+
+impl Fetch {
+    /// Starts; the platform is asked from a given time on.
+    pub(crate) fn new(release: Release, assembly: Assembly, platform_at: Time) -> Self {
+        Self {
+            release,
+            assembly,
+            holders: BTreeSet::new(),
+            asked: None,
+            pending: BTreeMap::new(),
+            platform_at,
+        }
+    }
+
+    pub(crate) const fn release(&self) -> &Release {
+        &self.release
+    }
+
+    pub(crate) const fn assembly(&self) -> &Assembly {
+        &self.assembly
+    }
+
+    /// Aims at a newer release and keeps the blobs that are already there.
+    pub(crate) fn redirect(self, manifest: BlobRef) -> Assembly {
+        self.assembly.redirect(manifest)
+    }
+
+    pub(crate) fn finish(self) -> (Release, Assembly) {
+        (self.release, self.assembly)
+    }
+
+    pub(crate) fn add_holder(&mut self, peer: Incarnation) {
+        self.holders.insert(peer);
+    }
+
+    pub(crate) fn forget(&mut self, peer: Incarnation) {
+        self.holders.remove(&peer);
+        if self.asked.is_some_and(|(asked, _)| asked == peer) {
+            self.asked = None;
+        }
+    }
+
+    pub(crate) fn take(&mut self, from: Incarnation, blobs: Vec<Blob>) {
+        if self.asked.is_some_and(|(asked, _)| asked == from) {
+            self.asked = None;
+        }
+        let taken = blobs
+            .into_iter()
+            .filter(|blob| self.assembly.add(blob.clone()));
+        // A peer that sends only what was not asked for is not asked again.
+        if taken.count() == 0 {
+            self.holders.remove(&from);
+        }
+    }
+
+    pub(crate) fn reply(&mut self, now: Time, id: RequestId, reply: Reply, settings: &Settings) {
+        if self.pending.remove(&id).is_none() {
+            return;
+        }
+        match reply {
+            Reply::Object(Some(object)) => {
+                let text = core::str::from_utf8(&object.value).unwrap_or_default();
+                self.assembly.add(Blob(text.into()));
+            }
+            Reply::Unavailable { retry_after } => {
+                self.platform_at = now + retry_after.max(settings.min_backoff);
+            }
+            _ => self.platform_at = now + settings.min_backoff,
+        }
+    }
+
+    pub(crate) fn next_wake(&self) -> Option<Time> {
+        let lost = self.pending.values().map(|(_, lost_at)| *lost_at).min();
+        let asked = self.asked.map(|(_, lost_at)| lost_at);
+        let platform = self.pending.is_empty().then_some(self.platform_at);
+        [lost, asked, platform].into_iter().flatten().min()
+    }
+
+    pub(crate) fn pursue(
+        &mut self,
+        now: Time,
+        settings: &Settings,
+        ids: &mut RequestId,
+        rng: &mut Pcg64Mcg,
+        out: &mut Vec<Output>,
+    ) {
+        self.pending.retain(|_, (_, lost_at)| now < *lost_at);
+        if let Some((peer, lost_at)) = self.asked
+            && now >= lost_at
+        {
+            self.forget(peer);
+        }
+        if self.asked.is_some() {
+            return;
+        }
+        if self.holders.is_empty() {
+            self.ask_platform(now, settings, ids, out);
+        } else {
+            self.ask_peer(now, settings, rng, out);
+        }
+    }
+
+    fn ask_peer(
+        &mut self,
+        now: Time,
+        settings: &Settings,
+        rng: &mut Pcg64Mcg,
+        out: &mut Vec<Output>,
+    ) {
+        let index = rng.random_range(0..self.holders.len());
+        let Some(to) = self.holders.iter().nth(index).copied() else {
+            return;
+        };
+        self.asked = Some((to, now + settings.peer_timeout));
+        let missing = self.assembly.missing();
+        let hashes: Vec<BlobHash> = missing.into_iter().map(|blob| blob.hash).collect();
+        let message = PublishMessage::Fetch(hashes);
+        out.push(Output::Send { to, message });
+    }
+
+    fn ask_platform(
+        &mut self,
+        now: Time,
+        settings: &Settings,
+        ids: &mut RequestId,
+        out: &mut Vec<Output>,
+    ) {
+        if now < self.platform_at {
+            return;
+        }
+        let busy: BTreeSet<BlobRef> = self.pending.values().map(|(blob, _)| *blob).collect();
+        let room = PARALLEL.saturating_sub(busy.len());
+        let missing = self.assembly.missing();
+        let wanted = missing.into_iter().filter(|blob| !busy.contains(blob));
+        for blob in wanted.take(room) {
+            ids.0 += 1;
+            let id = *ids;
+            self.pending.insert(id, (blob, now + settings.read_timeout));
+            let request = Request::Get { key: blob.key() };
+            out.push(Output::Request { id, request });
+        }
+    }
+}
--- /dev/null
+++ b/crates/publish/src/follower.rs
@@ -0,0 +1,316 @@
+//! The VM's side: brings the newest release into force and hands it on.
+//!
+//! The follower remembers the newest release whose blobs it holds and, apart from that, the
+//! set in force; they differ when a release is refused. A refused release is still handed on,
+//! because its bytes are verified by their hash and a newer program may understand them.
+
+use crate::{
+    ActiveSet, Assembly, Blob, BlobHash, Check, Input, Output, PublishMessage, RefuseReason,
+    Refused, Release, Settings, Status, fetch::Fetch, watch::Watch,
+};
+use poplarswitch_entity::{Generation, Incarnation, Time};
+use poplarswitch_objects::ObjectSet;
+use poplarswitch_store::{Reply, RequestId, Versioned};
+use rand::{RngExt as _, SeedableRng as _};
+use rand_pcg::Pcg64Mcg;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+/// Bytes of blobs that one message carries at most, unless a single blob is larger.
+const MESSAGE_BYTES: usize = 256 * 1024;
+
+/// Keeps one VM at the newest release.
+#[derive(Debug)]
+pub struct Follower {
+    settings: Settings,
+    check: Check,
+    rng: Pcg64Mcg,
+    ids: RequestId,
+    watch: Watch,
+    fetch: Option<Fetch>,
+    held: Option<Release>,
+    blobs: BTreeMap<BlobHash, Blob>,
+    active: Option<ActiveSet>,
+    peers: BTreeSet<Incarnation>,
+    compare_at: Time,
+    started: Option<Time>,
+    status: Status,
+}
+
+impl Follower {
+    /// Starts without a set; the first tick asks for one.
+    pub fn new(settings: Settings, check: Check, seed: u64) -> Self {
+        Self {
+            settings,
+            check,
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            ids: RequestId(0),
+            watch: Watch::default(),
+            fetch: None,
+            held: None,
+            blobs: BTreeMap::new(),
+            active: None,
+            peers: BTreeSet::new(),
+            compare_at: Time::ZERO,
+            started: None,
+            status: Status::default(),
+        }
+    }
+
+    /// The set in force.
+    pub fn active(&self) -> Option<&ActiveSet> {
+        self.active.as_ref()
+    }
+
+    /// What this VM says of its configuration.
+    pub fn status(&self) -> &Status {
+        &self.status
+    }
+
+    /// When `tick` is next worth calling.
+    pub fn next_wake(&self) -> Option<Time> {
+        let fetch = self.fetch.as_ref().and_then(Fetch::next_wake);
+        [Some(self.compare_at), Some(self.watch.next_wake()), fetch]
+            .into_iter()
+            .flatten()
+            .min()
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, now: Time, out: &mut Vec<Output>) {
+        self.started.get_or_insert(now);
+        if self.watch.is_due(now) {
+            self.ids.0 += 1;
+            let request = self.watch.ask(now, self.ids, &self.settings, &mut self.rng);
+            let id = self.ids;
+            out.push(Output::Request { id, request });
+        }
+        if now >= self.compare_at {
+            self.compare_at = now + self.settings.compare;
+            self.compare(out);
+        }
+        self.pursue(now, out);
+    }
+
+    /// Reacts to one input.
+    pub fn handle(&mut self, now: Time, input: Input, out: &mut Vec<Output>) {
+        self.started.get_or_insert(now);
+        match input {
+            Input::Message { from, message } => self.message(now, from, message, out),
+            Input::Reply { id, reply } => self.reply(now, id, reply, out),
+            Input::Linked(peer) => {
+                self.peers.insert(peer);
+                let message = PublishMessage::Ask(self.held_generation());
+                out.push(Output::Send { to: peer, message });
+            }
+            Input::Unlinked(peer) => {
+                self.peers.remove(&peer);
+                if let Some(fetch) = &mut self.fetch {
+                    fetch.forget(peer);
+                }
+            }
+        }
+        self.pursue(now, out);
+    }
+
+    fn message(
+        &mut self,
+        now: Time,
+        from: Incarnation,
+        message: PublishMessage,
+        out: &mut Vec<Output>,
+    ) {
+        match message {
+            PublishMessage::Holds(release) => self.consider(now, release, Some(from)),
+            PublishMessage::Ask(theirs) => self.answer(from, theirs, out),
+            PublishMessage::Fetch(hashes) => self.hand_out(from, &hashes, out),
+            PublishMessage::Blobs(blobs) => {
+                if let Some(fetch) = &mut self.fetch {
+                    fetch.take(from, blobs);
+                }
+            }
+            PublishMessage::Missing(_) => {
+                if let Some(fetch) = &mut self.fetch {
+                    fetch.forget(from);
+                }
+            }
+        }
+    }
+
+    fn answer(&self, from: Incarnation, theirs: Generation, out: &mut Vec<Output>) {
+        let ours = self.held_generation();
+        if theirs > ours {
+            let message = PublishMessage::Ask(ours);
+            out.push(Output::Send { to: from, message });
+        } else if let Some(held) = self.held.clone().filter(|_| theirs < ours) {
+            let message = PublishMessage::Holds(held);
+            out.push(Output::Send { to: from, message });
+        }
+    }
+
+    fn hand_out(&self, to: Incarnation, hashes: &[BlobHash], out: &mut Vec<Output>) {
+        let mut blobs = Vec::new();
+        let mut missing = Vec::new();
+        let mut bytes = 0;
+        for hash in hashes {
+            let Some(blob) = self.blobs.get(hash) else {
+                missing.push(*hash);
+                continue;
+            };
+            if blobs.is_empty() || bytes + blob.0.len() <= MESSAGE_BYTES {
+                bytes += blob.0.len();
+                blobs.push(blob.clone());
+            }
+        }
+        let message = if blobs.is_empty() {
+            PublishMessage::Missing(missing)
+        } else {
+            PublishMessage::Blobs(blobs)
+        };
+        out.push(Output::Send { to, message });
+    }
+
+    fn reply(&mut self, now: Time, id: RequestId, reply: Reply, out: &mut Vec<Output>) {
+        if self.watch.is_pending(id) {
+            self.status.platform_up = self.watch.reply(now, &reply, &self.settings, &mut self.rng);
+            if let Reply::Object(Some(object)) = reply {
+                self.read_head(now, &object);
+            }
+        } else if let Some(fetch) = &mut self.fetch {
+            fetch.reply(now, id, reply, &self.settings);
+        }
+        self.pursue(now, out);
+    }
+
+    fn read_head(&mut self, now: Time, object: &Versioned) {
+        let Ok(head) = crate::Head::parse(&object.value) else {
+            return;
+        };
+        let generation = head.current.generation;
+        let active = self.active.as_ref().map(|set| set.release.generation);
+        self.status.head_behind = Some(generation).filter(|head| Some(*head) < active);
+        self.consider(now, head.current, None);
+    }
+
+    /// Aims at a release if it is higher than any other heard of.
+    fn consider(&mut self, now: Time, release: Release, holder: Option<Incarnation>) {
+        if release.generation <= self.held_generation() {
+            return;
+        }
+        let aim = self.fetch.as_ref().map(|fetch| fetch.release().generation);
+        if aim == Some(release.generation) {
+            if let (Some(fetch), Some(peer)) = (&mut self.fetch, holder) {
+                fetch.add_holder(peer);
+            }
+            return;
+        }
+        if aim > Some(release.generation) {
+            return;
+        }
+        self.status.newest = Some(release.generation);
+        let jitter = self.rng.random_range(0..=1_000);
+        let wait = self.settings.peers_first * jitter / 1_000;
+        let assembly = match self.fetch.take() {
+            Some(fetch) => fetch.redirect(release.manifest),
+            None => Assembly::new(release.manifest, &self.blobs),
+        };
+        let mut fetch = Fetch::new(release, assembly, now + wait);
+        if let Some(peer) = holder {
+            fetch.add_holder(peer);
+        }
+        self.fetch = Some(fetch);
+    }
+
+    fn pursue(&mut self, now: Time, out: &mut Vec<Output>) {
+        let Some(fetch) = &mut self.fetch else { return };
+        let Some(result) = fetch.assembly().join() else {
+            let settings = &self.settings;
+            return fetch.pursue(now, settings, &mut self.ids, &mut self.rng, out);
+        };
+        if !self.may_start(now) {
+            return;
+        }
+        if let Some(fetch) = self.fetch.take() {
+            let (release, assembly) = fetch.finish();
+            self.blobs = assembly.into_blobs();
+            self.held = Some(release.clone());
+            self.decide(release, result, out);
+            self.announce(out);
+        }
+    }
+
+    /// The first set waits for the head for a moment, so that a stale peer is not believed first.
+    fn may_start(&self, now: Time) -> bool {
+        let grace = self.settings.peers_first;
+        let waited = self
+            .started
+            .is_some_and(|started| now.since(started) >= grace);
+        self.held.is_some() || self.watch.has_answered() || waited
+    }
+
+    fn decide(
+        &mut self,
+        release: Release,
+        result: Result<ObjectSet, serde_json::Error>,
+        out: &mut Vec<Output>,
+    ) {
+        match self.judge(&release, result) {
+            Ok(set) => {
+                let set = Arc::new(set);
+                let active = ActiveSet { release, set };
+                self.status.active = Some(active.release.clone());
+                self.status.refused = None;
+                self.active = Some(active.clone());
+                out.push(Output::Activate(active));
+            }
+            Err(reason) => {
+                let refused = Refused { release, reason };
+                self.status.refused = Some(refused.clone());
+                out.push(Output::Refuse(refused));
+            }
+        }
+    }
+
+    fn judge(
+        &self,
+        release: &Release,
+        result: Result<ObjectSet, serde_json::Error>,
+    ) -> Result<ObjectSet, RefuseReason> {
+        let (needs, has) = (release.min_program, self.settings.program);
+        if needs > has {
+            return Err(RefuseReason::TooNew { needs, has });
+        }
+        let set = result.map_err(|error| RefuseReason::Unparsable {
+            message: error.to_string(),
+        })?;
+        (self.check)(&set).map_err(|message| RefuseReason::Unusable { message })?;
+        Ok(set)
+    }
+
+    fn announce(&self, out: &mut Vec<Output>) {
+        let Some(held) = &self.held else { return };
+        for peer in &self.peers {
+            let message = PublishMessage::Holds(held.clone());
+            out.push(Output::Send { to: *peer, message });
+        }
+    }
+
+    fn compare(&mut self, out: &mut Vec<Output>) {
+        if self.peers.is_empty() {
+            return;
+        }
+        let index = self.rng.random_range(0..self.peers.len());
+        if let Some(peer) = self.peers.iter().nth(index) {
+            let message = PublishMessage::Ask(self.held_generation());
+            out.push(Output::Send { to: *peer, message });
+        }
+    }
+
+    fn held_generation(&self) -> Generation {
+        self.held
+            .as_ref()
+            .map_or(Generation(0), |release| release.generation)
+    }
+}
--- a/crates/publish/src/lib.rs
+++ b/crates/publish/src/lib.rs
@@ -1,1 +1,38 @@
 //! Publication of checked sets and their spread to every VM.
+//!
+//! A set is a list of content-addressed parts, and one head object in the platform names the
+//! current list. [`Publisher`] replaces the head by a conditional update against exactly the
+//! parent that the whole set was checked with. [`Follower`] brings the newest release into
+//! force on a VM: it watches the head, hears of releases from peers, fetches parts from peers
+//! before it asks the platform, and only ever moves to a higher generation.
+
+mod api;
+mod assembly;
+mod blob;
+mod content;
+mod fetch;
+mod follower;
+mod plan;
+mod publisher;
+mod reader;
+mod release;
+mod watch;
+
+#[cfg(test)]
+mod content_tests;
+#[cfg(test)]
+mod follower_tests;
+#[cfg(test)]
+mod publisher_tests;
+
+pub use api::{
+    ActiveSet, Change, ChangeKind, Check, Draft, Input, Outcome, Output, PublishMessage,
+    PublisherInput, PublisherOutput, RefuseReason, Refused, Settings, Snapshot, Status, Verify,
+};
+pub use assembly::Assembly;
+pub use blob::{BadHash, Blob, BlobHash, BlobRef};
+pub use content::{Content, Manifest, canonical, changes, join};
+pub use follower::Follower;
+pub use publisher::Publisher;
+pub use reader::{Read, ReadError, Reader};
+pub use release::{HISTORY, Head, PROGRAM, Past, Release, head_key};
--- /dev/null
+++ b/crates/publish/src/plan.rs
@@ -0,0 +1,64 @@
+//! What a publication writes, made from the head that it replaces.
+
+use crate::{BlobRef, Content, Draft, Head, Past, Read, Release, release::HISTORY};
+use poplarswitch_entity::Generation;
+use poplarswitch_objects::ObjectSet;
+use poplarswitch_store::{Guard, Version};
+use std::sync::Arc;
+
+/// The parent that the set was checked against, and the head that replaces it.
+#[derive(Debug)]
+pub(crate) struct Plan {
+    pub(crate) base: Option<(Version, Release)>,
+    pub(crate) parent: ObjectSet,
+    pub(crate) head: Head,
+    pub(crate) refs: Vec<BlobRef>,
+    pub(crate) content: Content,
+    pub(crate) dropped: Vec<BlobRef>,
+}
+
+impl Plan {
+    pub(crate) fn guard(&self) -> Guard {
+        self.base
+            .as_ref()
+            .map_or(Guard::Absent, |(version, _)| Guard::Matches(*version))
+    }
+
+    pub(crate) fn bytes(&self, blob: BlobRef) -> Arc<[u8]> {
+        let blob = self.content.blobs.get(&blob.hash);
+        blob.map(|blob| blob.0.as_bytes().into())
+            .unwrap_or_default()
+    }
+}
+
+/// The head that replaces the one read, and the blobs that nothing names any more.
+pub(crate) fn next_head(draft: &Draft, content: &Content, read: &Read) -> (Head, Vec<BlobRef>) {
+    let old = read.snapshot.as_ref().map(|snapshot| &snapshot.head);
+    let generation = old.map_or(Generation(1), |head| head.current.generation.next());
+    let current = Release {
+        generation,
+        manifest: content.root,
+        parent: old.map(|head| head.current.manifest),
+        author: draft.author.clone(),
+        note: draft.note.clone(),
+        min_program: draft.min_program,
+        nonce: draft.nonce,
+    };
+    let mut history: Vec<Past> = Vec::new();
+    if let Some(old) = old {
+        let parts = read.manifest.iter().flat_map(|manifest| &manifest.parts);
+        let mut unused: Vec<BlobRef> = parts
+            .chain([&old.current.manifest])
+            .filter(|blob| !content.manifest.parts.contains(blob))
+            .copied()
+            .collect();
+        unused.sort();
+        unused.dedup();
+        let release = old.current.clone();
+        history.push(Past { release, unused });
+        history.extend(old.history.iter().cloned());
+    }
+    let tail = history.split_off(history.len().min(HISTORY));
+    let dropped = tail.into_iter().flat_map(|past| past.unused).collect();
+    (Head { current, history }, dropped)
+}
--- /dev/null
+++ b/crates/publish/src/reader.rs
@@ -0,0 +1,193 @@
+//! Reads the head and the whole current set from the platform.
+
+use crate::{Assembly, Blob, BlobRef, Head, Snapshot, head_key};
+use core::time::Duration;
+use poplarswitch_entity::Time;
+use poplarswitch_store::{Reply, Request, RequestId, Version, Versioned};
+use snafu::Snafu;
+use std::collections::BTreeMap;
+
+/// Shortest wait before a request is repeated.
+const RETRY: Duration = Duration::from_millis(300);
+/// Parts that are asked for at once.
+const PARALLEL: usize = 8;
+
+/// Why the current set could not be read.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+pub enum ReadError {
+    /// The head does not parse.
+    #[snafu(display("read head: {message}"))]
+    BadHead {
+        /// The parser's message.
+        message: String,
+    },
+    /// A part of the set does not parse, or is not what the head names.
+    #[snafu(display("read set: {message}"))]
+    BadPart {
+        /// The parser's message.
+        message: String,
+    },
+}
+
+/// What was read: the head's version and the set, or nothing if none was ever published.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Read {
+    /// The version of the head.
+    pub version: Version,
+    /// The set.
+    pub snapshot: Option<Snapshot>,
+    /// The parts of the set.
+    pub manifest: Option<crate::Manifest>,
+}
+
+#[derive(Debug)]
+enum Ask {
+    Head,
+    Part(BlobRef),
+}
+
+/// Reads the current set; asks again until it is whole.
+#[derive(Debug, Default)]
+pub struct Reader {
+    pending: BTreeMap<RequestId, Ask>,
+    again: Vec<(Time, Ask)>,
+    version: Version,
+    head: Option<Head>,
+    assembly: Option<Assembly>,
+}
+
+impl Reader {
+    /// Asks for the head.
+    pub fn start(&mut self, ids: &mut RequestId, out: &mut Vec<(RequestId, Request)>) {
+        *self = Self::default();
+        self.ask(Ask::Head, ids, out);
+    }
+
+    /// When `tick` is next worth calling.
+    pub fn next_wake(&self) -> Option<Time> {
+        self.again.iter().map(|(at, _)| *at).min()
+    }
+
+    /// Repeats requests that failed.
+    pub fn tick(&mut self, now: Time, ids: &mut RequestId, out: &mut Vec<(RequestId, Request)>) {
+        let again = core::mem::take(&mut self.again);
+        for (at, ask) in again {
+            if at <= now {
+                self.ask(ask, ids, out);
+            } else {
+                self.again.push((at, ask));
+            }
+        }
+    }
+
+    /// Takes a reply; says what was read once it is whole.
+    pub fn reply(
+        &mut self,
+        now: Time,
+        (id, reply): (RequestId, &Reply),
+        ids: &mut RequestId,
+        out: &mut Vec<(RequestId, Request)>,
+    ) -> Option<Result<Read, ReadError>> {
+        let ask = self.pending.remove(&id)?;
+        let Reply::Object(object) = reply else {
+            self.again.push((now + retry_after(reply), ask));
+            return None;
+        };
+        match (ask, object) {
+            (Ask::Head, None) => return Some(Ok(self.read(None))),
+            (Ask::Head, Some(object)) => {
+                if let Err(error) = self.take_head(object) {
+                    return Some(Err(error));
+                }
+            }
+            // The part was deleted, so the head has moved on by more than its history.
+            (Ask::Part(_), None) => {
+                self.start(ids, out);
+                return None;
+            }
+            (Ask::Part(_), Some(object)) => self.take_part(object),
+        }
+        self.proceed(ids, out)
+    }
+
+    fn take_head(&mut self, object: &Versioned) -> Result<(), ReadError> {
+        let head = Head::parse(&object.value).map_err(|error| ReadError::BadHead {
+            message: error.to_string(),
+        })?;
+        self.version = object.version;
+        self.assembly = Some(Assembly::new(head.current.manifest, &BTreeMap::new()));
+        self.head = Some(head);
+        Ok(())
+    }
+
+    fn take_part(&mut self, object: &Versioned) {
+        let text = core::str::from_utf8(&object.value).unwrap_or_default();
+        if let Some(assembly) = &mut self.assembly {
+            assembly.add(Blob(text.into()));
+        }
+    }
+
+    fn proceed(
+        &mut self,
+        ids: &mut RequestId,
+        out: &mut Vec<(RequestId, Request)>,
+    ) -> Option<Result<Read, ReadError>> {
+        let assembly = self.assembly.as_ref()?;
+        match assembly.join() {
+            Some(Ok(set)) => Some(Ok(self.read(Some(set)))),
+            Some(Err(error)) => Some(Err(ReadError::BadPart {
+                message: error.to_string(),
+            })),
+            None => {
+                let busy = self.pending.len() + self.again.len();
+                let room = PARALLEL.saturating_sub(busy);
+                let mut missing = assembly.missing();
+                missing.retain(|part| !self.asked(*part));
+                for part in missing.into_iter().take(room) {
+                    self.ask(Ask::Part(part), ids, out);
+                }
+                None
+            }
+        }
+    }
+
+    fn read(&self, set: Option<poplarswitch_objects::ObjectSet>) -> Read {
+        let snapshot = self
+            .head
+            .clone()
+            .zip(set)
+            .map(|(head, set)| Snapshot { head, set });
+        let manifest = self.assembly.as_ref().and_then(Assembly::manifest).cloned();
+        Read {
+            version: self.version,
+            snapshot,
+            manifest,
+        }
+    }
+
+    fn asked(&self, part: BlobRef) -> bool {
+        let again = self.again.iter().map(|(_, ask)| ask);
+        self.pending
+            .values()
+            .chain(again)
+            .any(|ask| matches!(ask, Ask::Part(other) if *other == part))
+    }
+
+    fn ask(&mut self, ask: Ask, ids: &mut RequestId, out: &mut Vec<(RequestId, Request)>) {
+        let key = match &ask {
+            Ask::Head => head_key(),
+            Ask::Part(part) => part.key(),
+        };
+        ids.0 += 1;
+        self.pending.insert(*ids, ask);
+        out.push((*ids, Request::Get { key }));
+    }
+}
+
+/// The wait before a request is repeated.
+pub(crate) fn retry_after(reply: &Reply) -> Duration {
+    match reply {
+        Reply::Unavailable { retry_after } => RETRY.max(*retry_after),
+        _ => RETRY,
+    }
+}
--- /dev/null
+++ b/crates/publish/src/watch.rs
@@ -0,0 +1,113 @@
+//! One long poll on the head.
+
+use crate::{Settings, head_key};
+use core::time::Duration;
+use poplarswitch_entity::Time;
+use poplarswitch_store::{Reply, Request, RequestId, Version};
+use rand::RngExt as _;
+use rand_pcg::Pcg64Mcg;
+
+/// Time beyond the wait of a watch after which its answer counts as lost.
+const SLACK: Duration = Duration::from_secs(5);
+/// Answers that come sooner than this are not asked for again at once.
+const QUICK: Duration = Duration::from_millis(500);
+
+/// The state of the long poll.
+#[derive(Debug, Default)]
+pub(crate) struct Watch {
+    pending: Option<(RequestId, Time)>,
+    asked: Time,
+    next: Time,
+    version: Version,
+    failures: u32,
+    answered: bool,
+}
+
+impl Watch {
+    /// Whether the platform has answered since the start.
+    pub(crate) const fn has_answered(&self) -> bool {
+        self.answered
+    }
+
+    pub(crate) fn is_pending(&self, id: RequestId) -> bool {
+        self.pending.is_some_and(|(pending, _)| pending == id)
+    }
+
+    pub(crate) fn is_due(&self, now: Time) -> bool {
+        match self.pending {
+            Some((_, lost_at)) => now >= lost_at,
+            None => now >= self.next,
+        }
+    }
+
+    pub(crate) fn next_wake(&self) -> Time {
+        self.pending.map_or(self.next, |(_, lost_at)| lost_at)
+    }
+
+    pub(crate) fn ask(
+        &mut self,
+        now: Time,
+        id: RequestId,
+        settings: &Settings,
+        rng: &mut Pcg64Mcg,
+    ) -> Request {
+        let wait = settings.watch * rng.random_range(750..=1_000) / 1_000;
+        self.pending = Some((id, now + wait + SLACK));
+        self.asked = now;
+        Request::Watch {
+            key: head_key(),
+            after: self.version,
+            wait,
+        }
+    }
+
+    /// Takes the answer; says whether the platform gave one.
+    pub(crate) fn reply(
+        &mut self,
+        now: Time,
+        reply: &Reply,
+        settings: &Settings,
+        rng: &mut Pcg64Mcg,
+    ) -> bool {
+        self.pending = None;
+        match reply {
+            Reply::Object(Some(object)) => {
+                self.version = object.version;
+                self.succeed(now);
+            }
+            Reply::Object(None) | Reply::Unchanged => {
+                self.succeed(now);
+                if now.since(self.asked) < QUICK {
+                    self.next = now + QUICK;
+                }
+            }
+            _ => {
+                self.next = now + backoff(self.failures, reply, settings, rng);
+                self.failures += 1;
+                return false;
+            }
+        }
+        true
+    }
+
+    fn succeed(&mut self, now: Time) {
+        self.failures = 0;
+        self.answered = true;
+        self.next = now;
+    }
+}
+
+/// The wait after some failures in a row, with jitter.
+pub(crate) fn backoff(
+    failures: u32,
+    reply: &Reply,
+    settings: &Settings,
+    rng: &mut Pcg64Mcg,
+) -> Duration {
+    let wait = settings.min_backoff * (1 << failures.min(8));
+    let asked = match reply {
+        Reply::Unavailable { retry_after } => *retry_after,
+        _ => Duration::ZERO,
+    };
+    wait.max(asked).min(settings.max_backoff) * rng.random_range(500..=1_000) / 1_000
+}
