--- /dev/null
+++ b/crates/platform/src/backoff_tests.rs
@@ -0,0 +1,22 @@
+use crate::Backoff;
+use core::time::Duration;
+use googletest::prelude::*;
+
+#[gtest]
+fn waits_grow_to_a_bound_and_start_again() {
+    let mut backoff = Backoff::new(3);
+    let waits: Vec<Duration> = (0..12).map(|_| backoff.next_wait()).collect();
+    expect_that!(waits[0], le(Duration::from_millis(100)));
+    expect_that!(waits[11], ge(Duration::from_secs(5)));
+    expect_that!(waits[11], le(Duration::from_secs(10)));
+    backoff.reset();
+    expect_that!(backoff.next_wait(), le(Duration::from_millis(100)));
+}
+
+#[gtest]
+fn two_vms_do_not_wait_in_step() {
+    expect_that!(
+        Backoff::new(1).next_wait(),
+        not(eq(Backoff::new(2).next_wait()))
+    );
+}
--- /dev/null
+++ b/crates/platform/src/budget_tests.rs
@@ -0,0 +1,40 @@
+use crate::{Budget, Rates, Spend};
+use core::time::Duration;
+use googletest::prelude::*;
+use poplarswitch_entity::Time;
+
+const RATES: Rates = Rates {
+    writes: 2,
+    reads: 10,
+};
+
+#[gtest]
+fn a_second_holds_no_more_calls_than_the_rate() {
+    let mut budget = Budget::new(RATES);
+    let calls = (0..100)
+        .filter(|_| budget.take(Time::ZERO, Spend::Read).is_ok())
+        .count();
+    expect_that!(calls, eq(10));
+}
+
+#[gtest]
+fn a_refused_call_is_told_when_the_next_fits() {
+    let mut budget = Budget::new(RATES);
+    while budget.take(Time::ZERO, Spend::Write).is_ok() {}
+    let wait = budget
+        .take(Time::ZERO, Spend::Write)
+        .expect_err("bucket is empty");
+    expect_that!(wait, eq(Duration::from_millis(500)));
+    expect_that!(budget.take(Time::ZERO + wait, Spend::Write), ok(eq(())));
+}
+
+#[gtest]
+fn the_shares_of_a_fleet_stay_within_its_rates() {
+    let fleet = Rates {
+        writes: 400,
+        reads: 2_000,
+    };
+    let share = Rates::share(fleet, 340);
+    expect_that!(share.writes * 340, le(fleet.writes));
+    expect_that!(share.reads * 340, le(fleet.reads));
+}
--- /dev/null
+++ b/crates/platform/src/client_tests.rs
@@ -0,0 +1,71 @@
+use crate::{Client, Platform, Rates};
+use core::time::Duration;
+use googletest::prelude::*;
+use poplarswitch_entity::Time;
+use poplarswitch_store::{Guard, Key, MemoryStore, Reply, Request};
+
+const RATES: Rates = Rates {
+    writes: 5,
+    reads: 5,
+};
+
+/// A platform that answers from memory, or not at all.
+struct Fake {
+    store: MemoryStore,
+    replies: Vec<Reply>,
+}
+
+impl Platform for Fake {
+    fn call(&mut self, request: &Request) -> Reply {
+        self.replies
+            .pop()
+            .unwrap_or_else(|| self.store.apply(request))
+    }
+}
+
+fn client(replies: Vec<Reply>) -> Client {
+    let fake = Fake {
+        store: MemoryStore::new(),
+        replies,
+    };
+    Client::new(Box::new(fake), RATES, 1)
+}
+
+fn put() -> Request {
+    Request::Put {
+        key: Key::from("a"),
+        value: b"x".as_slice().into(),
+        guard: Guard::Always,
+    }
+}
+
+#[gtest]
+fn an_outage_is_met_by_backoff_and_ends() {
+    let mut client = client(vec![Reply::Unavailable {
+        retry_after: Duration::ZERO,
+    }]);
+    client.call(Time::ZERO, &put());
+    expect_that!(client.is_down(), eq(true));
+    client.call(Time(1), &put());
+    expect_that!(client.counters().held, eq(1));
+    let reply = client.call(Time::from_millis(200), &put());
+    expect_that!(matches!(reply, Reply::Done { .. }), eq(true));
+    expect_that!(client.is_down(), eq(false));
+}
+
+#[gtest]
+fn an_unknown_write_stays_unknown() {
+    let mut client = client(vec![Reply::Unknown]);
+    expect_that!(client.call(Time::ZERO, &put()), eq(&Reply::Unknown));
+    expect_that!(client.counters().unknown, eq(1));
+}
+
+#[gtest]
+fn requests_beyond_the_budget_are_held_back() {
+    let mut client = client(Vec::new());
+    for _ in 0..8 {
+        client.call(Time::ZERO, &put());
+    }
+    expect_that!(client.counters().sent, eq(5));
+    expect_that!(client.counters().held, eq(3));
+}
