--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -7,7 +7,7 @@
 use core::time::Duration;
 use poplarswitch_store::{Guard, Reply, Request, Versioned};
 use serde::de::DeserializeOwned;
-use snafu::{ResultExt, Snafu};
+use snafu::{OptionExt, ResultExt, Snafu};
 use std::io;
 use ureq::{Agent, Body, http::Response};
 
@@ -157,7 +157,11 @@
                 Ok(Reply::Object(self.object(step, response)?))
             }
             Request::Put { .. } | Request::Delete { .. } => {
-                let version = version_of(&response).unwrap_or_default();
+                let version = version_of(&response).context(StatusSnafu {
+                    step,
+                    peer: &self.base,
+                    status: OK,
+                })?;
                 Ok(Reply::Done { version })
             }
             Request::List { .. } => Ok(Reply::Listing(self.json(step, response)?)),
--- /dev/null
+++ b/crates/standins/src/platform_tests.rs
@@ -0,0 +1,121 @@
+use crate::{Platform, PlatformFaults, PlatformSpec};
+use core::{net::SocketAddr, time::Duration};
+use googletest::prelude::*;
+use poplarswitch_platform::{HttpPlatform, Platform as _, Rates};
+use poplarswitch_store::{Guard, Key, Reply, Request, Version};
+use std::thread;
+
+fn start(spec: PlatformSpec) -> (Platform, HttpPlatform) {
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    let platform = Platform::start(address, spec).expect("loopback port");
+    let client = HttpPlatform::new(&platform.url());
+    (platform, client)
+}
+
+fn put(value: &str, guard: Guard) -> Request {
+    Request::Put {
+        key: Key::from("sets/head"),
+        value: value.as_bytes().into(),
+        guard,
+    }
+}
+
+fn get() -> Request {
+    Request::Get {
+        key: Key::from("sets/head"),
+    }
+}
+
+#[gtest]
+fn objects_keep_their_versions_over_http() {
+    let (_platform, mut client) = start(PlatformSpec::default());
+    expect_that!(client.call(&get()), eq(&Reply::Object(None)));
+    let done = client.call(&put("one", Guard::Absent));
+    expect_that!(
+        done,
+        eq(&Reply::Done {
+            version: Version(1)
+        })
+    );
+    let Reply::Conflict {
+        current: Some(current),
+    } = client.call(&put("two", Guard::Absent))
+    else {
+        panic!("the second create must conflict");
+    };
+    expect_that!(&*current.value, eq(b"one".as_slice()));
+    let update = put("two", Guard::Matches(current.version));
+    expect_that!(
+        client.call(&update),
+        eq(&Reply::Done {
+            version: Version(2)
+        })
+    );
+}
+
+#[gtest]
+fn an_outage_does_nothing() {
+    let (platform, mut client) = start(PlatformSpec::default());
+    platform.set_faults(PlatformFaults {
+        outage: true,
+        ..PlatformFaults::default()
+    });
+    let reply = client.call(&put("one", Guard::Always));
+    expect_that!(matches!(reply, Reply::Unavailable { .. }), eq(true));
+    expect_that!(platform.apply(&get()), eq(&Reply::Object(None)));
+}
+
+#[gtest]
+fn a_lost_answer_is_unknown_and_took_effect() {
+    let (platform, mut client) = start(PlatformSpec::default());
+    platform.set_faults(PlatformFaults {
+        lose_answers: true,
+        ..PlatformFaults::default()
+    });
+    expect_that!(client.call(&put("one", Guard::Always)), eq(&Reply::Unknown));
+    expect_that!(
+        matches!(platform.apply(&get()), Reply::Object(Some(_))),
+        eq(true)
+    );
+}
+
+#[gtest]
+fn a_watch_ends_with_the_change() {
+    let (platform, mut client) = start(PlatformSpec::default());
+    platform.apply(&put("one", Guard::Always));
+    let waiting = thread::spawn(move || {
+        client.call(&Request::Watch {
+            key: Key::from("sets/head"),
+            after: Version(1),
+            wait: Duration::from_mins(1),
+        })
+    });
+    platform.apply(&put("two", Guard::Always));
+    let reply = waiting.join().expect("watch ends");
+    expect_that!(
+        matches!(reply, Reply::Object(Some(object)) if object.version == Version(2)),
+        eq(true)
+    );
+}
+
+#[gtest]
+fn calls_over_the_rate_are_refused_and_counted() {
+    let rates = Rates {
+        writes: 1,
+        reads: 1,
+    };
+    let (platform, mut client) = start(PlatformSpec { rates });
+    let refused = (0..5)
+        .filter(|_| matches!(client.call(&get()), Reply::Unavailable { .. }))
+        .count() as u64;
+    expect_that!(platform.stats().limited, eq(refused));
+    expect_that!(platform.stats().reads + refused, eq(5));
+}
+
+#[gtest]
+fn a_platform_that_is_gone_did_nothing() {
+    let (platform, mut client) = start(PlatformSpec::default());
+    drop(platform);
+    let reply = client.call(&put("one", Guard::Always));
+    expect_that!(matches!(reply, Reply::Unavailable { .. }), eq(true));
+}
--- /dev/null
+++ b/crates/standins/src/service_tests.rs
@@ -0,0 +1,46 @@
+use crate::{Service, ServiceFaults};
+use core::net::SocketAddr;
+use googletest::prelude::*;
+
+fn start() -> Service {
+    Service::start(SocketAddr::from(([127, 0, 0, 1], 0))).expect("loopback port")
+}
+
+fn book(service: &Service, key: &str) -> std::result::Result<String, ureq::Error> {
+    ureq::post(format!("http://{}/book", service.address()))
+        .header("idempotency-key", key)
+        .send("two sleds")?
+        .body_mut()
+        .read_to_string()
+}
+
+#[gtest]
+fn each_run_of_a_key_is_counted() {
+    let service = start();
+    expect_that!(book(&service, "a"), ok(contains_substring("two sleds")));
+    expect_that!(book(&service, "a").is_ok(), eq(true));
+    expect_that!(service.stats().runs["a"], eq(2));
+    expect_that!(service.stats().doubled(), eq(1));
+}
+
+#[gtest]
+fn a_declined_call_does_not_run() {
+    let service = start();
+    service.set_faults(ServiceFaults {
+        decline: true,
+        ..ServiceFaults::default()
+    });
+    expect_that!(book(&service, "a").is_err(), eq(true));
+    expect_that!(service.stats().runs.len(), eq(0));
+}
+
+#[gtest]
+fn a_lost_answer_has_run() {
+    let service = start();
+    service.set_faults(ServiceFaults {
+        lose_answers: true,
+        ..ServiceFaults::default()
+    });
+    expect_that!(book(&service, "a").is_err(), eq(true));
+    expect_that!(service.stats().runs["a"], eq(1));
+}
