Add the settings of a process

Cause: a process learns its addresses, bounds and places from a file. Change: JSON settings with defaults, unknown fields refused by path, every wrong value reported at once, secrets kept apart and never printed. Conclusion: the binary and tests can build settings by file or builder.

--- /dev/null
+++ b/crates/settings/src/check.rs
@@ -0,0 +1,138 @@
+//! Checks that need more than the type of a field.
+
+use crate::Settings;
+use core::fmt;
+use snafu::Snafu;
+
+/// One field with a wrong value.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FieldError {
+    /// The path of the field.
+    pub field: String,
+    /// What would be right.
+    pub expected: String,
+}
+
+impl FieldError {
+    fn new(field: &str, expected: &str) -> Self {
+        Self {
+            field: field.to_owned(),
+            expected: expected.to_owned(),
+        }
+    }
+}
+
+impl fmt::Display for FieldError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.field, self.expected)
+    }
+}
+
+/// Why settings were refused.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum SettingsError {
+    /// The file could not be read.
+    #[snafu(display("read {path}: {source}"))]
+    Read {
+        /// The file.
+        path: String,
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// The text is not the JSON form of settings.
+    #[snafu(display("field {field}: {message}"))]
+    Parse {
+        /// The path of the field.
+        field: String,
+        /// What is wrong.
+        message: String,
+    },
+    /// Some values are wrong.
+    #[snafu(display("{}", join(errors)))]
+    Check {
+        /// All of them.
+        errors: Vec<FieldError>,
+    },
+}
+
+fn join(errors: &[FieldError]) -> String {
+    let lines: Vec<String> = errors.iter().map(ToString::to_string).collect();
+    lines.join("\n")
+}
+
+impl Settings {
+    /// Finds every wrong value.
+    pub fn validate(&self) -> Result<(), SettingsError> {
+        let mut errors = Vec::new();
+        self.check_names(&mut errors);
+        self.check_addresses(&mut errors);
+        self.check_limits(&mut errors);
+        if errors.is_empty() {
+            Ok(())
+        } else {
+            CheckSnafu { errors }.fail()
+        }
+    }
+
+    fn check_names(&self, errors: &mut Vec<FieldError>) {
+        let names = [
+            ("vm", self.vm.as_str()),
+            ("data_centre", self.data_centre.as_str()),
+            ("cell", self.cell.as_str()),
+        ];
+        for (field, name) in names {
+            if name.trim().is_empty() {
+                errors.push(FieldError::new(field, "a name that is not empty"));
+            }
+        }
+        if let Some(url) = &self.platform
+            && !url.starts_with("http://")
+        {
+            errors.push(FieldError::new(
+                "platform",
+                "a URL that starts with http://",
+            ));
+        }
+    }
+
+    fn check_addresses(&self, errors: &mut Vec<FieldError>) {
+        let named = [
+            ("addresses.callers", self.addresses.callers),
+            ("addresses.operators", self.addresses.operators),
+            ("addresses.metrics", self.addresses.metrics),
+            ("addresses.peers", self.addresses.peers),
+        ];
+        for (index, (field, address)) in named.iter().enumerate() {
+            let twice = named[..index].iter().any(|(_, other)| other == address);
+            if twice && address.port() != 0 {
+                errors.push(FieldError::new(field, "an address of its own"));
+            }
+        }
+    }
+
+    fn check_limits(&self, errors: &mut Vec<FieldError>) {
+        let limits = &self.limits;
+        let counts = [
+            ("limits.connections", limits.connections),
+            ("limits.calls", limits.calls),
+            ("limits.workers", limits.workers),
+            ("limits.body_bytes", limits.body_bytes),
+            ("limits.answer_bytes", limits.answer_bytes),
+            ("limits.head_ms", limits.head_ms),
+            ("limits.body_ms", limits.body_ms),
+            ("limits.unread_ms", limits.unread_ms),
+            ("limits.connect_ms", limits.connect_ms),
+            ("limits.silence_ms", limits.silence_ms),
+            ("timeline_events", self.timeline_events),
+        ];
+        for (field, count) in counts {
+            if count == 0 {
+                errors.push(FieldError::new(field, "more than zero"));
+            }
+        }
+        if limits.workers > limits.calls {
+            errors.push(FieldError::new("limits.workers", "at most limits.calls"));
+        }
+    }
+}
--- /dev/null
+++ b/crates/settings/src/check_tests.rs
@@ -0,0 +1,41 @@
+use crate::{Addresses, Limits, Settings, SettingsError};
+use googletest::prelude::*;
+
+#[gtest]
+fn reports_every_wrong_value_at_once() {
+    let mut addresses = Addresses::default();
+    addresses.metrics = addresses.callers;
+    let settings = Settings::builder()
+        .vm("")
+        .data_centre("ifrane")
+        .cell("atlas")
+        .addresses(addresses)
+        .platform("platform:80")
+        .limits(Limits::builder().calls(4).workers(8).body_ms(0).build())
+        .build();
+    let Err(SettingsError::Check { errors }) = settings.validate() else {
+        panic!("must be refused");
+    };
+    let fields: Vec<&str> = errors.iter().map(|error| error.field.as_str()).collect();
+    expect_that!(
+        fields,
+        elements_are![
+            eq(&"vm"),
+            eq(&"platform"),
+            eq(&"addresses.metrics"),
+            eq(&"limits.body_ms"),
+            eq(&"limits.workers"),
+        ]
+    );
+}
+
+#[gtest]
+fn free_ports_may_repeat() {
+    let settings = Settings::builder()
+        .vm("a")
+        .data_centre("b")
+        .cell("c")
+        .addresses(Addresses::loopback())
+        .build();
+    expect_that!(settings.validate(), ok(anything()));
+}
