Add the types of the HTTP edge

Cause: callers and operators need typed bodies, and each error must say at which step and peer it arose and whether the call was run. Change: error codes with status, step and ran; chat head, address list, status; header names. Conclusion: ports and clients share one set of types.

--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,1 +1,24 @@
 //! Typed messages between VMs, and the headers and bodies of the HTTP edge.
+//!
+//! Everything that leaves a process has a type here: callers' errors, the list of addresses,
+//! the status that operators read, and the frames between VMs. The bodies of chat calls are
+//! passed on as they came; only the few fields that decide anything are read.
+
+mod address;
+mod chat;
+mod error;
+pub mod headers;
+mod status;
+
+#[cfg(test)]
+mod chat_tests;
+#[cfg(test)]
+mod error_tests;
+
+pub use address::{AddressList, WeightedAddress};
+pub use chat::{ChatError, ChatHead, Message, ModelCard, ModelList, TokenUsage};
+pub use error::{ErrorBody, ErrorCode, ErrorInfo, Ran, Step};
+pub use status::{
+    CallCounts, ClassStatus, EndpointState, EndpointStatus, MemberStatus, Phase, PlatformStatus,
+    Status,
+};
