--- a/crates/objects/src/set.rs
+++ b/crates/objects/src/set.rs
@@ -1,8 +1,62 @@
 //! A whole set of objects.
 
 use crate::{Class, Endpoint, Model, Service, Tier, Workspace};
+use core::fmt;
 use serde::{Deserialize, Serialize};
 
+/// The kind of an object.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Kind {
+    /// A request class.
+    Class,
+    /// A tier.
+    Tier,
+    /// A workspace.
+    Workspace,
+    /// A model.
+    Model,
+    /// A plain service.
+    Service,
+    /// An endpoint.
+    Endpoint,
+}
+
+impl Kind {
+    /// Every kind.
+    pub const ALL: [Self; 6] = [
+        Self::Class,
+        Self::Tier,
+        Self::Workspace,
+        Self::Model,
+        Self::Service,
+        Self::Endpoint,
+    ];
+
+    /// The word that stands for it in files.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Class => "class",
+            Self::Tier => "tier",
+            Self::Workspace => "workspace",
+            Self::Model => "model",
+            Self::Service => "service",
+            Self::Endpoint => "endpoint",
+        }
+    }
+
+    /// Finds the kind that a word stands for.
+    pub fn parse(word: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|kind| kind.as_str() == word)
+    }
+}
+
+impl fmt::Display for Kind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
 /// One object of any kind.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(tag = "kind", rename_all = "snake_case")]
@@ -40,6 +94,28 @@
 }
 
 impl ObjectSet {
+    /// How many objects of one kind it has.
+    pub const fn count(&self, kind: Kind) -> usize {
+        match kind {
+            Kind::Class => self.classes.len(),
+            Kind::Tier => self.tiers.len(),
+            Kind::Workspace => self.workspaces.len(),
+            Kind::Model => self.models.len(),
+            Kind::Service => self.services.len(),
+            Kind::Endpoint => self.endpoints.len(),
+        }
+    }
+
+    /// How many objects it has.
+    pub fn len(&self) -> usize {
+        Kind::ALL.into_iter().map(|kind| self.count(kind)).sum()
+    }
+
+    /// Whether it has no object.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
     /// Adds one object to the list of its kind.
     pub fn push(&mut self, object: Object) {
         match object {
@@ -53,6 +129,20 @@
     }
 }
 
+impl Object {
+    /// Its kind.
+    pub const fn kind(&self) -> Kind {
+        match self {
+            Self::Class(_) => Kind::Class,
+            Self::Tier(_) => Kind::Tier,
+            Self::Workspace(_) => Kind::Workspace,
+            Self::Model(_) => Kind::Model,
+            Self::Service(_) => Kind::Service,
+            Self::Endpoint(_) => Kind::Endpoint,
+        }
+    }
+}
+
 impl FromIterator<Object> for ObjectSet {
     fn from_iter<I: IntoIterator<Item = Object>>(iter: I) -> Self {
         let mut set = Self::default();
