Share one scheduler per route among the VMs of a cell

Cause: VMs that decide alone herd onto the same endpoint and have no common order of priority. Change: the home of a route, by rendezvous hash, orders its calls; origins ask it over sessions that resend and fence by ask number; a silent home gives way to the second choice, then to the local scheduler; a silent origin loses its slots when its lease runs out.

--- /dev/null
+++ b/crates/pool/src/desk.rs
@@ -0,0 +1,199 @@
+//! The home's side: the scheduler and the calls that it orders, own and of other VMs.
+
+use crate::{Answer, Ask, AskNumber};
+use poplarswitch_catalog::Catalog;
+use poplarswitch_entity::{Attempt, CallId, Incarnation, Time};
+use poplarswitch_scheduler::{
+    End, Ended, Fault, Input, Output, Policy, Running, Scheduler, Stop, StopReason,
+};
+use std::{collections::BTreeMap, sync::Arc};
+
+/// A call that the scheduler orders.
+#[derive(Clone, Copy, Debug)]
+struct Guest {
+    ask: AskNumber,
+    running: Option<Attempt>,
+    preempted: bool,
+}
+
+/// The scheduler and the asks behind its calls.
+#[derive(Debug)]
+pub struct Desk {
+    scheduler: Scheduler,
+    guests: BTreeMap<CallId, Guest>,
+    orders: Vec<Output>,
+}
+
+impl Desk {
+    /// Starts without calls.
+    pub fn new(catalog: Arc<Catalog>, policy: Policy, seed: u64) -> Self {
+        Self {
+            scheduler: Scheduler::new(catalog, policy, seed),
+            guests: BTreeMap::new(),
+            orders: Vec::new(),
+        }
+    }
+
+    /// The scheduler.
+    pub const fn scheduler(&self) -> &Scheduler {
+        &self.scheduler
+    }
+
+    /// Calls of other VMs.
+    pub fn guests(&self, me: Incarnation) -> usize {
+        self.guests.keys().filter(|call| call.origin != me).count()
+    }
+
+    /// Puts a new set into force.
+    pub fn reload(&mut self, now: Time, catalog: Arc<Catalog>, out: &mut Vec<Answer>) {
+        self.scheduler.reload(now, catalog, &mut self.orders);
+        self.answer(out);
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, now: Time, out: &mut Vec<Answer>) {
+        self.scheduler.tick(now, &mut self.orders);
+        self.answer(out);
+    }
+
+    /// Takes a report on an endpoint.
+    pub fn report(&mut self, now: Time, input: Input, out: &mut Vec<Answer>) {
+        self.feed(now, input, out);
+    }
+
+    /// Does what an origin asks; a call of another origin is left alone.
+    pub fn apply(&mut self, now: Time, from: Incarnation, ask: Ask, out: &mut Vec<Answer>) {
+        match ask {
+            Ask::Input { ask, input } => self.input(now, from, ask, input, out),
+            Ask::Release(call) if call.origin == from => self.release(now, call, out),
+            Ask::Release(_) => {}
+        }
+    }
+
+    fn input(
+        &mut self,
+        now: Time,
+        from: Incarnation,
+        ask: AskNumber,
+        input: Input,
+        out: &mut Vec<Answer>,
+    ) {
+        match input {
+            Input::Submit(request) if request.call.origin == from => {
+                self.release(now, request.call, out);
+                self.admit(request.call, ask, None);
+                self.feed(now, Input::Submit(request), out);
+            }
+            Input::Adopt(running) if running.request.call.origin == from => {
+                self.adopt(now, ask, running, out);
+            }
+            Input::Ended(ended) if ended.call.origin == from => self.ended(now, ended, out),
+            Input::Progress(progress) if self.guests.contains_key(&progress.call) => {
+                self.feed(now, input, out);
+            }
+            Input::Cancel(call) if call.origin == from => self.release(now, call, out),
+            _ => {}
+        }
+    }
+
+    fn admit(&mut self, call: CallId, ask: AskNumber, running: Option<Attempt>) {
+        let guest = Guest {
+            ask,
+            running,
+            preempted: false,
+        };
+        self.guests.insert(call, guest);
+    }
+
+    fn adopt(&mut self, now: Time, ask: AskNumber, running: Running, out: &mut Vec<Answer>) {
+        let call = running.request.call;
+        self.release(now, call, out);
+        self.admit(call, ask, Some(running.attempt));
+        self.feed(now, Input::Adopt(running), out);
+    }
+
+    fn ended(&mut self, now: Time, ended: Ended, out: &mut Vec<Answer>) {
+        let Some(guest) = self.guests.get_mut(&ended.call) else {
+            return;
+        };
+        guest.running = None;
+        let preempted = core::mem::take(&mut guest.preempted);
+        let end = if preempted {
+            ended.end
+        } else {
+            told_anew(ended.end)
+        };
+        self.feed(now, Input::Ended(Ended { end, ..ended }), out);
+        if matches!(end, End::Answered { .. }) {
+            self.guests.remove(&ended.call);
+        }
+    }
+
+    fn release(&mut self, now: Time, call: CallId, out: &mut Vec<Answer>) {
+        let Some(guest) = self.guests.remove(&call) else {
+            return;
+        };
+        self.feed(now, Input::Cancel(call), out);
+        let Some(attempt) = guest.running else {
+            return;
+        };
+        let end = End::Stopped { emitted: 0 };
+        let ended = Ended { call, attempt, end };
+        self.feed(now, Input::Ended(ended), out);
+    }
+
+    /// Forgets every call of an origin and frees their slots.
+    pub fn release_all(&mut self, now: Time, origin: Incarnation, out: &mut Vec<Answer>) {
+        let first = CallId { origin, seq: 0 };
+        let last = CallId {
+            origin,
+            seq: u64::MAX,
+        };
+        let calls: Vec<CallId> = self.guests.range(first..=last).map(|(id, _)| *id).collect();
+        for call in calls {
+            self.release(now, call, out);
+        }
+    }
+
+    fn feed(&mut self, now: Time, input: Input, out: &mut Vec<Answer>) {
+        self.scheduler.handle(now, input, &mut self.orders);
+        self.answer(out);
+    }
+
+    fn answer(&mut self, out: &mut Vec<Answer>) {
+        for output in self.orders.drain(..) {
+            let call = output.call();
+            let Some(guest) = self.guests.get_mut(&call) else {
+                continue;
+            };
+            let ask = guest.ask;
+            match output {
+                Output::Dispatch(ref dispatch) => guest.running = Some(dispatch.attempt),
+                Output::Stop(Stop { reason, .. }) => {
+                    guest.preempted = reason == StopReason::Preempted;
+                }
+                Output::Refuse(_) | Output::Conclude(_) => {
+                    self.guests.remove(&call);
+                }
+            }
+            out.push(Answer { ask, output });
+        }
+    }
+}
+
+/// The end as a scheduler must hear it that did not order the stop itself.
+///
+/// Another home preempted the call and lost it before the dispatch ended.
+const fn told_anew(end: End) -> End {
+    match end {
+        End::Stopped { emitted } => {
+            let fault = if emitted == 0 {
+                Fault::Declined
+            } else {
+                Fault::Lost
+            };
+            End::Failed { fault, emitted }
+        }
+        End::Answered { .. } | End::Failed { .. } => end,
+    }
+}
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -9,10 +9,20 @@
 //! it numbers each of its asks, so that an answer to an older ask changes nothing. Two
 //! homes for a moment may overcommit an endpoint; they can't run a call twice.
 
+mod channel;
+mod desk;
+mod links;
 mod message;
+mod own;
 mod pool;
+mod ranking;
 mod status;
 
+#[cfg(test)]
+mod channel_tests;
+#[cfg(test)]
+mod pool_tests;
+
 pub use message::{Answer, Ask, AskNumber, Frame, Input, Output, PoolMessage, Session};
 pub use pool::Pool;
 pub use status::{Counters, Status};
