--- /dev/null
+++ b/crates/verifier/src/fixture.rs
@@ -0,0 +1,54 @@
+//! A small set without findings, to be broken by tests.
+
+use poplarswitch_objects::ObjectSet;
+use serde_json::Value;
+
+const GOOD: &str = r#"{
+    "tiers": [{"name": "high", "rank": 0}, {"name": "low", "rank": 1, "floor_percent": 10,
+        "preemptible": true}],
+    "classes": [
+        {"name": "ask", "tier": "low", "models": ["tiny"],
+            "target": {"stream": {"first_token_ms": 900, "inter_token_ms": 40}}},
+        {"name": "book", "tier": "high", "services": ["seats"], "repeatable": false,
+            "target": {"answer": {"answer_ms": 800}}}],
+    "workspaces": [
+        {"name": "a", "keys": ["aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"]},
+        {"name": "b", "keys": ["bbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbb"]}],
+    "models": [{"name": "tiny", "versions": ["1"], "adapters": ["fr"], "default_class": "ask"}],
+    "services": [{"name": "seats", "default_class": "book"}],
+    "endpoints": [
+        {"name": "m1", "address": "127.0.0.1:1", "data_centre": "x", "slots": 4,
+            "serves": {"model": {"model": "tiny", "version": "1", "adapters": ["fr"]}}},
+        {"name": "s1", "address": "127.0.0.1:2", "data_centre": "x", "slots": 4,
+            "serves": {"service": {"service": "seats"}}}]
+}"#;
+
+/// The set as a JSON tree.
+pub(crate) fn tree() -> Value {
+    serde_json::from_str(GOOD).expect("test set is JSON")
+}
+
+/// The set that a tree describes.
+pub(crate) fn set(tree: Value) -> ObjectSet {
+    serde_json::from_value(tree).expect("test set parses")
+}
+
+/// The set with one value replaced or added, named by a JSON pointer.
+pub(crate) fn with(pointer: &str, value: Value) -> Value {
+    let mut tree = tree();
+    put(&mut tree, pointer, value);
+    tree
+}
+
+/// Replaces or adds one value; a list takes it at its end under `-`.
+pub(crate) fn put(tree: &mut Value, pointer: &str, value: Value) {
+    let (parent, last) = pointer.rsplit_once('/').expect("a pointer");
+    match tree.pointer_mut(parent).expect("the parent exists") {
+        Value::Object(map) => {
+            map.insert(last.to_owned(), value);
+        }
+        Value::Array(items) if last == "-" => items.push(value),
+        Value::Array(items) => items[last.parse::<usize>().expect("a position")] = value,
+        _ => unreachable!("pointers of tests lead into lists and objects"),
+    }
+}
