--- a/crates/verifier/src/lib.rs
+++ b/crates/verifier/src/lib.rs
@@ -15,6 +15,8 @@
 mod fuzz_tests;
 #[cfg(test)]
 mod proof_tests;
+#[cfg(test)]
+mod sets_tests;
 
 pub use finding::{Code, Finding, Findings, Severity};
 pub use proof::{Verified, verify, verify_located};
