Let the operators' tool read its secret alone

Cause: the tool has the operators' secret and not the peers'. Change: Secrets::operators; Secrets::load uses it, with the same behaviour.

--- a/crates/settings/src/secret.rs
+++ b/crates/settings/src/secret.rs
@@ -64,10 +64,15 @@
     /// Reads the secrets from their files or the environment.
     pub fn load(files: &SecretFiles) -> Result<Self, SecretError> {
         Ok(Self {
-            operators: find(files.operators.as_deref(), "operators", OPERATORS_VARIABLE)?,
+            operators: Self::operators(files.operators.as_deref())?,
             peers: find(files.peers.as_deref(), "peers", PEERS_VARIABLE)?,
         })
     }
+
+    /// Reads the operators' secret alone, as their tool does.
+    pub fn operators(file: Option<&Path>) -> Result<Secret, SecretError> {
+        find(file, "operators", OPERATORS_VARIABLE)
+    }
 }
 
 fn find(
