--- /dev/null
+++ b/crates/util/src/cli.rs
@@ -0,0 +1,52 @@
+//! The command line.
+
+use crate::{commands, error::ToolError, exit::Exit, output::Output};
+use clap::{Parser, Subcommand};
+
+/// Drives poplarswitch by declared sets of objects.
+#[derive(Debug, Parser)]
+#[command(name = "poplarctl", version, after_help = EXIT_CODES)]
+pub(crate) struct Cli {
+    /// Write JSON for programs instead of text
+    #[arg(long, global = true)]
+    pub(crate) json: bool,
+    #[command(subcommand)]
+    pub(crate) command: Command,
+}
+
+const EXIT_CODES: &str = "Exit codes: 0 done, 1 failure, 2 wrong usage, 3 invalid set, \
+4 conflict with another publication, 5 undecided, 6 unreachable, 7 refused, 8 sets differ, \
+9 a promise broke";
+
+#[derive(Debug, Subcommand)]
+pub(crate) enum Command {
+    /// Check a directory of objects and report every problem
+    Check(commands::check::Args),
+    /// Show the status of VMs
+    Status(commands::status::Args),
+    /// Take a VM out of service without cutting off a call
+    Drain(commands::drain::Args),
+    /// Merge the events of VMs into one time line
+    Timeline(commands::timeline::Args),
+    /// Send calls at a steady rate and report their latency
+    Load(commands::load::Args),
+    /// Make or hash a bearer key
+    Key(commands::key::Args),
+    /// Print the completions of a shell
+    Completions(commands::completions::Args),
+}
+
+impl Command {
+    /// Runs the subcommand.
+    pub(crate) fn run(&self, output: &mut Output<'_>) -> Result<Exit, ToolError> {
+        match self {
+            Self::Check(args) => args.run(output),
+            Self::Status(args) => args.run(output),
+            Self::Drain(args) => args.run(output),
+            Self::Timeline(args) => args.run(output),
+            Self::Load(args) => args.run(output),
+            Self::Key(args) => args.run(output),
+            Self::Completions(args) => args.run(output),
+        }
+    }
+}
--- /dev/null
+++ b/crates/util/src/cli_tests.rs
@@ -0,0 +1,105 @@
+use crate::{cli::Cli, exit::Exit, output::Output};
+use clap::{CommandFactory as _, Parser as _};
+use googletest::prelude::*;
+use std::{fs, path::Path};
+use tempfile::TempDir;
+
+/// Runs a command line and returns its exit and its output.
+fn run(line: &[&str]) -> (Exit, String) {
+    let cli = Cli::parse_from([&["poplarctl"], line].concat());
+    let mut sink = Vec::new();
+    let mut output = Output::new(cli.json, &mut sink);
+    let exit = match cli.command.run(&mut output) {
+        Ok(exit) => exit,
+        Err(error) => error.exit(),
+    };
+    (exit, String::from_utf8(sink).expect("text"))
+}
+
+fn example(name: &str) -> String {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../sets");
+    root.join(name).display().to_string()
+}
+
+#[gtest]
+fn the_command_line_is_consistent() {
+    Cli::command().debug_assert();
+}
+
+#[gtest]
+fn check_accepts_the_examples() {
+    for name in ["atlas", "abay"] {
+        let (exit, text) = run(&["check", &example(name)]);
+        expect_that!(exit, eq(Exit::Success), "{text}");
+    }
+}
+
+#[gtest]
+fn check_reports_all_problems_of_a_set() {
+    let root = TempDir::new().expect("a directory");
+    let text = r#"[{"kind": "tier", "name": "a", "rank": 0}, {"kind": "tier", "name": "a b"}]"#;
+    fs::write(root.path().join("x.json"), text).expect("a file");
+    let path = root.path().display().to_string();
+    let (exit, text) = run(&["check", &path]);
+    expect_that!(exit, eq(Exit::Invalid));
+    expect_that!(
+        text,
+        contains_substring("x.json[1]: tier \"a b\" missing field `rank`")
+    );
+    let (exit, text) = run(&["--json", "check", &path]);
+    expect_that!(exit, eq(Exit::Invalid));
+    let report: serde_json::Value = serde_json::from_str(&text).expect("JSON");
+    expect_that!(report["unread"][0]["name"].as_str(), some(eq("a b")));
+}
+
+#[gtest]
+fn warnings_fail_only_where_asked() {
+    let root = TempDir::new().expect("a directory");
+    fs::write(
+        root.path().join("x.json"),
+        r#"{"kind": "tier", "name": "a", "rank": 0}"#,
+    )
+    .expect("a file");
+    let path = root.path().display().to_string();
+    expect_that!(run(&["check", &path]).0, eq(Exit::Success));
+    expect_that!(
+        run(&["check", "--deny-warnings", &path]).0,
+        eq(Exit::Invalid)
+    );
+}
+
+#[gtest]
+fn a_new_key_and_its_hash_belong_together() {
+    let (exit, text) = run(&["--json", "key"]);
+    expect_that!(exit, eq(Exit::Success));
+    let made: serde_json::Value = serde_json::from_str(&text).expect("JSON");
+    let key = made["key"].as_str().expect("a key");
+    let hash = poplarswitch_objects::KeyHash::of(key);
+    expect_that!(made["hash"].as_str(), some(eq(hash.0.as_str())));
+    let (_, again) = run(&["--json", "key"]);
+    expect_that!(again, not(eq(&text)));
+}
+
+#[gtest]
+fn completions_name_every_subcommand() {
+    let (_, text) = run(&["completions", "bash"]);
+    for command in Cli::command().get_subcommands() {
+        expect_that!(text, contains_substring(command.get_name()));
+    }
+}
+
+#[gtest]
+fn an_absent_vm_is_unreachable() {
+    let root = TempDir::new().expect("a directory");
+    let secret = root.path().join("secret");
+    fs::write(&secret, "s").expect("a file");
+    let secret = secret.display().to_string();
+    let at = ["--at", "127.0.0.1:1", "--secret-file", &secret];
+    let (exit, text) = run(&[&["status"], &at[..]].concat());
+    expect_that!(exit, eq(Exit::Unreachable));
+    expect_that!(text, contains_substring("127.0.0.1:1"));
+    let (exit, _) = run(&[&["timeline"], &at[..]].concat());
+    expect_that!(exit, eq(Exit::Unreachable));
+    let (exit, _) = run(&[&["drain", "vm1"], &at[..]].concat());
+    expect_that!(exit, eq(Exit::Unreachable));
+}
--- /dev/null
+++ b/crates/util/src/commands/mod.rs
@@ -0,0 +1,9 @@
+//! The subcommands, each in a module of its own.
+
+pub(crate) mod check;
+pub(crate) mod completions;
+pub(crate) mod drain;
+pub(crate) mod key;
+pub(crate) mod load;
+pub(crate) mod status;
+pub(crate) mod timeline;
--- /dev/null
+++ b/crates/util/src/fleet_tests.rs
@@ -0,0 +1,76 @@
+use crate::{error::ToolError, exit::Exit, fleet::Fleet};
+use core::net::SocketAddr;
+use googletest::prelude::*;
+use poplarswitch_settings::Secret;
+use std::{
+    io::{Read as _, Write as _},
+    net::TcpListener,
+    thread::{self, JoinHandle},
+};
+
+/// Answers one request with a fixed response.
+fn answer_once(response: &'static str) -> (SocketAddr, JoinHandle<String>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let server = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        let mut seen = Vec::new();
+        let mut buffer = [0; 1_024];
+        while !seen.ends_with(b"\r\n\r\n") {
+            let count = stream.read(&mut buffer).expect("a request");
+            seen.extend_from_slice(&buffer[..count]);
+        }
+        stream.write_all(response.as_bytes()).expect("an answer");
+        String::from_utf8(seen).expect("text")
+    });
+    (address, server)
+}
+
+fn fleet(addresses: &[SocketAddr]) -> Fleet {
+    Fleet::with_secret(addresses.to_vec(), Secret::new("s3"))
+}
+
+#[gtest]
+fn the_secret_goes_with_each_request() {
+    let (address, server) =
+        answer_once("HTTP/1.1 200 OK\r\ncontent-length: 1\r\nconnection: close\r\n\r\n7");
+    let number: u32 = fleet(&[address])
+        .get(address, "read", "/number")
+        .expect("an answer");
+    expect_that!(number, eq(7));
+    let request = server.join().expect("the server ends");
+    expect_that!(request, starts_with("GET /number "));
+    expect_that!(request, contains_substring("authorization: Bearer s3"));
+}
+
+#[gtest]
+fn a_refusal_names_step_and_peer() {
+    let (address, server) = answer_once(
+        "HTTP/1.1 401 Unauthorized\r\ncontent-length: 2\r\nconnection: close\r\n\r\nno",
+    );
+    let error = fleet(&[address])
+        .post(address, "order drain", "/drain")
+        .expect_err("a refusal");
+    expect_that!(
+        error.to_string(),
+        eq(&format!("order drain at {address}: status 401: no"))
+    );
+    expect_that!(error.exit(), eq(Exit::Refused));
+    server.join().expect("the server ends");
+}
+
+#[gtest]
+fn one_absent_vm_does_not_hide_the_others() {
+    let (address, server) =
+        answer_once("HTTP/1.1 200 OK\r\ncontent-length: 1\r\nconnection: close\r\n\r\n7");
+    let absent: SocketAddr = "127.0.0.1:1".parse().expect("an address");
+    let answers = fleet(&[address, absent, address]).ask_all::<u32>("read", "/number");
+    server.join().expect("the server ends");
+    expect_that!(answers.len(), eq(2));
+    let errors: Vec<&ToolError> = answers
+        .iter()
+        .filter_map(|answer| answer.result.as_ref().err())
+        .collect();
+    expect_that!(errors.len(), eq(1));
+    expect_that!(errors[0].exit(), eq(Exit::Unreachable));
+}
--- a/crates/util/src/main.rs
+++ b/crates/util/src/main.rs
@@ -1,3 +1,33 @@
 //! The operators' tool.
+//!
+//! Each subcommand is a module with its arguments and its run. A run returns an [`Exit`],
+//! whose codes are stable and documented, or an error that names the step and the peer.
 
-fn main() {}
+mod cli;
+mod commands;
+mod error;
+mod exit;
+mod fleet;
+mod output;
+
+#[cfg(test)]
+mod cli_tests;
+#[cfg(test)]
+mod fleet_tests;
+
+use clap::Parser as _;
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let cli = cli::Cli::parse();
+    let mut stdout = std::io::stdout().lock();
+    let mut output = output::Output::new(cli.json, &mut stdout);
+    let exit = match cli.command.run(&mut output) {
+        Ok(exit) => exit,
+        Err(error) => {
+            error.report();
+            error.exit()
+        }
+    };
+    exit.into()
+}
--- /dev/null
+++ b/crates/util/src/output.rs
@@ -0,0 +1,62 @@
+//! Where commands write: text for people, or JSON for programs.
+
+use crate::error::{JsonSnafu, PrintSnafu, ToolError};
+use comfy_table::{Table, presets::NOTHING};
+use core::fmt;
+use serde::Serialize;
+use snafu::ResultExt;
+use std::io::Write;
+
+/// The output of one command.
+pub(crate) struct Output<'a> {
+    json: bool,
+    sink: &'a mut dyn Write,
+}
+
+impl fmt::Debug for Output<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Output").field("json", &self.json).finish()
+    }
+}
+
+impl<'a> Output<'a> {
+    /// Writes to a sink.
+    pub(crate) fn new(json: bool, sink: &'a mut dyn Write) -> Self {
+        Self { json, sink }
+    }
+
+    /// Whether a program reads it.
+    pub(crate) const fn is_json(&self) -> bool {
+        self.json
+    }
+
+    /// Writes one line of text.
+    pub(crate) fn line(&mut self, text: impl fmt::Display) -> Result<(), ToolError> {
+        writeln!(self.sink, "{text}").context(PrintSnafu)
+    }
+
+    /// Writes a value as JSON.
+    pub(crate) fn value(&mut self, value: &impl Serialize) -> Result<(), ToolError> {
+        serde_json::to_writer_pretty(&mut *self.sink, value).context(JsonSnafu)?;
+        self.line("")
+    }
+
+    /// Writes a value as JSON, or else as the text that it displays.
+    pub(crate) fn show(
+        &mut self,
+        value: &(impl Serialize + fmt::Display),
+    ) -> Result<(), ToolError> {
+        if self.json {
+            return self.value(value);
+        }
+        write!(self.sink, "{value}").context(PrintSnafu)
+    }
+}
+
+/// A table without lines, as other command-line tools print.
+pub(crate) fn table(headings: &[&str]) -> Table {
+    let mut table = Table::new();
+    table.load_style(NOTHING);
+    table.set_header(headings);
+    table
+}
