List endpoints in buckets of load instead of ordered sets

Cause: each begin and end of a call changed up to six ordered sets, a third of a cycle's time at 6,500 endpoints. Change: a view keeps its sites in 256 lists by load with a bit per list, so a change costs the same at any size; sites are numbered by data centre.

--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -8,7 +8,7 @@
 use poplarswitch_catalog::Route;
 use poplarswitch_entity::{EndpointName, PrefixHash, Time};
 use poplarswitch_estimate::Ewma;
-use rand::{Rng, SeedableRng};
+use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use slotmap::SlotMap;
 use std::collections::{BTreeSet, HashMap, VecDeque};
@@ -66,7 +66,7 @@
     wakes: BTreeSet<(Time, SiteKey)>,
     reports: VecDeque<(Time, SiteKey)>,
     ejections: u64,
-    random: Pcg64Mcg,
+    pub(crate) random: Pcg64Mcg,
 }
 
 impl Balancer {
@@ -270,8 +270,7 @@
 
     /// Lists a site anew after its state changed.
     pub(crate) fn relist(&mut self, key: SiteKey) {
-        let tie = self.random.next_u32();
-        let Some(site) = self.sites.get_mut(key) else {
+        let Some(site) = self.sites.get(key).filter(|site| !site.retired) else {
             return;
         };
         let pool = &mut self.pools[site.pool];
@@ -279,7 +278,7 @@
             Style::Full => site.level(pool.foreign),
             Style::Turn | Style::Least => site.outstanding(),
         };
-        pool.relist(key, site, level, tie);
+        pool.relist(site, level);
         let probing = site.health.phase() == Phase::Probing;
         if probing && site.has_slot() && site.outstanding() == 0 {
             pool.probes.insert(key);
--- a/crates/balance/src/choose.rs
+++ b/crates/balance/src/choose.rs
@@ -7,14 +7,15 @@
 
 use crate::balancer::Style;
 use crate::pool::Pool;
-use crate::view::{Rank, ViewKey};
+use crate::view::{Seat, ViewKey};
 use crate::{Balancer, PoolKey, SiteKey};
 use poplarswitch_entity::{DataCentre, PrefixHash};
+use rand::Rng;
 
 /// Level by which a site that holds the prefix may exceed the least loaded one.
-const AFFINITY_ALLOWANCE: u32 = 300;
+const AFFINITY_ALLOWANCE: u32 = 19;
 /// Level by which a site in the caller's data centre may exceed the least loaded one.
-const NEAR_ALLOWANCE: u32 = 125;
+const NEAR_ALLOWANCE: u32 = 8;
 
 /// What a call needs from its site.
 #[derive(Clone, Copy, Debug)]
@@ -34,73 +35,84 @@
 impl Balancer {
     /// Chooses a site with a free slot.
     pub fn choose(&mut self, pool: PoolKey, ask: &Ask<'_>) -> Option<SiteKey> {
+        let draw = self.random.next_u32();
         match self.options.style {
-            Style::Turn => self.choose_turn(pool, ask),
-            Style::Least => self.choose_least(pool, ask),
-            Style::Full => self.choose_full(pool, ask),
+            Style::Turn => self.choose_turn(pool, ask, draw),
+            Style::Least => self.choose_least(pool, ask, draw),
+            Style::Full => self.choose_full(pool, ask, draw),
         }
     }
 
-    fn choose_turn(&mut self, pool: PoolKey, ask: &Ask<'_>) -> Option<SiteKey> {
-        let state = &self.pools[pool];
-        let count = state.sites.len();
+    fn choose_turn(&mut self, key: PoolKey, ask: &Ask<'_>, draw: u32) -> Option<SiteKey> {
+        let pool = &self.pools[key];
+        let count = pool.sites.len();
         let index = (0..count)
-            .map(|step| (state.turn + step) % count)
+            .map(|step| (pool.turn + step) % count)
             .find(|index| {
-                let key = state.sites[*index];
-                let only = count == 1;
-                self.lists(key, ask.view) && (only || Some(key) != ask.avoid)
+                let site = pool.sites[*index];
+                Some(site) != ask.avoid && self.level(pool, site, ask.view).is_some()
             });
         let Some(index) = index else {
-            return self.choose_least(pool, ask);
+            return self.choose_least(key, ask, draw);
         };
-        let key = state.sites[index];
-        self.pools[pool].turn = index + 1;
-        Some(key)
+        let site = pool.sites[index];
+        self.pools[key].turn = index + 1;
+        Some(site)
     }
 
-    fn choose_least(&self, pool: PoolKey, ask: &Ask<'_>) -> Option<SiteKey> {
-        let state = &self.pools[pool];
-        let view = &state.views[ask.view.0];
-        view.least(ask.avoid)
-            .map(|rank| rank.site)
-            .or_else(|| self.probe_for(state, ask.view, ask.avoid))
-            .or_else(|| view.least(None).map(|rank| rank.site))
-            .or_else(|| self.probe_for(state, ask.view, None))
+    fn choose_least(&self, key: PoolKey, ask: &Ask<'_>, draw: u32) -> Option<SiteKey> {
+        let pool = &self.pools[key];
+        let view = &pool.views[ask.view.0];
+        let site = |index: u32| pool.sites[index as usize];
+        view.least(draw, self.seat(ask.avoid))
+            .map(site)
+            .or_else(|| self.probe_for(pool, ask.view, ask.avoid))
+            .or_else(|| view.least(draw, None).map(site))
+            .or_else(|| self.probe_for(pool, ask.view, None))
     }
 
-    fn choose_full(&self, pool: PoolKey, ask: &Ask<'_>) -> Option<SiteKey> {
-        let state = &self.pools[pool];
-        let probe = self.probe_for(state, ask.view, ask.avoid);
+    fn choose_full(&self, key: PoolKey, ask: &Ask<'_>, draw: u32) -> Option<SiteKey> {
+        let pool = &self.pools[key];
+        let probe = self.probe_for(pool, ask.view, ask.avoid);
         if !ask.cautious && probe.is_some() {
             return probe;
         }
-        let view = &state.views[ask.view.0];
-        let Some(least) = view.least(ask.avoid) else {
-            return self.choose_least(pool, ask);
+        let view = &pool.views[ask.view.0];
+        let avoid = self.seat(ask.avoid);
+        let Some(least) = view.least(draw, avoid) else {
+            return self.choose_least(key, ask, draw);
         };
-        if let Some(site) = self.choose_affine(pool, ask, least) {
+        let least = pool.sites[least as usize];
+        let mark = self.level(pool, least, ask.view)?;
+        if let Some(site) = self.choose_affine(key, ask, mark) {
             return Some(site);
         }
-        let near = view
-            .least_near(ask.near, ask.avoid)
-            .filter(|near| near.level <= least.level + NEAR_ALLOWANCE);
-        Some(near.unwrap_or(least).site)
+        let near = pool.centre(ask.near).and_then(|centre| {
+            let local = view.least_near(centre, draw, avoid)?;
+            let index = pool.centres[centre as usize].start + local;
+            Some(pool.sites[index as usize])
+        });
+        let near = near.filter(|site| {
+            let level = self.level(pool, *site, ask.view);
+            level.is_some_and(|level| level <= mark + NEAR_ALLOWANCE)
+        });
+        near.or(Some(least))
     }
 
-    fn choose_affine(&self, key: PoolKey, ask: &Ask<'_>, least: Rank) -> Option<SiteKey> {
+    fn choose_affine(&self, key: PoolKey, ask: &Ask<'_>, mark: u32) -> Option<SiteKey> {
         let prefix = ask.prefix.filter(|_| self.options.affinity)?;
-        let bound = least.level + AFFINITY_ALLOWANCE;
+        let pool = &self.pools[key];
         let fits = |site: &SiteKey| {
-            let rank = self.rank(*site, ask.view);
-            Some(*site) != ask.avoid && rank.is_some_and(|rank| rank.level <= bound)
+            let level = self.level(pool, *site, ask.view);
+            let near = level.is_some_and(|level| level <= mark + AFFINITY_ALLOWANCE);
+            near && Some(*site) != ask.avoid
         };
         let hint = self.hints.get(prefix).filter(|site| {
             let known = self.sites.get(*site);
-            known.is_some_and(|known| known.pool == key)
+            known.is_some_and(|known| known.pool == key && !known.retired)
         });
         hint.filter(&fits)
-            .or_else(|| self.pools[key].ring.choices(prefix).find(fits))
+            .or_else(|| pool.ring.choices(prefix).find(fits))
     }
 
     /// A site on probation that a view may use.
@@ -115,11 +127,13 @@
         probes.find(|key| Some(*key) != avoid && pool.fits(view, &self.sites[*key]))
     }
 
-    fn lists(&self, site: SiteKey, view: ViewKey) -> bool {
-        self.rank(site, view).is_some()
+    /// The level at which a view lists a site of the pool.
+    fn level(&self, pool: &Pool, site: SiteKey, view: ViewKey) -> Option<u32> {
+        pool.views[view.0].level(self.sites.get(site)?.seat)
     }
 
-    fn rank(&self, site: SiteKey, view: ViewKey) -> Option<Rank> {
-        self.sites.get(site)?.listed.get(view.0).copied().flatten()
+    fn seat(&self, site: Option<SiteKey>) -> Option<Seat> {
+        let site = self.sites.get(site?)?;
+        (!site.retired).then_some(site.seat)
     }
 }
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -6,6 +6,7 @@
 //! set instead of walking the endpoints.
 
 mod balancer;
+mod buckets;
 mod choose;
 mod health;
 mod hints;
@@ -16,6 +17,8 @@
 mod sync;
 mod view;
 
+#[cfg(test)]
+mod buckets_tests;
 #[cfg(test)]
 mod ring_tests;
 
--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -2,9 +2,9 @@
 
 use crate::ring::Ring;
 use crate::site::Site;
-use crate::view::{Rank, View, ViewKey};
+use crate::view::{View, ViewKey};
 use crate::{Balancer, SiteKey};
-use poplarswitch_entity::AdapterName;
+use poplarswitch_entity::{AdapterName, DataCentre};
 use slotmap::{SlotMap, new_key_type};
 use std::collections::BTreeSet;
 
@@ -29,9 +29,19 @@
 /// Weight of a new report in the mean of others' load.
 const FOREIGN_WEIGHT: f64 = 0.1;
 
+/// The sites of a pool in one data centre; their numbers follow each other.
+#[derive(Clone, Debug)]
+pub(crate) struct Centre {
+    pub name: DataCentre,
+    pub start: u32,
+    pub count: u32,
+}
+
 #[derive(Debug)]
 pub(crate) struct Pool {
+    /// By data centre, then by name.
     pub sites: Vec<SiteKey>,
+    pub centres: Vec<Centre>,
     pub views: Vec<View>,
     pub ring: Ring,
     /// Sites that may take one call to prove themselves.
@@ -51,7 +61,8 @@
     fn default() -> Self {
         Self {
             sites: Vec::new(),
-            views: vec![View::default()],
+            centres: Vec::new(),
+            views: vec![View::new(&[], None, &[])],
             ring: Ring::default(),
             probes: BTreeSet::new(),
             caps: Vec::new(),
@@ -74,7 +85,7 @@
             Cap::Percent(percent) => site.slots * percent / 100,
             Cap::AllBut(spare) => {
                 let count = self.sites.len().max(1) as u32;
-                let extra = u32::from(site.index < spare % count);
+                let extra = u32::from(site.seat.index < spare % count);
                 site.slots.saturating_sub(spare / count + extra)
             }
         };
@@ -92,35 +103,35 @@
     }
 
     /// Lists a site anew in all views.
-    pub(crate) fn relist(&mut self, key: SiteKey, site: &mut Site, level: u32, tie: u32) {
+    pub(crate) fn relist(&mut self, site: &Site, level: u32) {
         let usable = site.health.is_up() && site.has_slot();
-        site.listed.resize(self.views.len(), None);
         for index in 0..self.views.len() {
-            let rank = Rank {
-                level,
-                tie,
-                site: key,
-            };
-            let wanted = usable && self.fits(&self.views[index], site);
-            let view = &mut self.views[index];
-            if let Some(old) = site.listed[index].take() {
-                view.remove(&old, &site.data_centre);
-            }
-            if wanted {
-                view.insert(rank, &site.data_centre);
-                site.listed[index] = Some(rank);
-            }
+            let listed = usable && self.fits(&self.views[index], site);
+            self.views[index].set(site.seat, listed.then_some(level));
         }
     }
 
-    /// Takes a site out of all views.
-    pub(crate) fn unlist(&mut self, key: SiteKey, site: &mut Site) {
-        for (view, listed) in self.views.iter_mut().zip(&mut site.listed) {
-            if let Some(rank) = listed.take() {
-                view.remove(&rank, &site.data_centre);
-            }
+    /// Empties all views for sites with new numbers.
+    pub(crate) fn clear_views(&mut self) {
+        let counts = self.counts();
+        for view in &mut self.views {
+            *view = View::new(&view.caps, view.adapter.clone(), &counts);
         }
-        self.probes.remove(&key);
+        self.probes.clear();
+    }
+
+    /// Sites in each data centre.
+    fn counts(&self) -> Vec<usize> {
+        let centres = self.centres.iter();
+        centres.map(|centre| centre.count as usize).collect()
+    }
+
+    /// The number of a data centre.
+    pub(crate) fn centre(&self, name: &DataCentre) -> Option<u32> {
+        let found = self
+            .centres
+            .binary_search_by(|centre| centre.name.cmp(name));
+        found.ok().map(|index| index as u32)
     }
 
     pub(crate) fn count_slots(&mut self, sites: &SlotMap<SiteKey, Site>) {
@@ -156,12 +167,13 @@
         caps: &[CapKey],
         adapter: Option<&AdapterName>,
     ) -> ViewKey {
+        let counts = self.pools[pool].counts();
         let views = &mut self.pools[pool].views;
         let same = |view: &View| view.caps == caps && view.adapter.as_ref() == adapter;
         if let Some(index) = views.iter().position(same) {
             return ViewKey(index);
         }
-        views.push(View::new(caps, adapter.cloned()));
+        views.push(View::new(caps, adapter.cloned(), &counts));
         let view = ViewKey(views.len() - 1);
         self.relist_all(pool);
         view
--- a/crates/balance/src/site.rs
+++ b/crates/balance/src/site.rs
@@ -2,7 +2,7 @@
 
 use crate::load::Load;
 use crate::pool::PoolKey;
-use crate::view::Rank;
+use crate::view::Seat;
 use crate::{CapKey, Health};
 use poplarswitch_entity::{AdapterName, DataCentre, EndpointName};
 use poplarswitch_estimate::Ewma;
@@ -14,7 +14,7 @@
 }
 
 /// Level of a site whose slots are all taken.
-pub(crate) const FULL_LEVEL: u32 = 1_000;
+pub(crate) const FULL_LEVEL: u32 = 64;
 /// Samples before a site's speed is compared with its siblings'.
 const MIN_SAMPLES: u32 = 8;
 /// Largest factor by which slowness raises a site's level.
@@ -28,8 +28,8 @@
     /// Calls that it may serve at once.
     pub slots: u32,
     pub(crate) pool: PoolKey,
-    /// Its place in the order of its pool.
-    pub(crate) index: u32,
+    /// Its place in its pool.
+    pub(crate) seat: Seat,
     pub(crate) data_centre: DataCentre,
     pub(crate) adapters: Vec<AdapterName>,
     pub(crate) load: Load,
@@ -40,8 +40,6 @@
     pub(crate) first: Ewma,
     /// Time per token, relative to the siblings' median.
     pub(crate) pace: Ewma,
-    /// Where each view of the pool lists it.
-    pub(crate) listed: Vec<Option<Rank>>,
     pub(crate) retired: bool,
     /// The same endpoint under another route, in a later set.
     pub(crate) successor: Option<SiteKey>,
--- a/crates/balance/src/sync.rs
+++ b/crates/balance/src/sync.rs
@@ -5,12 +5,13 @@
 //! slots that its old calls hold stay taken.
 
 use crate::load::Load;
-use crate::pool::Pool;
+use crate::pool::{Centre, Pool};
 use crate::ring::Ring;
 use crate::site::Site;
+use crate::view::Seat;
 use crate::{Balancer, Health, PoolKey, SiteKey};
 use poplarswitch_catalog::{Catalog, EndpointEntry, Route};
-use poplarswitch_entity::{AdapterName, EndpointName, Time};
+use poplarswitch_entity::{AdapterName, DataCentre, EndpointName, Time};
 use poplarswitch_estimate::Ewma;
 use poplarswitch_objects::Serves;
 use std::collections::HashSet;
@@ -54,8 +55,6 @@
 
     fn update(&mut self, key: SiteKey, entry: &EndpointEntry) {
         let site = &mut self.sites[key];
-        // The data centre names the list that the site stands in, so it leaves that first.
-        self.pools[site.pool].unlist(key, site);
         site.slots = entry.endpoint.slots;
         site.data_centre = entry.endpoint.data_centre.clone();
         site.adapters = adapters(entry);
@@ -66,7 +65,7 @@
             name: entry.endpoint.name.clone(),
             slots: entry.endpoint.slots,
             pool,
-            index: 0,
+            seat: Seat::default(),
             data_centre: entry.endpoint.data_centre.clone(),
             adapters: adapters(entry),
             load: Load::default(),
@@ -74,7 +73,6 @@
             held: Vec::new(),
             first: Ewma::default(),
             pace: Ewma::default(),
-            listed: Vec::new(),
             retired: false,
             successor: None,
         };
@@ -108,7 +106,6 @@
     fn retire(&mut self, key: SiteKey) {
         let site = &mut self.sites[key];
         site.retired = true;
-        self.pools[site.pool].unlist(key, site);
         if site.outstanding() == 0 {
             self.sites.remove(key);
         }
@@ -133,16 +130,43 @@
         let sites = &self.sites;
         let pool = &mut self.pools[key];
         pool.sites
-            .sort_by(|a, b| sites[*a].name.cmp(&sites[*b].name));
-        for (index, site) in (0..).zip(&pool.sites) {
-            self.sites[*site].index = index;
-        }
-        let sites = &self.sites;
+            .sort_by(|a, b| place(&sites[*a]).cmp(&place(&sites[*b])));
         let named = pool.sites.iter().map(|site| (*site, &sites[*site].name));
         pool.ring = Ring::new(named);
+        self.seat_sites(key);
+        self.pools[key].clear_views();
         self.recount(key);
         self.relist_all(key);
     }
+
+    /// Numbers the sites of a pool; those of a data centre follow each other.
+    fn seat_sites(&mut self, key: PoolKey) {
+        let pool = &mut self.pools[key];
+        pool.centres.clear();
+        for (index, site) in (0..).zip(&pool.sites) {
+            let site = &mut self.sites[*site];
+            let known = pool.centres.last().map(|centre| &centre.name);
+            if known != Some(&site.data_centre) {
+                pool.centres.push(Centre {
+                    name: site.data_centre.clone(),
+                    start: index,
+                    count: 0,
+                });
+            }
+            let centre = pool.centres.len() - 1;
+            let last = &mut pool.centres[centre];
+            site.seat = Seat {
+                index,
+                centre: centre as u32,
+                local: last.count,
+            };
+            last.count += 1;
+        }
+    }
+}
+
+fn place(site: &Site) -> (&DataCentre, &EndpointName) {
+    (&site.data_centre, &site.name)
 }
 
 fn adapters(entry: &EndpointEntry) -> Vec<AdapterName> {
--- a/crates/balance/src/view.rs
+++ b/crates/balance/src/view.rs
@@ -1,8 +1,8 @@
-//! The sites of a pool that one kind of call may use, ordered by load.
+//! The sites of a pool that one kind of call may use, by load.
 
-use crate::{CapKey, SiteKey};
-use poplarswitch_entity::{AdapterName, DataCentre};
-use std::collections::{BTreeMap, BTreeSet};
+use crate::CapKey;
+use crate::buckets::Buckets;
+use poplarswitch_entity::AdapterName;
 
 /// Refers to a view of a pool.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -13,71 +13,57 @@
     pub const ALL: Self = Self(0);
 }
 
-/// A site's place in the order of load.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) struct Rank {
-    pub level: u32,
-    /// Drawn anew at each change, so that equals are taken in random order.
-    pub tie: u32,
-    pub site: SiteKey,
+/// A site's number in its pool, and in the part of the pool in its data centre.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Seat {
+    pub index: u32,
+    pub centre: u32,
+    pub local: u32,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct View {
     pub caps: Vec<CapKey>,
     pub adapter: Option<AdapterName>,
-    all: BTreeSet<Rank>,
-    near: BTreeMap<DataCentre, BTreeSet<Rank>>,
+    all: Buckets,
+    near: Vec<Buckets>,
 }
 
 impl View {
-    pub(crate) fn new(caps: &[CapKey], adapter: Option<AdapterName>) -> Self {
+    /// Starts empty, for data centres with so many sites each.
+    pub(crate) fn new(caps: &[CapKey], adapter: Option<AdapterName>, centres: &[usize]) -> Self {
         Self {
             caps: caps.to_vec(),
             adapter,
-            ..Self::default()
+            all: Buckets::new(centres.iter().sum()),
+            near: centres.iter().copied().map(Buckets::new).collect(),
         }
     }
 
-    pub(crate) fn is_empty(&self) -> bool {
+    pub(crate) const fn is_empty(&self) -> bool {
         self.all.is_empty()
     }
 
-    pub(crate) fn insert(&mut self, rank: Rank, data_centre: &DataCentre) {
-        self.all.insert(rank);
-        match self.near.get_mut(data_centre) {
-            Some(ranks) => ranks.insert(rank),
-            None => self
-                .near
-                .entry(data_centre.clone())
-                .or_default()
-                .insert(rank),
-        };
+    /// The level at which a site is listed, if it is.
+    pub(crate) fn level(&self, seat: Seat) -> Option<u32> {
+        self.all.level(seat.index)
     }
 
-    pub(crate) fn remove(&mut self, rank: &Rank, data_centre: &DataCentre) {
-        self.all.remove(rank);
-        if let Some(ranks) = self.near.get_mut(data_centre) {
-            ranks.remove(rank);
-        }
+    /// Lists a site at a level, or takes it out.
+    pub(crate) fn set(&mut self, seat: Seat, level: Option<u32>) {
+        self.all.set(seat.index, level);
+        self.near[seat.centre as usize].set(seat.local, level);
     }
 
-    /// The least loaded site but one that is to be avoided.
-    pub(crate) fn least(&self, avoid: Option<SiteKey>) -> Option<Rank> {
-        first(&self.all, avoid)
+    /// The number of the least loaded site but one that is to be avoided.
+    pub(crate) fn least(&self, draw: u32, avoid: Option<Seat>) -> Option<u32> {
+        self.all.least(draw, avoid.map(|seat| seat.index))
     }
 
-    /// The least loaded site of a data centre but one that is to be avoided.
-    pub(crate) fn least_near(
-        &self,
-        data_centre: &DataCentre,
-        avoid: Option<SiteKey>,
-    ) -> Option<Rank> {
-        first(self.near.get(data_centre)?, avoid)
+    /// The number within a data centre of its least loaded site but one to be avoided.
+    pub(crate) fn least_near(&self, centre: u32, draw: u32, avoid: Option<Seat>) -> Option<u32> {
+        let avoid = avoid.filter(|seat| seat.centre == centre);
+        let near = self.near.get(centre as usize)?;
+        near.least(draw, avoid.map(|seat| seat.local))
     }
 }
-
-fn first(ranks: &BTreeSet<Rank>, avoid: Option<SiteKey>) -> Option<Rank> {
-    let mut ranks = ranks.iter();
-    ranks.find(|rank| Some(rank.site) != avoid).copied()
-}
--- a/crates/scheduler/benches/cycle.rs
+++ b/crates/scheduler/benches/cycle.rs
@@ -4,11 +4,6 @@
 //! and calls waiting: each cycle submits a call that waits, and ends one whose slot goes to
 //! another that waits.
 
-#![expect(
-    missing_docs,
-    reason = "the benchmark library's macros make undocumented items"
-)]
-
 use core::time::Duration;
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use poplarswitch_catalog::{Catalog, Route};
