Let endpoints that declined rest briefly, and keep a slot for bookings

Cause: one declined call put an endpoint on probation for as long as a crash does; a route shared with long calls had no slot for the first booking after a quiet time; a workspace at its limit with many late calls was walked at each turn of late calls. Change: a declined call gives a rest of 50 ms, doubling up to 2 s, without probation; the reserve is at least one slot for a class that may not be repeated, and remembers bursts for a minute instead of ten; each workspace lists only its oldest late call.

--- a/crates/balance/src/health.rs
+++ b/crates/balance/src/health.rs
@@ -1,9 +1,10 @@
 //! Whether an endpoint is believed to be up.
 //!
-//! Crashes are seen from the calls themselves, stragglers by comparison with siblings. An
-//! endpoint that is out comes back through probes: one call at a time until enough of them
-//! went well. Each time that it is put out again it stays out for twice as long. Faults of
-//! calls that started before it was put out say nothing new and are not counted again.
+//! Crashes are seen from the calls themselves, stragglers by comparison with siblings. Such
+//! an endpoint comes back through probes: one call at a time until enough of them went
+//! well. One that merely declined a call rests for a moment and is used as before. Each
+//! time that an endpoint is put out again it stays out for twice as long. Faults of calls
+//! that started before it was put out say nothing new and are not counted again.
 
 use core::time::Duration;
 use poplarswitch_entity::Time;
@@ -13,13 +14,13 @@
 /// First time out after a crash.
 const CRASH_BACKOFF: Duration = Duration::from_millis(250);
 /// First time out after the endpoint declined a call.
-const DECLINED_BACKOFF: Duration = Duration::from_millis(100);
+const BUSY_BACKOFF: Duration = Duration::from_millis(50);
 /// First time out of a straggler.
 const SLOW_BACKOFF: Duration = Duration::from_secs(10);
 /// Longest time out.
 const MAX_BACKOFF: Duration = Duration::from_secs(30);
 /// Longest time out after declined calls.
-const MAX_DECLINED: Duration = Duration::from_secs(2);
+const MAX_BUSY: Duration = Duration::from_secs(2);
 /// Probes that have to go well.
 const GOOD_PROBES: u32 = 2;
 /// Good calls after which the next time out starts small again.
@@ -42,6 +43,25 @@
     Neutral,
 }
 
+/// Why an endpoint was put out.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Cause {
+    #[default]
+    Crash,
+    Busy,
+    Slow,
+}
+
+impl Cause {
+    const fn bounds(self) -> (Duration, Duration) {
+        match self {
+            Self::Crash => (CRASH_BACKOFF, MAX_BACKOFF),
+            Self::Busy => (BUSY_BACKOFF, MAX_BUSY),
+            Self::Slow => (SLOW_BACKOFF, MAX_BACKOFF),
+        }
+    }
+}
+
 /// What an endpoint may be given.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Phase {
@@ -58,11 +78,12 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Health {
     phase: Phase,
+    cause: Cause,
     backoff: Duration,
     lost: u32,
     good: u32,
+    /// When it was last put out or woken.
     since: Time,
-    slow: bool,
 }
 
 impl Health {
@@ -78,7 +99,7 @@
 
     /// Whether it is not up because it is slow.
     pub const fn is_ejected(&self) -> bool {
-        self.slow && !self.is_up()
+        matches!(self.cause, Cause::Slow) && !self.is_up()
     }
 
     /// Records how a call that started at a time went; tells whether the phase changed.
@@ -89,10 +110,10 @@
             Outcome::Neutral => {}
             _ if stale => {}
             Outcome::Good => self.praise(),
-            Outcome::Slow if self.phase == Phase::Probing => self.eject(now),
+            Outcome::Slow if self.phase == Phase::Probing => self.put_out(now, Cause::Slow),
             Outcome::Slow => {}
-            Outcome::Unreached => self.put_out(now, CRASH_BACKOFF, MAX_BACKOFF),
-            Outcome::Declined => self.put_out(now, DECLINED_BACKOFF, MAX_DECLINED),
+            Outcome::Unreached => self.put_out(now, Cause::Crash),
+            Outcome::Declined => self.put_out(now, Cause::Busy),
             Outcome::Lost => self.lose(now),
         }
         before != self.phase
@@ -100,21 +121,24 @@
 
     /// Puts a straggler out.
     pub(crate) fn eject(&mut self, now: Time) {
-        self.put_out(now, SLOW_BACKOFF, MAX_BACKOFF);
-        self.slow = true;
+        self.put_out(now, Cause::Slow);
     }
 
-    /// Starts probing if the time out is over.
+    /// Ends the time out if it is over.
     pub(crate) fn wake(&mut self, now: Time) -> bool {
-        match self.phase {
-            Phase::Out(until) if until <= now => {
-                self.phase = Phase::Probing;
-                self.good = 0;
-                self.since = now;
-                true
-            }
-            _ => false,
+        let Phase::Out(until) = self.phase else {
+            return false;
+        };
+        if now < until {
+            return false;
         }
+        self.phase = match self.cause {
+            Cause::Busy => Phase::Up,
+            Cause::Crash | Cause::Slow => Phase::Probing,
+        };
+        self.good = 0;
+        self.since = now;
+        true
     }
 
     fn praise(&mut self) {
@@ -122,10 +146,9 @@
         self.good += 1;
         if self.phase == Phase::Probing && self.good >= GOOD_PROBES {
             self.phase = Phase::Up;
-            self.slow = false;
             self.good = 0;
         }
-        if self.phase == Phase::Up && self.good >= TRUST {
+        if self.phase == Phase::Up && (self.good >= TRUST || self.cause == Cause::Busy) {
             self.backoff = Duration::ZERO;
         }
     }
@@ -133,16 +156,18 @@
     fn lose(&mut self, now: Time) {
         self.lost += 1;
         if self.lost >= LOST_STREAK || self.phase == Phase::Probing {
-            self.put_out(now, CRASH_BACKOFF, MAX_BACKOFF);
+            self.put_out(now, Cause::Crash);
         }
     }
 
-    fn put_out(&mut self, now: Time, first: Duration, most: Duration) {
+    fn put_out(&mut self, now: Time, cause: Cause) {
         if matches!(self.phase, Phase::Out(_)) {
             return;
         }
+        let (first, most) = cause.bounds();
         self.backoff = (self.backoff * 2).clamp(first, most);
         self.phase = Phase::Out(now + self.backoff);
+        self.cause = cause;
         self.since = now;
         self.lost = 0;
         self.good = 0;
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -20,6 +20,8 @@
 #[cfg(test)]
 mod buckets_tests;
 #[cfg(test)]
+mod health_tests;
+#[cfg(test)]
 mod ring_tests;
 
 pub use balancer::{Balancer, Options, Speed, Style};
--- a/crates/queue/src/lane.rs
+++ b/crates/queue/src/lane.rs
@@ -45,6 +45,24 @@
 struct Backlog {
     places: BTreeSet<Place>,
     listing: Listing,
+    /// Calls that have missed their target.
+    late: usize,
+    /// The one of them that is listed for the turns of late calls.
+    oldest: Option<Place>,
+}
+
+impl Backlog {
+    fn oldest_late(&self) -> Option<Place> {
+        if self.late == 0 || self.listing == Listing::Held {
+            return None;
+        }
+        // Sorts before all late places and after all timely ones.
+        let first = Place {
+            late: true,
+            ..Place::default()
+        };
+        self.places.range(first..).next().copied()
+    }
 }
 
 /// How a workspace stands against its tier's virtual time.
@@ -90,12 +108,12 @@
         let backlog = self.backlogs.entry(account).or_insert_with(|| Backlog {
             places: BTreeSet::new(),
             listing: Listing::Held,
+            late: 0,
+            oldest: None,
         });
         backlog.places.insert(place);
+        backlog.late += usize::from(place.late);
         self.len += 1;
-        if place.late {
-            self.late.insert((place, account));
-        }
         self.list(account, standing);
     }
 
@@ -108,11 +126,11 @@
             late: true,
             ..place
         };
-        let found = backlog.places.remove(&place) || backlog.places.remove(&late);
-        if !found {
+        if backlog.places.remove(&late) {
+            backlog.late -= 1;
+        } else if !backlog.places.remove(&place) {
             return false;
         }
-        self.late.remove(&(late, account));
         self.len -= 1;
         self.list(account, standing);
         true
@@ -131,9 +149,15 @@
             (Some(_), Standing::Ahead(time)) => Listing::Ahead(time),
         };
         backlog.listing = new;
+        let oldest = backlog.oldest_late();
+        let before = core::mem::replace(&mut backlog.oldest, oldest);
         if head.is_none() {
             self.backlogs.remove(&account);
         }
+        if before != oldest {
+            before.map(|place| self.late.remove(&(place, account)));
+            oldest.map(|place| self.late.insert((place, account)));
+        }
         if old != new {
             self.unlist(account, old);
             self.enlist(account, new);
@@ -170,15 +194,11 @@
 
     /// The late call that has been late for longest.
     pub(crate) fn oldest_late(&self) -> Option<Head> {
-        let listed = |account: &AccountKey| {
-            let backlog = self.backlogs.get(account);
-            backlog.is_some_and(|backlog| backlog.listing != Listing::Held)
-        };
-        let (place, account) = self.late.iter().find(|(_, account)| listed(account))?;
+        let (place, account) = *self.late.first()?;
         Some(Head {
             ahead: 0,
-            place: *place,
-            account: *account,
+            place,
+            account,
         })
     }
 
@@ -219,7 +239,7 @@
         };
         backlog.places.remove(&head.place);
         backlog.places.insert(late);
-        self.late.insert((late, head.account));
+        backlog.late += 1;
         let standing = match backlog.listing {
             Listing::Ready(_) => Standing::Ready,
             Listing::Ahead(time) => Standing::Ahead(time),
--- a/crates/scheduler/src/group.rs
+++ b/crates/scheduler/src/group.rs
@@ -30,6 +30,8 @@
     pub target: Duration,
     /// Time per token that its calls expect; zero if the answer comes as a whole.
     pub per_token: Duration,
+    /// Whether its calls may run more than once.
+    pub repeatable: bool,
     /// Whether an endpoint could serve its calls if all were up.
     pub served: bool,
     /// The class's own bound, if it has one.
--- a/crates/scheduler/src/reserve.rs
+++ b/crates/scheduler/src/reserve.rs
@@ -3,8 +3,9 @@
 //! A class is long on a route if its calls hold a slot for longer than a class of a higher
 //! tier has time for. While long calls fill all slots, a burst of such urgent calls finds
 //! only the slots that happen to end in time: slots * target / duration. The reserve is
-//! what the last bursts needed beyond that, at most a quarter of the slots, and only long
-//! calls have to leave it free. A tier that is due by its floor may use it.
+//! what the last bursts needed beyond that, at most a quarter of the slots, and one slot
+//! for a class whose calls may not be repeated. Only long calls have to leave it free. A
+//! tier that is due by its floor may use it.
 
 use crate::group::{Group, GroupKey, LaneInfo, Order};
 use crate::{Policy, Scheduler};
@@ -15,7 +16,7 @@
 /// Time between two computations of a route's reserve.
 const CHECK_INTERVAL: Duration = Duration::from_secs(2);
 /// Time in which a remembered burst fades to half.
-const PEAK_HALF_LIFE: Duration = Duration::from_mins(10);
+const PEAK_HALF_LIFE: Duration = Duration::from_mins(1);
 /// Most slots kept free, as one part in so many.
 const MAX_RESERVE: u32 = 4;
 
@@ -74,7 +75,8 @@
         let slots = self.balancer.slots(group.pool);
         let missing = |info: &LaneInfo| {
             let ending = f64::from(slots) * info.target.as_secs_f64() / held.as_secs_f64();
-            (info.peak - ending).max(0.0)
+            let least = f64::from(u8::from(!info.repeatable));
+            (info.peak - ending).max(least)
         };
         let urgent = group
             .lanes
--- a/crates/scheduler/src/submit.rs
+++ b/crates/scheduler/src/submit.rs
@@ -96,6 +96,7 @@
             .maybe_adapter(adapter.cloned())
             .target(terms.target.first_output())
             .per_token(per_token(terms.target))
+            .repeatable(terms.repeatable)
             .served(self.balancer.serves(group.pool, adapter))
             .maybe_cap(cap)
             .own(own)
