Keep queues, floors and shares when a set changes endpoints only

Cause: a set changes every few seconds at the target size; sorting all calls anew forgot the floors' credit, the workspaces' shares and the remembered bursts, and rebuilt every pool's ring. Change: while tiers and classes are the same, queues stay; only pools whose endpoints changed are rebuilt; held workspaces are released in case their limits grew. Conclusion: three tests added; a_change_of_endpoints_keeps_the_floors_credit fails when every reload sorts anew.

--- a/crates/balance/src/sync.rs
+++ b/crates/balance/src/sync.rs
@@ -14,7 +14,7 @@
 use poplarswitch_entity::{AdapterName, DataCentre, EndpointName, Time};
 use poplarswitch_estimate::Ewma;
 use poplarswitch_objects::Serves;
-use std::collections::HashSet;
+use std::collections::{BTreeSet, HashSet};
 
 impl Balancer {
     /// Puts a set into force.
@@ -22,16 +22,17 @@
         for route in catalog.routes.values() {
             self.open_pool(route);
         }
+        let mut changed = BTreeSet::new();
         for entry in catalog.endpoints.values() {
-            self.take_over(now, entry, &catalog.routes[entry.route]);
+            self.take_over(now, entry, &catalog.routes[entry.route], &mut changed);
         }
         let present: HashSet<&EndpointName> = catalog
             .endpoints
             .values()
             .map(|entry| &entry.endpoint.name)
             .collect();
-        self.retire_missing(&present);
-        self.rebuild_pools();
+        self.retire_missing(&present, &mut changed);
+        self.rebuild_pools(&changed);
     }
 
     fn open_pool(&mut self, route: &Route) {
@@ -41,23 +42,43 @@
         }
     }
 
-    fn take_over(&mut self, now: Time, entry: &EndpointEntry, route: &Route) {
+    fn take_over(
+        &mut self,
+        now: Time,
+        entry: &EndpointEntry,
+        route: &Route,
+        changed: &mut BTreeSet<PoolKey>,
+    ) {
         let pool = self.routes[route];
-        let name = &entry.endpoint.name;
-        match self.find(name) {
-            Some(key) if self.sites[key].pool == pool => self.update(key, entry),
-            Some(old) => self.move_site(now, old, entry, pool),
+        match self.find(&entry.endpoint.name) {
+            Some(key) if self.sites[key].pool == pool => {
+                if self.update(key, entry) {
+                    changed.insert(pool);
+                }
+            }
+            Some(old) => {
+                changed.extend([pool, self.sites[old].pool]);
+                self.move_site(now, old, entry, pool);
+            }
             None => {
+                changed.insert(pool);
                 self.add(entry, pool);
             }
         }
     }
 
-    fn update(&mut self, key: SiteKey, entry: &EndpointEntry) {
+    /// Takes over an endpoint's settings; tells whether they changed.
+    fn update(&mut self, key: SiteKey, entry: &EndpointEntry) -> bool {
+        let endpoint = &entry.endpoint;
+        let adapters = adapters(entry);
         let site = &mut self.sites[key];
-        site.slots = entry.endpoint.slots;
-        site.data_centre = entry.endpoint.data_centre.clone();
-        site.adapters = adapters(entry);
+        let same = site.slots == endpoint.slots
+            && site.data_centre == endpoint.data_centre
+            && site.adapters == adapters;
+        site.slots = endpoint.slots;
+        site.data_centre = endpoint.data_centre.clone();
+        site.adapters = adapters;
+        !same
     }
 
     fn add(&mut self, entry: &EndpointEntry, pool: PoolKey) -> SiteKey {
@@ -89,7 +110,11 @@
         self.retire(old);
     }
 
-    fn retire_missing(&mut self, present: &HashSet<&EndpointName>) {
+    fn retire_missing(
+        &mut self,
+        present: &HashSet<&EndpointName>,
+        changed: &mut BTreeSet<PoolKey>,
+    ) {
         let mut gone: Vec<SiteKey> = Vec::new();
         for (key, site) in &self.sites {
             if !site.retired && !present.contains(&site.name) {
@@ -99,6 +124,7 @@
         for key in gone {
             let name = self.sites[key].name.clone();
             self.names.remove(&name);
+            changed.insert(self.sites[key].pool);
             self.retire(key);
         }
     }
@@ -111,18 +137,17 @@
         }
     }
 
-    fn rebuild_pools(&mut self) {
-        for pool in self.pools.values_mut() {
-            pool.sites.clear();
+    fn rebuild_pools(&mut self, changed: &BTreeSet<PoolKey>) {
+        for key in changed {
+            self.pools[*key].sites.clear();
         }
         for (key, site) in &self.sites {
-            if !site.retired {
+            if !site.retired && changed.contains(&site.pool) {
                 self.pools[site.pool].sites.push(key);
             }
         }
-        let keys: Vec<PoolKey> = self.pools.keys().collect();
-        for key in keys {
-            self.rebuild(key);
+        for key in changed {
+            self.rebuild(*key);
         }
     }
 
--- a/crates/scheduler/src/book.rs
+++ b/crates/scheduler/src/book.rs
@@ -29,15 +29,19 @@
 }
 
 impl Book {
-    /// Takes over limits and weights, and starts all counts anew.
-    pub(crate) fn sync(&mut self, now: Time, catalog: &Catalog) {
-        self.tiers = catalog.tier_order.len().max(1);
+    /// Starts all counts anew, for another number of tiers.
+    pub(crate) fn reset(&mut self, tiers: usize) {
+        self.tiers = tiers;
         for account in self.accounts.values_mut() {
             account.reset(self.tiers);
         }
         for kind in self.kinds.values_mut() {
             kind.queued = 0;
         }
+    }
+
+    /// Takes over limits and weights.
+    pub(crate) fn sync(&mut self, now: Time, catalog: &Catalog) {
         for entry in catalog.workspaces.values() {
             let workspace = &entry.workspace;
             let key = self.account(now, &workspace.name);
--- a/crates/scheduler/src/finish.rs
+++ b/crates/scheduler/src/finish.rs
@@ -142,7 +142,7 @@
     }
 
     /// Lets a workspace that was at its limit be served again, on all routes.
-    fn release(&mut self, account: AccountKey) {
+    pub(crate) fn release(&mut self, account: AccountKey) {
         for (key, group) in &mut self.groups {
             if let Order::Full(queue) = &mut group.order {
                 queue.release(account);
--- a/crates/scheduler/src/group.rs
+++ b/crates/scheduler/src/group.rs
@@ -148,10 +148,10 @@
 }
 
 impl Group {
-    pub(crate) fn new(pool: PoolKey, order: Order, budget: Budget, spare: CapKey) -> Self {
+    pub(crate) fn new(pool: PoolKey, budget: Budget, spare: CapKey) -> Self {
         Self {
             pool,
-            order,
+            order: Order::Arrival(BTreeSet::new()),
             lanes: Vec::new(),
             index: HashMap::new(),
             caps: HashMap::new(),
--- a/crates/scheduler/src/reload_tests.rs
+++ b/crates/scheduler/src/reload_tests.rs
@@ -92,3 +92,48 @@
         eq(0)
     );
 }
+
+#[gtest]
+fn a_change_of_endpoints_keeps_the_floors_credit() {
+    let mut stand = Stand::new(1, 1);
+    stand.submit(0, "ask");
+    stand.submit(1, "chat");
+    let mut last = 0;
+    for seq in 2..20 {
+        stand.submit(seq, "ask");
+        reload(&mut stand, set(1, 1));
+        last = sent(&stand.answer(last))[0];
+        if last == 1 {
+            break;
+        }
+    }
+    expect_that!(last, eq(1));
+}
+
+#[gtest]
+fn a_raised_limit_lets_waiting_calls_go_at_once() {
+    let mut stand = Stand::new(1, 8);
+    (0..4).for_each(|seq| {
+        stand.submit_as("abay", seq, "chat");
+    });
+    expect_that!(stand.scheduler.in_flight(), eq(2));
+    let mut raised = set(1, 8);
+    raised["workspaces"][1]["limits"]["in_flight"] = 9.into();
+    expect_that!(sent(&reload(&mut stand, raised)), eq(&[2, 3]));
+}
+
+#[gtest]
+fn waiting_calls_whose_workspace_is_gone_are_refused() {
+    let mut stand = Stand::new(1, 1);
+    stand.submit_as("abay", 0, "ask");
+    stand.submit_as("abay", 1, "ask");
+    let mut less = set(1, 1);
+    less["workspaces"].as_array_mut().expect("a list").pop();
+    let out = reload(&mut stand, less);
+    expect_that!(refusals(&out)[0].reason, eq(RefusalReason::Unknown));
+    stand.answer(0);
+    expect_that!(
+        stand.scheduler.queued() + stand.scheduler.in_flight(),
+        eq(0)
+    );
+}
