Test the caps on ejection, load and shares by mutation

Cause: of 26 mutations of the four packages, five survived: own calls counted twice in reports, no cap on ejections, caps of zero slots, probes as a last resort only, and (before its test was enlarged) the cap again.

--- a/crates/scheduler/src/finish_tests.rs
+++ b/crates/scheduler/src/finish_tests.rs
@@ -87,11 +87,11 @@
 }
 
 /// Serves calls one after the other; those of one endpoint take much longer.
-fn straggle(stand: &mut Stand, slow: &str, count: u64) -> Vec<u64> {
+fn straggle(stand: &mut Stand, slow: &[&str], count: u64) -> Vec<u64> {
     let mut at_slow = Vec::new();
     for seq in 0..count {
         let place = places(&stand.submit(seq, "ask"))[0].clone();
-        let is_slow = place.as_str() == slow;
+        let is_slow = slow.contains(&place.as_str());
         if is_slow {
             at_slow.push(seq);
         }
@@ -106,7 +106,7 @@
 #[gtest]
 fn a_straggler_is_put_out_and_probed_slowly() {
     let mut stand = Stand::new(5, 2);
-    let at_slow = straggle(&mut stand, "e2", 300);
+    let at_slow = straggle(&mut stand, &["e2"], 300);
     expect_that!(stand.scheduler.counters().ejected, ge(1));
     expect_that!(at_slow.len(), all![ge(8), le(20)]);
 }
@@ -114,7 +114,15 @@
 #[gtest]
 fn equal_endpoints_are_not_put_out() {
     let mut stand = Stand::new(5, 2);
-    let at_one = straggle(&mut stand, "none", 300);
+    let at_one = straggle(&mut stand, &[], 300);
     expect_that!(at_one, is_empty());
     expect_that!(stand.scheduler.counters().ejected, eq(0));
 }
+
+#[gtest]
+fn stragglers_are_put_out_up_to_a_share_of_their_siblings() {
+    let mut stand = Stand::new(5, 2);
+    // Two of five are slow, but only one of five may be out at a time.
+    straggle(&mut stand, &["e1", "e2"], 150);
+    expect_that!(stand.scheduler.counters().ejected, eq(1));
+}
--- a/crates/scheduler/src/retry_tests.rs
+++ b/crates/scheduler/src/retry_tests.rs
@@ -139,7 +139,7 @@
 
 #[gtest]
 fn a_crashed_endpoint_gets_no_work_until_a_probe_went_well() {
-    let mut stand = Stand::new(2, 4);
+    let mut stand = Stand::new(2, 8);
     let crashed = places(&stand.submit(0, "ask"))[0].clone();
     stand.fail(0, 0, Fault::Unreached);
     let next: Vec<_> = (1..4)
--- a/crates/scheduler/src/serve_tests.rs
+++ b/crates/scheduler/src/serve_tests.rs
@@ -194,6 +194,36 @@
     expect_that!(places, contains(eq(&"e0".into())));
 }
 
+#[gtest]
+fn own_calls_in_a_lagging_report_are_not_counted_twice() {
+    let tuning = Tuning::builder().affinity(false).build();
+    let mut stand = Stand::with(set(2, 8), Policy::Full, tuning);
+    (0..8).for_each(|seq| {
+        stand.submit(seq, "ask");
+    });
+    // The report was made while four own calls ran; they have ended since.
+    (0..8).for_each(|seq| {
+        stand.answer(seq);
+    });
+    stand.give(report("e0", 4, 1_000));
+    let places: Vec<_> = (10..14)
+        .flat_map(|seq| places(&stand.submit(seq, "ask")))
+        .collect();
+    let first = places.iter().filter(|place| place.as_str() == "e0");
+    expect_that!(first.count(), eq(2));
+}
+
+#[gtest]
+fn a_class_with_a_small_share_still_gets_one_slot_of_each_endpoint() {
+    let mut set = set(2, 4);
+    set["classes"][3]["limits"] = serde_json::json!({"slot_percent": 10});
+    let mut stand = Stand::with(set, Policy::Full, Tuning::default());
+    (0..5).for_each(|seq| {
+        stand.submit(seq, "sum");
+    });
+    expect_that!(stand.scheduler.in_flight(), eq(2));
+}
+
 #[gtest]
 fn baselines_keep_to_arrival_or_tier_order() {
     for (policy, first) in [
