Add the tool's diff, apply and get, driving the publisher against the platform

Cause: operators change the system only by publishing whole sets. Change: publication.rs drives the reader and the publisher one request at a time behind a port with the clock and the platform; apply shows what differs and replaces exactly the generation that it compared with, so another operator's change is never undone unseen; an undecided publication is resolved by its nonce; get writes a set back as files. The set gives its objects one by one, which shortens diff and two rules of the verifier. Conclusion: sets can be published; the spread to VMs is the node's.

--- a/crates/objects/src/diff.rs
+++ b/crates/objects/src/diff.rs
@@ -4,7 +4,7 @@
 //! is what operators see in their files, so a field that a later version adds is compared
 //! without any change here.
 
-use crate::{Kind, ObjectSet};
+use crate::{Kind, Object, ObjectSet};
 use core::fmt;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -79,34 +79,13 @@
 }
 
 fn forms(set: &ObjectSet) -> BTreeMap<Id, Fields> {
-    let mut forms = BTreeMap::new();
-    add(&mut forms, Kind::Class, &set.classes, |o| o.name.as_str());
-    add(&mut forms, Kind::Tier, &set.tiers, |o| o.name.as_str());
-    add(&mut forms, Kind::Workspace, &set.workspaces, |o| {
-        o.name.as_str()
-    });
-    add(&mut forms, Kind::Model, &set.models, |o| o.name.as_str());
-    add(&mut forms, Kind::Service, &set.services, |o| {
-        o.name.as_str()
-    });
-    add(&mut forms, Kind::Endpoint, &set.endpoints, |o| {
-        o.name.as_str()
-    });
-    forms
-}
-
-fn add<T: Serialize>(
-    forms: &mut BTreeMap<Id, Fields>,
-    kind: Kind,
-    objects: &[T],
-    name: impl Fn(&T) -> &str,
-) {
-    for object in objects {
+    let form = |object: Object| {
         let mut fields = Fields::new();
-        let form = serde_json::to_value(object).unwrap_or_default();
-        flatten(String::new(), form, &mut fields);
-        forms.insert((kind, name(object).to_owned()), fields);
-    }
+        let tree = serde_json::to_value(&object).unwrap_or_default();
+        flatten(String::new(), tree, &mut fields);
+        ((object.kind(), object.name().to_owned()), fields)
+    };
+    set.objects().map(form).collect()
 }
 
 /// Gives each leaf the path of its field; a list is one leaf.
--- a/crates/objects/src/set.rs
+++ b/crates/objects/src/set.rs
@@ -116,6 +116,22 @@
         self.len() == 0
     }
 
+    /// Copies its objects, kind by kind.
+    pub fn objects(&self) -> impl Iterator<Item = Object> {
+        let classes = self.classes.iter().cloned().map(Object::Class);
+        let tiers = self.tiers.iter().cloned().map(Object::Tier);
+        let workspaces = self.workspaces.iter().cloned().map(Object::Workspace);
+        let models = self.models.iter().cloned().map(Object::Model);
+        let services = self.services.iter().cloned().map(Object::Service);
+        let endpoints = self.endpoints.iter().cloned().map(Object::Endpoint);
+        classes
+            .chain(tiers)
+            .chain(workspaces)
+            .chain(models)
+            .chain(services)
+            .chain(endpoints)
+    }
+
     /// Adds one object to the list of its kind.
     pub fn push(&mut self, object: Object) {
         match object {
@@ -130,6 +146,18 @@
 }
 
 impl Object {
+    /// Its name.
+    pub fn name(&self) -> &str {
+        match self {
+            Self::Class(object) => object.name.as_str(),
+            Self::Tier(object) => object.name.as_str(),
+            Self::Workspace(object) => object.name.as_str(),
+            Self::Model(object) => object.name.as_str(),
+            Self::Service(object) => object.name.as_str(),
+            Self::Endpoint(object) => object.name.as_str(),
+        }
+    }
+
     /// Its kind.
     pub const fn kind(&self) -> Kind {
         match self {
--- a/crates/util/src/cli.rs
+++ b/crates/util/src/cli.rs
@@ -15,13 +15,18 @@
 }
 
 const EXIT_CODES: &str = "Exit codes: 0 done, 1 failure, 2 wrong usage, 3 invalid set, \
-4 conflict with another publication, 5 undecided, 6 unreachable, 7 refused, 8 sets differ, \
-9 a promise broke";
+4 conflict with another publication, 5 undecided, 6 unreachable, 7 refused, 8 sets differ";
 
 #[derive(Debug, Subcommand)]
 pub(crate) enum Command {
     /// Check a directory of objects and report every problem
     Check(commands::check::Args),
+    /// Compare a directory with the current set
+    Diff(commands::diff::Args),
+    /// Publish a directory as the next set
+    Apply(commands::apply::Args),
+    /// Show the current set
+    Get(commands::get::Args),
     /// Show the status of VMs
     Status(commands::status::Args),
     /// Take a VM out of service without cutting off a call
@@ -41,6 +46,9 @@
     pub(crate) fn run(&self, output: &mut Output<'_>) -> Result<Exit, ToolError> {
         match self {
             Self::Check(args) => args.run(output),
+            Self::Diff(args) => args.run(output),
+            Self::Apply(args) => args.run(output),
+            Self::Get(args) => args.run(output),
             Self::Status(args) => args.run(output),
             Self::Drain(args) => args.run(output),
             Self::Timeline(args) => args.run(output),
--- a/crates/util/src/cli_tests.rs
+++ b/crates/util/src/cli_tests.rs
@@ -5,7 +5,7 @@
 use tempfile::TempDir;
 
 /// Runs a command line and returns its exit and its output.
-fn run(line: &[&str]) -> (Exit, String) {
+pub(crate) fn run(line: &[&str]) -> (Exit, String) {
     let cli = Cli::parse_from([&["poplarctl"], line].concat());
     let mut sink = Vec::new();
     let mut output = Output::new(cli.json, &mut sink);
@@ -16,7 +16,8 @@
     (exit, String::from_utf8(sink).expect("text"))
 }
 
-fn example(name: &str) -> String {
+/// The path of an example set.
+pub(crate) fn example(name: &str) -> String {
     let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../sets");
     root.join(name).display().to_string()
 }
--- a/crates/util/src/commands/mod.rs
+++ b/crates/util/src/commands/mod.rs
@@ -1,8 +1,11 @@
 //! The subcommands, each in a module of its own.
 
+pub(crate) mod apply;
 pub(crate) mod check;
 pub(crate) mod completions;
+pub(crate) mod diff;
 pub(crate) mod drain;
+pub(crate) mod get;
 pub(crate) mod key;
 pub(crate) mod load;
 pub(crate) mod status;
--- a/crates/util/src/error.rs
+++ b/crates/util/src/error.rs
@@ -2,6 +2,7 @@
 
 use crate::exit::Exit;
 use core::net::SocketAddr;
+use poplarswitch_publish::ReadError;
 use poplarswitch_settings::SecretError;
 use snafu::Snafu;
 use std::io;
@@ -42,6 +43,12 @@
     /// None of the addresses belongs to the VM.
     #[snafu(display("find VM {vm}: the addresses given belong to {found}"))]
     NoVm { vm: String, found: String },
+    /// The platform gave no answer for too long.
+    #[snafu(display("{step} at platform {peer}: no answer"))]
+    Away { step: &'static str, peer: String },
+    /// The current set can't be read.
+    #[snafu(display("read the current set at platform {peer}: {source}"))]
+    Head { peer: String, source: ReadError },
     /// The output could not be written.
     #[snafu(display("write the output: {source}"))]
     Print { source: io::Error },
@@ -54,7 +61,7 @@
     /// The exit code that goes with it.
     pub(crate) fn exit(&self) -> Exit {
         match self {
-            Self::Exchange { .. } => Exit::Unreachable,
+            Self::Exchange { .. } | Self::Away { .. } => Exit::Unreachable,
             Self::Status { status, .. } if REFUSED.contains(status) => Exit::Refused,
             _ if self.is_closed_pipe() => Exit::Success,
             _ => Exit::Failure,
--- a/crates/util/src/exit.rs
+++ b/crates/util/src/exit.rs
@@ -13,10 +13,16 @@
     // 2 is the command-line parser's code for wrong usage.
     /// The set has errors.
     Invalid = 3,
+    /// Another publication came first; nothing was changed.
+    Conflict = 4,
+    /// It is not known whether the publication took effect.
+    Undecided = 5,
     /// The platform or a VM could not be reached; nothing was changed.
     Unreachable = 6,
     /// A VM or the platform refused the request.
     Refused = 7,
+    /// The sets differ, where that was asked.
+    Differs = 8,
 }
 
 impl From<Exit> for ExitCode {
--- a/crates/util/src/main.rs
+++ b/crates/util/src/main.rs
@@ -9,17 +9,27 @@
 mod exit;
 mod fleet;
 mod output;
+mod publication;
 
 #[cfg(test)]
 mod cli_tests;
 #[cfg(test)]
 mod fleet_tests;
+#[cfg(test)]
+mod platform_tests;
+#[cfg(test)]
+mod publication_tests;
 
 use clap::Parser as _;
 use std::process::ExitCode;
+use tracing_subscriber::EnvFilter;
 
 fn main() -> ExitCode {
     let cli = cli::Cli::parse();
+    tracing_subscriber::fmt()
+        .with_env_filter(EnvFilter::from_default_env())
+        .with_writer(std::io::stderr)
+        .init();
     let mut stdout = std::io::stdout().lock();
     let mut output = output::Output::new(cli.json, &mut stdout);
     let exit = match cli.command.run(&mut output) {
--- a/crates/util/src/output.rs
+++ b/crates/util/src/output.rs
@@ -35,6 +35,14 @@
         writeln!(self.sink, "{text}").context(PrintSnafu)
     }
 
+    /// Writes one line of text for people only.
+    pub(crate) fn note(&mut self, text: &str) -> Result<(), ToolError> {
+        if self.json {
+            return Ok(());
+        }
+        self.line(text)
+    }
+
     /// Writes a value as JSON.
     pub(crate) fn value(&mut self, value: &impl Serialize) -> Result<(), ToolError> {
         serde_json::to_writer_pretty(&mut *self.sink, value).context(JsonSnafu)?;
--- /dev/null
+++ b/crates/util/src/platform_tests.rs
@@ -0,0 +1,114 @@
+use crate::{
+    cli_tests::{example, run},
+    exit::Exit,
+};
+use googletest::prelude::*;
+use poplarswitch_standins::{Platform, PlatformFaults, PlatformSpec};
+use serde_json::Value;
+use tempfile::TempDir;
+
+fn platform() -> Platform {
+    let address = "127.0.0.1:0".parse().expect("an address");
+    Platform::start(address, PlatformSpec::default()).expect("a free port")
+}
+
+/// Runs a command against a platform.
+fn run_at(platform: &Platform, line: &[&str]) -> (Exit, String) {
+    run(&[line, &["--platform", &platform.url(), "--patience", "2"]].concat())
+}
+
+#[gtest]
+fn a_set_goes_round_through_the_platform() {
+    let platform = platform();
+    let atlas = example("atlas");
+    expect_that!(run_at(&platform, &["get"]).0, eq(Exit::Failure));
+    let (exit, text) = run_at(&platform, &["apply", &atlas, "--note", "first"]);
+    expect_that!(exit, eq(Exit::Success));
+    expect_that!(text, contains_substring("+ endpoint assistant-azrou-1"));
+    expect_that!(text, contains_substring("accepted as generation 1"));
+    let (exit, text) = run_at(&platform, &["apply", &atlas]);
+    expect_that!(exit, eq(Exit::Success));
+    expect_that!(text, contains_substring("nothing was published"));
+
+    let root = TempDir::new().expect("a directory");
+    let copy = root.path().join("copy").display().to_string();
+    expect_that!(
+        run_at(&platform, &["get", "--write", &copy]).0,
+        eq(Exit::Success)
+    );
+    expect_that!(
+        run(&["check", "--deny-warnings", &copy]).0,
+        eq(Exit::Success)
+    );
+    let (exit, text) = run_at(&platform, &["diff", &copy, "--exit-code"]);
+    expect_that!(exit, eq(Exit::Success), "{text}");
+    expect_that!(
+        run_at(&platform, &["get", "--write", &copy]).0,
+        eq(Exit::Failure)
+    );
+}
+
+#[gtest]
+fn one_object_is_shown_as_json() {
+    let platform = platform();
+    run_at(&platform, &["apply", &example("abay")]);
+    let (exit, text) = run_at(&platform, &["--json", "get", "class", "deposit-charge"]);
+    expect_that!(exit, eq(Exit::Success));
+    let found: Value = serde_json::from_str(&text).expect("JSON");
+    expect_that!(found["objects"][0]["repeatable"].as_bool(), some(eq(false)));
+    expect_that!(found["release"]["generation"].as_u64(), some(eq(1)));
+    expect_that!(
+        run_at(&platform, &["get", "class", "gone"]).0,
+        eq(Exit::Failure)
+    );
+}
+
+#[gtest]
+fn a_directory_made_from_an_older_generation_is_a_conflict() {
+    let platform = platform();
+    run_at(&platform, &["apply", &example("atlas"), "--author", "lina"]);
+    let (exit, text) = run_at(&platform, &["apply", &example("abay"), "--base", "0"]);
+    expect_that!(exit, eq(Exit::Conflict));
+    expect_that!(
+        text,
+        contains_substring("conflict: generation 1 by lina came first")
+    );
+    let (exit, _) = run_at(&platform, &["diff", &example("abay"), "--exit-code"]);
+    expect_that!(exit, eq(Exit::Differs));
+}
+
+#[gtest]
+fn a_dry_run_publishes_nothing() {
+    let platform = platform();
+    let (exit, _) = run_at(&platform, &["apply", &example("atlas"), "--dry-run"]);
+    expect_that!(exit, eq(Exit::Success));
+    expect_that!(platform.stats().writes, eq(0));
+}
+
+#[gtest]
+fn an_outage_is_unreachable() {
+    let platform = platform();
+    platform.set_faults(PlatformFaults {
+        outage: true,
+        ..PlatformFaults::default()
+    });
+    for line in [["apply", &example("atlas")], ["diff", &example("atlas")]] {
+        let (exit, _) = run_at(&platform, &line);
+        expect_that!(exit, eq(Exit::Unreachable), "{line:?}");
+    }
+}
+
+#[gtest]
+fn lost_answers_are_resolved_and_publish_once() {
+    let platform = platform();
+    platform.set_faults(PlatformFaults {
+        lose_answers: true,
+        ..PlatformFaults::default()
+    });
+    let line = ["apply", &example("atlas"), "--platform", &platform.url()];
+    let (exit, text) = run(&line);
+    expect_that!(exit, eq(Exit::Success), "{text}");
+    let (_, text) = run_at(&platform, &["--json", "get"]);
+    let found: Value = serde_json::from_str(&text).expect("JSON");
+    expect_that!(found["release"]["generation"].as_u64(), some(eq(1)));
+}
--- a/crates/verifier/src/rules/names.rs
+++ b/crates/verifier/src/rules/names.rs
@@ -18,29 +18,24 @@
 }
 
 pub(crate) fn check(set: &ObjectSet, findings: &mut Findings) {
-    let names = |kind: Kind| -> Vec<&str> {
-        match kind {
-            Kind::Class => set.classes.iter().map(|o| o.name.as_str()).collect(),
-            Kind::Tier => set.tiers.iter().map(|o| o.name.as_str()).collect(),
-            Kind::Workspace => set.workspaces.iter().map(|o| o.name.as_str()).collect(),
-            Kind::Model => set.models.iter().map(|o| o.name.as_str()).collect(),
-            Kind::Service => set.services.iter().map(|o| o.name.as_str()).collect(),
-            Kind::Endpoint => set.endpoints.iter().map(|o| o.name.as_str()).collect(),
-        }
-    };
-    for kind in Kind::ALL {
-        check_kind(kind, &names(kind), set, findings);
+    let mut names: BTreeMap<Kind, Vec<String>> = BTreeMap::new();
+    for object in set.objects() {
+        let of_kind = names.entry(object.kind()).or_default();
+        of_kind.push(object.name().to_owned());
+    }
+    for (kind, of_kind) in &names {
+        check_kind(*kind, of_kind, set, findings);
     }
     check_inner(set, findings);
 }
 
-fn check_kind(kind: Kind, names: &[&str], set: &ObjectSet, findings: &mut Findings) {
+fn check_kind(kind: Kind, names: &[String], set: &ObjectSet, findings: &mut Findings) {
     let alphabet = match kind {
         Kind::Model => Alphabet::Model,
         _ => Alphabet::Plain,
     };
     let mut first: BTreeMap<&str, usize> = BTreeMap::new();
-    for (index, name) in names.iter().copied().enumerate() {
+    for (index, name) in names.iter().map(String::as_str).enumerate() {
         let spot = Spot { kind, index, name };
         check_name(spot, "name", name, alphabet, findings);
         match first.get(name) {
--- a/crates/verifier/src/rules/size.rs
+++ b/crates/verifier/src/rules/size.rs
@@ -5,7 +5,7 @@
 
 use crate::{Code, Findings, finding::Spot};
 use poplarswitch_objects::{Kind, ObjectSet};
-use serde::Serialize;
+use std::collections::BTreeMap;
 
 /// Largest set, in bytes of its JSON form; each VM holds it in memory a few times over.
 const MAX_SET_BYTES: usize = 8 << 20;
@@ -18,47 +18,25 @@
         let message = "the set has no object, expected classes, tiers, workspaces and endpoints";
         findings.add_of_set(Code::EmptySet, message.to_owned());
     }
-    let total = of_kind(Kind::Class, &set.classes, |o| o.name.as_str(), findings)
-        + of_kind(Kind::Tier, &set.tiers, |o| o.name.as_str(), findings)
-        + of_kind(
-            Kind::Workspace,
-            &set.workspaces,
-            |o| o.name.as_str(),
-            findings,
-        )
-        + of_kind(Kind::Model, &set.models, |o| o.name.as_str(), findings)
-        + of_kind(Kind::Service, &set.services, |o| o.name.as_str(), findings)
-        + of_kind(
-            Kind::Endpoint,
-            &set.endpoints,
-            |o| o.name.as_str(),
-            findings,
-        );
-    if total > MAX_SET_BYTES {
-        let message = format!("the set has {total} bytes, expected at most {MAX_SET_BYTES}");
-        findings.add_of_set(Code::TooLarge, message);
-    }
-}
-
-fn of_kind<T: Serialize>(
-    kind: Kind,
-    objects: &[T],
-    name: impl Fn(&T) -> &str,
-    findings: &mut Findings,
-) -> usize {
     let mut total = 0;
-    for (index, object) in objects.iter().enumerate() {
-        let bytes = serde_json::to_vec(object).map_or(0, |text| text.len());
+    let mut next: BTreeMap<Kind, usize> = BTreeMap::new();
+    for object in set.objects() {
+        let index = next.entry(object.kind()).or_default();
+        let bytes = serde_json::to_vec(&object).map_or(0, |text| text.len());
         total += bytes;
         if bytes > MAX_OBJECT_BYTES {
             let spot = Spot {
-                kind,
-                index,
-                name: name(object),
+                kind: object.kind(),
+                index: *index,
+                name: object.name(),
             };
             let message = format!("has {bytes} bytes, expected at most {MAX_OBJECT_BYTES}");
             findings.add(spot, Code::TooLarge, "", message);
         }
+        *index += 1;
+    }
+    if total > MAX_SET_BYTES {
+        let message = format!("the set has {total} bytes, expected at most {MAX_SET_BYTES}");
+        findings.add_of_set(Code::TooLarge, message);
     }
-    total
 }
