--- a/crates/scheduler/src/group.rs
+++ b/crates/scheduler/src/group.rs
@@ -30,6 +30,8 @@
     pub target: Duration,
     /// Time per token that its calls expect; zero if the answer comes as a whole.
     pub per_token: Duration,
+    /// Whether its calls may run more than once.
+    pub repeatable: bool,
     /// Whether an endpoint could serve its calls if all were up.
     pub served: bool,
     /// The class's own bound, if it has one.
@@ -146,10 +148,10 @@
 }
 
 impl Group {
-    pub(crate) fn new(pool: PoolKey, order: Order, budget: Budget, spare: CapKey) -> Self {
+    pub(crate) fn new(pool: PoolKey, budget: Budget, spare: CapKey) -> Self {
         Self {
             pool,
-            order,
+            order: Order::Arrival(BTreeSet::new()),
             lanes: Vec::new(),
             index: HashMap::new(),
             caps: HashMap::new(),
