--- /dev/null
+++ b/crates/wire/src/body_fuzz_tests.rs
@@ -0,0 +1,54 @@
+use crate::{ChatHead, ErrorBody, TokenUsage};
+use poplarswitch_fuzz::{any_bytes, config, edited_json};
+use proptest::prelude::*;
+
+const CHAT: &[u8] = br#"{"model": "tiny", "stream": true, "max_tokens": 7, "adapter": "fr",
+    "messages": [{"role": "system", "content": "be short"},
+    {"role": "user", "content": [{"type": "text", "text": "sleds?"}]}], "temperature": 0.5}"#;
+
+const ANSWER: &[u8] = br#"{"choices": [{"message": {"content": "yes"}}],
+    "usage": {"prompt_tokens": 3, "completion_tokens": 9}}"#;
+
+const ERROR: &[u8] = br#"{"error": {"code": "overload", "message": "m", "step": "admit",
+    "peer": "vm", "ran": "not_run", "retry_after_ms": 5, "others": ["127.0.0.1:1"]}}"#;
+
+fn judge(body: &[u8]) -> Result<(), TestCaseError> {
+    match ChatHead::parse(body) {
+        Ok(head) => {
+            prop_assert!(!head.messages.is_empty());
+            prop_assert!(head.max_tokens != Some(0));
+            prop_assert!(head.input_tokens() as usize <= body.len().max(1));
+            prop_assert!(head.prefix().len() <= body.len() * 3);
+        }
+        Err(error) => prop_assert!(error.to_string().len() < 1_000, "{error}"),
+    }
+    Ok(())
+}
+
+proptest! {
+    #![proptest_config(config(19))]
+
+    #[test]
+    fn edited_chat_calls_are_read_or_refused(body in edited_json(CHAT)) {
+        judge(&body)?;
+    }
+
+    #[test]
+    fn any_bytes_are_read_or_refused(body in any_bytes()) {
+        judge(&body)?;
+        let _ = TokenUsage::of_answer(&body);
+    }
+
+    #[test]
+    fn edited_answers_give_a_usage(body in edited_json(ANSWER)) {
+        let _ = TokenUsage::of_answer(&body);
+    }
+
+    #[test]
+    fn edited_errors_come_back_the_same_or_not_at_all(body in edited_json(ERROR)) {
+        if let Ok(error) = serde_json::from_slice::<ErrorBody>(&body) {
+            let again = serde_json::from_str::<ErrorBody>(&error.to_json());
+            prop_assert_eq!(again.ok(), Some(error));
+        }
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -10,6 +10,8 @@
 pub mod headers;
 mod status;
 
+#[cfg(test)]
+mod body_fuzz_tests;
 #[cfg(test)]
 mod chat_tests;
 #[cfg(test)]
