Refuse text after the settings

Cause: fuzzing found that a file whose first part is whole settings was accepted, whatever came after it: {"vm": ..., "cell": "x"}, "limits": {...}} lost all its limits silently. Conclusion: a settings file is taken whole or refused.

--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -13,6 +13,8 @@
 #[cfg(test)]
 mod check_tests;
 #[cfg(test)]
+mod parse_fuzz_tests;
+#[cfg(test)]
 mod parse_tests;
 
 pub use check::{FieldError, SettingsError};
--- a/crates/settings/src/parse.rs
+++ b/crates/settings/src/parse.rs
@@ -21,13 +21,21 @@
     /// Parses the JSON form without checking values.
     pub fn parse(text: &str) -> Result<Self, SettingsError> {
         let mut input = serde_json::Deserializer::from_str(text);
-        serde_path_to_error::deserialize(&mut input).map_err(|error| {
+        let settings = serde_path_to_error::deserialize(&mut input).map_err(|error| {
             ParseSnafu {
                 field: error.path().to_string(),
                 message: error.inner().to_string(),
             }
             .build()
-        })
+        })?;
+        input.end().map_err(|error| {
+            ParseSnafu {
+                field: "",
+                message: error.to_string(),
+            }
+            .build()
+        })?;
+        Ok(settings)
     }
 
     /// The JSON form with all defaults filled in.
--- a/crates/settings/src/parse_tests.rs
+++ b/crates/settings/src/parse_tests.rs
@@ -35,3 +35,12 @@
     let text = format!("{:?}", Secret::new("hush"));
     expect_that!(text, not(contains_substring("hush")));
 }
+
+#[gtest]
+fn refuses_text_after_the_settings() {
+    let text = format!("{SMALL}, \"seeds\": []}}");
+    let Err(SettingsError::Parse { message, .. }) = Settings::parse(&text) else {
+        panic!("must be refused");
+    };
+    expect_that!(message, contains_substring("trailing characters"));
+}
