--- a/crates/util/src/commands/drain.rs
+++ b/crates/util/src/commands/drain.rs
@@ -37,8 +37,12 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
 enum Progress {
+    /// Calls are still in flight.
     Draining,
+    /// The VM said that it has finished its calls.
     Drained,
+    /// The process that was draining has ended.
+    Ended,
 }
 
 #[derive(Debug, Serialize)]
@@ -71,6 +75,7 @@
             let word = match progress {
                 Progress::Draining => "is draining",
                 Progress::Drained => "has drained",
+                Progress::Ended => "has drained and ended",
             };
             output.line(format_args!("{} at {at} {word}", self.vm))?;
         }
@@ -86,10 +91,11 @@
         let deadline = Instant::now() + Duration::from_secs(self.timeout);
         while Instant::now() < deadline {
             match fleet.get::<Status>(at, "read status", "/status") {
-                Ok(now) if now.incarnation != before.incarnation => return Progress::Drained,
+                Ok(now) if now.incarnation != before.incarnation => return Progress::Ended,
                 Ok(now) if now.phase == Phase::Drained => return Progress::Drained,
                 Ok(now) => bar.set_message(format!("{} calls in flight", now.calls.open)),
-                Err(ToolError::Exchange { .. }) => return Progress::Drained,
+                Err(error) if error.is_closed_port() => return Progress::Ended,
+                // A VM that can't be reached for now may still be draining.
                 Err(_) => {}
             }
             bar.tick();
--- a/crates/util/src/error.rs
+++ b/crates/util/src/error.rs
@@ -68,6 +68,17 @@
         }
     }
 
+    /// Whether the machine answered that no process listens.
+    pub(crate) fn is_closed_port(&self) -> bool {
+        match self {
+            Self::Exchange { source, .. } => match &**source {
+                ureq::Error::Io(error) => error.kind() == io::ErrorKind::ConnectionRefused,
+                _ => false,
+            },
+            _ => false,
+        }
+    }
+
     /// Tells the operator, unless the reader of the output just went away.
     pub(crate) fn report(&self) {
         if !self.is_closed_pipe() {
