Add the entry VM's process with its callers' port and runs

Cause: a call must come in over HTTP, be decided and run at an endpoint. Change: callers' port on hyper with limits before parsing, runs at endpoints by ureq on blocking threads with a stop handle, one decision thread that drives the pool, operators' and metrics ports on astra, load and cache reports, signals.

--- /dev/null
+++ b/crates/node/src/callers/chat.rs
@@ -0,0 +1,90 @@
+//! Chat calls.
+
+use super::{auth, body, reply, resolve, submit};
+use crate::{
+    call::{Chat, Work},
+    shared::Shared,
+};
+use core::time::Duration;
+use http::{HeaderMap, Request, Response};
+use hyper::body::Incoming;
+use poplarswitch_catalog::{Catalog, Route};
+use poplarswitch_entity::{AdapterName, PrefixHash};
+use poplarswitch_objects::Workspace;
+use poplarswitch_wire::{ChatHead, ErrorCode, ErrorInfo};
+use std::sync::Arc;
+use xxhash_rust::xxh3::Xxh3;
+
+/// Bytes of the prompt's start that decide which engine holds it in its cache.
+const PREFIX_BYTES: usize = 1_024;
+
+/// Answers a chat call.
+pub(super) async fn handle(
+    shared: &Arc<Shared>,
+    request: Request<Incoming>,
+) -> Response<reply::Body> {
+    match accept(shared, request).await {
+        Ok(draft) => submit::run(shared, draft).await,
+        Err(error) => reply::error(shared, error),
+    }
+}
+
+async fn accept(
+    shared: &Arc<Shared>,
+    request: Request<Incoming>,
+) -> Result<submit::Draft, ErrorInfo> {
+    let catalog = submit::admit(shared)?;
+    let (parts, incoming) = request.into_parts();
+    let refuse = |code| shared.error(code);
+    let workspace = &auth::workspace(&catalog, &parts.headers)
+        .map_err(refuse)?
+        .workspace;
+    let body = body::read(shared, incoming).await.map_err(refuse)?;
+    let head = ChatHead::parse(&body)
+        .map_err(|error| refuse(ErrorCode::Malformed).because(error.to_string()))?;
+    let stream = head.stream;
+    let mut draft =
+        draft(shared, &catalog, workspace, &parts.headers, &head, &body).map_err(refuse)?;
+    draft.work = Work::Chat(Chat { body, stream });
+    Ok(draft)
+}
+
+fn draft(
+    shared: &Shared,
+    catalog: &Catalog,
+    workspace: &Workspace,
+    named: &HeaderMap,
+    head: &ChatHead,
+    body: &[u8],
+) -> Result<submit::Draft, ErrorCode> {
+    let model = catalog.model(&head.model).ok_or(ErrorCode::UnknownModel)?;
+    let route = Route::Model(model.name.clone());
+    let class = resolve::class(catalog, named, model.default_class.as_str(), &route)?;
+    if body.len() > class.class.max_input_bytes as usize {
+        return Err(ErrorCode::BodyTooLarge);
+    }
+    let most = class.class.max_output_tokens;
+    let request = poplarswitch_scheduler::Request {
+        call: shared.next_call(),
+        class: class.class.name.clone(),
+        workspace: workspace.name.clone(),
+        route,
+        adapter: head.adapter.as_deref().map(AdapterName::from),
+        prefix: prefix(workspace, head),
+        input_tokens: head.input_tokens(),
+        max_tokens: head.max_tokens.unwrap_or(most).min(most),
+        data_centre: shared.settings.data_centre.clone(),
+        waited: Duration::ZERO,
+    };
+    submit::Draft::new(request, class, named)
+}
+
+/// Hash of the workspace and the start of the prompt.
+fn prefix(workspace: &Workspace, head: &ChatHead) -> PrefixHash {
+    let text = head.prefix().as_bytes();
+    let mut hash = Xxh3::new();
+    hash.update(workspace.name.as_str().as_bytes());
+    hash.update(&[0]);
+    hash.update(&text[..text.len().min(PREFIX_BYTES)]);
+    PrefixHash(hash.digest())
+}
--- /dev/null
+++ b/crates/node/src/counters.rs
@@ -0,0 +1,173 @@
+//! Counters and gauges of the process, shared by all threads.
+
+use prometheus_client::{
+    encoding::EncodeLabelSet,
+    metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
+    registry::Registry,
+};
+
+/// Bounds of the buckets for times to the first output, in seconds.
+const FIRST_OUTPUT_SECONDS: [f64; 12] = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 1.5, 2.5, 10.0, 60.0,
+];
+
+/// Labels a series with a class.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct ClassLabel {
+    pub(crate) class: String,
+}
+
+/// Labels a series with an error code.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct CodeLabel {
+    pub(crate) code: String,
+}
+
+/// All counters.
+#[derive(Debug)]
+pub(crate) struct Counters {
+    pub(crate) open: Gauge,
+    pub(crate) running: Gauge,
+    pub(crate) connections: Gauge,
+    pub(crate) generation: Gauge,
+    pub(crate) members: Gauge,
+    pub(crate) received: Family<ClassLabel, Counter>,
+    pub(crate) answered: Family<ClassLabel, Counter>,
+    pub(crate) first_output: Family<ClassLabel, Histogram>,
+    pub(crate) errors: Family<CodeLabel, Counter>,
+    pub(crate) cancelled: Counter,
+    pub(crate) dispatches: Counter,
+    pub(crate) tokens: Counter,
+    pub(crate) late_ends: Counter,
+    pub(crate) cancels_unanswered: Counter,
+    pub(crate) callers_stalled: Counter,
+    pub(crate) connections_refused: Counter,
+    pub(crate) accept_errors: Counter,
+    pub(crate) unreported: Counter,
+    pub(crate) peer_drops: Counter,
+    pub(crate) platform_calls: Counter,
+}
+
+impl Default for Counters {
+    fn default() -> Self {
+        let histogram = || Histogram::new(FIRST_OUTPUT_SECONDS);
+        Self {
+            first_output: Family::new_with_constructor(histogram),
+            open: Gauge::default(),
+            running: Gauge::default(),
+            connections: Gauge::default(),
+            generation: Gauge::default(),
+            members: Gauge::default(),
+            received: Family::default(),
+            answered: Family::default(),
+            errors: Family::default(),
+            cancelled: Counter::default(),
+            dispatches: Counter::default(),
+            tokens: Counter::default(),
+            late_ends: Counter::default(),
+            cancels_unanswered: Counter::default(),
+            callers_stalled: Counter::default(),
+            connections_refused: Counter::default(),
+            accept_errors: Counter::default(),
+            unreported: Counter::default(),
+            peer_drops: Counter::default(),
+            platform_calls: Counter::default(),
+        }
+    }
+}
+
+impl Counters {
+    /// Registers everything for the metrics port.
+    pub(crate) fn registry(&self) -> Registry {
+        let mut registry = Registry::with_prefix("poplarswitch");
+        self.register_gauges(&mut registry);
+        self.register_calls(&mut registry);
+        self.register_edges(&mut registry);
+        registry
+    }
+
+    fn register_gauges(&self, to: &mut Registry) {
+        to.register("calls_open", "Calls that wait or run", self.open.clone());
+        to.register("calls_running", "Calls that run", self.running.clone());
+        to.register(
+            "connections",
+            "Callers' connections",
+            self.connections.clone(),
+        );
+        to.register(
+            "generation",
+            "Generation of the set in force",
+            self.generation.clone(),
+        );
+        to.register("members", "Other VMs alive", self.members.clone());
+    }
+
+    fn register_calls(&self, to: &mut Registry) {
+        to.register("calls_received", "Calls received", self.received.clone());
+        to.register(
+            "calls_answered",
+            "Calls with a whole answer",
+            self.answered.clone(),
+        );
+        to.register(
+            "first_output_seconds",
+            "Time from arrival to the first output",
+            self.first_output.clone(),
+        );
+        to.register("errors", "Calls without an answer", self.errors.clone());
+        to.register(
+            "calls_cancelled",
+            "Calls whose caller left",
+            self.cancelled.clone(),
+        );
+        to.register(
+            "dispatches",
+            "Calls sent to endpoints",
+            self.dispatches.clone(),
+        );
+        to.register("tokens", "Tokens passed on", self.tokens.clone());
+        to.register(
+            "late_ends",
+            "Ends of runs whose call was over",
+            self.late_ends.clone(),
+        );
+    }
+
+    fn register_edges(&self, to: &mut Registry) {
+        to.register(
+            "cancels_unanswered",
+            "Cancellations that an engine did not confirm",
+            self.cancels_unanswered.clone(),
+        );
+        to.register(
+            "callers_stalled",
+            "Callers that did not read their answer",
+            self.callers_stalled.clone(),
+        );
+        to.register(
+            "connections_refused",
+            "Connections beyond the limit",
+            self.connections_refused.clone(),
+        );
+        to.register(
+            "accept_errors",
+            "Connections that could not be accepted",
+            self.accept_errors.clone(),
+        );
+        to.register(
+            "load_reports_missing",
+            "Load reports that endpoints did not give",
+            self.unreported.clone(),
+        );
+        to.register(
+            "peer_messages_dropped",
+            "Messages to other VMs that found the queue full",
+            self.peer_drops.clone(),
+        );
+        to.register(
+            "platform_calls",
+            "Requests to the platform",
+            self.platform_calls.clone(),
+        );
+    }
+}
--- /dev/null
+++ b/crates/node/src/decide/carry.rs
@@ -0,0 +1,148 @@
+//! Carries out what the pool orders.
+
+use super::{Decider, table::Run};
+use crate::run::{Job, StopHandle};
+use poplarswitch_entity::Time;
+use poplarswitch_pool::Output;
+use poplarswitch_scheduler::{
+    self as scheduler, Dispatch, End, Ended, Fault, Input, Refusal, RefusalReason, Stop,
+    StopReason, Verdict, VerdictKind,
+};
+use poplarswitch_timeline::{EventKind, Outcome, RefusalCause};
+use poplarswitch_wire::{ErrorCode, ErrorInfo};
+use std::sync::Arc;
+
+impl Decider {
+    /// Carries out all orders, and those that they cause.
+    pub(super) fn carry_out(&mut self, now: Time) {
+        while !self.out.is_empty() {
+            for output in core::mem::take(&mut self.out) {
+                match output {
+                    Output::Order(order) => self.order(now, order),
+                    Output::Send { .. } => {}
+                }
+            }
+        }
+    }
+
+    fn order(&mut self, now: Time, order: scheduler::Output) {
+        match order {
+            scheduler::Output::Dispatch(dispatch) => self.dispatch(now, dispatch),
+            scheduler::Output::Stop(stop) => self.stop(stop),
+            scheduler::Output::Refuse(refusal) => self.refuse(refusal),
+            scheduler::Output::Conclude(verdict) => self.conclude(verdict),
+        }
+    }
+
+    fn dispatch(&mut self, now: Time, dispatch: Dispatch) {
+        let address = self.endpoints.address(&dispatch.endpoint);
+        let Some(entry) = self.calls.get_mut(dispatch.call) else {
+            return;
+        };
+        let Some(address) = address else {
+            self.unreached(now, &dispatch);
+            return;
+        };
+        let stop = Arc::new(StopHandle::default());
+        entry.last = Some(dispatch.endpoint.clone());
+        entry.run = Some(Run {
+            attempt: dispatch.attempt,
+            endpoint: dispatch.endpoint.clone(),
+            stop: Arc::clone(&stop),
+        });
+        let job = Job {
+            call: Arc::clone(&entry.call),
+            endpoint: dispatch.endpoint.clone(),
+            address,
+            attempt: dispatch.attempt,
+            mode: dispatch.mode,
+            stop,
+        };
+        self.endpoints.started(&dispatch.endpoint);
+        self.shared.counters.dispatches.inc();
+        self.shared.counters.running.inc();
+        self.shared.record(
+            Some(dispatch.call),
+            EventKind::Dispatched {
+                endpoint: dispatch.endpoint,
+                attempt: dispatch.attempt,
+            },
+        );
+        job.start(&self.shared);
+    }
+
+    /// The home knows an endpoint that this VM's set does not have.
+    fn unreached(&mut self, now: Time, dispatch: &Dispatch) {
+        let end = End::Failed {
+            fault: Fault::Unreached,
+            emitted: 0,
+        };
+        self.feed(
+            now,
+            Input::Ended(Ended {
+                call: dispatch.call,
+                attempt: dispatch.attempt,
+                end,
+            }),
+        );
+    }
+
+    fn stop(&mut self, stop: Stop) {
+        let Some(entry) = self.calls.get_mut(stop.call) else {
+            return;
+        };
+        let Some(run) = entry.run_of(stop.attempt) else {
+            return;
+        };
+        run.stop.stop();
+        if stop.reason == StopReason::Preempted {
+            let endpoint = run.endpoint.clone();
+            self.shared
+                .record(Some(stop.call), EventKind::Preempted { endpoint });
+        }
+    }
+
+    fn refuse(&mut self, refusal: Refusal) {
+        let cause = cause(refusal.reason);
+        self.shared
+            .record(Some(refusal.call), EventKind::Refused { cause });
+        self.totals.refused += 1;
+        if let Some(entry) = self.forget(refusal.call) {
+            let error = self.shared.error(ErrorCode::from(refusal.reason));
+            drop(entry.verdict.send(error.retry(refusal.retry_after)));
+        }
+    }
+
+    fn conclude(&mut self, verdict: Verdict) {
+        let Some(entry) = self.forget(verdict.call) else {
+            return;
+        };
+        let outcome = match verdict.kind {
+            VerdictKind::Failed => {
+                self.totals.failed += 1;
+                Outcome::Failed
+            }
+            VerdictKind::InDoubt => {
+                self.totals.in_doubt += 1;
+                Outcome::InDoubt
+            }
+        };
+        let tokens = entry.call.emitted();
+        self.shared
+            .record(Some(verdict.call), EventKind::Ended { outcome, tokens });
+        let peer = entry.last.as_ref().map_or("", |last| last.as_str());
+        let error = ErrorInfo::new(ErrorCode::from(verdict.kind), peer);
+        drop(entry.verdict.send(error));
+    }
+}
+
+const fn cause(reason: RefusalReason) -> RefusalCause {
+    match reason {
+        RefusalReason::RateLimit => RefusalCause::RateLimit,
+        RefusalReason::QueueFull => RefusalCause::QueueFull,
+        RefusalReason::Overload => RefusalCause::Overload,
+        RefusalReason::WaitExpired => RefusalCause::WaitExpired,
+        RefusalReason::Unknown => RefusalCause::Unknown,
+        RefusalReason::NoEndpoint => RefusalCause::NoEndpoint,
+    }
+}
--- /dev/null
+++ b/crates/node/src/decide/status.rs
@@ -0,0 +1,60 @@
+//! The state that operators read.
+
+use super::{Decider, table::Entry};
+use poplarswitch_entity::ClassName;
+use poplarswitch_wire::{CallCounts, ClassStatus, PlatformStatus, Status};
+use std::collections::BTreeMap;
+
+impl Decider {
+    /// The present state of the process.
+    pub(super) fn status(&self) -> Status {
+        let shared = &self.shared;
+        let settings = &shared.settings;
+        Status {
+            vm: settings.vm.clone(),
+            data_centre: settings.data_centre.clone(),
+            cell: settings.cell.clone(),
+            incarnation: shared.incarnation,
+            program: env!("CARGO_PKG_VERSION").to_owned(),
+            phase: shared.phase(),
+            generation: shared
+                .catalog
+                .load()
+                .as_ref()
+                .map(|catalog| catalog.generation)
+                .unwrap_or_default(),
+            uptime_us: shared.now().0,
+            platform: PlatformStatus::Unset,
+            calls: self.counts(),
+            classes: self.classes(),
+            endpoints: self.endpoints.status(),
+            members: Vec::new(),
+        }
+    }
+
+    fn counts(&self) -> CallCounts {
+        CallCounts {
+            open: self.calls.len() as u64,
+            running: self.calls.values().filter(|e| e.run.is_some()).count() as u64,
+            cancelled: self.shared.counters.cancelled.get(),
+            ..self.totals
+        }
+    }
+
+    fn classes(&self) -> Vec<ClassStatus> {
+        let mut classes: BTreeMap<ClassName, ClassStatus> = BTreeMap::new();
+        for Entry { call, run, .. } in self.calls.values() {
+            let class = &call.request.class;
+            let status = classes.entry(class.clone()).or_insert_with(|| ClassStatus {
+                class: class.clone(),
+                waiting: 0,
+                running: 0,
+            });
+            match run {
+                Some(_) => status.running += 1,
+                None => status.waiting += 1,
+            }
+        }
+        classes.into_values().collect()
+    }
+}
--- /dev/null
+++ b/crates/node/src/event.rs
@@ -0,0 +1,51 @@
+//! What the decision thread is told.
+
+use crate::call::Call;
+use crossbeam::channel::Sender;
+use poplarswitch_catalog::Catalog;
+use poplarswitch_entity::{CallId, EndpointName};
+use poplarswitch_scheduler::{CacheEvent, Ended, LoadReport, Progress};
+use poplarswitch_wire::{ErrorInfo, Status};
+use std::sync::Arc;
+use tokio::sync::oneshot;
+
+/// The end of a run.
+#[derive(Clone, Debug)]
+pub(crate) struct Finished {
+    pub(crate) ended: Ended,
+    pub(crate) endpoint: EndpointName,
+}
+
+/// A call and the way to tell its caller that it has no answer.
+#[derive(Debug)]
+pub(crate) struct Submission {
+    pub(crate) call: Arc<Call>,
+    pub(crate) verdict: oneshot::Sender<ErrorInfo>,
+}
+
+/// Everything that the decision thread reacts to.
+#[derive(Debug)]
+pub(crate) enum Event {
+    /// A call arrived.
+    Submit(Submission),
+    /// A caller left before its answer was complete.
+    Left(CallId),
+    /// A run produced output.
+    Progress(Progress),
+    /// A run ended.
+    Finished(Finished),
+    /// An endpoint reported its load.
+    Load(LoadReport),
+    /// An endpoint gave no report.
+    Silent(EndpointName),
+    /// An endpoint's prefix cache changed.
+    Cache(CacheEvent),
+    /// A set comes into force.
+    Activate(Arc<Catalog>),
+    /// An operator asks for the state.
+    Status(Sender<Status>),
+    /// This VM leaves.
+    Drain,
+    /// The process ends.
+    Stop,
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,1 +1,22 @@
 //! The entry VM's process: ports, adapters, threads, metrics and time line.
+//!
+//! The process is a shell around cores without I/O. One thread owns the cores and decides;
+//! callers are served by asynchronous tasks, endpoints are called on blocking threads, and
+//! both talk to the decision thread by typed events. [`Node`] is a library, so that several
+//! of them can run in one process for demonstrations and tests.
+
+mod call;
+mod callers;
+mod counters;
+mod decide;
+mod event;
+mod node;
+mod operators;
+mod ports;
+mod reports;
+mod run;
+mod setup;
+mod shared;
+
+pub use node::{Node, StartError};
+pub use setup::Setup;
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,3 +1,90 @@
 //! The entry VM's process.
 
-fn main() {}
+use clap::Parser;
+use core::net::SocketAddr;
+use poplarswitch_node::{Node, Setup};
+use poplarswitch_settings::{Secrets, Settings};
+use signal_hook::{
+    consts::{SIGINT, SIGTERM},
+    iterator::Signals,
+};
+use snafu::{ResultExt, Whatever};
+use std::{path::PathBuf, process::ExitCode, thread};
+use tracing_subscriber::EnvFilter;
+
+/// Routes calls to model engines and plain services by class, tier and load.
+#[derive(Debug, Parser)]
+#[command(version)]
+struct Options {
+    /// The settings of the process, in JSON.
+    #[arg(long, value_name = "FILE")]
+    settings: PathBuf,
+    /// Print the settings with defaults filled in, and end.
+    #[arg(long)]
+    print_settings: bool,
+    /// The VM's name, in place of the one in the settings.
+    #[arg(long)]
+    vm: Option<String>,
+    /// The callers' address, in place of the one in the settings.
+    #[arg(long)]
+    callers: Option<SocketAddr>,
+    /// The platform's URL, in place of the one in the settings.
+    #[arg(long)]
+    platform: Option<String>,
+}
+
+fn main() -> ExitCode {
+    let options = Options::parse();
+    tracing_subscriber::fmt()
+        .with_env_filter(EnvFilter::try_from_default_env().unwrap_or_else(|_| "info".into()))
+        .with_writer(std::io::stderr)
+        .init();
+    match run(&options) {
+        Ok(code) => code,
+        Err(error) => {
+            tracing::error!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(options: &Options) -> Result<ExitCode, Whatever> {
+    let settings = read(options)?;
+    if options.print_settings {
+        println!("{}", settings.print());
+        return Ok(ExitCode::SUCCESS);
+    }
+    let secrets = Secrets::load(&settings.secrets).whatever_context("secrets")?;
+    let mut signals = Signals::new([SIGTERM, SIGINT]).whatever_context("signals")?;
+    let bound = settings.drain();
+    let setup = Setup::builder().settings(settings).secrets(secrets).build();
+    let node = Node::start(setup).whatever_context("start")?;
+    tracing::info!(addresses = ?node.addresses(), "started");
+    signals.forever().next();
+    tracing::info!("draining");
+    node.drain();
+    thread::spawn(move || {
+        if signals.forever().next().is_some() {
+            thread::sleep(bound);
+            std::process::exit(1);
+        }
+    });
+    node.join();
+    tracing::info!("ended");
+    Ok(ExitCode::SUCCESS)
+}
+
+fn read(options: &Options) -> Result<Settings, Whatever> {
+    let mut settings = Settings::read(&options.settings).whatever_context("settings")?;
+    if let Some(vm) = &options.vm {
+        settings.vm = vm.as_str().into();
+    }
+    if let Some(callers) = options.callers {
+        settings.addresses.callers = callers;
+    }
+    if let Some(platform) = &options.platform {
+        settings.platform = Some(platform.clone());
+    }
+    settings.validate().whatever_context("settings")?;
+    Ok(settings)
+}
--- /dev/null
+++ b/crates/node/src/node.rs
@@ -0,0 +1,262 @@
+//! Starts and ends the threads of one process.
+
+use crate::{
+    Setup,
+    callers::{self, Door},
+    decide::Decider,
+    event::Event,
+    ports, reports,
+    shared::Shared,
+};
+use core::{net::SocketAddr, time::Duration};
+use crossbeam::channel::{Receiver, Sender, bounded, unbounded};
+use poplarswitch_catalog::{BuildError, Catalog};
+use poplarswitch_entity::{Generation, Incarnation};
+use poplarswitch_objects::ObjectSet;
+use poplarswitch_settings::{Addresses, SettingsError};
+use poplarswitch_wire::{Phase, Status, WeightedAddress};
+use snafu::{ResultExt, Snafu};
+use std::{
+    io,
+    net::TcpListener,
+    sync::Arc,
+    thread::{self, JoinHandle},
+};
+use tokio::{
+    runtime::{Builder, Runtime},
+    sync::watch,
+};
+
+/// Threads that serve callers' connections.
+const CALLER_THREADS: usize = 2;
+/// Time after which an idle run thread ends.
+const THREAD_IDLE: Duration = Duration::from_secs(10);
+/// Stack of a thread, in bytes.
+const STACK_BYTES: usize = 512 * 1024;
+/// Wait between two looks at the phase.
+const PHASE_POLL: Duration = Duration::from_millis(10);
+/// Time left to connections to close after the last call.
+const CLOSE_WAIT: Duration = Duration::from_millis(200);
+/// Longest wait for the decision thread.
+const STATUS_WAIT: Duration = Duration::from_secs(5);
+/// Weight of an address in the list, unless its VM says otherwise.
+const FULL_WEIGHT: u32 = 100;
+
+/// Why a node did not start.
+#[derive(Debug, Snafu)]
+pub enum StartError {
+    /// The settings are wrong.
+    #[snafu(display("settings: {source}"))]
+    Settings {
+        /// The cause.
+        source: SettingsError,
+    },
+    /// A port could not be opened.
+    #[snafu(display("open the {port} port at {address}: {source}"))]
+    Port {
+        /// Which one.
+        port: &'static str,
+        /// Where.
+        address: SocketAddr,
+        /// The cause.
+        source: io::Error,
+    },
+    /// A thread could not be started.
+    #[snafu(display("start a thread: {source}"))]
+    Thread {
+        /// The cause.
+        source: io::Error,
+    },
+    /// The set to start with could not be resolved.
+    #[snafu(display("the set to start with: {source}"))]
+    Set {
+        /// The cause.
+        source: BuildError,
+    },
+}
+
+/// A running process, or one of several in a process.
+#[derive(Debug)]
+pub struct Node {
+    shared: Arc<Shared>,
+    addresses: Addresses,
+    door: watch::Sender<Door>,
+    decider: Option<JoinHandle<()>>,
+    reports: Option<Sender<()>>,
+    runtime: Option<Runtime>,
+}
+
+impl Node {
+    /// Opens the ports and starts the threads.
+    pub fn start(setup: Setup) -> Result<Self, StartError> {
+        setup.settings.validate().context(SettingsSnafu)?;
+        let catalog = first_catalog(setup.set.as_ref(), setup.generation)?;
+        let runtime = runtime(setup.settings.limits.workers).context(ThreadSnafu)?;
+        let (events, incoming) = unbounded();
+        let policy = setup.policy;
+        let shared = Arc::new(Shared::new(
+            setup,
+            Incarnation(rand::random()),
+            runtime.handle().clone(),
+            events,
+        ));
+        let (door, opened) = watch::channel(Door::Open);
+        let addresses = open_ports(&shared, &runtime, opened)?;
+        shared.advertise(own_address(&shared, addresses.callers));
+        let (reports, ended) = bounded(0);
+        reports::start(&shared, &ended).context(ThreadSnafu)?;
+        let decider = Decider::new(Arc::clone(&shared), incoming, policy);
+        let decider = decide(decider, catalog).context(ThreadSnafu)?;
+        Ok(Self {
+            shared,
+            addresses,
+            door,
+            decider: Some(decider),
+            reports: Some(reports),
+            runtime: Some(runtime),
+        })
+    }
+
+    /// Where the process listens.
+    pub const fn addresses(&self) -> &Addresses {
+        &self.addresses
+    }
+
+    /// The life of the process.
+    pub fn incarnation(&self) -> Incarnation {
+        self.shared.incarnation
+    }
+
+    /// Where the process is in its life.
+    pub fn phase(&self) -> Phase {
+        self.shared.phase()
+    }
+
+    /// The state that operators read.
+    pub fn status(&self) -> Option<Status> {
+        let (reply, replies): (_, Receiver<Status>) = bounded(1);
+        self.shared.tell(Event::Status(reply));
+        replies.recv_timeout(STATUS_WAIT).ok()
+    }
+
+    /// Puts a set into force by hand.
+    pub fn activate(&self, set: &ObjectSet, generation: Generation) -> Result<(), BuildError> {
+        let catalog = Catalog::build(set, generation)?;
+        self.shared.tell(Event::Activate(Arc::new(catalog)));
+        Ok(())
+    }
+
+    /// Takes no more calls; those in flight go on.
+    pub fn drain(&self) {
+        self.shared.tell(Event::Drain);
+    }
+
+    /// Waits until a drain has ended, then ends the process.
+    pub fn join(mut self) {
+        while self.phase() != Phase::Drained {
+            thread::sleep(PHASE_POLL);
+        }
+        self.door.send_replace(Door::Closing);
+        thread::sleep(CLOSE_WAIT);
+        self.end();
+    }
+
+    /// Ends at once, cutting off the calls in flight.
+    pub fn stop(mut self) {
+        self.end();
+    }
+
+    fn end(&mut self) {
+        self.door.send_replace(Door::Closed);
+        self.reports = None;
+        self.shared.tell(Event::Stop);
+        if let Some(decider) = self.decider.take() {
+            drop(decider.join());
+        }
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        self.end();
+    }
+}
+
+fn first_catalog(
+    set: Option<&ObjectSet>,
+    generation: Generation,
+) -> Result<Option<Catalog>, StartError> {
+    set.map(|set| Catalog::build(set, generation))
+        .transpose()
+        .context(SetSnafu)
+}
+
+fn runtime(workers: u32) -> io::Result<Runtime> {
+    Builder::new_multi_thread()
+        .worker_threads(CALLER_THREADS)
+        .max_blocking_threads(workers as usize)
+        .thread_keep_alive(THREAD_IDLE)
+        .thread_stack_size(STACK_BYTES)
+        .thread_name("node")
+        .enable_all()
+        .build()
+}
+
+fn decide(decider: Decider, catalog: Option<Catalog>) -> io::Result<JoinHandle<()>> {
+    thread::Builder::new()
+        .name("decide".to_owned())
+        .spawn(move || decider.run(catalog.map(Arc::new)))
+}
+
+fn open_ports(
+    shared: &Arc<Shared>,
+    runtime: &Runtime,
+    opened: watch::Receiver<Door>,
+) -> Result<Addresses, StartError> {
+    let wanted = &shared.settings.addresses;
+    let callers = listen("callers", wanted.callers)?;
+    let addresses = Addresses {
+        callers: callers.local_addr().context(PortSnafu {
+            port: "callers",
+            address: wanted.callers,
+        })?,
+        operators: ports::open_operators(wanted.operators, shared).context(PortSnafu {
+            port: "operators",
+            address: wanted.operators,
+        })?,
+        metrics: ports::open_metrics(wanted.metrics, shared).context(PortSnafu {
+            port: "metrics",
+            address: wanted.metrics,
+        })?,
+        peers: wanted.peers,
+    };
+    let held = Arc::clone(shared);
+    runtime.spawn(async move {
+        match tokio::net::TcpListener::from_std(callers) {
+            Ok(listener) => callers::serve(held, listener, opened).await,
+            Err(error) => tracing::error!(%error, "the callers' port can't be served"),
+        }
+    });
+    Ok(addresses)
+}
+
+fn listen(port: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
+    let open = || {
+        let listener = TcpListener::bind(address)?;
+        listener.set_nonblocking(true)?;
+        Ok(listener)
+    };
+    open().context(PortSnafu { port, address })
+}
+
+fn own_address(shared: &Shared, callers: SocketAddr) -> WeightedAddress {
+    WeightedAddress {
+        vm: shared.settings.vm.clone(),
+        data_centre: shared.settings.data_centre.clone(),
+        address: callers,
+        weight: FULL_WEIGHT,
+    }
+}
--- /dev/null
+++ b/crates/node/src/operators.rs
@@ -0,0 +1,65 @@
+//! What operators may read and order.
+
+use crate::{
+    callers::bearer,
+    event::Event,
+    ports::{plain, with_type},
+    shared::Shared,
+};
+use astra::{Request, Response};
+use core::time::Duration;
+use crossbeam::channel::bounded;
+use http::{HeaderMap, Method};
+use serde::Serialize;
+use sha2::{Digest, Sha256};
+use std::sync::PoisonError;
+use subtle::ConstantTimeEq;
+
+/// Longest wait for the decision thread.
+const STATUS_WAIT: Duration = Duration::from_secs(5);
+
+/// Answers one request.
+pub(crate) fn answer(shared: &Shared, request: &Request) -> Response {
+    if !is_operator(shared, request.headers()) {
+        return plain(401, "the operators' secret is not valid");
+    }
+    match (request.method(), request.uri().path()) {
+        (&Method::GET, "/status") => status(shared),
+        (&Method::GET, "/timeline") => timeline(shared),
+        (&Method::GET, "/settings") => json(&shared.settings),
+        (&Method::POST, "/drain") => {
+            shared.tell(Event::Drain);
+            plain(202, "draining")
+        }
+        _ => plain(404, "no such path"),
+    }
+}
+
+fn is_operator(shared: &Shared, headers: &HeaderMap) -> bool {
+    let shown = Sha256::digest(bearer(headers).unwrap_or_default());
+    let known = Sha256::digest(shared.secrets.operators.reveal());
+    shown.as_slice().ct_eq(known.as_slice()).into()
+}
+
+fn status(shared: &Shared) -> Response {
+    let (reply, replies) = bounded(1);
+    shared.tell(Event::Status(reply));
+    match replies.recv_timeout(STATUS_WAIT) {
+        Ok(status) => json(&status),
+        Err(_) => plain(503, "the process is busy"),
+    }
+}
+
+fn timeline(shared: &Shared) -> Response {
+    let ring = shared.ring.lock().unwrap_or_else(PoisonError::into_inner);
+    let recording = ring.recording();
+    drop(ring);
+    json(&recording)
+}
+
+fn json(value: &impl Serialize) -> Response {
+    match serde_json::to_string(value) {
+        Ok(text) => with_type(200, "application/json", text),
+        Err(_) => plain(500, "the answer can't be written"),
+    }
+}
--- a/crates/wire/src/error.rs
+++ b/crates/wire/src/error.rs
@@ -89,6 +89,34 @@
 }
 
 impl ErrorCode {
+    /// The code as it is written in JSON.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Unauthorized => "unauthorized",
+            Self::UnknownPath => "unknown_path",
+            Self::WrongMethod => "wrong_method",
+            Self::UnknownClass => "unknown_class",
+            Self::UnknownModel => "unknown_model",
+            Self::UnknownService => "unknown_service",
+            Self::ClassMismatch => "class_mismatch",
+            Self::Malformed => "malformed",
+            Self::BodyTooLarge => "body_too_large",
+            Self::BodyTimeout => "body_timeout",
+            Self::KeyRequired => "key_required",
+            Self::KeyConflict => "key_conflict",
+            Self::RateLimit => "rate_limit",
+            Self::QueueFull => "queue_full",
+            Self::Overload => "overload",
+            Self::WaitExpired => "wait_expired",
+            Self::NoEndpoint => "no_endpoint",
+            Self::Leaving => "leaving",
+            Self::Busy => "busy",
+            Self::NoSet => "no_set",
+            Self::Failed => "failed",
+            Self::InDoubt => "in_doubt",
+        }
+    }
+
     /// The HTTP status that goes with the code.
     pub const fn status(self) -> u16 {
         match self {
--- a/crates/wire/src/headers.rs
+++ b/crates/wire/src/headers.rs
@@ -6,6 +6,8 @@
 pub const CALL_ID: &str = "x-call-id";
 /// The rank of the call's tier, for the engine's own queue.
 pub const PRIORITY: &str = "x-priority";
+/// Hash of the prompt's start, for the engine's prefix cache.
+pub const PREFIX: &str = "x-prefix";
 /// Tokens that the caller has seen, when an engine shall go on with a stream.
 pub const RESUME_FROM: &str = "x-resume-from";
 /// Set by an endpoint that proves that it did not run the call.
--- a/crates/wire/src/status.rs
+++ b/crates/wire/src/status.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Where a process is in its life.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Phase {
     /// It has no set of objects yet.
@@ -51,8 +51,6 @@
     pub in_doubt: u64,
     /// Calls whose caller left.
     pub cancelled: u64,
-    /// Calls refused before admission.
-    pub rejected: u64,
 }
 
 /// Calls of one class that this process holds.
