--- a/crates/util/src/cli.rs
+++ b/crates/util/src/cli.rs
@@ -37,6 +37,8 @@
     Load(commands::load::Args),
     /// Make or hash a bearer key
     Key(commands::key::Args),
+    /// Run the whole path on this machine with stand-ins, faults and callers
+    Demo(commands::demo::Args),
     /// Print the completions of a shell
     Completions(commands::completions::Args),
 }
@@ -54,6 +56,7 @@
             Self::Timeline(args) => args.run(output),
             Self::Load(args) => args.run(output),
             Self::Key(args) => args.run(output),
+            Self::Demo(args) => args.run(output),
             Self::Completions(args) => args.run(output),
         }
     }
--- a/crates/util/src/commands/demo/audit.rs
+++ b/crates/util/src/commands/demo/audit.rs
@@ -18,7 +18,10 @@
     let doubled = runs
         .iter()
         .filter(|(_, runs)| **runs > 1)
-        .map(|(key, runs)| Broken::RanTwice { key: key.clone(), runs: *runs });
+        .map(|(key, runs)| Broken::RanTwice {
+            key: key.clone(),
+            runs: *runs,
+        });
     let lied = told.iter().filter_map(|told| contradiction(told, runs));
     doubled.chain(lied).collect()
 }
@@ -26,10 +29,12 @@
 fn contradiction(told: &Told, runs: &BTreeMap<String, u32>) -> Option<Broken> {
     let ran = runs.contains_key(&told.key);
     match told.outcome {
-        Outcome::Answered if !ran => Some(Broken::AnsweredWithoutRun { key: told.key.clone() }),
-        Outcome::NotRun(_) | Outcome::Unreached if ran => {
-            Some(Broken::RanAfterNotRun { key: told.key.clone() })
-        }
+        Outcome::Answered if !ran => Some(Broken::AnsweredWithoutRun {
+            key: told.key.clone(),
+        }),
+        Outcome::NotRun(_) | Outcome::Unreached if ran => Some(Broken::RanAfterNotRun {
+            key: told.key.clone(),
+        }),
         _ => None,
     }
 }
--- a/crates/util/src/commands/demo/audit_tests.rs
+++ b/crates/util/src/commands/demo/audit_tests.rs
@@ -8,7 +8,10 @@
 use std::collections::BTreeMap;
 
 fn told(key: &str, outcome: Outcome) -> Told {
-    Told { key: key.to_owned(), outcome }
+    Told {
+        key: key.to_owned(),
+        outcome,
+    }
 }
 
 #[gtest]
@@ -20,9 +23,16 @@
         told("c", Outcome::Answered),
     ];
     let expected = vec![
-        Broken::RanTwice { key: "a".to_owned(), runs: 2 },
-        Broken::RanAfterNotRun { key: "b".to_owned() },
-        Broken::AnsweredWithoutRun { key: "c".to_owned() },
+        Broken::RanTwice {
+            key: "a".to_owned(),
+            runs: 2,
+        },
+        Broken::RanAfterNotRun {
+            key: "b".to_owned(),
+        },
+        Broken::AnsweredWithoutRun {
+            key: "c".to_owned(),
+        },
     ];
     expect_that!(audit(&told, &runs), eq(&expected));
 }
--- a/crates/util/src/commands/demo/fleet.rs
+++ b/crates/util/src/commands/demo/fleet.rs
@@ -3,6 +3,7 @@
 use core::{net::SocketAddr, time::Duration};
 use poplarswitch_entity::DataCentre;
 use poplarswitch_node::{Node, Setup, StartError};
+use poplarswitch_objects::ObjectSet;
 use poplarswitch_settings::{Addresses, Secret, Secrets, Settings};
 use poplarswitch_wire::Phase;
 use std::{thread, time::Instant};
@@ -23,6 +24,8 @@
     pub(super) platform: String,
     /// The data centres, one VM in each.
     pub(super) data_centres: Vec<DataCentre>,
+    /// The set that the VMs start with.
+    pub(super) set: ObjectSet,
 }
 
 /// Running VMs.
@@ -92,12 +95,19 @@
             operators: Secret::new("demo"),
             peers: Secret::new("demo"),
         };
-        let setup = Setup::builder().settings(settings).secrets(secrets).build();
+        let setup = Setup::builder()
+            .settings(settings)
+            .secrets(secrets)
+            .set(self.plan.set.clone())
+            .build();
         self.nodes.push(Node::start(setup)?);
         Ok(())
     }
 
     fn peers(&self) -> Vec<SocketAddr> {
-        self.nodes.iter().map(|node| node.addresses().peers).collect()
+        self.nodes
+            .iter()
+            .map(|node| node.addresses().peers)
+            .collect()
     }
 }
--- a/crates/util/src/commands/demo/profile.rs
+++ b/crates/util/src/commands/demo/profile.rs
@@ -59,17 +59,35 @@
             words: shape.words,
             max_tokens: shape.max_tokens.min(class.max_output_tokens),
         },
-        (None, Some(service)) => Aim::Service { service: service.to_string() },
+        (None, Some(service)) => Aim::Service {
+            service: service.to_string(),
+        },
         (None, None) => return None,
     };
-    Some(Profile { class: class.clone(), rate: shape.rate, aim })
+    Some(Profile {
+        class: class.clone(),
+        rate: shape.rate,
+        aim,
+    })
 }
 
 fn shape(class: &Class) -> Shape {
     match class.name.as_str() {
-        "availability-check" | "refill-question" => Shape { rate: 12, words: 20, max_tokens: 32 },
-        "dawn-briefing" | "deposit-notice" => Shape { rate: 4, words: 200, max_tokens: 128 },
-        "planner-chat" | "reconciliation" => Shape { rate: 6, words: 400, max_tokens: 512 },
+        "availability-check" | "refill-question" => Shape {
+            rate: 12,
+            words: 20,
+            max_tokens: 32,
+        },
+        "dawn-briefing" | "deposit-notice" => Shape {
+            rate: 4,
+            words: 200,
+            max_tokens: 128,
+        },
+        "planner-chat" | "reconciliation" => Shape {
+            rate: 6,
+            words: 400,
+            max_tokens: 512,
+        },
         _ => Shape {
             rate: DEFAULT_RATE,
             words: DEFAULT_WORDS,
--- a/crates/util/src/commands/demo/report.rs
+++ b/crates/util/src/commands/demo/report.rs
@@ -51,7 +51,10 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::WrongAnswer { class, calls } => {
-                write!(f, "class {class}: {calls} answers differ from what was asked")
+                write!(
+                    f,
+                    "class {class}: {calls} answers differ from what was asked"
+                )
             }
             Self::RanTwice { key, runs } => write!(f, "key {key}: {runs} runs"),
             Self::RanAfterNotRun { key } => write!(f, "key {key}: told not run, but it ran"),
@@ -80,9 +83,20 @@
 impl fmt::Display for Report {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let wasted = percent(self.wasted, self.tokens);
-        writeln!(f, "{}: {} tokens, {wasted:.2} % of them wasted", self.user, self.tokens)?;
+        writeln!(
+            f,
+            "{}: {} tokens, {wasted:.2} % of them wasted",
+            self.user, self.tokens
+        )?;
         let mut lines = table(&[
-            "class", "calls", "answered", "attained", "goodput", "not run", "in doubt", "failed",
+            "class",
+            "calls",
+            "answered",
+            "attained",
+            "goodput",
+            "not run",
+            "in doubt",
+            "failed",
             "first p95",
         ]);
         lines.add_rows(self.lines.iter().map(row));
--- a/crates/util/src/commands/demo/script.rs
+++ b/crates/util/src/commands/demo/script.rs
@@ -45,10 +45,14 @@
         user: user.name().to_owned(),
         platform: world.platform.url(),
         data_centres: data_centres(&world.set),
+        set: world.set.clone(),
     };
     let mut fleet = Fleet::start(fleet).context(DemoVmSnafu)?;
     if !fleet.wait_ready() {
-        return DemoSetSnafu { text: "not every VM has it in force" }.fail();
+        return DemoSetSnafu {
+            text: "not every VM has it in force",
+        }
+        .fail();
     }
     let profiles = profiles(&world.set);
     let set = world.set.clone();
@@ -69,7 +73,10 @@
 fn provoke(world: &mut World, fleet: &mut Fleet, time: Duration) -> Result<(), ToolError> {
     let step = time / 5;
     thread::sleep(step);
-    let outage = PlatformFaults { outage: true, ..PlatformFaults::default() };
+    let outage = PlatformFaults {
+        outage: true,
+        ..PlatformFaults::default()
+    };
     world.platform.set_faults(outage);
     thread::sleep(step);
     world.crash(0);
@@ -90,12 +97,19 @@
         .build();
     match publish(&mut port, draft, Box::new(|_, set| errors(set))) {
         Outcome::Accepted(_) => Ok(()),
-        other => DemoSetSnafu { text: format!("{other:?}") }.fail(),
+        other => DemoSetSnafu {
+            text: format!("{other:?}"),
+        }
+        .fail(),
     }
 }
 
 fn data_centres(set: &ObjectSet) -> Vec<DataCentre> {
-    let places: BTreeSet<_> = set.endpoints.iter().map(|endpoint| &endpoint.data_centre).collect();
+    let places: BTreeSet<_> = set
+        .endpoints
+        .iter()
+        .map(|endpoint| &endpoint.data_centre)
+        .collect();
     places.into_iter().cloned().collect()
 }
 
@@ -119,14 +133,20 @@
     let class = || line.class.clone();
     let mut broken = Vec::new();
     if line.wrong > 0 {
-        broken.push(Broken::WrongAnswer { class: class(), calls: line.wrong });
+        broken.push(Broken::WrongAnswer {
+            class: class(),
+            calls: line.wrong,
+        });
     }
     if line.answered == 0 {
         broken.push(Broken::Starved { class: class() });
     }
     // A keyed call that lost its connection is repeated; only its last outcome counts.
     if line.cut > 0 && matches!(profile.aim, Aim::Chat { .. }) {
-        broken.push(Broken::CutOff { class: class(), calls: line.cut });
+        broken.push(Broken::CutOff {
+            class: class(),
+            calls: line.cut,
+        });
     }
     broken
 }
--- a/crates/util/src/commands/demo/tally.rs
+++ b/crates/util/src/commands/demo/tally.rs
@@ -51,7 +51,10 @@
     pub(super) fn new(class: &Class) -> Self {
         Self {
             class: class.clone(),
-            line: Line { class: class.name.to_string(), ..Line::default() },
+            line: Line {
+                class: class.name.to_string(),
+                ..Line::default()
+            },
             first: Histogram::new(DIGITS).expect("the number of digits is valid"),
         }
     }
@@ -95,7 +98,10 @@
     let first = report.first.unwrap_or(report.total);
     match target {
         Target::Answer { answer_ms } => report.total <= millis(answer_ms),
-        Target::Stream { first_token_ms, inter_token_ms } => {
+        Target::Stream {
+            first_token_ms,
+            inter_token_ms,
+        } => {
             let gaps = report.pieces.saturating_sub(1).max(1);
             let between = report.total.saturating_sub(first) / gaps;
             first <= millis(first_token_ms) && between <= millis(inter_token_ms)
--- a/crates/util/src/commands/demo/tally_tests.rs
+++ b/crates/util/src/commands/demo/tally_tests.rs
@@ -5,7 +5,10 @@
 use poplarswitch_objects::{Class, Target};
 use poplarswitch_wire::ErrorCode;
 
-const TARGET: Target = Target::Stream { first_token_ms: 100, inter_token_ms: 10 };
+const TARGET: Target = Target::Stream {
+    first_token_ms: 100,
+    inter_token_ms: 10,
+};
 
 fn report(outcome: Outcome, first_ms: u64, total_ms: u64) -> Report {
     Report {
@@ -28,7 +31,11 @@
 
 #[gtest]
 fn only_answers_in_time_count_as_goodput() {
-    let class = Class::builder().name("ask").tier("high").target(TARGET).build();
+    let class = Class::builder()
+        .name("ask")
+        .tier("high")
+        .target(TARGET)
+        .build();
     let mut tally = Tally::new(&class);
     tally.count(&report(Outcome::Answered, 50, 100), true);
     tally.count(&report(Outcome::Answered, 500, 600), true);
--- a/crates/util/src/commands/demo/traffic.rs
+++ b/crates/util/src/commands/demo/traffic.rs
@@ -93,11 +93,17 @@
 }
 
 fn callers(set: &ObjectSet, seeds: &[SocketAddr], seed: u64) -> Vec<Caller> {
-    let names = set.workspaces.iter().map(|workspace| workspace.name.to_string());
+    let names = set
+        .workspaces
+        .iter()
+        .map(|workspace| workspace.name.to_string());
     names
         .zip(seed..)
         .map(|(workspace, seed)| Caller {
-            client: Client::new(Directory::new(seeds.to_vec(), seed), &bearer_key(&workspace)),
+            client: Client::new(
+                Directory::new(seeds.to_vec(), seed),
+                &bearer_key(&workspace),
+            ),
             workspace,
         })
         .collect()
@@ -124,7 +130,11 @@
 
 fn send(profile: &Profile, caller: &Caller, plan: &Plan) -> Sent {
     match &profile.aim {
-        Aim::Chat { model, words, max_tokens } => {
+        Aim::Chat {
+            model,
+            words,
+            max_tokens,
+        } => {
             let call = ChatCall {
                 class: Some(profile.class.name.to_string()),
                 model: model.clone(),
@@ -142,7 +152,12 @@
     let whole = report.outcome == Outcome::Answered;
     let right = !whole || report.text == answer_text(&call.prompt, call.max_tokens);
     let delivered = if whole { u64::from(report.pieces) } else { 0 };
-    Sent { report, right, told: None, delivered }
+    Sent {
+        report,
+        right,
+        told: None,
+        delivered,
+    }
 }
 
 fn send_service(profile: &Profile, service: &str, caller: &Caller, plan: &Plan) -> Sent {
@@ -159,8 +174,16 @@
     };
     let report = repeat(&caller.client, &call);
     let right = report.outcome != Outcome::Answered || report.text.contains(&suffix);
-    let told = key.map(|key| Told { key, outcome: report.outcome });
-    Sent { report, right, told, delivered: 0 }
+    let told = key.map(|key| Told {
+        key,
+        outcome: report.outcome,
+    });
+    Sent {
+        report,
+        right,
+        told,
+        delivered: 0,
+    }
 }
 
 /// Repeats an operation under the same key until it is answered.
--- a/crates/util/src/commands/demo/world.rs
+++ b/crates/util/src/commands/demo/world.rs
@@ -9,10 +9,8 @@
 use std::collections::BTreeMap;
 
 /// Any free port of the loopback interface.
-const ANY_PORT: SocketAddr = SocketAddr::new(
-    core::net::IpAddr::V4(core::net::Ipv4Addr::LOCALHOST),
-    0,
-);
+const ANY_PORT: SocketAddr =
+    SocketAddr::new(core::net::IpAddr::V4(core::net::Ipv4Addr::LOCALHOST), 0);
 /// Time between tokens of an engine with one call.
 const TOKEN_TIME: Duration = Duration::from_millis(8);
 
@@ -62,7 +60,12 @@
             workspace.keys = vec![KeyHash::of(&bearer_key(workspace.name.as_str()))];
         }
         let platform = Platform::start(ANY_PORT, PlatformSpec::default())?;
-        Ok(Self { platform, engines, services, set })
+        Ok(Self {
+            platform,
+            engines,
+            services,
+            set,
+        })
     }
 
     /// Ends one engine as a crash does.
@@ -75,7 +78,10 @@
 
     /// Tokens that all engines generated.
     pub(super) fn tokens(&self) -> u64 {
-        self.engines.iter().map(|placed| placed.stats().tokens).sum()
+        self.engines
+            .iter()
+            .map(|placed| placed.stats().tokens)
+            .sum()
     }
 
     /// Runs of each key over all services.
--- a/crates/util/src/commands/mod.rs
+++ b/crates/util/src/commands/mod.rs
@@ -3,6 +3,7 @@
 pub(crate) mod apply;
 pub(crate) mod check;
 pub(crate) mod completions;
+pub(crate) mod demo;
 pub(crate) mod diff;
 pub(crate) mod drain;
 pub(crate) mod get;
--- a/crates/util/src/error.rs
+++ b/crates/util/src/error.rs
@@ -2,8 +2,10 @@
 
 use crate::exit::Exit;
 use core::net::SocketAddr;
+use poplarswitch_node::StartError;
 use poplarswitch_publish::ReadError;
 use poplarswitch_settings::SecretError;
+use poplarswitch_standins::ServerError;
 use snafu::Snafu;
 use std::io;
 
@@ -49,6 +51,15 @@
     /// The current set can't be read.
     #[snafu(display("read the current set at platform {peer}: {source}"))]
     Head { peer: String, source: ReadError },
+    /// A stand-in of the demo did not start.
+    #[snafu(display("start the demo: {source}"))]
+    DemoStart { source: ServerError },
+    /// A VM of the demo did not start.
+    #[snafu(display("start a VM of the demo: {source}"))]
+    DemoVm { source: StartError },
+    /// The set of the demo did not come into force.
+    #[snafu(display("put the set of the demo into force: {text}"))]
+    DemoSet { text: String },
     /// The output could not be written.
     #[snafu(display("write the output: {source}"))]
     Print { source: io::Error },
--- a/crates/util/src/exit.rs
+++ b/crates/util/src/exit.rs
@@ -23,6 +23,8 @@
     Refused = 7,
     /// The sets differ, where that was asked.
     Differs = 8,
+    /// A promise broke.
+    Broken = 9,
 }
 
 impl From<Exit> for ExitCode {
--- a/crates/util/src/publication.rs
+++ b/crates/util/src/publication.rs
@@ -39,11 +39,7 @@
 impl PlatformArgs {
     /// Opens the port; nothing is asked yet.
     pub(crate) fn port(&self) -> LivePort {
-        LivePort {
-            platform: HttpPlatform::new(&self.platform),
-            peer: self.platform.clone(),
-            began: Instant::now(),
-        }
+        LivePort::new(&self.platform)
     }
 
     /// Longest wait for the platform.
@@ -60,6 +56,17 @@
     began: Instant,
 }
 
+impl LivePort {
+    /// Takes the platform's address.
+    pub(crate) fn new(peer: &str) -> Self {
+        Self {
+            platform: HttpPlatform::new(peer),
+            peer: peer.to_owned(),
+            began: Instant::now(),
+        }
+    }
+}
+
 impl Port for LivePort {
     fn now(&self) -> Time {
         Time::ZERO + self.began.elapsed()
