--- a/crates/keys/src/claim.rs
+++ b/crates/keys/src/claim.rs
@@ -7,7 +7,7 @@
 //! its way can no longer take effect.
 
 use crate::{
-    CallKey, ClaimObject, ClaimState, Concluded, Core, Output, Told,
+    CallKey, ClaimObject, ClaimState, Concluded, Core, Mutation, Output, Told,
     api::ReadClaim,
     entry::{Claiming, Entry, Granted, State, Waiter, told},
 };
@@ -124,6 +124,9 @@
                 let at = now + RETRY.max(*retry_after);
                 self.again.push((at, key.clone(), Op::Claim(nonce)));
             }
+            _ if self.mutation == Some(Mutation::TrustLostClaim) => {
+                self.granted(now, key, nonce, Version::default(), out);
+            }
             _ => self
                 .again
                 .push((now + RETRY, key.clone(), Op::Claim(nonce))),
--- a/crates/keys/src/core_machine.rs
+++ b/crates/keys/src/core_machine.rs
@@ -1,8 +1,8 @@
 //! The state machine: where a keyed call goes, and what its caller is told.
 
 use crate::{
-    CallKey, Counts, Input, KeyedCall, KeysMessage, NotRunReason, Output, RunEnd, Settings,
-    Succession, Token, Told,
+    CallKey, Counts, Input, KeyedCall, KeysMessage, Mutation, NotRunReason, Output, RunEnd,
+    Settings, Succession, Token, Told,
     claim::Op,
     entry::{Entry, Waiter, tell},
     forward::Forwards,
@@ -46,6 +46,7 @@
     refused_set: BTreeSet<CallId>,
     pub(crate) answer_bytes: usize,
     next_sweep: Time,
+    pub(crate) mutation: Option<Mutation>,
 }
 
 impl Core {
@@ -72,9 +73,16 @@
             refused_set: BTreeSet::new(),
             answer_bytes: 0,
             next_sweep: now + SWEEP,
+            mutation: None,
         }
     }
 
+    /// Puts a deliberate fault in.
+    #[cfg(feature = "mutation")]
+    pub const fn mutate(&mut self, mutation: Mutation) {
+        self.mutation = Some(mutation);
+    }
+
     /// Minutes since the Unix epoch, counted from the start on a clock that never jumps.
     pub const fn minute(&self, now: Time) -> u64 {
         self.start_minute + now.since(self.started).as_secs() / SECONDS_PER_MINUTE
@@ -184,7 +192,8 @@
 
     /// Sends a call to where its key belongs.
     pub(crate) fn submit(&mut self, now: Time, waiter: Waiter, out: &mut Vec<Output>) {
-        if self.refused_set.contains(&waiter.call.call) {
+        let forgets = self.mutation == Some(Mutation::ForgetRefused);
+        if self.refused_set.contains(&waiter.call.call) && !forgets {
             return tell(&waiter, Told::NotRunHere, out);
         }
         if !waiter.call.key.text.is_valid() {
@@ -281,7 +290,8 @@
                 Some(token) => token.minute < floor,
                 None => now.since(entry.touched) >= keep,
             };
-            let stays = entry.is_busy() || !old;
+            let forgets = self.mutation == Some(Mutation::ForgetKeys);
+            let stays = entry.is_busy() || (!old && !forgets);
             if !stays {
                 freed += entry.answer_bytes();
             }
--- a/crates/keys/src/forward.rs
+++ b/crates/keys/src/forward.rs
@@ -5,7 +5,7 @@
 //! to last is believed, so a late word of a former home cannot contradict its successor.
 
 use crate::{
-    Core, KeysMessage, Output, Told,
+    Core, KeysMessage, Mutation, NotRunReason, Output, Told,
     entry::{Waiter, tell},
 };
 use core::time::Duration;
@@ -64,6 +64,9 @@
             return;
         }
         let to = self.home_of(home);
+        if !self.links.contains(&to) && self.mutation == Some(Mutation::RunWithoutHome) {
+            return self.run(call, out);
+        }
         if !self.links.contains(&to) {
             return self.refuse(&waiter, Told::NotRunHere, out);
         }
@@ -142,7 +145,11 @@
             .collect();
         for call in late {
             if let Some(forward) = self.forwards.calls.remove(&call) {
-                tell(&forward.waiter, Told::InDoubt, out);
+                let told = match self.mutation {
+                    Some(Mutation::DoubtIsNotRun) => Told::NotRun(NotRunReason::Refused),
+                    _ => Told::InDoubt,
+                };
+                tell(&forward.waiter, told, out);
             }
         }
     }
--- a/crates/keys/src/handover.rs
+++ b/crates/keys/src/handover.rs
@@ -6,7 +6,7 @@
 //! lost, nobody does, and the keys are left open, never run twice.
 
 use crate::{
-    Concluded, Core, KeysMessage, Output, Record, Succession,
+    Concluded, Core, KeysMessage, Mutation, Output, Record, Succession,
     entry::{Entry, State},
 };
 use poplarswitch_entity::{Incarnation, Time};
@@ -283,6 +283,14 @@
                 let others = others.clone();
                 self.next_candidate(now, others, out);
             }
+            Handover::Committing { to, deadline }
+                if now >= *deadline && self.mutation == Some(Mutation::SecondSuccessor) =>
+            {
+                let to = *to;
+                let others = self.links.iter().filter(|peer| **peer != to);
+                let others = others.copied().collect();
+                self.next_candidate(now, others, out);
+            }
             Handover::Committing { deadline, .. } if now >= *deadline => {
                 self.handover = Handover::Over;
                 out.push(Output::HandedOver(None));
--- a/crates/keys/src/home.rs
+++ b/crates/keys/src/home.rs
@@ -1,7 +1,7 @@
 //! Keys whose home is this VM.
 
 use crate::{
-    CallKey, Concluded, Core, NotRunReason, Output, Token, Told,
+    CallKey, Concluded, Core, Mutation, NotRunReason, Output, Token, Told,
     entry::{Entry, MAX_VOIDED, State, Waiter, tell, told},
 };
 use poplarswitch_entity::Time;
@@ -60,7 +60,8 @@
             return;
         };
         let call = waiter.call.call;
-        if entry.voided.contains(&call) {
+        let forgets = self.mutation == Some(Mutation::ForgetRefused);
+        if entry.voided.contains(&call) && !forgets {
             return tell(&waiter, Told::NotRun(NotRunReason::Refused), out);
         }
         if entry.digest != waiter.call.digest {
--- a/crates/keys/src/lib.rs
+++ b/crates/keys/src/lib.rs
@@ -13,6 +13,7 @@
 mod forward;
 mod handover;
 mod home;
+mod mutation;
 mod token;
 
 #[cfg(test)]
@@ -28,4 +29,5 @@
 };
 pub use claim::claim_key;
 pub use core_machine::Core;
+pub use mutation::Mutation;
 pub use token::{BadToken, KeyText, MAX_KEY_BYTES, Token};
--- a/crates/publish/src/fetch.rs
+++ b/crates/publish/src/fetch.rs
@@ -94,10 +94,14 @@
     }
 
     pub(crate) fn next_wake(&self) -> Option<Time> {
+        if self.assembly.missing().is_empty() {
+            return None;
+        }
         let lost = self.pending.values().map(|(_, lost_at)| *lost_at).min();
-        let asked = self.asked.map(|(_, lost_at)| lost_at);
-        let platform = self.pending.is_empty().then_some(self.platform_at);
-        [lost, asked, platform].into_iter().flatten().min()
+        match self.asked {
+            Some((_, lost_at)) => Some(lost_at),
+            None => lost.or(Some(self.platform_at)),
+        }
     }
 
     pub(crate) fn pursue(
--- a/crates/publish/src/follower.rs
+++ b/crates/publish/src/follower.rs
@@ -5,8 +5,8 @@
 //! because its bytes are verified by their hash and a newer program may understand them.
 
 use crate::{
-    ActiveSet, Assembly, Blob, BlobHash, Check, Input, Output, PublishMessage, RefuseReason,
-    Refused, Release, Settings, Status, fetch::Fetch, watch::Watch,
+    ActiveSet, Assembly, Blob, BlobHash, Check, Input, Mutation, Output, PublishMessage,
+    RefuseReason, Refused, Release, Settings, Status, fetch::Fetch, watch::Watch,
 };
 use poplarswitch_entity::{Generation, Incarnation, Time};
 use poplarswitch_objects::ObjectSet;
@@ -37,6 +37,7 @@
     compare_at: Time,
     started: Option<Time>,
     status: Status,
+    mutation: Option<Mutation>,
 }
 
 impl Follower {
@@ -56,9 +57,16 @@
             compare_at: Time::ZERO,
             started: None,
             status: Status::default(),
+            mutation: None,
         }
     }
 
+    /// Puts a deliberate fault in.
+    #[cfg(feature = "mutation")]
+    pub const fn mutate(&mut self, mutation: Mutation) {
+        self.mutation = Some(mutation);
+    }
+
     /// The set in force.
     pub fn active(&self) -> Option<&ActiveSet> {
         self.active.as_ref()
@@ -72,6 +80,10 @@
     /// When `tick` is next worth calling.
     pub fn next_wake(&self) -> Option<Time> {
         let fetch = self.fetch.as_ref().and_then(Fetch::next_wake);
+        let first = self.held.is_none() && self.fetch.is_some();
+        let grace = self.started.filter(|_| first);
+        let grace = grace.map(|started| started + self.settings.peers_first);
+        let fetch = fetch.or(grace);
         [Some(self.compare_at), Some(self.watch.next_wake()), fetch]
             .into_iter()
             .flatten()
@@ -196,7 +208,10 @@
 
     /// Aims at a release if it is higher than any other heard of.
     fn consider(&mut self, now: Time, release: Release, holder: Option<Incarnation>) {
-        if release.generation <= self.held_generation() {
+        let older = self.mutation == Some(Mutation::TakeOlder);
+        let known = Some(&release) == self.held.as_ref();
+        let old = release.generation <= self.held_generation() && (!older || known);
+        if old || self.mutation == Some(Mutation::IgnoreNews) {
             return;
         }
         let aim = self.fetch.as_ref().map(|fetch| fetch.release().generation);
--- a/crates/publish/src/publisher.rs
+++ b/crates/publish/src/publisher.rs
@@ -5,8 +5,8 @@
 //! takes effect once or never, and the head's history tells by the nonce whether it did.
 
 use crate::{
-    BlobRef, Content, Draft, Head, Outcome, PublisherInput, PublisherOutput, Read, ReadError,
-    Reader, Release, Verify, changes, head_key,
+    BlobRef, Content, Draft, Head, Mutation, Outcome, PublisherInput, PublisherOutput, Read,
+    ReadError, Reader, Release, Verify, changes, head_key,
     plan::{Plan, next_head},
     reader::retry_after,
 };
@@ -51,6 +51,7 @@
     open: u32,
     theirs: Option<Release>,
     deadline: Time,
+    mutation: Option<Mutation>,
 }
 
 impl fmt::Debug for Publisher {
@@ -77,9 +78,16 @@
             open: 0,
             theirs: None,
             deadline: Time::MAX,
+            mutation: None,
         }
     }
 
+    /// Puts a deliberate fault in.
+    #[cfg(feature = "mutation")]
+    pub const fn mutate(&mut self, mutation: Mutation) {
+        self.mutation = Some(mutation);
+    }
+
     /// Whether the outcome is known.
     pub fn is_done(&self) -> bool {
         self.step == Step::Done
@@ -253,6 +261,13 @@
                 self.open -= 1;
                 self.again.push((now + retry_after(&reply), Ask::Head));
             }
+            _ if self.mutation == Some(Mutation::TrustLostAnswer) => self.accept(out),
+            _ if self.mutation == Some(Mutation::RepeatOnTop) => {
+                self.step = Step::Read;
+                self.draft.base = None;
+                self.draft.nonce += 1 << 32;
+                self.read_with(out, Reader::start);
+            }
             _ => self.ask(Ask::Look, out),
         }
     }
@@ -364,7 +379,10 @@
             Ask::Head => Request::Put {
                 key: head_key(),
                 value: serde_json::to_vec(&plan.head).unwrap_or_default().into(),
-                guard: plan.guard(),
+                guard: match self.mutation {
+                    Some(Mutation::BlindUpdate) => Guard::Always,
+                    _ => plan.guard(),
+                },
             },
             Ask::Look => Request::Get { key: head_key() },
             Ask::Drop => return,
