Fuzz membership and drain; ask again about members that were not known

Cause: a VM that met a member only after that member had died kept it as alive for up to a minute, and in a cell of two a one-way cut made a live member look dead. Change: after new identities arrive their state is asked for; silent members are asked about among linked VMs of other cells where the own cell has too few.

--- a/crates/discovery/src/drain.rs
+++ b/crates/discovery/src/drain.rs
@@ -1,5 +1,6 @@
 //! The way of a VM from serving to its exit.
 
+use crate::Mutation;
 use bon::Builder;
 use core::time::Duration;
 use poplarswitch_entity::Time;
@@ -63,6 +64,7 @@
     refused: u64,
     since: Time,
     forced_at: Option<Time>,
+    mutation: Option<Mutation>,
 }
 
 impl Drain {
@@ -75,9 +77,16 @@
             refused: 0,
             since: Time::ZERO,
             forced_at: None,
+            mutation: None,
         }
     }
 
+    /// Puts a deliberate fault in.
+    #[cfg(feature = "mutation")]
+    pub const fn mutate(&mut self, mutation: Mutation) {
+        self.mutation = Some(mutation);
+    }
+
     /// Where this VM stands.
     pub const fn phase(&self) -> Phase {
         self.phase
@@ -136,8 +145,9 @@
             return;
         }
         let waited = now.since(self.since);
+        let idle = self.in_flight == 0 || self.mutation == Some(Mutation::CutInFlight);
         match self.phase {
-            Phase::Draining if self.in_flight == 0 && waited >= self.settings.linger => {
+            Phase::Draining if idle && waited >= self.settings.linger => {
                 self.phase = Phase::HandingOver;
                 self.since = now;
                 out.push(Output::HandOver);
--- a/crates/discovery/src/lib.rs
+++ b/crates/discovery/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod answer;
 mod drain;
+mod mutation;
 
 #[cfg(test)]
 mod answer_tests;
@@ -15,3 +16,4 @@
 
 pub use answer::{Answer, Candidate, Question, answer};
 pub use drain::{Drain, Input, Output, Phase, Settings};
+pub use mutation::Mutation;
--- a/crates/members/src/core_machine.rs
+++ b/crates/members/src/core_machine.rs
@@ -1,7 +1,7 @@
 //! The state machine.
 
 use crate::{
-    Identity, Input, Mark, Member, MembersMessage, Output, Seen, Settings, State,
+    Identity, Input, Mark, Member, MembersMessage, Mutation, Output, Seen, Settings, State,
     links::Links,
     suspicion::RUMOUR_ROUNDS,
     table::{Record, Table, Witness},
@@ -30,6 +30,7 @@
     next_summary: Time,
     next_compare: Time,
     next_list: Time,
+    pub(crate) mutation: Option<Mutation>,
 }
 
 impl Core {
@@ -52,9 +53,16 @@
             next_summary: Time::ZERO,
             next_compare: Time::ZERO,
             next_list: Time::ZERO,
+            mutation: None,
         }
     }
 
+    /// Puts a deliberate fault in.
+    #[cfg(feature = "mutation")]
+    pub const fn mutate(&mut self, mutation: Mutation) {
+        self.mutation = Some(mutation);
+    }
+
     /// This VM.
     pub const fn me(&self) -> &Identity {
         &self.me
@@ -189,8 +197,12 @@
                 out.push(Output::Send { to: from, message });
             }
             MembersMessage::Identities(identities) => {
-                for identity in identities {
-                    self.meet(now, &identity);
+                let new = identities.into_iter().filter(|peer| self.meet(now, peer));
+                let new: Vec<Incarnation> = new.map(|peer| peer.incarnation).collect();
+                // What was said of them before they were known is lost; ask again.
+                if !new.is_empty() {
+                    let message = MembersMessage::Doubt(new);
+                    out.push(Output::Send { to: from, message });
                 }
             }
         }
@@ -209,11 +221,14 @@
         out.push(Output::Send { to, message });
     }
 
-    fn meet(&mut self, now: Time, identity: &Identity) {
+    /// Adds a member; says whether it is new.
+    fn meet(&mut self, now: Time, identity: &Identity) -> bool {
         let incarnation = identity.incarnation;
-        if incarnation != self.me.incarnation && self.table.add(now, identity) {
+        let new = incarnation != self.me.incarnation && self.table.add(now, identity);
+        if new {
             self.rumours.insert(incarnation, RUMOUR_ROUNDS);
         }
+        new
     }
 
     fn digest(&mut self, now: Time, from: Incarnation, seen: &[Seen], out: &mut Vec<Output>) {
@@ -305,17 +320,21 @@
         })
     }
 
-    const fn my_seen(&self) -> Seen {
+    fn my_seen(&self) -> Seen {
         Seen {
             incarnation: self.me.incarnation,
             seq: self.seq,
             age_ms: 0,
             mark: Mark::Fine,
-            leaving: self.leaving,
+            leaving: self.leaving && !self.is_mutated(Mutation::LeaveSilently),
             load: self.load,
         }
     }
 
+    pub(crate) fn is_mutated(&self, mutation: Mutation) -> bool {
+        self.mutation == Some(mutation)
+    }
+
     fn myself(&self) -> Member {
         let state = if self.leaving {
             State::Leaving
--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -10,6 +10,7 @@
 mod core_machine;
 mod gossip;
 mod links;
+mod mutation;
 mod suspicion;
 mod table;
 
@@ -18,3 +19,4 @@
 
 pub use api::{Identity, Input, Mark, Member, MembersMessage, Output, Seen, Settings, State};
 pub use core_machine::Core;
+pub use mutation::Mutation;
--- a/crates/members/src/suspicion.rs
+++ b/crates/members/src/suspicion.rs
@@ -5,9 +5,9 @@
 //! cells are judged by their own cell; they are suspected from afar only if their whole cell
 //! is silent.
 
-use crate::{Core, Mark, MembersMessage, Output, State, table::Record};
+use crate::{Core, Mark, MembersMessage, Mutation, Output, State, table::Record};
 use core::time::Duration;
-use poplarswitch_entity::Time;
+use poplarswitch_entity::{Incarnation, Time};
 use rand::seq::IteratorRandom as _;
 
 /// Rounds for which a change is passed on.
@@ -39,26 +39,37 @@
                 self.rumours.insert(incarnation, RUMOUR_ROUNDS);
             }
         }
-        if doubts.is_empty() {
+        if doubts.is_empty() || self.is_mutated(Mutation::SuspectAlone) {
             return;
         }
-        let mut near = self.links.open().clone();
-        near.retain(|peer| {
-            let record = self.table.get(*peer);
-            !doubts.contains(peer) && record.is_some_and(|record| self.is_near(record))
-        });
-        for to in near.into_iter().sample(&mut self.rng, FAN_OUT) {
+        for to in self.observers(&doubts) {
             let message = MembersMessage::Doubt(doubts.clone());
             out.push(Output::Send { to, message });
         }
     }
 
+    /// Some linked members that may have heard the silent ones, of the own cell if there are.
+    fn observers(&mut self, doubts: &[Incarnation]) -> Vec<Incarnation> {
+        let links = self.links.open().iter().copied();
+        let (near, far): (Vec<_>, Vec<_>) = links
+            .filter(|peer| !doubts.contains(peer))
+            .partition(|peer| self.table.get(*peer).is_some_and(|peer| self.is_near(peer)));
+        let mut chosen = near.into_iter().sample(&mut self.rng, FAN_OUT);
+        let missing = FAN_OUT - chosen.len();
+        chosen.extend(far.into_iter().sample(&mut self.rng, missing));
+        chosen
+    }
+
     /// The mark that a silent member gets now, if it is worse than the one it has.
     fn judge(&self, now: Time, record: &Record) -> Option<Mark> {
+        if self.is_mutated(Mutation::NeverSuspect) {
+            return None;
+        }
         let silence = now.since(record.heard);
         let settings = &self.settings;
         let mark = if self.is_near(record) {
-            let confirmed = self.is_confirmed(now, record);
+            let alone = self.is_mutated(Mutation::SuspectAlone);
+            let confirmed = alone || self.is_confirmed(now, record);
             if silence >= settings.gone_after {
                 Mark::Gone
             } else if silence >= settings.lone_after
--- a/crates/oracle/src/cluster_keys.rs
+++ b/crates/oracle/src/cluster_keys.rs
@@ -11,8 +11,7 @@
 use core::time::Duration;
 use poplarswitch_entity::{CallId, Incarnation, Time};
 use poplarswitch_keys::{
-    CallKey, Core, Input, KeyText, KeyedCall, KeysMessage, Mutation, Output, RunEnd, Settings,
-    Token, Told,
+    CallKey, Core, Input, KeyText, KeyedCall, KeysMessage, Mutation, Output, RunEnd, Settings, Told,
 };
 use rand::RngExt as _;
 use std::collections::BTreeMap;
@@ -144,7 +143,7 @@
         for output in out {
             match output {
                 Output::Run(call) => self.dispatch(Dispatch { place, life, call }),
-                Output::Tell { call, told } => self.tell(call, told),
+                Output::Tell { call, told } => self.tell(call, &told),
                 Output::Send { to, message } => {
                     let target = (to.0 % PLACES) as usize;
                     if self.vms.get(target).is_some_and(|vm| vm.incarnation == to) {
@@ -251,7 +250,7 @@
         let unique = self.keys.len();
         let text = match home {
             Some(place) => {
-                let token: Token = self.vms[place].core.token(self.net.now);
+                let token = self.vms[place].core.token(self.net.now);
                 format!("{token}.{unique}")
             }
             None => format!("free-{unique}"),
@@ -289,7 +288,7 @@
         self.feed(place, Input::Submit(keyed));
     }
 
-    fn tell(&mut self, call: CallId, told: Told) {
+    fn tell(&mut self, call: CallId, told: &Told) {
         let Some(record) = self.calls.get_mut(&call) else {
             return;
         };
@@ -297,7 +296,7 @@
         let record = record.clone();
         let earlier = self.runs.get(&record.key).into_iter().flatten();
         let ran_before = earlier.clone().any(|run| run.at < record.at);
-        let fault = match &told {
+        let fault = match told {
             Told::NotRun(_) if ran_before => Some("told not run, but the key had run"),
             Told::Answer(answer) if **answer != [record.key as u8] => Some("another's answer"),
             Told::Answer(_) | Told::Ran if earlier.clone().next().is_none() => {
