Find stragglers by pace instead of time to first output

Change: only the pace counts (the whole time of an answer that comes at once); it is known after 16 tokens; below 1.5 times the median sites count as alike; one in five is rounded up. The straggler tests now slow the tokens instead of the first output; their bounds are the same.

--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -45,15 +45,6 @@
     pub ejection: bool,
 }
 
-/// How fast a dispatch was, relative to the median of its class on its route.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Speed {
-    /// Time to first output.
-    pub first: Option<f64>,
-    /// Time per token.
-    pub pace: Option<f64>,
-}
-
 /// Keeps the state of all endpoints and chooses among them.
 #[derive(Debug)]
 pub struct Balancer {
@@ -152,19 +143,13 @@
         }
     }
 
-    /// Records the speed of a call that started at a time.
-    pub fn measure(&mut self, now: Time, key: SiteKey, started: Time, speed: Speed) {
+    /// Records how much slower than the median of its class a call was.
+    pub fn measure(&mut self, now: Time, key: SiteKey, started: Time, ratio: f64) {
         let Some(site) = self.sites.get_mut(key) else {
             return;
         };
-        if let Some(ratio) = speed.first {
-            site.first.record(ratio);
-        }
-        if let Some(ratio) = speed.pace {
-            site.pace.record(ratio);
-        }
-        let worst = speed.first.unwrap_or(1.0).max(speed.pace.unwrap_or(1.0));
-        let slow = worst > PROBE_RATIO && self.options.ejection;
+        site.pace.record(ratio);
+        let slow = ratio > PROBE_RATIO && self.options.ejection;
         let outcome = if slow { Outcome::Slow } else { Outcome::Good };
         self.judge(now, key, started, outcome);
         self.eject_if_slow(now, key);
@@ -178,14 +163,13 @@
         }
         let pool = &self.pools[site.pool];
         let count = pool.sites.len();
-        let most = (count * MAX_EJECTED_PERCENT / 100).max(1);
+        let most = (count * MAX_EJECTED_PERCENT).div_ceil(100);
         if count < MIN_SIBLINGS || pool.ejected >= most {
             return;
         }
         self.ejections += 1;
         let site = &mut self.sites[key];
         site.health.eject(now);
-        site.first = Ewma::default();
         site.pace = Ewma::default();
         self.health_changed(key);
     }
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -24,7 +24,7 @@
 #[cfg(test)]
 mod ring_tests;
 
-pub use balancer::{Balancer, Options, Speed, Style};
+pub use balancer::{Balancer, Options, Style};
 pub use choose::Ask;
 pub use health::{Health, Outcome, Phase};
 pub use pool::{Cap, CapKey, PoolKey};
--- a/crates/balance/src/site.rs
+++ b/crates/balance/src/site.rs
@@ -17,6 +17,8 @@
 pub(crate) const FULL_LEVEL: u32 = 64;
 /// Samples before a site's speed is compared with its siblings'.
 const MIN_SAMPLES: u32 = 8;
+/// Slowness below which sites count as equally fast.
+const ORDINARY: f64 = 1.5;
 /// Largest factor by which slowness raises a site's level.
 const MAX_SLOWNESS: f64 = 4.0;
 
@@ -36,8 +38,6 @@
     pub(crate) health: Health,
     /// Calls that count towards each cap of the pool.
     pub(crate) held: Vec<u32>,
-    /// Time to first output, relative to the siblings' median.
-    pub(crate) first: Ewma,
     /// Time per token, relative to the siblings' median.
     pub(crate) pace: Ewma,
     pub(crate) retired: bool,
@@ -58,21 +58,23 @@
 
     /// How much slower than its siblings it is; one is the median.
     pub fn slowness(&self) -> f64 {
-        let known = |ewma: &Ewma| {
-            if ewma.count() >= MIN_SAMPLES {
-                ewma.mean()
-            } else {
-                1.0
-            }
-        };
-        known(&self.first).max(known(&self.pace))
+        if self.pace.count() >= MIN_SAMPLES {
+            self.pace.mean()
+        } else {
+            1.0
+        }
     }
 
     /// Its load; higher is worse.
     pub(crate) fn level(&self, unknown: f64) -> u32 {
         let calls = f64::from(self.load.own()) + self.load.foreign().unwrap_or(unknown);
         let share = calls / f64::from(self.slots.max(1));
-        let slow = self.slowness().clamp(1.0, MAX_SLOWNESS);
+        let slowness = self.slowness();
+        let slow = if slowness < ORDINARY {
+            1.0
+        } else {
+            slowness.min(MAX_SLOWNESS)
+        };
         // An idle site that is slow still ranks behind an idle one that is not.
         let idle = (slow - 1.0) / MAX_SLOWNESS;
         ((share * slow + idle) * f64::from(FULL_LEVEL)) as u32
--- a/crates/balance/src/sync.rs
+++ b/crates/balance/src/sync.rs
@@ -92,7 +92,6 @@
             load: Load::default(),
             health: Health::default(),
             held: Vec::new(),
-            first: Ewma::default(),
             pace: Ewma::default(),
             retired: false,
             successor: None,
--- a/crates/estimate/src/profile.rs
+++ b/crates/estimate/src/profile.rs
@@ -34,9 +34,9 @@
         self.duration.count()
     }
 
-    /// First outputs seen, after decay.
-    pub fn first_count(&self) -> u64 {
-        self.first.count()
+    /// Paces seen, after decay.
+    pub fn pace_count(&self) -> u64 {
+        self.pace.count()
     }
 
     /// Median time per token.
--- a/crates/scheduler/src/adopt.rs
+++ b/crates/scheduler/src/adopt.rs
@@ -70,6 +70,7 @@
             caps: Vec::new(),
             started: now,
             first: None,
+            paced: false,
             resumed_at: 0,
             tokens: running.tokens,
             measured: false,
--- a/crates/scheduler/src/call.rs
+++ b/crates/scheduler/src/call.rs
@@ -44,8 +44,10 @@
     pub site: Option<SiteKey>,
     pub caps: Vec<CapKey>,
     pub started: Time,
-    /// When the first output of this dispatch came.
-    pub first: Option<Time>,
+    /// When the first output of this dispatch came, and how many tokens it brought.
+    pub first: Option<(Time, u32)>,
+    /// Whether its pace is known.
+    pub paced: bool,
     /// Tokens that the caller had seen when the dispatch started.
     pub resumed_at: u32,
     pub tokens: u32,
--- a/crates/scheduler/src/finish.rs
+++ b/crates/scheduler/src/finish.rs
@@ -6,13 +6,11 @@
 use crate::call::{Flight, State};
 use crate::group::Order;
 use crate::{End, Ended, Output, Progress, Scheduler, Stop, StopReason};
-use core::time::Duration;
-use poplarswitch_balance::Speed;
 use poplarswitch_entity::{Attempt, CallId, Time};
 use poplarswitch_queue::{AccountKey, CallKey};
 
-/// Samples of a class on a route before single calls are compared with the median.
-const MIN_SIBLING_SAMPLES: u64 = 16;
+/// Tokens after the first output from which a stream's pace is known well enough.
+const PACE_TOKENS: u32 = 16;
 
 impl Scheduler {
     pub(crate) fn progress(&mut self, now: Time, progress: Progress) {
@@ -26,8 +24,10 @@
         let is_first = flight.first.is_none() && progress.tokens > flight.resumed_at;
         flight.tokens = flight.tokens.max(progress.tokens);
         if is_first {
-            flight.first = Some(now);
-            self.first_output(now, key);
+            flight.first = Some((now, progress.tokens));
+            self.learn_first(now, key);
+        } else {
+            self.learn_pace(now, key, PACE_TOKENS);
         }
     }
 
@@ -37,7 +37,7 @@
             return;
         };
         if let End::Answered { tokens } = ended.end {
-            self.answered(now, key, tokens);
+            self.learn_answer(now, key, tokens);
         }
         let Some(flight) = self.land(now, key) else {
             return;
@@ -150,66 +150,4 @@
             }
         }
     }
-
-    /// Learns from the first output of a dispatch.
-    fn first_output(&mut self, now: Time, key: CallKey) {
-        let call = self.table.get(key);
-        let State::Dispatched(flight) = &call.state else {
-            return;
-        };
-        if flight.resumed_at > 0 || !flight.measured {
-            return;
-        }
-        let elapsed = now.since(flight.started);
-        let profile = &mut self.book.profiles[call.profile];
-        let known = profile.first_count() >= MIN_SIBLING_SAMPLES;
-        let median = profile.first_median().filter(|_| known);
-        profile.record_first(elapsed);
-        let speed = Speed {
-            first: median.map(|median| ratio(elapsed, median)),
-            pace: None,
-        };
-        if let Some(site) = flight.site {
-            self.balancer.measure(now, site, flight.started, speed);
-        }
-    }
-
-    /// Learns from a whole answer.
-    fn answered(&mut self, now: Time, key: CallKey, tokens: u32) {
-        let State::Dispatched(flight) = &mut self.table.get_mut(key).state else {
-            return;
-        };
-        let first = *flight.first.get_or_insert(now);
-        let whole = first == now;
-        if whole {
-            self.first_output(now, key);
-        }
-        let call = self.table.get(key);
-        let State::Dispatched(flight) = &call.state else {
-            return;
-        };
-        if flight.resumed_at > 0 || !flight.measured {
-            return;
-        }
-        let profile = &mut self.book.profiles[call.profile];
-        profile.record_answer(now.since(flight.started), tokens);
-        if tokens < 2 || whole {
-            return;
-        }
-        let pace = now.since(first) / (tokens - 1);
-        let known = profile.count() >= MIN_SIBLING_SAMPLES;
-        let median = profile.pace_median().filter(|_| known);
-        profile.record_pace(pace);
-        let speed = Speed {
-            first: None,
-            pace: median.map(|median| ratio(pace, median)),
-        };
-        if let Some(site) = flight.site {
-            self.balancer.measure(now, site, flight.started, speed);
-        }
-    }
-}
-
-fn ratio(value: Duration, median: Duration) -> f64 {
-    value.as_secs_f64() / median.as_secs_f64().max(1e-6)
 }
--- a/crates/scheduler/src/finish_tests.rs
+++ b/crates/scheduler/src/finish_tests.rs
@@ -95,9 +95,9 @@
         if is_slow {
             at_slow.push(seq);
         }
-        stand.pass(if is_slow { 900 } else { 100 });
-        stand.progress(seq, 0, 1);
         stand.pass(100);
+        stand.progress(seq, 0, 1);
+        stand.pass(if is_slow { 900 } else { 100 });
         stand.answer(seq);
     }
     at_slow
--- a/crates/scheduler/src/retry.rs
+++ b/crates/scheduler/src/retry.rs
@@ -118,6 +118,7 @@
         let flight = Flight {
             started: now,
             first: None,
+            paced: false,
             resumed_at: emitted,
             tokens: emitted,
             measured: true,
--- a/crates/scheduler/src/serve.rs
+++ b/crates/scheduler/src/serve.rs
@@ -104,6 +104,7 @@
             caps: caps_of(info, group.reserve.cap),
             started: now,
             first: None,
+            paced: false,
             resumed_at: 0,
             tokens: 0,
             measured: true,
