Let workspaces that are ahead yield only to calls about to be late

Change: the least slack goes first whether its workspace is ahead or not, unless a call of a workspace that is not ahead has less than a second left.

--- a/crates/queue/src/lane.rs
+++ b/crates/queue/src/lane.rs
@@ -1,7 +1,7 @@
 //! The waiting calls of one class: by workspace, and within a workspace by slack.
 //!
 //! A workspace stands in `ready` while its virtual time is not ahead of its tier's by more
-//! than the lead, else in `ahead`. The head of `ready` is the call with the least slack.
+//! than the lead, else in `ahead`. The head of each is the call with the least slack.
 //! Calls that have already missed their target go behind those that can still meet it,
 //! so that an overload makes few calls late instead of all of them.
 
@@ -37,7 +37,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Listing {
     Ready(Place),
-    Ahead(u64),
+    Ahead(u64, Place),
     Held,
 }
 
@@ -76,20 +76,29 @@
     Held,
 }
 
-/// The next call of a lane.
+/// A call that may be served next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Head {
-    /// The virtual time that the workspace has run ahead to; zero if it has not.
-    pub ahead: u64,
     pub place: Place,
     pub account: AccountKey,
 }
 
+/// The calls with the least slack.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Heads {
+    /// Among the workspaces that are not ahead of their share.
+    pub ready: Option<Head>,
+    /// Among those that are.
+    pub ahead: Option<Head>,
+}
+
 #[derive(Debug, Default)]
 pub(crate) struct Lane {
     backlogs: BTreeMap<AccountKey, Backlog>,
     ready: BTreeSet<(Place, AccountKey)>,
-    ahead: BTreeSet<(u64, AccountKey)>,
+    ahead: BTreeSet<(Place, AccountKey)>,
+    /// When each workspace that is ahead becomes ready.
+    returns: BTreeSet<(u64, AccountKey)>,
     late: BTreeSet<(Place, AccountKey)>,
     len: usize,
 }
@@ -146,7 +155,7 @@
         let new = match (head, standing) {
             (None, _) | (_, Standing::Held) => Listing::Held,
             (Some(place), Standing::Ready) => Listing::Ready(place),
-            (Some(_), Standing::Ahead(time)) => Listing::Ahead(time),
+            (Some(place), Standing::Ahead(time)) => Listing::Ahead(time, place),
         };
         backlog.listing = new;
         let oldest = backlog.oldest_late();
@@ -167,7 +176,10 @@
     fn unlist(&mut self, account: AccountKey, listing: Listing) {
         match listing {
             Listing::Ready(place) => self.ready.remove(&(place, account)),
-            Listing::Ahead(time) => self.ahead.remove(&(time, account)),
+            Listing::Ahead(time, place) => {
+                self.ahead.remove(&(place, account));
+                self.returns.remove(&(time, account))
+            }
             Listing::Held => false,
         };
     }
@@ -175,53 +187,39 @@
     fn enlist(&mut self, account: AccountKey, listing: Listing) {
         match listing {
             Listing::Ready(place) => self.ready.insert((place, account)),
-            Listing::Ahead(time) => self.ahead.insert((time, account)),
+            Listing::Ahead(time, place) => {
+                self.ahead.insert((place, account));
+                self.returns.insert((time, account))
+            }
             Listing::Held => false,
         };
     }
 
-    /// The next call: the least slack among ready workspaces, else the one least ahead.
-    pub(crate) fn head(&mut self, now: Time, horizon: u64) -> Option<Head> {
+    /// The calls with the least slack; those that have become late go behind the others.
+    pub(crate) fn heads(&mut self, now: Time, horizon: u64) -> Heads {
         self.catch_up(horizon);
         loop {
-            let head = self.first()?;
-            if head.place.late || head.place.deadline >= now {
-                return Some(head);
-            }
-            self.mark_late(head);
+            let heads = Heads {
+                ready: first(&self.ready),
+                ahead: first(&self.ahead),
+            };
+            let mut both = heads.ready.iter().chain(&heads.ahead);
+            let missed = both.find(|head| !head.place.late && head.place.deadline < now);
+            let Some(missed) = missed.copied() else {
+                return heads;
+            };
+            self.mark_late(missed);
         }
     }
 
     /// The late call that has been late for longest.
     pub(crate) fn oldest_late(&self) -> Option<Head> {
-        let (place, account) = *self.late.first()?;
-        Some(Head {
-            ahead: 0,
-            place,
-            account,
-        })
-    }
-
-    fn first(&self) -> Option<Head> {
-        if let Some((place, account)) = self.ready.first() {
-            return Some(Head {
-                ahead: 0,
-                place: *place,
-                account: *account,
-            });
-        }
-        let (ahead, account) = self.ahead.first()?;
-        let place = self.backlogs.get(account)?.places.first()?;
-        Some(Head {
-            ahead: *ahead,
-            place: *place,
-            account: *account,
-        })
+        first(&self.late)
     }
 
     /// Makes workspaces ready whose virtual time the tier has reached.
     fn catch_up(&mut self, horizon: u64) {
-        while let Some((time, account)) = self.ahead.first().copied() {
+        while let Some((time, account)) = self.returns.first().copied() {
             if time > horizon {
                 return;
             }
@@ -242,9 +240,14 @@
         backlog.late += 1;
         let standing = match backlog.listing {
             Listing::Ready(_) => Standing::Ready,
-            Listing::Ahead(time) => Standing::Ahead(time),
+            Listing::Ahead(time, _) => Standing::Ahead(time),
             Listing::Held => Standing::Held,
         };
         self.list(head.account, standing);
     }
 }
+
+fn first(places: &BTreeSet<(Place, AccountKey)>) -> Option<Head> {
+    let (place, account) = *places.first()?;
+    Some(Head { place, account })
+}
--- a/crates/queue/src/route.rs
+++ b/crates/queue/src/route.rs
@@ -1,12 +1,16 @@
 //! The waiting calls of one route: tiers with floors, lanes within a tier.
 
-use crate::lane::{Head, Lane, LaneKey, Place};
+use crate::lane::{Head, Heads, Lane, LaneKey, Place};
 use crate::tier::Tier;
 use crate::{AccountKey, CallKey, Floors};
+use core::time::Duration;
 use poplarswitch_entity::Time;
 
 /// One in so many dispatches of a tier goes to the call that has been late for longest.
-const LATE_TURN: u64 = 4;
+pub(crate) const LATE_TURN: u64 = 4;
+
+/// Slack below which a workspace's call goes before those of workspaces that are ahead.
+const MARGIN: Duration = Duration::from_secs(1);
 
 /// A call that waits, and where.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -39,6 +43,11 @@
     pub const fn tier(&self) -> usize {
         self.tier
     }
+
+    /// Its place in the order.
+    pub const fn place(&self) -> Place {
+        self.place
+    }
 }
 
 /// The queue of one route.
@@ -153,19 +162,18 @@
         }
         let horizon = state.horizon();
         let late_turn = state.served % LATE_TURN == LATE_TURN - 1;
-        let mut best: Option<(Head, LaneKey)> = None;
-        let mut oldest: Option<(Head, LaneKey)> = None;
+        let mut best = Best::default();
         for lane in &state.lanes {
             let line = &mut self.lanes[lane.0];
             if line.is_idle() || !is_open(*lane, due) {
                 continue;
             }
-            best = earlier(best, line.head(now, horizon), *lane);
+            best.add(line.heads(now, horizon), *lane);
             if late_turn {
-                oldest = earlier(oldest, line.oldest_late(), *lane);
+                best.late = earlier(best.late, line.oldest_late(), *lane);
             }
         }
-        let (head, lane) = oldest.or(best)?;
+        let (head, lane) = best.choose(now)?;
         Some(Pick {
             call: head.place.call,
             lane,
@@ -213,6 +221,40 @@
     }
 }
 
+/// The calls of a tier that may be served next, with their lanes.
+#[derive(Clone, Copy, Debug, Default)]
+struct Best {
+    ready: Option<(Head, LaneKey)>,
+    ahead: Option<(Head, LaneKey)>,
+    late: Option<(Head, LaneKey)>,
+}
+
+impl Best {
+    fn add(&mut self, heads: Heads, lane: LaneKey) {
+        self.ready = earlier(self.ready, heads.ready, lane);
+        self.ahead = earlier(self.ahead, heads.ahead, lane);
+    }
+
+    /// The least slack, unless that would make a call late whose workspace is not ahead.
+    fn choose(self, now: Time) -> Option<(Head, LaneKey)> {
+        if self.late.is_some() {
+            return self.late;
+        }
+        let (Some(ready), Some(ahead)) = (self.ready, self.ahead) else {
+            return self.ready.or(self.ahead);
+        };
+        let (own, other) = (ready.0.place, ahead.0.place);
+        let pressed = !own.late && own.deadline <= now + MARGIN;
+        let sooner = (own.late, own.deadline) <= (other.late, other.deadline);
+        let equal = own.late && other.late;
+        Some(if pressed || sooner || equal {
+            ready
+        } else {
+            ahead
+        })
+    }
+}
+
 fn earlier(
     best: Option<(Head, LaneKey)>,
     head: Option<Head>,
