Order calls by the 95th percentile of what they need instead of the median

Cause: under overload every call that is served starts just before its latest start; with the median of the time to first output half of them missed anyway. Change: the latest start is the target less the 95th percentile, at most half of the target.

--- a/crates/scheduler/src/submit.rs
+++ b/crates/scheduler/src/submit.rs
@@ -230,11 +230,13 @@
             Policy::Full => {
                 let profile = &self.book.profiles[call.profile];
                 let expected = match call.terms.target {
-                    Target::Stream { .. } => profile.first_median(),
-                    Target::Answer { .. } => profile.duration_median(),
+                    Target::Stream { .. } => profile.first_high(),
+                    Target::Answer { .. } => profile.duration_high(),
                 };
                 let target = call.terms.target.first_output();
-                call.submitted + target - call.request.waited - expected.unwrap_or_default()
+                // An estimate beyond the target must not make every call late at once.
+                let expected = expected.unwrap_or_default().min(target / 2);
+                call.submitted + target - call.request.waited - expected
             }
             _ => call.submitted - call.request.waited,
         };
