--- a/crates/node/src/call.rs
+++ b/crates/node/src/call.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use core::sync::atomic::{AtomicBool, AtomicU32, Ordering};
-use poplarswitch_entity::{CallId, Incarnation};
+use poplarswitch_entity::CallId;
 use poplarswitch_scheduler::Request;
 use poplarswitch_wire::headers;
 use tokio::sync::mpsc;
@@ -53,6 +53,15 @@
         }
     }
 
+    /// A head with no more than what is passed on.
+    pub(crate) const fn new(status: u16, kind: Option<http::HeaderValue>) -> Self {
+        Self {
+            status,
+            kind,
+            not_run: false,
+        }
+    }
+
     /// Whether the endpoint proves that it did not run the call.
     pub(crate) const fn says_not_run(&self) -> bool {
         self.status == 503 && self.not_run
@@ -79,7 +88,6 @@
     pub(crate) rank: u8,
     pub(crate) repeatable: bool,
     pub(crate) key: Option<String>,
-    pub(crate) token: Option<Incarnation>,
     pub(crate) work: Work,
     pub(crate) pieces: mpsc::Sender<Piece>,
     pub(crate) progress: Emission,
--- a/crates/node/src/callers/mod.rs
+++ b/crates/node/src/callers/mod.rs
@@ -18,3 +18,4 @@
 
 pub(crate) use auth::bearer;
 pub(crate) use server::{Door, serve};
+pub(crate) use submit::leaving;
--- a/crates/node/src/callers/reply.rs
+++ b/crates/node/src/callers/reply.rs
@@ -35,12 +35,12 @@
 
     fn poll_frame(
         self: Pin<&mut Self>,
-        context: &mut Context<'_>,
+        cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
         match self.get_mut() {
-            Self::Whole(body) => Pin::new(body).poll_frame(context),
+            Self::Whole(body) => Pin::new(body).poll_frame(cx),
             Self::Stream(answer) => answer
-                .poll_next(context)
+                .poll_next(cx)
                 .map(|bytes| bytes.map(|bytes| Ok(Frame::data(bytes)))),
         }
     }
--- a/crates/node/src/callers/resolve.rs
+++ b/crates/node/src/callers/resolve.rs
@@ -12,7 +12,7 @@
     route: &Route,
 ) -> Result<&'a ClassEntry, ErrorCode> {
     let name = match named.get(headers::CLASS) {
-        Some(value) => value.to_str().map_err(|_| ErrorCode::UnknownClass)?,
+        Some(value) => value.to_str().ok().ok_or(ErrorCode::UnknownClass)?,
         None => default,
     };
     let key = catalog.class(name).ok_or(ErrorCode::UnknownClass)?;
--- a/crates/node/src/callers/routes.rs
+++ b/crates/node/src/callers/routes.rs
@@ -1,14 +1,18 @@
 //! From a path to its handler.
 
 use super::{auth, chat, forward, reply};
-use crate::shared::Shared;
+use crate::shared::{Shared, wall_ms};
 use http::{Method, Request, Response};
 use hyper::body::Incoming;
-use poplarswitch_wire::{AddressList, ErrorCode, ModelList, Phase};
+use poplarswitch_discovery::{Candidate, Question, answer};
+use poplarswitch_entity::{DataCentre, VmName};
+use poplarswitch_keys::Token;
+use poplarswitch_members::Member;
+use poplarswitch_wire::{AddressList, ErrorCode, ModelList, Phase, WeightedAddress};
 use std::sync::Arc;
 
-/// How long callers may keep the list of addresses, in milliseconds.
-const TTL_MS: u64 = 5_000;
+/// Milliseconds of a minute.
+const MINUTE_MS: u64 = 60_000;
 /// Start of the paths of plain services.
 const SERVICES: &str = "/services/";
 
@@ -21,7 +25,10 @@
     match (request.method(), path) {
         (&Method::POST, "/v1/chat/completions") => chat::handle(&shared, request).await,
         (&Method::GET, "/v1/models") => models(&shared, &request),
-        (&Method::GET, "/v1/address") => reply::json(200, &addresses(&shared)),
+        (&Method::GET, "/v1/address") => {
+            let place = request.uri().query().and_then(data_centre);
+            reply::json(200, &addresses(&shared, place))
+        }
         (&Method::GET, "/healthz") => reply::text(200, "ok"),
         (&Method::GET, "/readyz") => ready(&shared),
         (_, path) if path.starts_with(SERVICES) => forward::handle(&shared, request).await,
@@ -43,11 +50,50 @@
     reply::json(200, &ModelList::of(names))
 }
 
-fn addresses(shared: &Shared) -> AddressList {
+/// Where the caller stands, if it says so.
+fn data_centre(query: &str) -> Option<DataCentre> {
+    query
+        .split('&')
+        .find_map(|pair| pair.strip_prefix("data_centre="))
+        .map(DataCentre::from)
+}
+
+/// The VMs that take calls, and the start of new idempotency keys.
+///
+/// The token names this VM, which can then run the calls itself, unless it is leaving.
+pub(super) fn addresses(shared: &Shared, place: Option<DataCentre>) -> AddressList {
+    let members = shared.members.load();
+    let question = Question {
+        data_centre: place.or_else(|| Some(shared.settings.data_centre.clone())),
+        minute: wall_ms() / MINUTE_MS,
+    };
+    let leaving = shared.phase() >= Phase::Draining;
+    let except = leaving.then_some(shared.incarnation);
+    let found = answer(&question, &members, except);
+    let own = Token {
+        home: shared.incarnation,
+        minute: question.minute,
+    };
+    let other = found.addresses.first().filter(|_| leaving);
     AddressList {
-        addresses: shared.addresses.load().as_ref().clone(),
-        ttl_ms: TTL_MS,
-        key_token: shared.incarnation.to_string(),
+        key_token: other.map_or_else(|| own.to_string(), |other| other.key_token.clone()),
+        addresses: found
+            .addresses
+            .iter()
+            .map(|one| entry(one, &members))
+            .collect(),
+        ttl_ms: found.ttl_ms,
+    }
+}
+
+fn entry(candidate: &Candidate, members: &[Member]) -> WeightedAddress {
+    let same = |member: &&Member| member.identity.caller_address == candidate.address;
+    let member = members.iter().find(same);
+    WeightedAddress {
+        vm: member.map_or_else(|| VmName::from(""), |member| member.identity.vm.clone()),
+        data_centre: candidate.data_centre.clone(),
+        address: candidate.address,
+        weight: candidate.weight,
     }
 }
 
--- a/crates/node/src/callers/submit.rs
+++ b/crates/node/src/callers/submit.rs
@@ -13,7 +13,6 @@
 use core::time::Duration;
 use http::{HeaderMap, HeaderValue, Response};
 use poplarswitch_catalog::{Catalog, ClassEntry};
-use poplarswitch_entity::Incarnation;
 use poplarswitch_scheduler::Request;
 use poplarswitch_wire::{ErrorCode, ErrorInfo, Phase, headers};
 use std::sync::Arc;
@@ -31,7 +30,6 @@
     rank: u8,
     repeatable: bool,
     key: Option<String>,
-    token: Option<Incarnation>,
     /// What the endpoint is asked to do.
     pub(super) work: Work,
 }
@@ -48,7 +46,6 @@
             rank: class.rank,
             repeatable: class.class.repeatable,
             key: resolve::idempotency_key(named, class)?,
-            token: key_token(named),
             work: Work::Chat(Chat {
                 body: Bytes::new(),
                 stream: false,
@@ -57,10 +54,6 @@
     }
 }
 
-fn key_token(named: &HeaderMap) -> Option<Incarnation> {
-    named.get(headers::KEY_TOKEN)?.to_str().ok()?.parse().ok()
-}
-
 /// The catalog, if this VM takes calls.
 pub(super) fn admit(shared: &Shared) -> Result<Arc<Catalog>, ErrorInfo> {
     if matches!(shared.phase(), Phase::Draining | Phase::Drained) {
@@ -79,7 +72,7 @@
 /// The refusal of a VM that leaves, with the addresses of the others.
 pub(crate) fn leaving(shared: &Shared) -> ErrorInfo {
     let mut error = shared.error(ErrorCode::Leaving).retry(Duration::ZERO);
-    let others = shared.addresses.load();
+    let others = super::routes::addresses(shared, None).addresses;
     error.others = others.iter().map(|other| other.address).collect();
     error
 }
@@ -113,7 +106,6 @@
         rank: draft.rank,
         repeatable: draft.repeatable,
         key: draft.key,
-        token: draft.token,
         work: draft.work,
         pieces,
         progress: Emission::default(),
--- a/crates/node/src/decide/calls.rs
+++ b/crates/node/src/decide/calls.rs
@@ -1,20 +1,21 @@
 //! What happens to calls and endpoints, told to the pool.
 
-use super::{Decider, table::Entry};
+use super::{Decider, keyed::answer_form, table::Entry};
 use crate::{
+    callers::leaving,
     counters::ClassLabel,
     event::{Finished, Submission},
 };
 use poplarswitch_entity::{CallId, Time};
-use poplarswitch_scheduler::{End, Fault, Input, LoadReport, Progress};
+use poplarswitch_keys::RunEnd;
+use poplarswitch_scheduler::{self as scheduler, End, Fault, Input, LoadReport, Progress};
 use poplarswitch_timeline::{EventKind, Outcome};
-use poplarswitch_wire::{EndpointState, ErrorCode, Phase};
+use poplarswitch_wire::{EndpointState, ErrorCode, ErrorInfo, Ran};
 
 impl Decider {
     /// Takes a new call.
     pub(super) fn submit(&mut self, now: Time, submission: Submission) {
-        let Submission { call, verdict } = submission;
-        let request = call.request.clone();
+        let request = submission.call.request.clone();
         let counters = &self.shared.counters;
         counters.received.get_or_create(&label(&request)).inc();
         self.totals.received += 1;
@@ -25,15 +26,22 @@
                 workspace: request.workspace.clone(),
             },
         );
+        if !self.cluster.drain.admit() {
+            let error = leaving(&self.shared);
+            self.cluster.drain.begin();
+            return self.turn_away(submission, error);
+        }
         if self.pool.is_none() {
-            counters.open.dec();
-            self.totals.refused += 1;
-            drop(verdict.send(self.shared.error(ErrorCode::NoSet)));
-            return;
+            let error = self.shared.error(ErrorCode::NoSet);
+            return self.turn_away(submission, error);
+        }
+        if !submission.call.repeatable {
+            return self.submit_keyed(now, submission);
         }
         self.calls.insert(Entry {
-            call,
-            verdict,
+            call: submission.call,
+            verdict: Some(submission.verdict),
+            keyed: None,
             arrived: now,
             run: None,
             answering: false,
@@ -47,6 +55,11 @@
     ///
     /// A run that may not be repeated goes on, so that its outcome is known.
     pub(super) fn left(&mut self, now: Time, call: CallId) {
+        if self.waiters.contains_key(&call) {
+            self.shared.counters.cancelled.inc();
+            self.shared.record(Some(call), EventKind::Cancelled);
+            return;
+        }
         let Some(entry) = self.calls.get_mut(call) else {
             return;
         };
@@ -96,7 +109,7 @@
             Some(entry) if entry.run_of(ended.attempt).is_some() => {
                 let ordered = entry.run.take().is_some_and(|run| run.stop.is_stopped());
                 let gone = entry.left || !ordered && matches!(ended.end, End::Stopped { .. });
-                self.settle(ended.call, ended.end, gone);
+                self.settle(now, ended.call, ended.end, gone);
             }
             _ => {
                 self.shared.counters.late_ends.inc();
@@ -105,11 +118,11 @@
         self.feed(now, Input::Ended(ended));
     }
 
-    fn settle(&mut self, call: CallId, end: End, gone: bool) {
+    fn settle(&mut self, now: Time, call: CallId, end: End, gone: bool) {
         match end {
             End::Answered { tokens } => {
                 self.shared.counters.tokens.inc_by(u64::from(tokens));
-                self.ended(call, Outcome::Answered, tokens);
+                self.answered(now, call, tokens);
             }
             End::Stopped { .. } | End::Failed { .. } if gone => {
                 self.forget(call);
@@ -118,20 +131,50 @@
         }
     }
 
-    fn ended(&mut self, call: CallId, outcome: Outcome, tokens: u32) {
+    fn answered(&mut self, now: Time, call: CallId, tokens: u32) {
+        let outcome = Outcome::Answered;
         self.shared
             .record(Some(call), EventKind::Ended { outcome, tokens });
-        if let Some(entry) = self.forget(call) {
-            let answered = &self.shared.counters.answered;
-            answered.get_or_create(&label(&entry.call.request)).inc();
-            self.totals.answered += 1;
+        let Some(entry) = self.forget(call) else {
+            return;
+        };
+        match entry.keyed {
+            None => self.count_answered(&entry.call.request),
+            Some(mut keyed) => {
+                let end = answer_form(&mut keyed).map_or(RunEnd::InDoubt, RunEnd::Answered);
+                self.end_keyed(now, keyed.call, end);
+            }
+        }
+    }
+
+    /// Counts a whole answer.
+    pub(super) fn count_answered(&mut self, request: &scheduler::Request) {
+        let answered = &self.shared.counters.answered;
+        answered.get_or_create(&label(request)).inc();
+        self.totals.answered += 1;
+    }
+
+    /// Tells a caller that its call goes no further.
+    pub(super) fn turn_away(&mut self, submission: Submission, error: ErrorInfo) {
+        match error.ran {
+            Ran::NotRun => self.totals.refused += 1,
+            Ran::Ran => self.totals.failed += 1,
+            Ran::InDoubt => self.totals.in_doubt += 1,
         }
+        drop(submission.verdict.send(error));
+        self.close_call();
+    }
+
+    /// Counts the end of a call whose caller this VM holds.
+    pub(super) fn close_call(&mut self) {
+        self.shared.counters.open.dec();
+        self.cluster.drain.end();
     }
 
     /// Ends the care for a call.
     pub(super) fn forget(&mut self, call: CallId) -> Option<Entry> {
         let entry = self.calls.remove(call)?;
-        self.shared.counters.open.dec();
+        self.close_call();
         Some(entry)
     }
 
@@ -140,19 +183,6 @@
         self.endpoints.reported(&report.endpoint, report.running);
         self.feed(now, Input::Load(report));
     }
-
-    /// Takes no more calls and ends when the last one has ended.
-    pub(super) fn drain(&mut self) {
-        if self.shared.phase() < Phase::Draining {
-            self.shared.set_phase(Phase::Draining);
-            self.shared.record(
-                None,
-                EventKind::DrainBegan {
-                    in_flight: self.calls.len() as u32,
-                },
-            );
-        }
-    }
 }
 
 fn label(request: &poplarswitch_scheduler::Request) -> ClassLabel {
--- a/crates/node/src/decide/carry.rs
+++ b/crates/node/src/decide/carry.rs
@@ -1,27 +1,27 @@
 //! Carries out what the pool orders.
 
-use super::{Decider, table::Run};
+use super::{
+    Decider,
+    table::{Entry, Run},
+};
 use crate::run::{Job, StopHandle};
 use poplarswitch_entity::Time;
+use poplarswitch_keys::RunEnd;
 use poplarswitch_pool::Output;
 use poplarswitch_scheduler::{
     self as scheduler, Dispatch, End, Ended, Fault, Input, Refusal, RefusalReason, Stop,
     StopReason, Verdict, VerdictKind,
 };
 use poplarswitch_timeline::{EventKind, Outcome, RefusalCause};
-use poplarswitch_wire::{ErrorCode, ErrorInfo};
+use poplarswitch_wire::{ErrorCode, ErrorInfo, PeerMessage};
 use std::sync::Arc;
 
 impl Decider {
-    /// Carries out all orders, and those that they cause.
-    pub(super) fn carry_out(&mut self, now: Time) {
-        while !self.out.is_empty() {
-            for output in core::mem::take(&mut self.out) {
-                match output {
-                    Output::Order(order) => self.order(now, order),
-                    Output::Send { .. } => {}
-                }
-            }
+    /// Carries out one order of the pool.
+    pub(super) fn carry_pool(&mut self, now: Time, output: Output) {
+        match output {
+            Output::Order(order) => self.order(now, order),
+            Output::Send { to, message } => self.send(to, PeerMessage::Pool(message)),
         }
     }
 
@@ -29,8 +29,8 @@
         match order {
             scheduler::Output::Dispatch(dispatch) => self.dispatch(now, dispatch),
             scheduler::Output::Stop(stop) => self.stop(stop),
-            scheduler::Output::Refuse(refusal) => self.refuse(refusal),
-            scheduler::Output::Conclude(verdict) => self.conclude(verdict),
+            scheduler::Output::Refuse(refusal) => self.refuse(now, refusal),
+            scheduler::Output::Conclude(verdict) => self.conclude(now, verdict),
         }
     }
 
@@ -102,18 +102,19 @@
         }
     }
 
-    fn refuse(&mut self, refusal: Refusal) {
+    fn refuse(&mut self, now: Time, refusal: Refusal) {
         let cause = cause(refusal.reason);
         self.shared
             .record(Some(refusal.call), EventKind::Refused { cause });
         self.totals.refused += 1;
         if let Some(entry) = self.forget(refusal.call) {
             let error = self.shared.error(ErrorCode::from(refusal.reason));
-            drop(entry.verdict.send(error.retry(refusal.retry_after)));
+            let error = error.retry(refusal.retry_after);
+            self.give_up(now, entry, error, RunEnd::NotRun);
         }
     }
 
-    fn conclude(&mut self, verdict: Verdict) {
+    fn conclude(&mut self, now: Time, verdict: Verdict) {
         let Some(entry) = self.forget(verdict.call) else {
             return;
         };
@@ -132,7 +133,17 @@
             .record(Some(verdict.call), EventKind::Ended { outcome, tokens });
         let peer = entry.last.as_ref().map_or("", |last| last.as_str());
         let error = ErrorInfo::new(ErrorCode::from(verdict.kind), peer);
-        drop(entry.verdict.send(error));
+        self.give_up(now, entry, error, RunEnd::InDoubt);
+    }
+
+    /// Tells the caller, or the core that asked for the run, that there is no answer.
+    fn give_up(&mut self, now: Time, entry: Entry, error: ErrorInfo, end: RunEnd) {
+        if let Some(keyed) = entry.keyed {
+            self.end_keyed(now, keyed.call, end);
+        }
+        if let Some(verdict) = entry.verdict {
+            drop(verdict.send(error));
+        }
     }
 }
 
--- a/crates/node/src/decide/mod.rs
+++ b/crates/node/src/decide/mod.rs
@@ -6,20 +6,29 @@
 
 mod calls;
 mod carry;
+mod cluster;
+mod keyed;
 mod status;
 mod table;
 
-use crate::{event::Event, shared::Shared};
+use crate::{
+    event::{Event, Submission},
+    shared::Shared,
+};
+use cluster::Orders;
 use core::time::Duration;
 use crossbeam::channel::{Receiver, RecvTimeoutError};
 use poplarswitch_catalog::Catalog;
-use poplarswitch_entity::Time;
-use poplarswitch_pool::{Input, Output, Pool};
+use poplarswitch_entity::{CallId, Time};
+use poplarswitch_members as members;
+use poplarswitch_pool::{Input, Pool};
 use poplarswitch_scheduler::Policy;
 use poplarswitch_wire::{CallCounts, Phase};
-use std::sync::Arc;
+use std::{collections::HashMap, sync::Arc};
 use table::{Endpoints, Table};
 
+pub(crate) use cluster::Cluster;
+
 /// Longest time between two looks at the cores.
 const LONGEST_WAIT: Duration = Duration::from_secs(1);
 /// Events that are handled before time is let pass.
@@ -34,13 +43,21 @@
     calls: Table,
     totals: CallCounts,
     endpoints: Endpoints,
-    out: Vec<Output>,
+    waiters: HashMap<CallId, Submission>,
+    cluster: Cluster,
+    platform_up: bool,
+    out: Orders,
     stopping: bool,
 }
 
 impl Decider {
     /// Starts without a set.
-    pub(crate) fn new(shared: Arc<Shared>, events: Receiver<Event>, policy: Policy) -> Self {
+    pub(crate) fn new(
+        shared: Arc<Shared>,
+        events: Receiver<Event>,
+        cluster: Cluster,
+        policy: Policy,
+    ) -> Self {
         Self {
             shared,
             events,
@@ -49,7 +66,10 @@
             calls: Table::default(),
             totals: CallCounts::default(),
             endpoints: Endpoints::default(),
-            out: Vec::new(),
+            waiters: HashMap::new(),
+            cluster,
+            platform_up: false,
+            out: Orders::default(),
             stopping: false,
         }
     }
@@ -89,9 +109,11 @@
             Event::Load(report) => self.load(now, report),
             Event::Silent(endpoint) => self.endpoints.silent(&endpoint),
             Event::Cache(event) => self.feed(now, poplarswitch_scheduler::Input::Cache(event)),
+            Event::Peer(event) => self.peer(now, event),
+            Event::Platform(replied) => self.replied(now, replied),
             Event::Activate(catalog) => self.activate(catalog),
             Event::Status(reply) => drop(reply.send(self.status())),
-            Event::Drain => self.drain(),
+            Event::Drain => self.drain(now),
             Event::Stop => self.stopping = true,
         }
         self.carry_out(now);
@@ -99,20 +121,41 @@
 
     fn tick(&mut self) {
         let now = self.shared.now();
+        let due = |wake: Option<Time>| wake.is_some_and(|wake| wake <= now);
+        let cluster = &mut self.cluster;
         if let Some(pool) = &mut self.pool
-            && pool.next_wake().is_some_and(|wake| wake <= now)
+            && due(pool.next_wake())
         {
-            pool.tick(now, &mut self.out);
+            pool.tick(now, &mut self.out.pool);
         }
-        self.carry_out(now);
-        if self.shared.phase() == Phase::Draining && self.calls.is_empty() {
-            self.shared.set_phase(Phase::Drained);
+        if due(cluster.members.next_wake()) {
+            let load = members::Input::Load(own_load(&self.shared));
+            cluster.members.handle(now, load, &mut self.out.members);
+            cluster.members.tick(now, &mut self.out.members);
+            let members = Arc::new(cluster.members.members());
+            self.shared.members.store(members);
+        }
+        if due(cluster.follower.next_wake()) {
+            cluster.follower.tick(now, &mut self.out.publish);
+        }
+        if due(cluster.keys.next_wake()) {
+            cluster.keys.tick(now, &mut self.out.keys);
         }
+        cluster.drain.tick(now, &mut self.out.drain);
+        self.carry_out(now);
     }
 
     fn wait(&self) -> Duration {
         let now = self.shared.now();
-        let wake = self.pool.as_ref().and_then(Pool::next_wake);
+        let cluster = &self.cluster;
+        let wakes = [
+            self.pool.as_ref().and_then(Pool::next_wake),
+            cluster.members.next_wake(),
+            cluster.follower.next_wake(),
+            cluster.keys.next_wake(),
+            cluster.drain.next_wake(now),
+        ];
+        let wake = wakes.into_iter().flatten().min();
         wake.map_or(LONGEST_WAIT, |wake| wake.since(now).min(LONGEST_WAIT))
     }
 
@@ -120,7 +163,18 @@
     fn activate(&mut self, catalog: Arc<Catalog>) {
         let now = self.shared.now();
         let shared = &self.shared;
-        shared.counters.generation.set(catalog.generation.0 as i64);
+        let held = shared.catalog.load();
+        if held
+            .as_ref()
+            .is_some_and(|held| held.generation >= catalog.generation)
+        {
+            return;
+        }
+        drop(held);
+        shared
+            .counters
+            .generation
+            .set(catalog.generation.0.cast_signed());
         shared.record(
             None,
             poplarswitch_timeline::EventKind::GenerationInForce {
@@ -128,18 +182,16 @@
             },
         );
         self.endpoints.replace(&catalog);
-        match &mut self.pool {
-            Some(pool) => pool.reload(now, Arc::clone(&catalog), &mut self.out),
-            None => {
-                let seed = shared.incarnation.0;
-                let me = shared.incarnation;
-                self.pool = Some(Pool::new(me, Arc::clone(&catalog), self.policy, seed));
-            }
+        if let Some(pool) = &mut self.pool {
+            pool.reload(now, Arc::clone(&catalog), &mut self.out.pool);
+        } else {
+            let me = shared.incarnation;
+            let pool = Pool::new(me, Arc::clone(&catalog), self.policy, me.0);
+            self.pool = Some(pool);
         }
         shared.catalog.store(Some(catalog));
         shared.set_phase(Phase::Serving);
-        self.assign_polls();
-        self.carry_out(now);
+        self.regroup(now);
     }
 
     /// Tells the pollers which endpoints this VM is the home of.
@@ -159,7 +211,14 @@
 
     fn feed(&mut self, now: Time, input: poplarswitch_scheduler::Input) {
         if let Some(pool) = &mut self.pool {
-            pool.handle(now, Input::Local(input), &mut self.out);
+            pool.handle(now, Input::Local(input), &mut self.out.pool);
         }
     }
 }
+
+/// Calls held, in thousandths of the limit.
+fn own_load(shared: &Shared) -> u16 {
+    let open = shared.counters.open.get().max(0) as u64;
+    let most = u64::from(shared.settings.limits.calls).max(1);
+    (open * 1_000 / most).min(1_000) as u16
+}
--- a/crates/node/src/decide/status.rs
+++ b/crates/node/src/decide/status.rs
@@ -2,7 +2,8 @@
 
 use super::{Decider, table::Entry};
 use poplarswitch_entity::ClassName;
-use poplarswitch_wire::{CallCounts, ClassStatus, PlatformStatus, Status};
+use poplarswitch_members::State;
+use poplarswitch_wire::{CallCounts, ClassStatus, MemberStatus, PlatformStatus, Status};
 use std::collections::BTreeMap;
 
 impl Decider {
@@ -24,17 +25,43 @@
                 .map(|catalog| catalog.generation)
                 .unwrap_or_default(),
             uptime_us: shared.now().0,
-            platform: PlatformStatus::Unset,
+            platform: self.platform_status(),
             calls: self.counts(),
             classes: self.classes(),
             endpoints: self.endpoints.status(),
-            members: Vec::new(),
+            members: self.member_statuses(),
         }
     }
 
+    fn platform_status(&self) -> PlatformStatus {
+        match (
+            self.cluster.platform.is_set(),
+            self.cluster.follower.status().platform_up,
+        ) {
+            (false, _) => PlatformStatus::Unset,
+            (true, true) => PlatformStatus::Up,
+            (true, false) => PlatformStatus::Down,
+        }
+    }
+
+    fn member_statuses(&self) -> Vec<MemberStatus> {
+        let me = self.shared.incarnation;
+        let members = self.cluster.members.members();
+        members
+            .into_iter()
+            .filter(|member| member.identity.incarnation != me)
+            .map(|member| MemberStatus {
+                vm: member.identity.vm,
+                incarnation: member.identity.incarnation,
+                state: state_name(member.state).to_owned(),
+                callers: Some(member.identity.caller_address),
+            })
+            .collect()
+    }
+
     fn counts(&self) -> CallCounts {
         CallCounts {
-            open: self.calls.len() as u64,
+            open: (self.calls.len() + self.waiters.len()) as u64,
             running: self.calls.values().filter(|e| e.run.is_some()).count() as u64,
             cancelled: self.shared.counters.cancelled.get(),
             ..self.totals
@@ -58,3 +85,12 @@
         classes.into_values().collect()
     }
 }
+
+const fn state_name(state: State) -> &'static str {
+    match state {
+        State::Alive => "alive",
+        State::Suspect => "suspect",
+        State::Leaving => "leaving",
+        State::Gone => "gone",
+    }
+}
--- a/crates/node/src/decide/table.rs
+++ b/crates/node/src/decide/table.rs
@@ -1,6 +1,9 @@
 //! The calls in flight and the endpoints as this VM has seen them.
 
-use crate::{call::Call, run::StopHandle};
+use crate::{
+    call::{Call, Piece},
+    run::StopHandle,
+};
 use core::net::SocketAddr;
 use poplarswitch_catalog::Catalog;
 use poplarswitch_entity::{Attempt, CallId, EndpointName, Time};
@@ -9,7 +12,7 @@
     collections::{BTreeMap, HashMap},
     sync::Arc,
 };
-use tokio::sync::oneshot;
+use tokio::sync::{mpsc, oneshot};
 
 /// A dispatch of a call.
 #[derive(Debug)]
@@ -19,11 +22,19 @@
     pub(super) stop: Arc<StopHandle>,
 }
 
+/// Why this VM runs a call that must run at most once.
+#[derive(Debug)]
+pub(super) struct Keyed {
+    pub(super) call: CallId,
+    pub(super) pieces: mpsc::Receiver<Piece>,
+}
+
 /// A call in flight.
 #[derive(Debug)]
 pub(super) struct Entry {
     pub(super) call: Arc<Call>,
-    pub(super) verdict: oneshot::Sender<ErrorInfo>,
+    pub(super) verdict: Option<oneshot::Sender<ErrorInfo>>,
+    pub(super) keyed: Option<Keyed>,
     pub(super) arrived: Time,
     pub(super) run: Option<Run>,
     pub(super) answering: bool,
@@ -47,10 +58,6 @@
 }
 
 impl Table {
-    pub(super) fn is_empty(&self) -> bool {
-        self.entries.is_empty()
-    }
-
     pub(super) fn len(&self) -> usize {
         self.entries.len()
     }
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -1,10 +1,12 @@
 //! What the decision thread is told.
 
-use crate::call::Call;
+use crate::{call::Call, platform::Asker};
 use crossbeam::channel::Sender;
 use poplarswitch_catalog::Catalog;
 use poplarswitch_entity::{CallId, EndpointName};
+use poplarswitch_peer::PeerEvent;
 use poplarswitch_scheduler::{CacheEvent, Ended, LoadReport, Progress};
+use poplarswitch_store::{Reply, RequestId};
 use poplarswitch_wire::{ErrorInfo, Status};
 use std::sync::Arc;
 use tokio::sync::oneshot;
@@ -23,6 +25,14 @@
     pub(crate) verdict: oneshot::Sender<ErrorInfo>,
 }
 
+/// The platform's answer to a request of one of the cores.
+#[derive(Debug)]
+pub(crate) struct Replied {
+    pub(crate) asker: Asker,
+    pub(crate) id: RequestId,
+    pub(crate) reply: Reply,
+}
+
 /// Everything that the decision thread reacts to.
 #[derive(Debug)]
 pub(crate) enum Event {
@@ -40,6 +50,10 @@
     Silent(EndpointName),
     /// An endpoint's prefix cache changed.
     Cache(CacheEvent),
+    /// Something happened on a link to another VM.
+    Peer(PeerEvent),
+    /// The platform answered.
+    Platform(Replied),
     /// A set comes into force.
     Activate(Arc<Catalog>),
     /// An operator asks for the state.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -3,18 +3,24 @@
 use crate::{
     Setup,
     callers::{self, Door},
-    decide::Decider,
+    decide::{Cluster, Decider},
     event::Event,
+    platform::Platform,
     ports, reports,
-    shared::Shared,
+    shared::{Shared, wall_ms},
 };
 use core::{net::SocketAddr, time::Duration};
 use crossbeam::channel::{Receiver, Sender, bounded, unbounded};
 use poplarswitch_catalog::{BuildError, Catalog};
+use poplarswitch_discovery::{self as discovery, Drain};
 use poplarswitch_entity::{Generation, Incarnation};
+use poplarswitch_keys as keys;
+use poplarswitch_members::{self as members, Identity};
 use poplarswitch_objects::ObjectSet;
+use poplarswitch_peer::{Hub, HubSettings};
+use poplarswitch_publish::{self as publish, Follower};
 use poplarswitch_settings::{Addresses, SettingsError};
-use poplarswitch_wire::{Phase, Status, WeightedAddress};
+use poplarswitch_wire::{Phase, Status};
 use snafu::{ResultExt, Snafu};
 use std::{
     io,
@@ -39,8 +45,6 @@
 const CLOSE_WAIT: Duration = Duration::from_millis(200);
 /// Longest wait for the decision thread.
 const STATUS_WAIT: Duration = Duration::from_secs(5);
-/// Weight of an address in the list, unless its VM says otherwise.
-const FULL_WEIGHT: u32 = 100;
 
 /// Why a node did not start.
 #[derive(Debug, Snafu)]
@@ -101,11 +105,11 @@
             events,
         ));
         let (door, opened) = watch::channel(Door::Open);
-        let addresses = open_ports(&shared, &runtime, opened)?;
-        shared.advertise(own_address(&shared, addresses.callers));
+        let (addresses, peers) = open_ports(&shared, &runtime, opened)?;
         let (reports, ended) = bounded(0);
         reports::start(&shared, &ended).context(ThreadSnafu)?;
-        let decider = Decider::new(Arc::clone(&shared), incoming, policy);
+        let cluster = join_cluster(&shared, &addresses, peers).context(ThreadSnafu)?;
+        let decider = Decider::new(Arc::clone(&shared), incoming, cluster, policy);
         let decider = decide(decider, catalog).context(ThreadSnafu)?;
         Ok(Self {
             shared,
@@ -215,14 +219,12 @@
     shared: &Arc<Shared>,
     runtime: &Runtime,
     opened: watch::Receiver<Door>,
-) -> Result<Addresses, StartError> {
+) -> Result<(Addresses, TcpListener), StartError> {
     let wanted = &shared.settings.addresses;
-    let callers = listen("callers", wanted.callers)?;
+    let (callers, callers_address) = listen("callers", wanted.callers)?;
+    let (peers, peers_address) = listen("peers", wanted.peers)?;
     let addresses = Addresses {
-        callers: callers.local_addr().context(PortSnafu {
-            port: "callers",
-            address: wanted.callers,
-        })?,
+        callers: callers_address,
         operators: ports::open_operators(wanted.operators, shared).context(PortSnafu {
             port: "operators",
             address: wanted.operators,
@@ -231,7 +233,7 @@
             port: "metrics",
             address: wanted.metrics,
         })?,
-        peers: wanted.peers,
+        peers: peers_address,
     };
     let held = Arc::clone(shared);
     runtime.spawn(async move {
@@ -240,23 +242,74 @@
             Err(error) => tracing::error!(%error, "the callers' port can't be served"),
         }
     });
-    Ok(addresses)
+    Ok((addresses, peers))
 }
 
-fn listen(port: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
+fn listen(
+    port: &'static str,
+    address: SocketAddr,
+) -> Result<(TcpListener, SocketAddr), StartError> {
     let open = || {
         let listener = TcpListener::bind(address)?;
         listener.set_nonblocking(true)?;
-        Ok(listener)
+        let bound = listener.local_addr()?;
+        Ok((listener, bound))
     };
     open().context(PortSnafu { port, address })
 }
 
-fn own_address(shared: &Shared, callers: SocketAddr) -> WeightedAddress {
-    WeightedAddress {
-        vm: shared.settings.vm.clone(),
-        data_centre: shared.settings.data_centre.clone(),
-        address: callers,
-        weight: FULL_WEIGHT,
+/// Milliseconds of a minute.
+const MINUTE_MS: u64 = 60_000;
+
+fn join_cluster(
+    shared: &Arc<Shared>,
+    addresses: &Addresses,
+    peers: TcpListener,
+) -> io::Result<Cluster> {
+    let settings = &shared.settings;
+    let (me, seed) = (shared.incarnation, shared.incarnation.0);
+    let identity = identity(shared, addresses);
+    let hub = HubSettings::builder()
+        .identity(identity.clone())
+        .secret(shared.secrets.peers.reveal().to_owned())
+        .build();
+    let told = Arc::clone(shared);
+    let hub = Hub::start(peers, hub, move |event| told.tell(Event::Peer(event)))?;
+    let members = members::Settings::builder()
+        .seeds(settings.seeds.clone())
+        .build();
+    let drain = discovery::Settings::builder()
+        .linger(settings.linger())
+        .forced(settings.drain())
+        .build();
+    let minute = wall_ms() / MINUTE_MS;
+    let keys = keys::Settings::builder().build();
+    Ok(Cluster {
+        members: members::Core::new(identity, members, seed),
+        follower: Follower::new(publish::Settings::builder().build(), usable, seed),
+        keys: keys::Core::new(shared.now(), me, minute, keys, seed),
+        drain: Drain::new(drain),
+        hub,
+        platform: Platform::start(shared)?,
+    })
+}
+
+fn identity(shared: &Shared, addresses: &Addresses) -> Identity {
+    Identity::builder()
+        .vm(shared.settings.vm.clone())
+        .incarnation(shared.incarnation)
+        .started(wall_ms())
+        .data_centre(shared.settings.data_centre.clone())
+        .cell(shared.settings.cell.clone())
+        .address(addresses.peers)
+        .caller_address(addresses.callers)
+        .build()
+}
+
+/// Whether this VM can use a set.
+fn usable(set: &ObjectSet) -> Result<(), String> {
+    match Catalog::build(set, Generation::default()) {
+        Ok(_) => Ok(()),
+        Err(error) => Err(error.to_string()),
     }
 }
--- a/crates/node/src/run/chat.rs
+++ b/crates/node/src/run/chat.rs
@@ -32,11 +32,11 @@
         let resumed = self.resumed();
         let result = match self.post(link, chat) {
             Ok(response) => self.answer(link, chat, response),
-            Err(_) => Err(Cut::Fault(link.fault())),
+            Err(error) => Err(broken(link, &error)),
         };
         match result {
             Ok(tokens) => End::Answered { tokens },
-            Err(cut) => self.cut_short(link, cut, resumed),
+            Err(cut) => self.cut_short(link, &cut, resumed),
         }
     }
 
@@ -58,7 +58,7 @@
         if let Mode::Resume { emitted } = self.job.mode {
             request = request.header(headers::RESUME_FROM, emitted.to_string());
         }
-        request.send(&chat.body[..])
+        request.send(&*chat.body)
     }
 
     fn answer(&self, link: &Link, chat: &Chat, response: Response<Body>) -> Result<u32, Cut> {
@@ -78,7 +78,7 @@
 
     fn whole(&self, link: &Link, head: Head, body: Body) -> Result<u32, Cut> {
         let body = read_whole(body, u64::from(self.limits().answer_bytes))
-            .map_err(|_| Cut::Fault(link.fault()))?;
+            .map_err(|error| broken(link, &error))?;
         let tokens = TokenUsage::of_answer(&body).completion_tokens;
         self.started(tokens);
         self.give(Piece::Whole(head, body))?;
@@ -93,7 +93,7 @@
         loop {
             let count = reader
                 .read(&mut buffer)
-                .map_err(|_| Cut::Fault(link.fault()))?;
+                .map_err(|error| broken(link, &error))?;
             if count == 0 {
                 return Err(Cut::Fault(link.fault()));
             }
@@ -134,13 +134,13 @@
     }
 
     /// Tells the engine to stop and says how the run ended.
-    fn cut_short(&self, link: &Link, cut: Cut, resumed: u32) -> End {
+    fn cut_short(&self, link: &Link, cut: &Cut, resumed: u32) -> End {
         let emitted = self.job.call.emitted().max(resumed);
         let stopped = self.job.stop.is_stopped();
         let fault = match cut {
             Cut::CallerLeft => None,
             Cut::Fault(_) if stopped => None,
-            Cut::Fault(fault) => Some(fault),
+            Cut::Fault(fault) => Some(*fault),
         };
         let reached = link.fault() == Fault::Lost;
         let running = matches!(fault, None | Some(Fault::Lost));
@@ -164,6 +164,12 @@
     }
 }
 
+/// The connection to the endpoint broke.
+pub(super) fn broken(link: &Link, error: &dyn core::error::Error) -> Cut {
+    tracing::debug!(%error, base = link.base, "a run broke");
+    Cut::Fault(link.fault())
+}
+
 /// Reads a body up to a limit.
 pub(super) fn read_whole(body: Body, limit: u64) -> Result<Bytes, std::io::Error> {
     let mut bytes = Vec::new();
--- a/crates/node/src/run/service.rs
+++ b/crates/node/src/run/service.rs
@@ -1,7 +1,7 @@
 //! Runs a call at a plain service.
 
 use super::{
-    chat::{Cut, read_whole},
+    chat::{Cut, broken, read_whole},
     link::Link,
     runner::Runner,
 };
@@ -30,7 +30,7 @@
     fn exchange(&self, link: &Link, forward: &Forward) -> Result<(), Cut> {
         let response = self
             .send(link, forward)
-            .map_err(|_| Cut::Fault(link.fault()))?;
+            .map_err(|error| broken(link, &error))?;
         let head = Head::of(&response);
         if head.says_not_run() {
             return Err(Cut::Fault(Fault::Declined));
@@ -39,7 +39,7 @@
             return Err(Cut::Fault(Fault::Errored));
         }
         let body = read_whole(response.into_body(), u64::from(self.limits().answer_bytes))
-            .map_err(|_| Cut::Fault(link.fault()))?;
+            .map_err(|error| broken(link, &error))?;
         self.started(1);
         self.give(Piece::Whole(head, body))
     }
@@ -56,7 +56,7 @@
         if forward.body.is_empty() {
             link.agent.run(request.body(())?)
         } else {
-            link.agent.run(request.body(&forward.body[..])?)
+            link.agent.run(request.body(&*forward.body)?)
         }
     }
 }
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -6,12 +6,13 @@
 use crossbeam::channel::Sender;
 use poplarswitch_catalog::Catalog;
 use poplarswitch_entity::{CallId, Incarnation, Time};
+use poplarswitch_members::Member;
 use poplarswitch_objects::Endpoint;
 use poplarswitch_settings::{Secrets, Settings};
 use poplarswitch_timeline::{EventKind, Ring};
-use poplarswitch_wire::{ErrorCode, ErrorInfo, Phase, WeightedAddress};
+use poplarswitch_wire::{ErrorCode, ErrorInfo, Phase};
 use std::{
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Mutex, PoisonError},
     time::{Instant, SystemTime, UNIX_EPOCH},
 };
 use tokio::runtime::Handle;
@@ -23,7 +24,7 @@
     pub(crate) secrets: Secrets,
     pub(crate) incarnation: Incarnation,
     pub(crate) catalog: ArcSwapOption<Catalog>,
-    pub(crate) addresses: ArcSwap<Vec<WeightedAddress>>,
+    pub(crate) members: ArcSwap<Vec<Member>>,
     pub(crate) polled: ArcSwap<Vec<Endpoint>>,
     pub(crate) counters: Counters,
     pub(crate) runtime: Handle,
@@ -55,7 +56,7 @@
             secrets,
             incarnation,
             catalog: ArcSwapOption::empty(),
-            addresses: ArcSwap::default(),
+            members: ArcSwap::default(),
             polled: ArcSwap::default(),
             counters: Counters::default(),
             runtime,
@@ -108,11 +109,6 @@
             .record(wall_ms(), call, what);
     }
 
-    /// Replaces the list of addresses by one.
-    pub(crate) fn advertise(&self, address: WeightedAddress) {
-        self.addresses.store(Arc::new(vec![address]));
-    }
-
     /// An error that arose in this process.
     pub(crate) fn error(&self, code: ErrorCode) -> ErrorInfo {
         ErrorInfo::new(code, self.settings.vm.as_str())
--- /dev/null
+++ b/crates/node/tests/cluster.rs
@@ -0,0 +1,287 @@
+//! Several nodes with peer links, over real HTTP.
+
+mod common;
+
+use common::{ANY, Backs, KEY, booking, chat, client, settings, start, status, until};
+use core::time::Duration;
+use googletest::prelude::*;
+use poplarswitch_client::{ChatCall, Client, Directory, Outcome};
+use poplarswitch_entity::Generation;
+use poplarswitch_entity::Time;
+use poplarswitch_node::Node;
+use poplarswitch_objects::ObjectSet;
+use poplarswitch_publish::{
+    Draft, Outcome as Published, Publisher, PublisherInput, PublisherOutput,
+};
+use poplarswitch_settings::Settings;
+use poplarswitch_standins::{EngineSpec, Platform, PlatformSpec, answer_text};
+use std::sync::{
+    Mutex,
+    atomic::{AtomicBool, AtomicUsize, Ordering},
+};
+
+fn slow() -> EngineSpec {
+    EngineSpec {
+        token_time: Duration::from_millis(8),
+        slots: 64,
+        ..EngineSpec::default()
+    }
+}
+
+/// A node that knows some others.
+fn joined(vm: &str, others: &[&Node], set: Option<ObjectSet>) -> Node {
+    let seeds = others.iter().map(|node| node.addresses().peers).collect();
+    start(
+        Settings {
+            seeds,
+            ..settings(vm)
+        },
+        set,
+    )
+}
+
+fn knows(node: &Node, others: usize) -> bool {
+    let members = status(node).members;
+    members
+        .iter()
+        .filter(|member| member.state == "alive")
+        .count()
+        == others
+}
+
+fn three(backs: &Backs) -> Vec<Node> {
+    let a = joined("vm-a", &[], Some(backs.set()));
+    let b = joined("vm-b", &[&a], Some(backs.set()));
+    let c = joined("vm-c", &[&a], Some(backs.set()));
+    let nodes = vec![a, b, c];
+    until("all know each other", || {
+        nodes.iter().all(|node| knows(node, 2))
+    });
+    nodes
+}
+
+/// Publishes a set by hand, as the tool does.
+fn publish(platform: &Platform, set: &ObjectSet, nonce: u64) -> Published {
+    let draft = Draft::builder()
+        .set(set.clone())
+        .author("test")
+        .nonce(nonce)
+        .build();
+    let mut publisher = Publisher::new(draft, Box::new(|_, _| Vec::new()));
+    let mut out = Vec::new();
+    publisher.handle(Time::ZERO, PublisherInput::Start, &mut out);
+    while let Some(output) = out.pop() {
+        match output {
+            PublisherOutput::Request { id, request } => {
+                let reply = platform.apply(&request);
+                publisher.handle(Time::ZERO, PublisherInput::Reply { id, reply }, &mut out);
+            }
+            PublisherOutput::Finished(outcome) => return outcome,
+        }
+    }
+    panic!("the publication did not end");
+}
+
+#[gtest]
+fn calls_through_any_of_three_nodes_are_answered() {
+    let backs = Backs::start(2, &EngineSpec::default());
+    let nodes = three(&backs);
+    for (index, node) in nodes.iter().enumerate() {
+        let prompt = format!("question {index}");
+        let report = client(node).chat(&chat(&prompt));
+        expect_that!(report.outcome, eq(Outcome::Answered));
+        expect_that!(report.text, eq(&answer_text(&prompt, 64)));
+    }
+}
+
+#[gtest]
+fn a_booking_repeated_at_another_node_runs_once() {
+    let backs = Backs::start(1, &EngineSpec::default());
+    let nodes = three(&backs);
+    let key = client(&nodes[0]).new_key("seat-1");
+    let at = |node: &Node| {
+        let agent_client = DirectCaller::new(node);
+        agent_client.book(key.as_deref().expect("a key"))
+    };
+    let bodies: Vec<(u16, String)> = nodes.iter().map(at).collect();
+    expect_that!(bodies[0].0, eq(200));
+    expect_that!(bodies[1], eq(&bodies[0]));
+    expect_that!(bodies[2], eq(&bodies[0]));
+    expect_that!(backs.service.stats().doubled(), eq(0));
+    let runs: Vec<u32> = backs.service.stats().runs.into_values().collect();
+    expect_that!(runs, eq(&[1]));
+}
+
+/// Calls one node, without asking for addresses first.
+struct DirectCaller {
+    url: String,
+}
+
+impl DirectCaller {
+    fn new(node: &Node) -> Self {
+        Self {
+            url: format!("http://{}/services/booking/seats", node.addresses().callers),
+        }
+    }
+
+    fn book(&self, key: &str) -> (u16, String) {
+        let mut response = common::agent()
+            .post(&self.url)
+            .header("authorization", format!("Bearer {KEY}"))
+            .header("x-class", "seats")
+            .header("idempotency-key", key)
+            .send("{}")
+            .expect("an answer");
+        let text = response.body_mut().read_to_string().expect("a text");
+        (response.status().as_u16(), text)
+    }
+}
+
+#[gtest]
+fn a_published_set_reaches_nodes_with_and_without_the_platform() {
+    let backs = Backs::start(1, &EngineSpec::default());
+    let platform = Platform::start(ANY, PlatformSpec::default()).expect("platform starts");
+    let with = |vm| Settings {
+        platform: Some(platform.url()),
+        ..settings(vm)
+    };
+    let a = start(with("vm-a"), None);
+    let b = joined("vm-b", &[&a], None);
+    let published = publish(&platform, &backs.set(), 1);
+    expect_that!(matches!(published, Published::Accepted(_)), eq(true));
+    let holds = |node: &Node, generation| status(node).generation == Generation(generation);
+    until("both hold the first set", || holds(&a, 1) && holds(&b, 1));
+    let mut second = backs.set();
+    second.tiers[0].floor_percent = 5;
+    publish(&platform, &second, 2);
+    until("both hold the second set", || holds(&a, 2) && holds(&b, 2));
+    let report = client(&b).chat(&chat("who serves"));
+    expect_that!(report.outcome, eq(Outcome::Answered));
+}
+
+#[gtest]
+fn a_leaving_node_refuses_late_callers_and_names_others() {
+    let backs = Backs::start(1, &slow());
+    let mut nodes = three(&backs);
+    let leaving = nodes.remove(0);
+    let others: Vec<_> = nodes.iter().map(|node| node.addresses().callers).collect();
+    std::thread::scope(|scope| {
+        let running = scope.spawn(|| client(&leaving).chat(&chat("a running call")));
+        until("the call runs", || status(&leaving).calls.running == 1);
+        leaving.drain();
+        until("it drains", || {
+            leaving.phase() == poplarswitch_wire::Phase::Draining
+        });
+        let (code, error) = common::post_error(&leaving, KEY, None, &common::body("late", 8));
+        expect_that!(code, eq(503));
+        expect_that!(error.ran, eq(poplarswitch_wire::Ran::NotRun));
+        let mut named = error.others;
+        named.sort();
+        let mut expected = others.clone();
+        expected.sort();
+        expect_that!(named, eq(&expected));
+        let report = running.join().expect("the caller ends");
+        expect_that!(report.outcome, eq(Outcome::Answered));
+        expect_that!(report.text, eq(&answer_text("a running call", 64)));
+    });
+    leaving.join();
+}
+
+/// What the callers of a rolling replacement saw.
+#[derive(Default)]
+struct Tally {
+    started: AtomicUsize,
+    whole: AtomicUsize,
+    refused: AtomicUsize,
+    bad: Mutex<Vec<String>>,
+}
+
+fn stream_calls(caller: usize, client: &Client, stop: &AtomicBool, tally: &Tally) {
+    let mut number = 0;
+    while !stop.load(Ordering::Relaxed) {
+        number += 1;
+        let prompt = format!("caller {caller} call {number}");
+        let call = ChatCall {
+            max_tokens: 48,
+            ..chat(&prompt)
+        };
+        tally.started.fetch_add(1, Ordering::Relaxed);
+        let report = client.chat(&call);
+        match report.outcome {
+            Outcome::Answered if report.text == answer_text(&prompt, 48) => {
+                tally.whole.fetch_add(1, Ordering::Relaxed);
+            }
+            Outcome::NotRun(_) | Outcome::Unreached => {
+                tally.refused.fetch_add(1, Ordering::Relaxed);
+            }
+            other => {
+                let seen = format!("{prompt}: {other:?} after {} pieces", report.pieces);
+                tally.bad.lock().expect("not poisoned").push(seen);
+            }
+        }
+    }
+}
+
+fn replace_all(nodes: &mut Vec<Node>, backs: &Backs) {
+    for round in 0..3 {
+        let old = nodes.remove(0);
+        let others: Vec<&Node> = nodes.iter().collect();
+        let fresh = joined(&format!("vm-new-{round}"), &others, Some(backs.set()));
+        nodes.push(fresh);
+        until("the new one is known", || {
+            nodes.iter().all(|node| knows(node, 3))
+        });
+        old.drain();
+        old.join();
+        until("the old one is out", || {
+            nodes.iter().all(|node| knows(node, 2))
+        });
+    }
+}
+
+#[gtest]
+fn a_rolling_replacement_cuts_loses_and_doubles_no_stream() {
+    let backs = Backs::start(2, &slow());
+    let mut nodes = three(&backs);
+    let seeds: Vec<_> = nodes.iter().map(|node| node.addresses().callers).collect();
+    let tally = Tally::default();
+    let stop = AtomicBool::new(false);
+    std::thread::scope(|scope| {
+        for caller in 0..12 {
+            let (tally, stop) = (&tally, &stop);
+            let client = Client::new(Directory::new(seeds.clone(), caller as u64), KEY);
+            scope.spawn(move || stream_calls(caller, &client, stop, tally));
+        }
+        until("streams run", || tally.whole.load(Ordering::Relaxed) > 10);
+        replace_all(&mut nodes, &backs);
+        stop.store(true, Ordering::Relaxed);
+    });
+    let bad = tally.bad.lock().expect("not poisoned");
+    expect_that!(*bad, is_empty());
+    let [started, whole, refused] =
+        [&tally.started, &tally.whole, &tally.refused].map(|count| count.load(Ordering::Relaxed));
+    expect_that!(whole + refused, eq(started));
+    let finished: u64 = backs
+        .engines
+        .iter()
+        .map(|engine| engine.stats().finished)
+        .sum();
+    expect_that!(finished, eq(whole as u64));
+}
+
+#[gtest]
+fn a_booking_outlives_the_node_that_took_it() {
+    let backs = Backs::start(1, &EngineSpec::default());
+    let mut nodes = three(&backs);
+    let key = client(&nodes[0]).new_key("seat-2").expect("a key");
+    let first = DirectCaller::new(&nodes[0]).book(&key);
+    let old = nodes.remove(0);
+    old.drain();
+    old.join();
+    let again = DirectCaller::new(&nodes[0]).book(&key);
+    expect_that!(again, eq(&first));
+    expect_that!(backs.service.stats().doubled(), eq(0));
+    let report = client(&nodes[1]).invoke(&booking(Some(key)));
+    expect_that!(report.outcome, eq(Outcome::Answered));
+    expect_that!(backs.service.stats().doubled(), eq(0));
+}
--- a/crates/settings/src/settings.rs
+++ b/crates/settings/src/settings.rs
@@ -171,6 +171,10 @@
     #[serde(default = "default_events")]
     #[builder(default = default_events())]
     pub timeline_events: u32,
+    /// Shortest drain, in which late callers get a refusal and other addresses, in milliseconds.
+    #[serde(default = "default_linger_ms")]
+    #[builder(default = default_linger_ms())]
+    pub linger_ms: u32,
     /// Longest wait for calls in flight after a second stop signal, in milliseconds.
     #[serde(default = "default_drain_ms")]
     #[builder(default = default_drain_ms())]
@@ -178,6 +182,11 @@
 }
 
 impl Settings {
+    /// Shortest drain.
+    pub const fn linger(&self) -> Duration {
+        Duration::from_millis(self.linger_ms as u64)
+    }
+
     /// Longest wait for calls in flight after a second stop signal.
     pub const fn drain(&self) -> Duration {
         Duration::from_millis(self.drain_ms as u64)
@@ -188,6 +197,10 @@
     16_384
 }
 
+const fn default_linger_ms() -> u32 {
+    6_000
+}
+
 const fn default_drain_ms() -> u32 {
     30_000
 }
--- a/crates/wire/src/error.rs
+++ b/crates/wire/src/error.rs
@@ -64,6 +64,10 @@
     BodyTimeout,
     /// The class needs an idempotency key.
     KeyRequired,
+    /// The call ran, and its answer is no longer kept.
+    AnswerGone,
+    /// The VM that holds the key can't be asked.
+    HomeUnreached,
     /// The same key came with another call.
     KeyConflict,
     /// The workspace is over its rate.
@@ -103,6 +107,8 @@
             Self::BodyTooLarge => "body_too_large",
             Self::BodyTimeout => "body_timeout",
             Self::KeyRequired => "key_required",
+            Self::AnswerGone => "answer_gone",
+            Self::HomeUnreached => "home_unreached",
             Self::KeyConflict => "key_conflict",
             Self::RateLimit => "rate_limit",
             Self::QueueFull => "queue_full",
@@ -125,6 +131,7 @@
             Self::WrongMethod => 405,
             Self::BodyTimeout => 408,
             Self::KeyConflict => 409,
+            Self::AnswerGone => 410,
             Self::BodyTooLarge => 413,
             Self::UnknownClass | Self::ClassMismatch | Self::Malformed | Self::KeyRequired => 400,
             Self::RateLimit | Self::QueueFull => 429,
@@ -133,7 +140,8 @@
             | Self::NoEndpoint
             | Self::Leaving
             | Self::Busy
-            | Self::NoSet => 503,
+            | Self::NoSet
+            | Self::HomeUnreached => 503,
             Self::Failed => 502,
             Self::InDoubt => 504,
         }
@@ -142,8 +150,8 @@
     /// Whether the call was run.
     pub const fn ran(self) -> Ran {
         match self {
-            Self::Failed => Ran::Ran,
-            Self::InDoubt => Ran::InDoubt,
+            Self::Failed | Self::AnswerGone => Ran::Ran,
+            Self::InDoubt | Self::HomeUnreached => Ran::InDoubt,
             _ => Ran::NotRun,
         }
     }
@@ -161,7 +169,9 @@
             | Self::UnknownModel
             | Self::UnknownService
             | Self::ClassMismatch => Step::Resolve,
-            Self::KeyRequired | Self::KeyConflict => Step::Claim,
+            Self::KeyRequired | Self::KeyConflict | Self::AnswerGone | Self::HomeUnreached => {
+                Step::Claim
+            }
             Self::RateLimit
             | Self::QueueFull
             | Self::Overload
@@ -187,6 +197,10 @@
             Self::BodyTooLarge => "the body is larger than the class allows",
             Self::BodyTimeout => "the body did not come in time",
             Self::KeyRequired => "calls of this class need an Idempotency-Key header",
+            Self::AnswerGone => "the call ran and its answer is no longer kept",
+            Self::HomeUnreached => {
+                "the call did not run here; whether an earlier one with its key did is not known"
+            }
             Self::KeyConflict => "the Idempotency-Key was used for another call",
             Self::RateLimit => "the workspace is over its rate",
             Self::QueueFull => "too many calls wait",
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,6 +8,8 @@
 mod chat;
 mod error;
 pub mod headers;
+mod keyed;
+mod peer;
 mod status;
 
 #[cfg(test)]
@@ -16,10 +18,16 @@
 mod chat_tests;
 #[cfg(test)]
 mod error_tests;
+#[cfg(test)]
+mod peer_tests;
 
 pub use address::{AddressList, WeightedAddress};
 pub use chat::{ChatError, ChatHead, Message, ModelCard, ModelList, TokenUsage};
 pub use error::{ErrorBody, ErrorCode, ErrorInfo, Ran, Step};
+pub use keyed::{KeyedAnswer, KeyedRequest};
+pub use peer::{
+    Envelope, FrameError, Greeting, Hello, MAX_FRAME_BYTES, PROTOCOL, PeerMessage, decode, encode,
+};
 pub use status::{
     CallCounts, ClassStatus, EndpointState, EndpointStatus, MemberStatus, Phase, PlatformStatus,
     Status,
--- /dev/null
+++ b/crates/wire/src/peer_tests.rs
@@ -0,0 +1,41 @@
+use crate::{Envelope, Greeting, KeyedAnswer, PROTOCOL, PeerMessage, decode, encode};
+use googletest::prelude::*;
+use poplarswitch_entity::Incarnation;
+use poplarswitch_members::MembersMessage;
+use poplarswitch_timeline::Stamp;
+
+#[gtest]
+fn a_message_survives_the_wire() {
+    let envelope = Envelope {
+        at: Stamp::START,
+        message: PeerMessage::Members(MembersMessage::Doubt(vec![Incarnation(7)])),
+    };
+    let bytes = encode(&envelope).expect("encodes");
+    expect_that!(decode::<Envelope>(&bytes), ok(eq(&envelope)));
+}
+
+#[gtest]
+fn a_torn_frame_is_an_error() {
+    let greeting = Greeting {
+        protocol: PROTOCOL,
+        nonce: 9,
+    };
+    let bytes = encode(&greeting).expect("encodes");
+    expect_that!(
+        decode::<Greeting>(&bytes[..bytes.len() - 1]),
+        err(anything())
+    );
+    expect_that!(decode::<Envelope>(&bytes), err(anything()));
+}
+
+#[gtest]
+fn a_body_takes_one_byte_for_each_byte() {
+    let answer = KeyedAnswer {
+        status: 200,
+        kind: None,
+        body: vec![200; 10_000],
+    };
+    let bytes = encode(&answer).expect("encodes");
+    expect_that!(bytes.len(), lt(10_100));
+    expect_that!(decode::<KeyedAnswer>(&bytes), ok(eq(&answer)));
+}
