--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -19,5 +19,5 @@
 mod setup;
 mod shared;
 
-pub use node::{Node, StartError};
+pub use node::{Drainer, Node, StartError};
 pub use setup::Setup;
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -56,17 +56,14 @@
     }
     let secrets = Secrets::load(&settings.secrets).whatever_context("secrets")?;
     let mut signals = Signals::new([SIGTERM, SIGINT]).whatever_context("signals")?;
-    let bound = settings.drain();
     let setup = Setup::builder().settings(settings).secrets(secrets).build();
     let node = Node::start(setup).whatever_context("start")?;
     tracing::info!(addresses = ?node.addresses(), "started");
-    signals.forever().next();
-    tracing::info!("draining");
-    node.drain();
+    let drainer = node.drainer();
     thread::spawn(move || {
-        if signals.forever().next().is_some() {
-            thread::sleep(bound);
-            std::process::exit(1);
+        for _ in signals.forever() {
+            tracing::info!("draining");
+            drainer.drain();
         }
     });
     node.join();
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -42,7 +42,7 @@
 /// Wait between two looks at the phase.
 const PHASE_POLL: Duration = Duration::from_millis(10);
 /// Time left to connections to close after the last call.
-const CLOSE_WAIT: Duration = Duration::from_millis(200);
+const CLOSE_WAIT: Duration = Duration::from_secs(2);
 /// Longest wait for the decision thread.
 const STATUS_WAIT: Duration = Duration::from_secs(5);
 
@@ -155,13 +155,24 @@
         self.shared.tell(Event::Drain);
     }
 
+    /// Orders a drain from another thread; a second order bounds its time.
+    pub fn drainer(&self) -> Drainer {
+        Drainer {
+            shared: Arc::clone(&self.shared),
+        }
+    }
+
     /// Waits until a drain has ended, then ends the process.
     pub fn join(mut self) {
         while self.phase() != Phase::Drained {
             thread::sleep(PHASE_POLL);
         }
         self.door.send_replace(Door::Closing);
-        thread::sleep(CLOSE_WAIT);
+        let since = self.shared.now();
+        let open = || self.shared.counters.connections.get() > 0;
+        while open() && self.shared.now().since(since) < CLOSE_WAIT {
+            thread::sleep(PHASE_POLL);
+        }
         self.end();
     }
 
@@ -183,6 +194,19 @@
     }
 }
 
+/// Orders the drain of a node.
+#[derive(Clone, Debug)]
+pub struct Drainer {
+    shared: Arc<Shared>,
+}
+
+impl Drainer {
+    /// Takes no more calls; the second time, bounds the time of those in flight.
+    pub fn drain(&self) {
+        self.shared.tell(Event::Drain);
+    }
+}
+
 impl Drop for Node {
     fn drop(&mut self) {
         self.end();
--- a/crates/node/tests/cluster.rs
+++ b/crates/node/tests/cluster.rs
@@ -285,3 +285,35 @@
     expect_that!(report.outcome, eq(Outcome::Answered));
     expect_that!(backs.service.stats().doubled(), eq(0));
 }
+
+#[gtest]
+fn a_dead_node_is_left_out_and_its_pools_move() {
+    let backs = Backs::start(2, &slow());
+    let mut nodes = three(&backs);
+    let dead = nodes.remove(0);
+    let whole = AtomicUsize::new(0);
+    std::thread::scope(|scope| {
+        let (nodes, whole) = (&nodes, &whole);
+        for caller in 0..8 {
+            scope.spawn(move || {
+                let prompt = format!("caller {caller} meanwhile");
+                let report = client(&nodes[caller % 2]).chat(&chat(&prompt));
+                assert_eq!(
+                    report.text,
+                    answer_text(&prompt, 64),
+                    "{:?}",
+                    report.outcome
+                );
+                whole.fetch_add(1, Ordering::Relaxed);
+            });
+        }
+        until("some run", || {
+            nodes.iter().any(|node| status(node).calls.running > 0)
+        });
+        dead.stop();
+        until("all end", || whole.load(Ordering::Relaxed) == 8);
+    });
+    until("the dead one is out", || {
+        nodes.iter().all(|node| knows(node, 1))
+    });
+}
