--- a/crates/wire/src/error.rs
+++ b/crates/wire/src/error.rs
@@ -64,6 +64,10 @@
     BodyTimeout,
     /// The class needs an idempotency key.
     KeyRequired,
+    /// The call ran, and its answer is no longer kept.
+    AnswerGone,
+    /// The VM that holds the key can't be asked.
+    HomeUnreached,
     /// The same key came with another call.
     KeyConflict,
     /// The workspace is over its rate.
@@ -89,6 +93,36 @@
 }
 
 impl ErrorCode {
+    /// The code as it is written in JSON.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Unauthorized => "unauthorized",
+            Self::UnknownPath => "unknown_path",
+            Self::WrongMethod => "wrong_method",
+            Self::UnknownClass => "unknown_class",
+            Self::UnknownModel => "unknown_model",
+            Self::UnknownService => "unknown_service",
+            Self::ClassMismatch => "class_mismatch",
+            Self::Malformed => "malformed",
+            Self::BodyTooLarge => "body_too_large",
+            Self::BodyTimeout => "body_timeout",
+            Self::KeyRequired => "key_required",
+            Self::AnswerGone => "answer_gone",
+            Self::HomeUnreached => "home_unreached",
+            Self::KeyConflict => "key_conflict",
+            Self::RateLimit => "rate_limit",
+            Self::QueueFull => "queue_full",
+            Self::Overload => "overload",
+            Self::WaitExpired => "wait_expired",
+            Self::NoEndpoint => "no_endpoint",
+            Self::Leaving => "leaving",
+            Self::Busy => "busy",
+            Self::NoSet => "no_set",
+            Self::Failed => "failed",
+            Self::InDoubt => "in_doubt",
+        }
+    }
+
     /// The HTTP status that goes with the code.
     pub const fn status(self) -> u16 {
         match self {
@@ -97,6 +131,7 @@
             Self::WrongMethod => 405,
             Self::BodyTimeout => 408,
             Self::KeyConflict => 409,
+            Self::AnswerGone => 410,
             Self::BodyTooLarge => 413,
             Self::UnknownClass | Self::ClassMismatch | Self::Malformed | Self::KeyRequired => 400,
             Self::RateLimit | Self::QueueFull => 429,
@@ -105,7 +140,8 @@
             | Self::NoEndpoint
             | Self::Leaving
             | Self::Busy
-            | Self::NoSet => 503,
+            | Self::NoSet
+            | Self::HomeUnreached => 503,
             Self::Failed => 502,
             Self::InDoubt => 504,
         }
@@ -114,8 +150,8 @@
     /// Whether the call was run.
     pub const fn ran(self) -> Ran {
         match self {
-            Self::Failed => Ran::Ran,
-            Self::InDoubt => Ran::InDoubt,
+            Self::Failed | Self::AnswerGone => Ran::Ran,
+            Self::InDoubt | Self::HomeUnreached => Ran::InDoubt,
             _ => Ran::NotRun,
         }
     }
@@ -133,7 +169,9 @@
             | Self::UnknownModel
             | Self::UnknownService
             | Self::ClassMismatch => Step::Resolve,
-            Self::KeyRequired | Self::KeyConflict => Step::Claim,
+            Self::KeyRequired | Self::KeyConflict | Self::AnswerGone | Self::HomeUnreached => {
+                Step::Claim
+            }
             Self::RateLimit
             | Self::QueueFull
             | Self::Overload
@@ -159,6 +197,10 @@
             Self::BodyTooLarge => "the body is larger than the class allows",
             Self::BodyTimeout => "the body did not come in time",
             Self::KeyRequired => "calls of this class need an Idempotency-Key header",
+            Self::AnswerGone => "the call ran and its answer is no longer kept",
+            Self::HomeUnreached => {
+                "the call did not run here; whether an earlier one with its key did is not known"
+            }
             Self::KeyConflict => "the Idempotency-Key was used for another call",
             Self::RateLimit => "the workspace is over its rate",
             Self::QueueFull => "too many calls wait",
