--- a/crates/util/src/commands/status.rs
+++ b/crates/util/src/commands/status.rs
@@ -6,14 +6,25 @@
     fleet::{Answer, Fleet, FleetArgs},
     output::{Output, table},
 };
-use core::net::SocketAddr;
+use core::{net::SocketAddr, time::Duration};
+use poplarswitch_entity::Generation;
 use poplarswitch_wire::{EndpointState, Status};
 use serde::Serialize;
+use std::{thread, time::Instant};
+
+/// Time between two questions for the generation.
+const POLL: Duration = Duration::from_millis(200);
 
 #[derive(Debug, clap::Args)]
 pub(crate) struct Args {
     #[command(flatten)]
     fleet: FleetArgs,
+    /// Wait until every VM has this generation or a later one in force
+    #[arg(long, value_name = "GENERATION")]
+    until: Option<u64>,
+    /// Longest wait for the generation, in seconds
+    #[arg(long, default_value_t = 30, requires = "until")]
+    timeout: u64,
 }
 
 #[derive(Debug, Serialize)]
@@ -37,14 +48,38 @@
 
 impl Args {
     pub(crate) fn run(&self, output: &mut Output<'_>) -> Result<Exit, ToolError> {
-        let answers = Fleet::new(&self.fleet)?.statuses();
+        let fleet = Fleet::new(&self.fleet)?;
+        let (answers, reached) = match self.until {
+            Some(generation) => self.wait(&fleet, Generation(generation)),
+            None => (fleet.statuses(), true),
+        };
         if output.is_json() {
             let lines: Vec<Line> = answers.iter().map(Line::from).collect();
             output.value(&lines)?;
         } else {
             print(&answers, output)?;
         }
-        Ok(exit(&answers))
+        Ok(match exit(&answers) {
+            Exit::Success if !reached => Exit::Failure,
+            exit => exit,
+        })
+    }
+
+    /// Asks until every VM has the generation; says whether they had it in time.
+    fn wait(&self, fleet: &Fleet, generation: Generation) -> (Vec<Answer<Status>>, bool) {
+        let deadline = Instant::now() + Duration::from_secs(self.timeout);
+        loop {
+            let answers = fleet.statuses();
+            let has = |answer: &Answer<Status>| match &answer.result {
+                Ok(status) => status.generation >= generation,
+                Err(_) => false,
+            };
+            let reached = answers.iter().all(has);
+            if reached || Instant::now() >= deadline {
+                return (answers, reached);
+            }
+            thread::sleep(POLL);
+        }
     }
 }
 
