--- a/crates/util/src/commands/status.rs
+++ b/crates/util/src/commands/status.rs
@@ -137,7 +137,7 @@
         calls.open.to_string(),
         calls.running.to_string(),
         calls.answered.to_string(),
-        (calls.refused + calls.rejected).to_string(),
+        calls.refused.to_string(),
         calls.failed.to_string(),
         calls.in_doubt.to_string(),
         calls.cancelled.to_string(),
