Record the end of a drain in the time line

Cause: drain_began had no drain_ended. Change: the decision thread records it when the last call has ended.

--- a/crates/node/src/decide/mod.rs
+++ b/crates/node/src/decide/mod.rs
@@ -107,6 +107,8 @@
         self.carry_out(now);
         if self.shared.phase() == Phase::Draining && self.calls.is_empty() {
             self.shared.set_phase(Phase::Drained);
+            let ended = poplarswitch_timeline::EventKind::DrainEnded { cut: 0 };
+            self.shared.record(None, ended);
         }
     }
 
