Ask an operators' port again after a silence, and test the tool against a node

Change: each request (all are idempotent) is tried with a patience of 2, 5 and 15 s; an example of the node counts unanswered connections; status, timeline, load and drain run against a node with stand-ins.

--- a/crates/util/src/fleet.rs
+++ b/crates/util/src/fleet.rs
@@ -21,8 +21,13 @@
 const PARALLEL: usize = 16;
 /// Longest wait for a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
-/// Longest wait for a whole answer.
-const ANSWER_TIMEOUT: Duration = Duration::from_secs(15);
+/// Longest waits for a whole answer, for one attempt after another. Everything that is asked
+/// may be asked twice, and a connection that `astra` has lost answers never.
+const ANSWER_TIMEOUTS: [Duration; 3] = [
+    Duration::from_secs(2),
+    Duration::from_secs(5),
+    Duration::from_secs(15),
+];
 /// Largest answer that is read, in bytes.
 const MAX_ANSWER_BYTES: u64 = 64 << 20;
 /// Most characters of an error's text that are shown.
@@ -73,7 +78,6 @@
         let config = Agent::config_builder()
             .http_status_as_error(false)
             .timeout_connect(Some(CONNECT_TIMEOUT))
-            .timeout_global(Some(ANSWER_TIMEOUT))
             .build();
         addresses.sort_unstable();
         addresses.dedup();
@@ -127,29 +131,38 @@
         step: &'static str,
         path: &str,
     ) -> Result<T, ToolError> {
-        let request = self.agent.get(format!("http://{at}{path}"));
-        let response = request
-            .header("authorization", self.bearer())
-            .call()
-            .context(ExchangeSnafu { step, peer: at })?;
-        let mut response = successful(response, step, at)?;
-        let body = response.body_mut().with_config().limit(MAX_ANSWER_BYTES);
-        body.read_json().context(ExchangeSnafu { step, peer: at })
+        let url = format!("http://{at}{path}");
+        attempts(|timeout| {
+            let request = self.agent.get(&url).header("authorization", self.bearer());
+            let request = request.config().timeout_global(Some(timeout)).build();
+            let mut response = request.call()?;
+            if !response.status().is_success() {
+                return Ok(Err(refusal(response, step, at)));
+            }
+            let body = response.body_mut().with_config().limit(MAX_ANSWER_BYTES);
+            body.read_json().map(Ok)
+        })
+        .context(ExchangeSnafu { step, peer: at })?
     }
 
-    /// Gives one VM an order.
+    /// Gives one VM an order; all orders are idempotent.
     pub(crate) fn post(
         &self,
         at: SocketAddr,
         step: &'static str,
         path: &str,
     ) -> Result<(), ToolError> {
-        let request = self.agent.post(format!("http://{at}{path}"));
-        let response = request
-            .header("authorization", self.bearer())
-            .send_empty()
-            .context(ExchangeSnafu { step, peer: at })?;
-        successful(response, step, at).map(drop)
+        let url = format!("http://{at}{path}");
+        attempts(|timeout| {
+            let request = self.agent.post(&url).header("authorization", self.bearer());
+            let request = request.config().timeout_global(Some(timeout)).build();
+            let response = request.send_empty()?;
+            if !response.status().is_success() {
+                return Ok(Err(refusal(response, step, at)));
+            }
+            Ok(Ok(()))
+        })
+        .context(ExchangeSnafu { step, peer: at })?
     }
 
     fn bearer(&self) -> String {
@@ -157,21 +170,31 @@
     }
 }
 
-fn successful(
-    mut response: Response<Body>,
-    step: &'static str,
-    peer: SocketAddr,
-) -> Result<Response<Body>, ToolError> {
-    if response.status().is_success() {
-        return Ok(response);
+/// Asks again after a timeout, with more patience each time.
+fn attempts<T>(mut ask: impl FnMut(Duration) -> Result<T, ureq::Error>) -> Result<T, ureq::Error> {
+    let mut result = Err(ureq::Error::ConnectionFailed);
+    for timeout in ANSWER_TIMEOUTS {
+        result = ask(timeout);
+        let is_late = matches!(&result, Err(ureq::Error::Timeout(late)) if !is_connect(*late));
+        if !is_late {
+            break;
+        }
     }
+    result
+}
+
+const fn is_connect(timeout: ureq::Timeout) -> bool {
+    matches!(timeout, ureq::Timeout::Connect)
+}
+
+fn refusal(mut response: Response<Body>, step: &'static str, peer: SocketAddr) -> ToolError {
     let text = response.body_mut().read_to_string().unwrap_or_default();
-    Err(ToolError::Status {
+    ToolError::Status {
         step,
         peer,
         status: response.status().as_u16(),
         text: text.chars().take(SHOWN_CHARS).collect(),
-    })
+    }
 }
 
 /// A bar on the terminal; nothing where the output is no terminal.
--- a/crates/util/src/fleet_tests.rs
+++ b/crates/util/src/fleet_tests.rs
@@ -74,3 +74,21 @@
     expect_that!(errors.len(), eq(1));
     expect_that!(errors[0].exit(), eq(Exit::Unreachable));
 }
+
+#[gtest]
+fn a_connection_without_an_answer_is_tried_again() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let server = thread::spawn(move || {
+        let silent = listener.accept().expect("a connection");
+        let (mut stream, _) = listener.accept().expect("another connection");
+        let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\nconnection: close\r\n\r\n7";
+        stream.write_all(answer).expect("an answer");
+        let mut rest = Vec::new();
+        drop(stream.read_to_end(&mut rest));
+        drop(silent);
+    });
+    let number = fleet(&[address]).get::<u32>(address, "read", "/number");
+    expect_that!(number.is_ok_and(|number| number == 7), eq(true));
+    server.join().expect("the server ends");
+}
--- a/crates/util/src/main.rs
+++ b/crates/util/src/main.rs
@@ -16,6 +16,8 @@
 #[cfg(test)]
 mod fleet_tests;
 #[cfg(test)]
+mod node_tests;
+#[cfg(test)]
 mod platform_tests;
 #[cfg(test)]
 mod publication_tests;
