Add the tool's bench

Cause: the policy's figures and plots are made by the tool itself. Change: bench runs scenarios of the policy benchmark with a progress bar, prints the summary and the goals missed, and writes JSON and SVG.

--- a/crates/util/src/cli.rs
+++ b/crates/util/src/cli.rs
@@ -35,6 +35,8 @@
     Timeline(commands::timeline::Args),
     /// Send calls at a steady rate and report their latency
     Load(commands::load::Args),
+    /// Measure the policy in virtual time against its baselines
+    Bench(commands::bench::Args),
     /// Make or hash a bearer key
     Key(commands::key::Args),
     /// Print the completions of a shell
@@ -53,6 +55,7 @@
             Self::Drain(args) => args.run(output),
             Self::Timeline(args) => args.run(output),
             Self::Load(args) => args.run(output),
+            Self::Bench(args) => args.run(output),
             Self::Key(args) => args.run(output),
             Self::Completions(args) => args.run(output),
         }
--- a/crates/util/src/cli_tests.rs
+++ b/crates/util/src/cli_tests.rs
@@ -104,3 +104,27 @@
     let (exit, _) = run(&[&["drain", "vm1"], &at[..]].concat());
     expect_that!(exit, eq(Exit::Unreachable));
 }
+
+#[gtest]
+fn bench_writes_figures_and_a_plot() {
+    let root = TempDir::new().expect("a directory");
+    let out = root.path().display().to_string();
+    let line = [
+        "bench",
+        "atlas-briefing",
+        "--vms",
+        "1",
+        "--seeds",
+        "1",
+        "--out",
+        &out,
+    ];
+    let (exit, text) = run(&line);
+    expect_that!(exit, eq(Exit::Success));
+    expect_that!(text, contains_substring("strict-least-outstanding"));
+    let plot = fs::read_to_string(root.path().join("atlas-briefing.svg")).expect("a plot");
+    expect_that!(plot, contains_substring("<svg"));
+    let figures = fs::read(root.path().join("report.json")).expect("figures");
+    let figures: serde_json::Value = serde_json::from_slice(&figures).expect("JSON");
+    expect_that!(figures["rows"].as_array().map(Vec::len), some(eq(4)));
+}
--- a/crates/util/src/commands/mod.rs
+++ b/crates/util/src/commands/mod.rs
@@ -1,6 +1,7 @@
 //! The subcommands, each in a module of its own.
 
 pub(crate) mod apply;
+pub(crate) mod bench;
 pub(crate) mod check;
 pub(crate) mod completions;
 pub(crate) mod diff;
--- a/crates/util/src/error.rs
+++ b/crates/util/src/error.rs
@@ -2,6 +2,7 @@
 
 use crate::exit::Exit;
 use core::net::SocketAddr;
+use poplarswitch_bench::PlotError;
 use poplarswitch_publish::ReadError;
 use poplarswitch_settings::SecretError;
 use snafu::Snafu;
@@ -49,6 +50,9 @@
     /// The current set can't be read.
     #[snafu(display("read the current set at platform {peer}: {source}"))]
     Head { peer: String, source: ReadError },
+    /// A plot could not be drawn.
+    #[snafu(display("plot: {source}"))]
+    Plot { source: PlotError },
     /// The output could not be written.
     #[snafu(display("write the output: {source}"))]
     Print { source: io::Error },
