--- /dev/null
+++ b/crates/oracle/src/cell.rs
@@ -0,0 +1,421 @@
+//! Several pools under the oracle, on a network that loses, repeats and delays messages.
+
+use crate::{
+    calls::Ending,
+    cell_machine::Step,
+    fixture::{Kind, catalog, request},
+    judge::Judge,
+    mutation::Mutation,
+};
+use core::time::Duration;
+use poplarswitch_entity::{CallId, Incarnation, Time};
+use poplarswitch_pool::{Input, Output, Pool, PoolMessage};
+use poplarswitch_scheduler::{self as scheduler, Dispatch, End, Ended, Policy, Progress, Stop};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// VMs of the cell.
+pub const VMS: usize = 3;
+/// Time that changes of home may add to a wait.
+const SLACK: Duration = Duration::from_secs(3);
+/// Time after which every wait must have ended.
+const LONG: Duration = Duration::from_mins(1);
+/// Time between two rounds of ends.
+const ROUND: Duration = Duration::from_secs(1);
+/// Shortest delay of a message.
+const DELAY: Duration = Duration::from_micros(500);
+/// Shortest time between two looks at one clock.
+const TICK: Duration = Duration::from_micros(100);
+
+/// How the network treats messages.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Net {
+    /// Messages lost, in percent.
+    pub lost: u8,
+    /// Messages repeated, in percent.
+    pub repeated: u8,
+    /// Largest added delay, in milliseconds.
+    pub delay: u64,
+}
+
+#[derive(Debug)]
+struct Vm {
+    id: Incarnation,
+    pool: Pool,
+    paused: bool,
+    inbox: Vec<(Incarnation, PoolMessage)>,
+    second: bool,
+    looked: Time,
+}
+
+/// The pools, the network and the oracle.
+#[derive(Debug)]
+pub struct Cell {
+    /// The oracle.
+    pub judge: Judge,
+    mutation: Option<Mutation>,
+    now: Time,
+    vms: Vec<Vm>,
+    net: Net,
+    cuts: BTreeSet<(usize, usize)>,
+    wire: BTreeMap<(Time, u64), (Incarnation, Incarnation, PoolMessage)>,
+    sent: u64,
+    seq: u64,
+    lives: u64,
+    rng: Pcg64,
+}
+
+impl Cell {
+    /// Starts all VMs with the same view.
+    pub fn new(mutation: Option<Mutation>) -> Self {
+        let mut cell = Self {
+            judge: Judge::default(),
+            mutation,
+            now: Time::ZERO,
+            vms: Vec::new(),
+            net: Net::default(),
+            cuts: BTreeSet::new(),
+            wire: BTreeMap::new(),
+            sent: 0,
+            seq: 0,
+            lives: 0,
+            rng: Pcg64::seed_from_u64(1),
+        };
+        for _ in 0..VMS {
+            let vm = cell.start_vm();
+            cell.vms.push(vm);
+        }
+        (0..VMS).for_each(|vm| cell.show_members(vm));
+        cell
+    }
+
+    fn start_vm(&mut self) -> Vm {
+        self.lives += 1;
+        let id = Incarnation(self.lives);
+        Vm {
+            id,
+            pool: Pool::new(id, catalog(false), Policy::Full, self.lives),
+            paused: false,
+            inbox: Vec::new(),
+            second: false,
+            looked: self.now,
+        }
+    }
+
+    /// Does one step.
+    pub fn step(&mut self, step: &Step) {
+        match *step {
+            Step::Submit(vm, kind) => self.submit(vm, kind),
+            Step::Burst(vm, kind, count) => (0..count).for_each(|_| self.submit(vm, kind)),
+            Step::End(pick, ending) => self.end(pick, ending),
+            Step::Cancel(pick) => self.cancel(pick),
+            Step::Progress(pick, tokens) => self.progress(pick, tokens),
+            Step::Network(net) => self.net = net,
+            Step::Cut(a, b) => {
+                self.disturb();
+                self.cuts.extend([(a, b), (b, a)]);
+            }
+            Step::Heal => self.cuts.clear(),
+            Step::Pause(vm) => self.pause(vm),
+            Step::Wake(vm) => self.wake(vm),
+            Step::Crash(vm) => self.crash(vm),
+            Step::Members(vm) => self.show_members(vm),
+            Step::Leave(vm, other) => self.hide_member(vm, other),
+            Step::EngineCrash(pick) => self.engine_crash(pick),
+            Step::Reload(vm) => self.reload(vm),
+            Step::Wait(millis) => self.wait(Duration::from_millis(millis)),
+        }
+        self.judge.check_waits(self.now, SLACK);
+    }
+
+    fn submit(&mut self, vm: usize, kind: Kind) {
+        if self.vms[vm].paused {
+            return;
+        }
+        self.seq += 1;
+        let call = CallId {
+            origin: self.vms[vm].id,
+            seq: self.seq,
+        };
+        self.judge.submitted(self.now, call, kind);
+        let submit = scheduler::Input::Submit(request(call, kind));
+        self.feed(vm, Input::Local(submit));
+    }
+
+    fn feed(&mut self, vm: usize, input: Input) {
+        let mut out = Vec::new();
+        self.vms[vm].pool.handle(self.now, input, &mut out);
+        self.obey(vm, out);
+    }
+
+    fn obey(&mut self, vm: usize, out: Vec<Output>) {
+        for output in out {
+            match output {
+                Output::Order(order) => self.order(vm, order),
+                Output::Send { to, message } => self.send(vm, to, &message),
+            }
+        }
+    }
+
+    fn order(&mut self, vm: usize, order: scheduler::Output) {
+        let orders = match self.mutation {
+            Some(mutation) => mutation.apply(order),
+            None => vec![order],
+        };
+        for order in orders {
+            self.judge.ordered(self.now, &order, None);
+            if let scheduler::Output::Stop(stop) = order {
+                self.stop(vm, stop);
+            }
+        }
+    }
+
+    /// The endpoint obeys a stop at once.
+    fn stop(&mut self, vm: usize, stop: Stop) {
+        let ended = Ended {
+            call: stop.call,
+            attempt: stop.attempt,
+            end: End::Stopped { emitted: 0 },
+        };
+        self.judge.ended(self.now, &ended);
+        self.feed(vm, Input::Local(scheduler::Input::Ended(ended)));
+    }
+
+    fn send(&mut self, vm: usize, to: Incarnation, message: &PoolMessage) {
+        let receiver = self.vms.iter().position(|other| other.id == to);
+        let cut = receiver.is_none_or(|to| self.cuts.contains(&(vm, to)));
+        if cut || self.chance(self.net.lost) {
+            return;
+        }
+        let copies = 1 + usize::from(self.chance(self.net.repeated));
+        for _ in 0..copies {
+            let added = self.rng.random_range(0..=self.net.delay * 1_000);
+            let at = self.now + DELAY + Duration::from_micros(added);
+            self.sent += 1;
+            let entry = (self.vms[vm].id, to, message.clone());
+            self.wire.insert((at, self.sent), entry);
+        }
+    }
+
+    fn chance(&mut self, percent: u8) -> bool {
+        self.rng.random_range(0..100) < percent
+    }
+
+    /// The live dispatches of VMs that can hear of their end.
+    fn heard(&self) -> Vec<(usize, Dispatch)> {
+        let holder = |dispatch: &Dispatch| {
+            let origin = dispatch.call.origin;
+            self.vms.iter().position(|vm| vm.id == origin && !vm.paused)
+        };
+        let live = self.judge.live().into_iter();
+        live.filter_map(|d| Some((holder(&d)?, d))).collect()
+    }
+
+    fn end(&mut self, pick: usize, ending: Ending) {
+        let heard = self.heard();
+        let Some((vm, dispatch)) = heard.get(pick % heard.len().max(1)) else {
+            return;
+        };
+        let record = &self.judge.records[&dispatch.call];
+        let (kind, emitted) = (record.kind, record.emitted);
+        if ending != Ending::Answer {
+            self.judge.faulted(self.now, kind);
+        }
+        self.conclude(*vm, ending.of(dispatch, emitted));
+    }
+
+    fn conclude(&mut self, vm: usize, ended: Ended) {
+        self.judge.ended(self.now, &ended);
+        self.feed(vm, Input::Local(scheduler::Input::Ended(ended)));
+    }
+
+    fn cancel(&mut self, pick: usize) {
+        let open = self.judge.open();
+        let Some(call) = open.get(pick % open.len().max(1)).copied() else {
+            return;
+        };
+        let holder = |vm: &Vm| vm.id == call.origin && !vm.paused;
+        if let Some(vm) = self.vms.iter().position(holder) {
+            self.judge.left(call);
+            self.feed(vm, Input::Local(scheduler::Input::Cancel(call)));
+        }
+    }
+
+    fn progress(&mut self, pick: usize, tokens: u32) {
+        let heard = self.heard();
+        let Some((vm, dispatch)) = heard.get(pick % heard.len().max(1)) else {
+            return;
+        };
+        let record = self.judge.records.get_mut(&dispatch.call);
+        let Some(record) = record.filter(|record| record.kind.repeatable()) else {
+            return;
+        };
+        record.emitted += tokens;
+        let progress = Progress {
+            call: dispatch.call,
+            attempt: dispatch.attempt,
+            tokens: record.emitted,
+        };
+        self.feed(*vm, Input::Local(scheduler::Input::Progress(progress)));
+    }
+
+    /// A fault between VMs: it may explain a refusal on any route.
+    fn disturb(&mut self) {
+        for kind in Kind::ALL {
+            self.judge.faulted(self.now, kind);
+        }
+    }
+
+    fn pause(&mut self, vm: usize) {
+        self.disturb();
+        let id = self.vms[vm].id;
+        self.vms[vm].paused = true;
+        let held = self.judge.records.iter_mut();
+        held.filter(|(call, _)| call.origin == id)
+            .for_each(|(_, record)| record.excused = true);
+    }
+
+    fn wake(&mut self, vm: usize) {
+        if !core::mem::take(&mut self.vms[vm].paused) {
+            return;
+        }
+        for (from, message) in core::mem::take(&mut self.vms[vm].inbox) {
+            self.feed(vm, Input::Peer { from, message });
+        }
+    }
+
+    /// A VM dies and another takes its place; the others are not told.
+    fn crash(&mut self, vm: usize) {
+        self.disturb();
+        let id = self.vms[vm].id;
+        let held = self.judge.records.iter_mut();
+        for (_, record) in held.filter(|(call, _)| call.origin == id) {
+            record.over = true;
+            record.live = None;
+        }
+        self.vms[vm] = self.start_vm();
+        self.show_members(vm);
+    }
+
+    fn show_members(&mut self, vm: usize) {
+        let members: Vec<Incarnation> = self.vms.iter().map(|vm| vm.id).collect();
+        if !self.vms[vm].paused {
+            self.feed(vm, Input::Members(members));
+        }
+    }
+
+    /// One VM takes another for leaving.
+    fn hide_member(&mut self, vm: usize, other: usize) {
+        let hidden = self.vms[other].id;
+        let ids = self.vms.iter().map(|vm| vm.id);
+        let members: Vec<Incarnation> = ids.filter(|id| *id != hidden).collect();
+        if !self.vms[vm].paused {
+            self.feed(vm, Input::Members(members));
+        }
+    }
+
+    /// An endpoint crashes: every call that it runs is lost.
+    fn engine_crash(&mut self, pick: usize) {
+        let heard = self.heard();
+        let Some((_, chosen)) = heard.get(pick % heard.len().max(1)).cloned() else {
+            return;
+        };
+        self.disturb();
+        for (vm, dispatch) in heard {
+            if dispatch.endpoint == chosen.endpoint {
+                let emitted = self.judge.records[&dispatch.call].emitted;
+                self.conclude(vm, Ending::Lost.of(&dispatch, emitted));
+            }
+        }
+    }
+
+    fn reload(&mut self, vm: usize) {
+        if self.vms[vm].paused {
+            return;
+        }
+        self.disturb();
+        let state = &mut self.vms[vm];
+        state.second = !state.second;
+        let mut out = Vec::new();
+        let set = catalog(state.second);
+        state.pool.reload(self.now, set, &mut out);
+        self.obey(vm, out);
+    }
+
+    fn wait(&mut self, time: Duration) {
+        let end = self.now + time;
+        while let Some(next) = self.next_event().filter(|next| *next <= end) {
+            self.now = next.max(self.now);
+            self.carry();
+            self.look();
+        }
+        self.now = end;
+    }
+
+    fn next_event(&self) -> Option<Time> {
+        let wire = self.wire.first_key_value().map(|((at, _), _)| *at);
+        let awake = self.vms.iter().filter(|vm| !vm.paused);
+        let wake = |vm: &Vm| Some(vm.pool.next_wake()?.max(vm.looked + TICK));
+        awake.filter_map(wake).chain(wire).min()
+    }
+
+    fn carry(&mut self) {
+        while let Some(entry) = self.wire.first_entry() {
+            if entry.key().0 > self.now {
+                return;
+            }
+            let (from, to, message) = entry.remove();
+            let Some(vm) = self.vms.iter().position(|vm| vm.id == to) else {
+                continue;
+            };
+            if self.vms[vm].paused {
+                self.vms[vm].inbox.push((from, message));
+            } else {
+                self.feed(vm, Input::Peer { from, message });
+            }
+        }
+    }
+
+    fn look(&mut self) {
+        for vm in 0..VMS {
+            let state = &mut self.vms[vm];
+            let due = state.pool.next_wake().is_some_and(|wake| wake <= self.now);
+            if state.paused || !due || self.now < state.looked + TICK {
+                continue;
+            }
+            state.looked = self.now;
+            let mut out = Vec::new();
+            state.pool.tick(self.now, &mut out);
+            self.obey(vm, out);
+        }
+    }
+
+    /// Heals everything, ends everything and checks that nothing is left.
+    pub fn finish(&mut self) {
+        self.net = Net::default();
+        self.cuts.clear();
+        for vm in 0..VMS {
+            self.wake(vm);
+            self.show_members(vm);
+        }
+        let end = self.now + LONG;
+        while self.now < end {
+            for (vm, dispatch) in self.heard() {
+                let emitted = self.judge.records[&dispatch.call].emitted;
+                self.conclude(vm, Ending::Answer.of(&dispatch, emitted));
+            }
+            self.wait(ROUND);
+        }
+        self.judge.check_all_over(self.now);
+    }
+
+    /// Calls that the pools still hold.
+    pub fn held(&self) -> usize {
+        let held = |vm: &Vm| {
+            let status = vm.pool.status();
+            status.own + status.guests + status.queued + status.in_flight
+        };
+        self.vms.iter().map(held).sum()
+    }
+}
--- a/crates/oracle/src/lib.rs
+++ b/crates/oracle/src/lib.rs
@@ -1,6 +1,8 @@
 //! Stateful fuzzing of the cores against simple oracles.
 
 pub mod calls;
+pub mod cell;
+pub mod cell_machine;
 pub mod fixture;
 pub mod hunt;
 pub mod judge;
@@ -8,5 +10,7 @@
 pub mod solo;
 pub mod solo_machine;
 
+#[cfg(test)]
+mod cell_tests;
 #[cfg(test)]
 mod solo_tests;
--- a/crates/oracle/src/solo.rs
+++ b/crates/oracle/src/solo.rs
@@ -129,7 +129,7 @@
     }
 
     fn conclude(&mut self, ended: Ended) {
-        self.judge.ended(&ended);
+        self.judge.ended(self.now, &ended);
         self.last = Some(ended);
         self.feed(Input::Ended(ended));
     }
