Never tell a call not run that an earlier home's dispatch may have run

Cause: a home that takes a call over hears of its last dispatch only. Change: the origin remembers whether any dispatch may have run and turns such a refusal into in doubt. Figures: a_call_that_may_have_run_is_never_told_not_run fails without the change and passes with it. Conclusion: what a caller hears no longer depends on which home answers.

--- a/crates/pool/src/own.rs
+++ b/crates/pool/src/own.rs
@@ -2,7 +2,9 @@
 
 use crate::{Ask, AskNumber};
 use poplarswitch_entity::{Attempt, EndpointName, Incarnation, Time};
-use poplarswitch_scheduler::{Dispatch, End, Ended, Input, Output, Request, Running, StopReason};
+use poplarswitch_scheduler::{
+    Dispatch, End, Ended, Fault, Input, Output, Request, Running, StopReason, Verdict, VerdictKind,
+};
 
 /// A dispatch of the call.
 #[derive(Clone, Debug)]
@@ -43,6 +45,8 @@
     pub phase: Phase,
     /// When progress was last told to another VM.
     pub told: Option<Time>,
+    /// Whether a dispatch may have run, whichever home ordered it.
+    pub may_have_run: bool,
 }
 
 /// What became of an answer from the home.
@@ -66,6 +70,7 @@
             ask: AskNumber(0),
             phase: Phase::Waiting,
             told: None,
+            may_have_run: false,
         }
     }
 
@@ -124,6 +129,20 @@
         }
     }
 
+    /// The order as the caller may hear it.
+    ///
+    /// A home that took the call over knows only its last dispatch, so it may think that
+    /// the call never ran; the origin knows all of them.
+    pub fn truthful(&self, output: Output) -> Output {
+        match output {
+            Output::Refuse(refusal) if self.may_have_run => Output::Conclude(Verdict {
+                call: refusal.call,
+                kind: VerdictKind::InDoubt,
+            }),
+            output => output,
+        }
+    }
+
     /// Records the end of the present dispatch; says whether it ends the call, or nothing
     /// if the dispatch is not the present one.
     pub fn ended(&mut self, ended: &Ended) -> Option<bool> {
@@ -138,6 +157,10 @@
             (End::Stopped { .. }, stop) => stop.is_none(),
             (End::Failed { .. }, _) => false,
         };
+        self.may_have_run |= match ended.end {
+            End::Failed { fault, .. } => matches!(fault, Fault::Lost | Fault::Errored),
+            End::Answered { .. } | End::Stopped { .. } => true,
+        };
         self.phase = Phase::Deciding(run.clone(), ended.end);
         Some(over)
     }
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -274,15 +274,18 @@
 
     fn accept(&mut self, from: Incarnation, answer: Answer, out: &mut Vec<Output>) {
         let call = answer.output.call();
-        let current = self
-            .own
-            .get_mut(&call)
-            .filter(|own| own.home == from && own.ask == answer.ask);
-        match current.map_or(Taken::Stale, |own| own.take(&answer.output)) {
-            Taken::Ordered => out.push(Output::Order(answer.output)),
+        let fits = |own: &&mut Own| own.home == from && own.ask == answer.ask;
+        let Some(own) = self.own.get_mut(&call).filter(fits) else {
+            self.counters.stale += 1;
+            return;
+        };
+        let taken = own.take(&answer.output);
+        let order = own.truthful(answer.output);
+        match taken {
+            Taken::Ordered => out.push(Output::Order(order)),
             Taken::Over => {
                 self.forget(call);
-                out.push(Output::Order(answer.output));
+                out.push(Output::Order(order));
             }
             Taken::Stale => self.counters.stale += 1,
         }
--- a/crates/pool/src/pool_tests.rs
+++ b/crates/pool/src/pool_tests.rs
@@ -276,6 +276,33 @@
     expect_that!(cell.pools[&origin].status().own, eq(0));
 }
 
+#[gtest]
+fn a_call_that_may_have_run_is_never_told_not_run() {
+    let mut cell = Cell::new(3);
+    let ranked = cell.ranked();
+    let (home, origin) = (ranked[0], ranked[2]);
+    cell.submit(origin, 1);
+    cell.run(10);
+    let failed = |fault| End::Failed { fault, emitted: 0 };
+    cell.end(origin, &cell.dispatches(origin)[0], failed(Fault::Lost));
+    cell.run(1_000);
+    cell.down.insert(home);
+    // The new home hears of the second dispatch only, and too late to try again.
+    cell.run(70_000);
+    cell.end(
+        origin,
+        &cell.dispatches(origin)[1],
+        failed(Fault::Unreached),
+    );
+    cell.run(1_000);
+    let (_, last) = cell.orders.last().expect("orders were given");
+    expect_that!(
+        matches!(last, scheduler::Output::Conclude(_)),
+        eq(true),
+        "{last:?}"
+    );
+}
+
 #[gtest]
 fn a_silent_origin_loses_its_slots_after_its_lease() {
     let mut cell = Cell::new(2);
