Send the tests' calls to the VM that they are about

Their callers asked for an address and all drew the same one, which was another VM than the one that the test watched. Ruled out: the drain and the pools' move, which were never reached. Change: a directory that knows one address; the tests use it where the VM matters. Conclusion: the checks are unchanged; the calls now run where they look.

--- a/crates/client/src/directory.rs
+++ b/crates/client/src/directory.rs
@@ -35,6 +35,7 @@
 #[derive(Debug)]
 pub struct Directory {
     seeds: Vec<SocketAddr>,
+    fixed: Option<SocketAddr>,
     state: Mutex<State>,
 }
 
@@ -47,12 +48,23 @@
         };
         Self {
             seeds,
+            fixed: None,
             state: Mutex::new(state),
         }
     }
 
+    /// Knows one address and asks nobody; it gives no key token.
+    pub fn fixed(address: SocketAddr) -> Self {
+        let mut directory = Self::new(Vec::new(), 0);
+        directory.fixed = Some(address);
+        directory
+    }
+
     /// An address to use, drawn by weight.
     pub fn pick(&self, agent: &Agent) -> Result<SocketAddr, DirectoryError> {
+        if let Some(address) = self.fixed {
+            return Ok(address);
+        }
         let list = self.list(agent)?;
         let draw = self.lock().random.random_range(0..u64::MAX);
         choose(&list.addresses, draw).ok_or_else(|| self.unanswered())
--- a/crates/node/tests/cluster.rs
+++ b/crates/node/tests/cluster.rs
@@ -166,7 +166,8 @@
     let leaving = nodes.remove(0);
     let others: Vec<_> = nodes.iter().map(|node| node.addresses().callers).collect();
     std::thread::scope(|scope| {
-        let running = scope.spawn(|| client(&leaving).chat(&chat("a running call")));
+        let caller = common::client_at(&leaving);
+        let running = scope.spawn(move || caller.chat(&chat("a running call")));
         until("the call runs", || status(&leaving).calls.running == 1);
         leaving.drain();
         until("it drains", || {
@@ -297,7 +298,7 @@
         for caller in 0..8 {
             scope.spawn(move || {
                 let prompt = format!("caller {caller} meanwhile");
-                let report = client(&nodes[caller % 2]).chat(&chat(&prompt));
+                let report = common::client_at(&nodes[caller % 2]).chat(&chat(&prompt));
                 assert_eq!(
                     report.text,
                     answer_text(&prompt, 64),
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -122,6 +122,11 @@
     Client::new(Directory::new(vec![node.addresses().callers], 1), KEY)
 }
 
+/// A caller that uses this node, whatever the addresses are.
+pub fn client_at(node: &Node) -> Client {
+    Client::new(Directory::fixed(node.addresses().callers), KEY)
+}
+
 pub fn chat(prompt: &str) -> ChatCall {
     ChatCall {
         class: None,
