--- a/crates/util/src/commands/demo/audit_tests.rs
+++ b/crates/util/src/commands/demo/audit_tests.rs
@@ -1,4 +1,4 @@
-use crate::{
+use super::{
     audit::{Told, audit},
     report::Broken,
 };
--- a/crates/util/src/commands/demo/script.rs
+++ b/crates/util/src/commands/demo/script.rs
@@ -45,7 +45,6 @@
         user: user.name().to_owned(),
         platform: world.platform.url(),
         data_centres: data_centres(&world.set),
-        set: world.set.clone(),
     };
     let mut fleet = Fleet::start(fleet).context(DemoVmSnafu)?;
     if !fleet.wait_ready() {
@@ -59,9 +58,10 @@
     let seeds = fleet.callers();
     let seen = thread::scope(|scope| {
         let calls = scope.spawn(|| traffic::run(&set, &profiles, &seeds, plan.time, plan.seed));
-        let faults = match plan.calm {
-            true => Ok(()),
-            false => provoke(&mut world, &mut fleet, plan.time),
+        let faults = if plan.calm {
+            Ok(())
+        } else {
+            provoke(&mut world, &mut fleet, plan.time)
         };
         let seen = calls.join().unwrap_or_default();
         faults.map(|()| seen)
--- a/crates/util/src/commands/demo/traffic.rs
+++ b/crates/util/src/commands/demo/traffic.rs
@@ -1,6 +1,6 @@
 //! Callers of each class, at a steady rate.
 
-use crate::{
+use super::{
     audit::Told,
     profile::{Aim, Profile},
     tally::Tally,
@@ -76,10 +76,10 @@
                 for plan in plans {
                     thread::sleep((gap * plan.seq).saturating_sub(began.elapsed()));
                     scope.spawn(move || {
-                        let sent = send(profile, &callers[plan.caller], &plan);
-                        lock(tally).count(&sent.report, sent.right);
-                        lock(told).extend(sent.told);
-                        *lock(delivered) += sent.delivered;
+                        let result = send(profile, &callers[plan.caller], &plan);
+                        lock(tally).count(&result.report, result.right);
+                        lock(told).extend(result.told);
+                        *lock(delivered) += result.delivered;
                     });
                 }
             });
@@ -162,9 +162,10 @@
 
 fn send_service(profile: &Profile, service: &str, caller: &Caller, plan: &Plan) -> Sent {
     let suffix = format!("{}-{}-{}", caller.workspace, profile.class.name, plan.seq);
-    let key = match profile.class.repeatable {
-        true => None,
-        false => caller.client.new_key(&suffix),
+    let key = if profile.class.repeatable {
+        None
+    } else {
+        caller.client.new_key(&suffix)
     };
     let call = ServiceCall {
         class: Some(profile.class.name.to_string()),
--- a/crates/util/src/error.rs
+++ b/crates/util/src/error.rs
@@ -2,6 +2,7 @@
 
 use crate::exit::Exit;
 use core::net::SocketAddr;
+use poplarswitch_bench::PlotError;
 use poplarswitch_node::StartError;
 use poplarswitch_publish::ReadError;
 use poplarswitch_settings::SecretError;
@@ -60,6 +61,9 @@
     /// The set of the demo did not come into force.
     #[snafu(display("put the set of the demo into force: {text}"))]
     DemoSet { text: String },
+    /// A plot could not be drawn.
+    #[snafu(display("plot: {source}"))]
+    Plot { source: PlotError },
     /// The output could not be written.
     #[snafu(display("write the output: {source}"))]
     Print { source: io::Error },
