Probe endpoints with calls of the lowest tier

Cause: a probe of a straggler or a crashed endpoint often costs its call the target, and urgent calls, first in line, were the probes. Change: a call is kept away from endpoints on probation while lower tiers have had calls on the route and another endpoint has room.

--- a/crates/balance/src/choose.rs
+++ b/crates/balance/src/choose.rs
@@ -2,8 +2,8 @@
 //!
 //! The least loaded site sets the mark. A site that probably holds the prompt's prefix may
 //! be busier than the mark by the affinity allowance, a site in the caller's data centre by
-//! the nearness allowance. A site on probation is given a call first, unless the call may
-//! not run twice.
+//! the nearness allowance. A site on probation is given a call first, unless the call has
+//! to be careful: because it may not run twice, or because lower tiers' calls can probe.
 
 use crate::balancer::Style;
 use crate::pool::Pool;
--- a/crates/scheduler/src/group.rs
+++ b/crates/scheduler/src/group.rs
@@ -165,6 +165,12 @@
         }
     }
 
+    /// The lowest tier that has had calls.
+    pub(crate) fn lowest(&self) -> usize {
+        let tiers = self.lanes.iter().map(|info| info.tier);
+        tiers.max().unwrap_or_default()
+    }
+
     /// Forgets queue and lanes for a set with other tiers.
     pub(crate) fn reset(&mut self, policy: Policy, floors: &[u8]) {
         self.order = Order::new(policy, floors);
--- a/crates/scheduler/src/retry_tests.rs
+++ b/crates/scheduler/src/retry_tests.rs
@@ -153,3 +153,14 @@
     let probes = later.iter().filter(|place| **place == crashed);
     expect_that!(probes.count(), eq(1));
 }
+
+#[gtest]
+fn urgent_calls_do_not_probe_while_lower_tiers_can() {
+    let mut stand = Stand::new(2, 8);
+    stand.submit(0, "chat");
+    let crashed = places(&stand.submit(1, "ask"))[0].clone();
+    stand.fail(1, 0, Fault::Unreached);
+    stand.pass(250);
+    expect_that!(places(&stand.submit(2, "ask")), each(not(eq(&crashed))));
+    expect_that!(places(&stand.submit(3, "chat")), eq(&[crashed]));
+}
--- a/crates/scheduler/src/serve.rs
+++ b/crates/scheduler/src/serve.rs
@@ -75,7 +75,7 @@
             prefix: prefix_of(call),
             near: &call.request.data_centre,
             avoid: call.avoid,
-            cautious: !call.terms.repeatable,
+            cautious: !call.terms.repeatable || call.terms.tier < group.lowest(),
         };
         self.balancer.choose(group.pool, &ask)
     }
