Take the pace of a stream every 16 tokens

Cause: a straggler was seen only by streams that began after it became slow. Change: each 16 tokens of a running stream are one sample; answers shorter than that give one at their end.

--- a/crates/scheduler/src/adopt.rs
+++ b/crates/scheduler/src/adopt.rs
@@ -69,7 +69,7 @@
             site,
             caps: Vec::new(),
             started: now,
-            first: None,
+            seen: None,
             paced: false,
             resumed_at: 0,
             tokens: running.tokens,
--- a/crates/scheduler/src/call.rs
+++ b/crates/scheduler/src/call.rs
@@ -44,9 +44,9 @@
     pub site: Option<SiteKey>,
     pub caps: Vec<CapKey>,
     pub started: Time,
-    /// When the first output of this dispatch came, and how many tokens it brought.
-    pub first: Option<(Time, u32)>,
-    /// Whether its pace is known.
+    /// When its pace was last taken, at first by its first output, and at how many tokens.
+    pub seen: Option<(Time, u32)>,
+    /// Whether its pace was taken.
     pub paced: bool,
     /// Tokens that the caller had seen when the dispatch started.
     pub resumed_at: u32,
--- a/crates/scheduler/src/finish.rs
+++ b/crates/scheduler/src/finish.rs
@@ -5,13 +5,11 @@
 
 use crate::call::{Flight, State};
 use crate::group::Order;
+use crate::learn::PACE_TOKENS;
 use crate::{End, Ended, Output, Progress, Scheduler, Stop, StopReason};
 use poplarswitch_entity::{Attempt, CallId, Time};
 use poplarswitch_queue::{AccountKey, CallKey};
 
-/// Tokens after the first output from which a stream's pace is known well enough.
-const PACE_TOKENS: u32 = 16;
-
 impl Scheduler {
     pub(crate) fn progress(&mut self, now: Time, progress: Progress) {
         let Some(key) = self.find_running(progress.call, progress.attempt) else {
@@ -21,10 +19,10 @@
         let State::Dispatched(flight) = &mut self.table.get_mut(key).state else {
             return;
         };
-        let is_first = flight.first.is_none() && progress.tokens > flight.resumed_at;
+        let is_first = flight.seen.is_none() && progress.tokens > flight.resumed_at;
         flight.tokens = flight.tokens.max(progress.tokens);
         if is_first {
-            flight.first = Some((now, progress.tokens));
+            flight.seen = Some((now, progress.tokens));
             self.learn_first(now, key);
         } else {
             self.learn_pace(now, key, PACE_TOKENS);
--- a/crates/scheduler/src/learn.rs
+++ b/crates/scheduler/src/learn.rs
@@ -13,6 +13,8 @@
 use poplarswitch_estimate::Profile;
 use poplarswitch_queue::CallKey;
 
+/// Tokens over which a stream's pace is taken.
+pub(crate) const PACE_TOKENS: u32 = 16;
 /// Samples of a class on a route before single calls are compared with the median.
 const MIN_SAMPLES: u64 = 16;
 
@@ -33,22 +35,23 @@
         }
     }
 
-    /// Learns the pace of a stream, once, after some tokens beyond its first output.
+    /// Learns the pace of a stream each time that it has brought some more tokens.
     pub(crate) fn learn_pace(&mut self, now: Time, key: CallKey, least: u32) {
         let call = self.table.get_mut(key);
         let State::Dispatched(flight) = &mut call.state else {
             return;
         };
-        let Some((first, seen)) = flight.first.filter(|_| !flight.paced) else {
+        let Some((since, seen)) = flight.seen else {
             return;
         };
         let tokens = flight.tokens.saturating_sub(seen);
         if tokens < least.max(1) {
             return;
         }
+        flight.seen = Some((now, flight.tokens));
         flight.paced = true;
         let (site, started) = (flight.site, flight.started);
-        let pace = now.since(first) / tokens;
+        let pace = now.since(since) / tokens;
         let profile = &mut self.book.profiles[call.profile];
         let median = profile.pace_median();
         let known = profile.pace_count() >= MIN_SAMPLES;
@@ -65,9 +68,10 @@
             return;
         };
         flight.tokens = flight.tokens.max(tokens);
-        let streamed = flight.first.is_some();
+        let streamed = flight.seen.is_some();
         if streamed {
-            self.learn_pace(now, key, 1);
+            let least = if flight.paced { PACE_TOKENS } else { 1 };
+            self.learn_pace(now, key, least);
         } else {
             self.learn_first(now, key);
         }
--- a/crates/scheduler/src/retry.rs
+++ b/crates/scheduler/src/retry.rs
@@ -117,7 +117,7 @@
         self.counters.resumed += 1;
         let flight = Flight {
             started: now,
-            first: None,
+            seen: None,
             paced: false,
             resumed_at: emitted,
             tokens: emitted,
--- a/crates/scheduler/src/serve.rs
+++ b/crates/scheduler/src/serve.rs
@@ -103,7 +103,7 @@
             site: Some(site),
             caps: caps_of(info, group.reserve.cap),
             started: now,
-            first: None,
+            seen: None,
             paced: false,
             resumed_at: 0,
             tokens: 0,
