Compute the reserve from arrivals within a target instead of live calls

Cause: the reserve remembered how many urgent calls were live at once, which grows with their duration and with any overload, so a steady load of briefings reserved a quarter of the slots. Change: it counts the calls that arrived within a target, and compares them with the slots that end in that time, over all urgent classes with a shorter target.

--- a/crates/scheduler/src/finish.rs
+++ b/crates/scheduler/src/finish.rs
@@ -122,8 +122,6 @@
         let call = self.table.get(key);
         let (group, account, tier) = (call.group, call.account, call.terms.tier);
         let state = &mut self.groups[group];
-        let info = &mut state.lanes[call.lane];
-        info.live = info.live.saturating_sub(1);
         if let Order::Full(queue) = &mut state.order {
             let used = now.since(flight.started).as_micros() as u64;
             queue.correct(tier, account, flight.charged, used);
--- a/crates/scheduler/src/group.rs
+++ b/crates/scheduler/src/group.rs
@@ -40,14 +40,22 @@
     pub own: ViewKey,
     /// Sites that also keep the reserve free, once the class counts as long.
     pub reserved: Option<ViewKey>,
-    /// Calls that wait or run.
-    #[builder(default)]
-    pub live: u32,
-    /// Most calls that were live at once, fading.
+    /// Calls that arrive within the target.
+    pub arrivals: Meter,
+    /// Most calls that arrived within the target, fading.
     #[builder(default)]
     pub peak: f64,
 }
 
+impl LaneInfo {
+    /// Counts an arrival towards the peak.
+    pub(crate) fn note_arrival(&mut self, now: Time) {
+        self.arrivals.add(now, 1.0);
+        let within = self.arrivals.rate(now) * self.target.as_secs_f64();
+        self.peak = self.peak.max(within);
+    }
+}
+
 /// The order in which a route's calls are served.
 #[derive(Debug)]
 pub(crate) enum Order {
--- a/crates/scheduler/src/reserve.rs
+++ b/crates/scheduler/src/reserve.rs
@@ -2,10 +2,10 @@
 //!
 //! A class is long on a route if its calls hold a slot for longer than a class of a higher
 //! tier has time for. While long calls fill all slots, a burst of such urgent calls finds
-//! only the slots that happen to end in time: slots * target / duration. The reserve is
-//! what the last bursts needed beyond that, at most a quarter of the slots, and one slot
-//! for a class whose calls may not be repeated. Only long calls have to leave it free. A
-//! tier that is due by its floor may use it.
+//! only the slots that happen to end in time: slots * target / duration. The reserve is by
+//! how much the calls that lately arrived within a target exceeded that, at most a quarter
+//! of the slots, and one slot for a class whose calls may not be repeated. Only long calls
+//! have to leave it free. A tier that is due by its floor may use it.
 
 use crate::group::{Group, GroupKey, LaneInfo, Order};
 use crate::{Policy, Scheduler};
@@ -73,17 +73,20 @@
             return 0;
         };
         let slots = self.balancer.slots(group.pool);
-        let missing = |info: &LaneInfo| {
+        let urgent: Vec<&LaneInfo> = group
+            .lanes
+            .iter()
+            .filter(|info| info.reserved.is_none() && info.target < held)
+            .collect();
+        let missing = |info: &&LaneInfo| {
             let ending = f64::from(slots) * info.target.as_secs_f64() / held.as_secs_f64();
+            let sooner = urgent.iter().filter(|other| other.target <= info.target);
+            let arriving: f64 = sooner.map(|other| other.peak).sum();
             let least = f64::from(u8::from(!info.repeatable));
-            (info.peak - ending).max(least)
+            (arriving - ending).max(least)
         };
-        let urgent = group
-            .lanes
-            .iter()
-            .filter(|info| info.reserved.is_none() && info.target < held);
-        let total: f64 = urgent.map(missing).sum();
-        (total.ceil() as u32).min(slots / MAX_RESERVE)
+        let most = urgent.iter().map(missing).fold(0.0, f64::max);
+        (most.ceil() as u32).min(slots / MAX_RESERVE)
     }
 }
 
@@ -93,6 +96,6 @@
     }
     let left = 0.5_f64.powf(elapsed.as_secs_f64() / PEAK_HALF_LIFE.as_secs_f64());
     for info in &mut group.lanes {
-        info.peak = (info.peak * left).max(f64::from(info.live));
+        info.peak *= left;
     }
 }
--- a/crates/scheduler/src/serve.rs
+++ b/crates/scheduler/src/serve.rs
@@ -146,7 +146,6 @@
     pub(crate) fn count_running(&mut self, key: CallKey) {
         let call = self.table.get(key);
         self.book.accounts[call.account].add_running(call.terms.tier);
-        self.groups[call.group].lanes[call.lane].live += 1;
     }
 
     /// Slot time that a call's workspace pays in advance.
--- a/crates/scheduler/src/submit.rs
+++ b/crates/scheduler/src/submit.rs
@@ -10,6 +10,7 @@
 use poplarswitch_balance::{Cap, CapKey};
 use poplarswitch_catalog::ClassKey;
 use poplarswitch_entity::{AdapterName, Attempt, Time};
+use poplarswitch_estimate::Meter;
 use poplarswitch_objects::Target;
 use poplarswitch_queue::{AccountKey, CallKey, LaneKey, Place, Waiting};
 
@@ -95,6 +96,7 @@
             .profile(profile)
             .maybe_adapter(adapter.cloned())
             .target(terms.target.first_output())
+            .arrivals(Meter::new(terms.target.first_output()))
             .per_token(per_token(terms.target))
             .repeatable(terms.repeatable)
             .served(self.balancer.serves(group.pool, adapter))
@@ -193,6 +195,7 @@
         let usage = self.usage(seat.group, seat.lane);
         let group = &mut self.groups[seat.group];
         group.demand[seat.terms.tier].add(now, usage.as_secs_f64());
+        group.lanes[seat.lane].note_arrival(now);
         self.table.insert(call)
     }
 
@@ -206,9 +209,7 @@
         account.add_queued(tier);
         self.book.kinds[call.kind].queued += 1;
         let group = &mut self.groups[call.group];
-        let info = &mut group.lanes[call.lane];
-        info.live += 1;
-        info.peak = info.peak.max(f64::from(info.live));
+        let info = &group.lanes[call.lane];
         let waiting = Waiting {
             lane: info.lane,
             account: call.account,
@@ -272,8 +273,6 @@
         self.book.accounts[call.account].remove_queued(call.terms.tier);
         let kind = &mut self.book.kinds[call.kind];
         kind.queued = kind.queued.saturating_sub(1);
-        let info = &mut self.groups[call.group].lanes[call.lane];
-        info.live = info.live.saturating_sub(1);
         self.expiry.remove(&(call.expires(), key));
     }
 }
