Count only the work that goes before a call when it is admitted

Cause: notices were refused as overload because reconciliations of the same tier, which are served after them, filled the queue. Change: of its own tier a call counts only classes with a target no longer than its own.

--- a/crates/scheduler/src/drain.rs
+++ b/crates/scheduler/src/drain.rs
@@ -1,10 +1,11 @@
 //! How long a new call would wait.
 //!
-//! The work of its own and higher tiers that waits, over the slots that higher tiers'
-//! arrivals leave. Work of lower tiers never counts.
+//! The work that goes before it, over the slots that higher tiers' arrivals leave: calls of
+//! higher tiers, and of its own tier those of classes with a target no longer than its own.
+//! Work of lower tiers never counts.
 
 use crate::Scheduler;
-use crate::group::{GroupKey, Order};
+use crate::group::{GroupKey, LaneInfo, Order};
 use core::time::Duration;
 use poplarswitch_entity::Time;
 
@@ -18,24 +19,30 @@
 const MAX_RETRY: Duration = Duration::from_mins(2);
 
 impl Scheduler {
-    /// Time until the work that goes before a new call of a tier has been started.
-    pub(crate) fn drain(&self, now: Time, key: GroupKey, tier: usize) -> Duration {
+    /// Time until the work that goes before a new call of a lane has been started.
+    pub(crate) fn drain(&self, now: Time, key: GroupKey, lane: usize) -> Duration {
         let group = &self.groups[key];
-        let Order::Full(queue) = &group.order else {
+        let (Order::Full(queue), Some(own)) = (&group.order, group.lanes.get(lane)) else {
             return Duration::ZERO;
         };
-        let before = (0..=tier).flat_map(|tier| queue.lanes_of(tier));
-        let work: f64 = before
-            .map(|lane| {
-                let waiting = queue.lane_len(*lane) as f64;
-                waiting * self.usage(key, lane.index()).as_secs_f64()
+        let before = |other: &&LaneInfo| {
+            let sooner = other.tier == own.tier && other.target <= own.target;
+            other.tier < own.tier || sooner
+        };
+        let work: f64 = group
+            .lanes
+            .iter()
+            .filter(before)
+            .map(|other| {
+                let waiting = queue.lane_len(other.lane) as f64;
+                waiting * self.usage(key, other.lane.index()).as_secs_f64()
             })
             .sum();
         if work <= 0.0 {
             return Duration::ZERO;
         }
         let slots = f64::from(self.balancer.slots(group.pool).max(1));
-        let higher: f64 = group.demand[..tier]
+        let higher: f64 = group.demand[..own.tier]
             .iter()
             .map(|meter| meter.rate(now))
             .sum();
@@ -44,8 +51,8 @@
     }
 
     /// When a new attempt is worth while.
-    pub(crate) fn retry_time(&self, now: Time, group: GroupKey, tier: usize) -> Duration {
-        self.drain(now, group, tier).clamp(MIN_RETRY, MAX_RETRY)
+    pub(crate) fn retry_time(&self, now: Time, group: GroupKey, lane: usize) -> Duration {
+        self.drain(now, group, lane).clamp(MIN_RETRY, MAX_RETRY)
     }
 
     /// Slot time that a call of a lane is expected to use; pessimistic while unknown.
--- a/crates/scheduler/src/retry.rs
+++ b/crates/scheduler/src/retry.rs
@@ -143,7 +143,7 @@
         if call.may_have_run() {
             return self.conclude(call.request.call, VerdictKind::InDoubt, out);
         }
-        let after = self.retry_time(now, call.group, call.terms.tier);
+        let after = self.retry_time(now, call.group, call.lane);
         self.refuse(call.request.call, reason, after, out);
     }
 
--- a/crates/scheduler/src/submit.rs
+++ b/crates/scheduler/src/submit.rs
@@ -134,7 +134,7 @@
             return Err((RefusalReason::NoEndpoint, DEFAULT_RETRY));
         }
         if request.waited >= seat.terms.max_wait {
-            let drain = self.retry_time(now, seat.group, seat.terms.tier);
+            let drain = self.retry_time(now, seat.group, seat.lane);
             return Err((RefusalReason::WaitExpired, drain));
         }
         if self.policy != Policy::Full {
@@ -149,7 +149,7 @@
         let kind = self.book.kinds[seat.kind];
         let account = &mut self.book.accounts[seat.account];
         if !account.has_queue_room(tier) || kind.queued >= kind.max_queued {
-            let drain = self.retry_time(now, seat.group, tier);
+            let drain = self.retry_time(now, seat.group, seat.lane);
             return Err((RefusalReason::QueueFull, drain));
         }
         if !account.take_token(now, tier) {
@@ -169,8 +169,8 @@
         if !self.tuning.admission {
             return Ok(());
         }
-        if self.drain(now, seat.group, seat.terms.tier) > left {
-            let retry = self.retry_time(now, seat.group, seat.terms.tier);
+        if self.drain(now, seat.group, seat.lane) > left {
+            let retry = self.retry_time(now, seat.group, seat.lane);
             return Err((RefusalReason::Overload, retry));
         }
         Ok(())
--- a/crates/scheduler/src/submit_tests.rs
+++ b/crates/scheduler/src/submit_tests.rs
@@ -150,6 +150,19 @@
     expect_that!(reason(&stand.submit(50, "ask")), none());
 }
 
+#[gtest]
+fn a_class_with_a_longer_target_causes_no_refusal_in_its_tier() {
+    let mut set = set(1, 1);
+    set["classes"][3]["tier"] = "mid".into();
+    let mut stand = Stand::with(set, Policy::Full, Tuning::default());
+    (0..60).for_each(|seq| {
+        stand.submit(seq, "sum");
+    });
+    let overload = stand.scheduler.counters();
+    expect_that!(overload.refused_for(RefusalReason::Overload), gt(0));
+    expect_that!(reason(&stand.submit(90, "chat")), none());
+}
+
 #[gtest]
 fn a_wait_ends_with_a_refusal_before_anything_is_sent() {
     let mut stand = Stand::new(1, 1);
