--- a/crates/scheduler/src/counters.rs
+++ b/crates/scheduler/src/counters.rs
@@ -34,8 +34,6 @@
     pub retried: u64,
     /// Streams resumed.
     pub resumed: u64,
-    /// Calls paused for a higher tier.
-    pub preempted: u64,
     /// Calls given up because the retry budget was spent.
     pub unbudgeted: u64,
     /// Stragglers put out.
--- a/crates/scheduler/src/tuning.rs
+++ b/crates/scheduler/src/tuning.rs
@@ -32,9 +32,6 @@
     /// Whether slots are kept free for short urgent classes.
     #[builder(default = true)]
     pub reserve: bool,
-    /// Whether a running call is paused for a higher tier's call that is about to be late.
-    #[builder(default = false)]
-    pub preemption: bool,
     /// Percent of fresh dispatches that may be followed by a retry.
     #[builder(default = RETRY_PERCENT)]
     pub retry_percent: u32,
