Keep urgent calls and bookings off probes while any endpoint is up

Cause: when every endpoint that is up is full, an endpoint on probation looked like room, so urgent calls and bookings became the probes after all. Change: such calls wait for an endpoint that is up; they may probe when none is up, or when nobody else has probed an endpoint for three seconds, so that a route without lower-tier calls gets its endpoints back.

--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -1,5 +1,6 @@
 //! The state of all endpoints, and what changes it.
 
+use crate::health::GRACE;
 use crate::hints::Hints;
 use crate::pool::Pool;
 use crate::site::Site;
@@ -223,13 +224,17 @@
             && time <= now
         {
             self.wakes.pop_first();
-            let woke = self.sites.get_mut(key).filter(|site| !site.retired);
-            if let Some(site) = woke
-                && site.health.wake(now)
-            {
+            let Some(site) = self.sites.get_mut(key).filter(|site| !site.retired) else {
+                continue;
+            };
+            let woke = site.health.wake(now);
+            if woke || site.health.settle(now) {
                 pools.push(site.pool);
                 self.health_changed(key);
             }
+            if woke {
+                self.wakes.insert((now + GRACE, key));
+            }
         }
         pools
     }
@@ -265,7 +270,7 @@
         pool.relist(site, level);
         let probing = site.health.phase() == Phase::Probing;
         if probing && site.has_slot() && site.outstanding() == 0 {
-            pool.probes.insert(key);
+            pool.probes.insert(key, site.health.is_settled());
         } else {
             pool.probes.remove(&key);
         }
--- a/crates/balance/src/choose.rs
+++ b/crates/balance/src/choose.rs
@@ -4,6 +4,7 @@
 //! be busier than the mark by the affinity allowance, a site in the caller's data centre by
 //! the nearness allowance. A site on probation is given a call first, unless the call has
 //! to be careful: because it may not run twice, or because lower tiers' calls can probe.
+//! Such a call waits rather than probes, for as long as another site is up and for a grace.
 
 use crate::balancer::Style;
 use crate::pool::Pool;
@@ -66,14 +67,14 @@
         let site = |index: u32| pool.sites[index as usize];
         view.least(draw, self.seat(ask.avoid))
             .map(site)
-            .or_else(|| self.probe_for(pool, ask.view, ask.avoid))
+            .or_else(|| self.probe_for(pool, ask.view, ask.avoid, ask.cautious))
             .or_else(|| view.least(draw, None).map(site))
-            .or_else(|| self.probe_for(pool, ask.view, None))
+            .or_else(|| self.probe_for(pool, ask.view, None, ask.cautious))
     }
 
     fn choose_full(&self, key: PoolKey, ask: &Ask<'_>, draw: u32) -> Option<SiteKey> {
         let pool = &self.pools[key];
-        let probe = self.probe_for(pool, ask.view, ask.avoid);
+        let probe = self.probe_for(pool, ask.view, ask.avoid, ask.cautious);
         if !ask.cautious && probe.is_some() {
             return probe;
         }
@@ -116,15 +117,23 @@
     }
 
     /// A site on probation that a view may use.
+    ///
+    /// A cautious call takes one only if no site is up, or if nobody else has probed it.
     pub(crate) fn probe_for(
         &self,
         pool: &Pool,
         view: ViewKey,
         avoid: Option<SiteKey>,
+        cautious: bool,
     ) -> Option<SiteKey> {
         let view = &pool.views[view.0];
-        let mut probes = pool.probes.iter().copied();
-        probes.find(|key| Some(*key) != avoid && pool.fits(view, &self.sites[*key]))
+        let any = !cautious || pool.slots == 0;
+        let mut probes = pool.probes.iter();
+        let fits = |(key, settled): &(&SiteKey, &bool)| {
+            let allowed = any || **settled;
+            allowed && Some(**key) != avoid && pool.fits(view, &self.sites[**key])
+        };
+        probes.find(fits).map(|(key, _)| *key)
     }
 
     /// The level at which a view lists a site of the pool.
--- a/crates/balance/src/health.rs
+++ b/crates/balance/src/health.rs
@@ -21,6 +21,8 @@
 const MAX_BACKOFF: Duration = Duration::from_secs(30);
 /// Longest time out after declined calls.
 const MAX_BUSY: Duration = Duration::from_secs(2);
+/// Time on probation after which calls that have to be careful may probe too.
+pub(crate) const GRACE: Duration = Duration::from_secs(3);
 /// Probes that have to go well.
 const GOOD_PROBES: u32 = 2;
 /// Good calls after which the next time out starts small again.
@@ -84,6 +86,8 @@
     good: u32,
     /// When it was last put out or woken.
     since: Time,
+    /// Whether it has been on probation for a while without being probed.
+    settled: bool,
 }
 
 impl Health {
@@ -138,9 +142,23 @@
         };
         self.good = 0;
         self.since = now;
+        self.settled = false;
         true
     }
 
+    /// Notes that nobody has probed it for a while; tells whether that is new.
+    pub(crate) fn settle(&mut self, now: Time) -> bool {
+        let due = self.phase == Phase::Probing && now >= self.since + GRACE;
+        let new = due && !self.settled;
+        self.settled |= due;
+        new
+    }
+
+    /// Whether calls that have to be careful may probe it.
+    pub(crate) const fn is_settled(&self) -> bool {
+        self.settled
+    }
+
     fn praise(&mut self) {
         self.lost = 0;
         self.good += 1;
--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -6,7 +6,7 @@
 use crate::{Balancer, SiteKey};
 use poplarswitch_entity::{AdapterName, DataCentre};
 use slotmap::{SlotMap, new_key_type};
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 
 new_key_type! {
     /// Refers to the endpoints of a route.
@@ -44,8 +44,8 @@
     pub centres: Vec<Centre>,
     pub views: Vec<View>,
     pub ring: Ring,
-    /// Sites that may take one call to prove themselves.
-    pub probes: BTreeSet<SiteKey>,
+    /// Sites that may take one call to prove themselves, and whether careful ones too.
+    pub probes: BTreeMap<SiteKey, bool>,
     pub caps: Vec<Cap>,
     /// Slots of the sites that are not out.
     pub slots: u32,
@@ -64,7 +64,7 @@
             centres: Vec::new(),
             views: vec![View::new(&[], None, &[])],
             ring: Ring::default(),
-            probes: BTreeSet::new(),
+            probes: BTreeMap::new(),
             caps: Vec::new(),
             slots: 0,
             ejected: 0,
@@ -179,10 +179,10 @@
         view
     }
 
-    /// Whether a call with a view can be placed now.
-    pub fn has_room(&self, pool: PoolKey, view: ViewKey) -> bool {
+    /// Whether a call with a view can be placed now; a cautious one keeps away from probes.
+    pub fn has_room(&self, pool: PoolKey, view: ViewKey, cautious: bool) -> bool {
         let pool = &self.pools[pool];
-        !pool.views[view.0].is_empty() || self.probe_for(pool, view, None).is_some()
+        !pool.views[view.0].is_empty() || self.probe_for(pool, view, None, cautious).is_some()
     }
 
     /// Slots of a pool's endpoints that are up.
--- a/crates/scheduler/src/group.rs
+++ b/crates/scheduler/src/group.rs
@@ -48,6 +48,12 @@
 }
 
 impl LaneInfo {
+    /// Whether its calls keep away from endpoints on probation: because they may not run
+    /// twice, or because calls of a lower tier can probe.
+    pub(crate) const fn cautious(&self, lowest: usize) -> bool {
+        !self.repeatable || self.tier < lowest
+    }
+
     /// Counts an arrival towards the peak.
     pub(crate) fn note_arrival(&mut self, now: Time) {
         self.arrivals.add(now, 1.0);
--- a/crates/scheduler/src/serve.rs
+++ b/crates/scheduler/src/serve.rs
@@ -40,8 +40,8 @@
     fn next(&mut self, now: Time, key: GroupKey) -> Option<Next> {
         let group = &mut self.groups[key];
         let (balancer, accounts) = (&self.balancer, &self.book.accounts);
-        let pool = group.pool;
-        if group.order.len() == 0 || !balancer.has_room(pool, ViewKey::ALL) {
+        let (pool, lowest) = (group.pool, group.lowest());
+        if group.order.len() == 0 || !balancer.has_room(pool, ViewKey::ALL, false) {
             return None;
         }
         match &mut group.order {
@@ -51,8 +51,10 @@
             }),
             Order::Full(queue) => {
                 let lanes = &group.lanes;
-                let is_open =
-                    |index: usize, due| balancer.has_room(pool, view_of(&lanes[index], due));
+                let is_open = |index: usize, due| {
+                    let info = &lanes[index];
+                    balancer.has_room(pool, view_of(info, due), info.cautious(lowest))
+                };
                 let pick = queue.pick(
                     now,
                     |lane, due| is_open(lane.index(), due),
@@ -75,7 +77,7 @@
             prefix: prefix_of(call),
             near: &call.request.data_centre,
             avoid: call.avoid,
-            cautious: !call.terms.repeatable || call.terms.tier < group.lowest(),
+            cautious: group.lanes[call.lane].cautious(group.lowest()),
         };
         self.balancer.choose(group.pool, &ask)
     }
