--- a/crates/scheduler/src/retry_tests.rs
+++ b/crates/scheduler/src/retry_tests.rs
@@ -164,3 +164,24 @@
     expect_that!(places(&stand.submit(2, "ask")), each(not(eq(&crashed))));
     expect_that!(places(&stand.submit(3, "chat")), eq(&[crashed]));
 }
+
+#[gtest]
+fn a_booking_waits_rather_than_probes_until_nobody_else_has() {
+    let mut stand = Stand::new(1, 1);
+    let crashed = places(&stand.submit(0, "book"))[0].clone();
+    // The call goes to the other replica, which is full from then on.
+    stand.fail(0, 0, Fault::Unreached);
+    stand.pass(250);
+    expect_that!(sent(&stand.submit(1, "book")), is_empty());
+    expect_that!(stand.pass(2_999), is_empty());
+    expect_that!(places(&stand.pass(1)), eq(&[crashed]));
+}
+
+#[gtest]
+fn a_booking_probes_at_once_when_no_endpoint_is_up() {
+    let mut stand = Stand::new(1, 1);
+    stand.submit(0, "book");
+    stand.fail(0, 0, Fault::Unreached);
+    expect_that!(sent(&stand.fail(0, 1, Fault::Unreached)), is_empty());
+    expect_that!(sent(&stand.pass(250)), eq(&[0]));
+}
--- a/crates/scheduler/src/serve_tests.rs
+++ b/crates/scheduler/src/serve_tests.rs
@@ -1,5 +1,5 @@
 use crate::stand::{Stand, dispatches, id, places, request, sent, set};
-use crate::{Input, LoadReport, Output, Policy, Request, Tuning};
+use crate::{CacheEvent, Input, LoadReport, Output, Policy, Request, Tuning};
 use core::time::Duration;
 use googletest::prelude::*;
 use poplarswitch_entity::PrefixHash;
@@ -273,3 +273,28 @@
         eq(true)
     );
 }
+
+#[gtest]
+fn a_cache_event_corrects_where_a_prefix_goes() {
+    let mut stand = Stand::new(4, 8);
+    let cache = |endpoint: &str, held| {
+        Input::Cache(CacheEvent {
+            endpoint: endpoint.into(),
+            prefix: PrefixHash(5),
+            held,
+        })
+    };
+    let first = places(&stand.submit(5, "chat"))[0].clone();
+    let other = if first.as_str() == "e0" { "e1" } else { "e0" };
+    stand.give(cache(other, true));
+    let submit = |stand: &mut Stand, seq| {
+        let request = Request {
+            prefix: PrefixHash(5),
+            ..request(seq, "chat")
+        };
+        places(&stand.give(Input::Submit(request)))[0].clone()
+    };
+    expect_that!(submit(&mut stand, 6).as_str(), eq(other));
+    stand.give(cache(other, false));
+    expect_that!(submit(&mut stand, 7), eq(&first));
+}
