--- a/crates/node/src/run/link.rs
+++ b/crates/node/src/run/link.rs
@@ -21,6 +21,9 @@
     },
 };
 
+/// Bytes that a connection holds in each direction.
+const BUFFER_BYTES: usize = 16 * 1024;
+
 /// An agent that is used for one call.
 #[derive(Debug)]
 pub(crate) struct Link {
@@ -40,6 +43,8 @@
             .proxy(None)
             .allow_non_standard_methods(true)
             .max_idle_connections(0)
+            .input_buffer_size(BUFFER_BYTES)
+            .output_buffer_size(BUFFER_BYTES)
             .timeout_connect(Some(limits.connect()))
             .timeout_per_read(Some(limits.silence()))
             .timeout_per_write(Some(limits.silence()))
