Measure memory with streams that outlast the measurement

Cause: the streams of the first measurement ended while it ran, so that only 536 to 670 of 1,000 were counted. Change: prompts whose answers last; the node's own counters are printed.

--- a/crates/node/examples/measure.rs
+++ b/crates/node/examples/measure.rs
@@ -12,7 +12,7 @@
 use poplarswitch_entity::Time;
 use poplarswitch_objects::{KeyHash, ObjectSet};
 use poplarswitch_publish::{Draft, Publisher, PublisherInput, PublisherOutput};
-use poplarswitch_standins::{Engine, EngineSpec, Platform, PlatformSpec};
+use poplarswitch_standins::{Engine, EngineSpec, Platform, PlatformSpec, answer_tokens};
 use serde_json::json;
 use std::{
     io::Write as _,
@@ -30,6 +30,8 @@
 const CALLS: u32 = 2_000;
 /// Calls before anything is counted.
 const WARM_UP: u32 = 200;
+/// Most tokens of a long stream.
+const LONG_TOKENS: u32 = 4_000;
 /// Callers at once, for throughput.
 const CALLERS: u32 = 16;
 /// Time of the throughput run.
@@ -46,6 +48,7 @@
 struct Program {
     child: Child,
     callers: SocketAddr,
+    metrics: SocketAddr,
     start_up: Duration,
     _directory: tempfile::TempDir,
 }
@@ -58,10 +61,17 @@
 }
 
 fn main() {
-    let engine = Engine::start(ANY, instant_spec()).expect("engine starts");
     let platform = Platform::start(ANY, PlatformSpec::default()).expect("platform starts");
-    publish(&platform, &set(engine.address()));
-    let program = start(&platform);
+    if !std::env::args().any(|part| part == "streams") {
+        short_calls(&platform);
+    }
+    streams(&platform);
+}
+
+fn short_calls(platform: &Platform) {
+    let engine = Engine::start(ANY, instant_spec()).expect("engine starts");
+    publish(platform, &set(engine.address()));
+    let program = start(platform);
     println!("start-up to ready: {:.1} ms", millis(program.start_up));
     thread::sleep(SETTLE);
     println!("memory at rest: {:.1} MB", resident_mb(&program));
@@ -71,9 +81,6 @@
     );
     latency(engine.address(), program.callers);
     throughput(program.callers);
-    drop(program);
-    drop(engine);
-    streams(&platform);
 }
 
 fn instant_spec() -> EngineSpec {
@@ -129,14 +136,14 @@
     let sent = agent
         .post(format!("http://{address}/v1/chat/completions"))
         .header("authorization", format!("Bearer {KEY}"))
-        .send(body(4).as_str());
+        .send(body("a short question", 4).as_str());
     let text = sent.and_then(|mut response| response.body_mut().read_to_string());
     text.is_ok_and(|text| text.contains("[DONE]"))
 }
 
-fn body(max_tokens: u32) -> String {
+fn body(prompt: &str, max_tokens: u32) -> String {
     json!({"model": "assistant", "stream": true, "max_tokens": max_tokens,
-        "messages": [{"role": "user", "content": "a short question"}]})
+        "messages": [{"role": "user", "content": prompt}]})
     .to_string()
 }
 
@@ -168,10 +175,11 @@
     let engine = Engine::start(ANY, spec).expect("engine starts");
     publish(platform, &set(engine.address()));
     let program = start(platform);
+    let prompt = long_prompt();
     let mut open = Vec::new();
     for count in [0, 1, 100, 1_000] {
         while open.len() < count {
-            open.push(stream(program.callers));
+            open.push(stream(program.callers, &prompt));
         }
         let began = Instant::now();
         while u64::from(engine.stats().running) < count as u64 && began.elapsed() < FILL {
@@ -180,11 +188,41 @@
         thread::sleep(SETTLE);
         let (running, memory) = (engine.stats().running, resident_mb(&program));
         println!("memory with {count} streams ({running} at the engine): {memory:.1} MB");
+        println!("  {}", counted(&program));
     }
 }
 
-fn stream(address: SocketAddr) -> TcpStream {
-    let body = body(4_000);
+/// What the node says of its calls.
+fn counted(program: &Program) -> String {
+    let url = format!("http://{}/metrics", program.metrics);
+    let answer = agent().get(url).call();
+    let text = answer.and_then(|mut answer| answer.body_mut().read_to_string());
+    let wanted = |line: &&str| {
+        [
+            "calls_open",
+            "calls_running",
+            "errors_total",
+            "connections ",
+        ]
+        .iter()
+        .any(|name| {
+            line.strip_prefix("poplarswitch_")
+                .is_some_and(|l| l.starts_with(name))
+        })
+    };
+    let text = text.unwrap_or_default();
+    text.lines().filter(wanted).collect::<Vec<_>>().join(", ")
+}
+
+/// A prompt whose answer outlasts the measurement.
+fn long_prompt() -> String {
+    let prompts = (0..).map(|number| format!("question {number}"));
+    let long = |prompt: &String| answer_tokens(prompt, LONG_TOKENS) > LONG_TOKENS / 2;
+    prompts.into_iter().find(long).expect("one is long")
+}
+
+fn stream(address: SocketAddr, prompt: &str) -> TcpStream {
+    let body = body(prompt, LONG_TOKENS);
     let mut stream = TcpStream::connect(address).expect("connects");
     let text = format!(
         "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {KEY}\r\n\
@@ -236,10 +274,10 @@
     let directory = tempfile::tempdir().expect("a directory");
     let secret = directory.path().join("secret");
     std::fs::write(&secret, "measure").expect("writes");
-    let callers = free();
+    let (callers, metrics) = (free(), free());
     let settings = json!({
         "vm": "vm-1", "data_centre": "d", "cell": "c", "platform": platform.url(),
-        "addresses": {"callers": callers, "operators": free(), "metrics": free(), "peers": free()},
+        "addresses": {"callers": callers, "operators": free(), "metrics": metrics, "peers": free()},
         "secrets": {"operators": secret, "peers": secret},
     });
     let path = directory.path().join("settings.json");
@@ -265,6 +303,7 @@
     Program {
         child,
         callers,
+        metrics,
         start_up: began.elapsed(),
         _directory: directory,
     }
