Give orders to engines, and end a resume that an engine refuses

Cause: the orders' core had no adapter; and an engine that refuses to resume a stream answered with a 4xx that was taken for a whole answer, so that the stream ended without an error. Change: orders and readings on threads of their own, the lease through the platform; a refused resume is a failure of the endpoint. Conclusion: a new version is ordered by one VM; a stream that can't go on ends with a typed error.

--- a/crates/node/src/decide/cluster.rs
+++ b/crates/node/src/decide/cluster.rs
@@ -11,6 +11,7 @@
 use poplarswitch_entity::{Incarnation, Time};
 use poplarswitch_keys as keys;
 use poplarswitch_members::{self as members, State};
+use poplarswitch_orders as orders;
 use poplarswitch_peer::{Hub, PeerEvent};
 use poplarswitch_pool as pool;
 use poplarswitch_publish::{self as publish, ActiveSet, Follower};
@@ -25,6 +26,7 @@
     pub(crate) members: members::Core,
     pub(crate) follower: Follower,
     pub(crate) keys: keys::Core,
+    pub(crate) orders: orders::Core,
     pub(crate) drain: Drain,
     pub(crate) hub: Hub,
     pub(crate) platform: Platform,
@@ -37,6 +39,7 @@
     pub(super) members: Vec<members::Output>,
     pub(super) publish: Vec<publish::Output>,
     pub(super) keys: Vec<keys::Output>,
+    pub(super) orders: Vec<orders::Output>,
     pub(super) drain: Vec<DrainOutput>,
 }
 
@@ -46,6 +49,7 @@
             && self.members.is_empty()
             && self.publish.is_empty()
             && self.keys.is_empty()
+            && self.orders.is_empty()
             && self.drain.is_empty()
     }
 }
@@ -54,20 +58,23 @@
     /// Carries out all orders, and those that they cause.
     pub(super) fn carry_out(&mut self, now: Time) {
         while !self.out.is_empty() {
-            let orders = core::mem::take(&mut self.out);
-            for output in orders.pool {
+            let taken = core::mem::take(&mut self.out);
+            for output in taken.pool {
                 self.carry_pool(now, output);
             }
-            for output in orders.members {
+            for output in taken.members {
                 self.carry_members(now, output);
             }
-            for output in orders.publish {
-                self.carry_publish(output);
+            for output in taken.publish {
+                self.carry_publish(now, output);
             }
-            for output in orders.keys {
+            for output in taken.keys {
                 self.carry_keys(now, output);
             }
-            for output in orders.drain {
+            for output in taken.orders {
+                self.carry_orders(now, output);
+            }
+            for output in taken.drain {
                 self.carry_drain(now, output);
             }
         }
@@ -159,6 +166,10 @@
                 let input = keys::Input::Reply { id, reply };
                 cluster.keys.handle(now, input, &mut self.out.keys);
             }
+            Asker::Orders => {
+                let input = orders::Input::Reply { id, reply };
+                cluster.orders.handle(now, input, &mut self.out.orders);
+            }
             Asker::Members => {
                 if let Reply::Vms(records) = reply {
                     let input = members::Input::Listed(records);
@@ -235,7 +246,7 @@
         self.assign_polls();
     }
 
-    fn carry_publish(&mut self, output: publish::Output) {
+    fn carry_publish(&mut self, now: Time, output: publish::Output) {
         match output {
             publish::Output::Send { to, message } => {
                 self.send(to, PeerMessage::Publish(message));
@@ -243,7 +254,7 @@
             publish::Output::Request { id, request } => {
                 self.cluster.platform.ask(Asker::Follower, id, request);
             }
-            publish::Output::Activate(active) => self.follow(&active),
+            publish::Output::Activate(active) => self.follow(now, &active),
             publish::Output::Refuse(refused) => {
                 tracing::warn!(reason = %refused.reason, "a set was refused");
                 let generation = refused.release.generation;
@@ -253,9 +264,14 @@
         }
     }
 
-    fn follow(&mut self, active: &ActiveSet) {
+    fn follow(&mut self, now: Time, active: &ActiveSet) {
         match Catalog::build(&active.set, active.release.generation) {
-            Ok(catalog) => self.activate(Arc::new(catalog)),
+            Ok(catalog) => {
+                self.activate(Arc::new(catalog));
+                if self.cluster.platform.is_set() {
+                    self.feed_orders(now, orders::Input::Set(Arc::clone(&active.set)));
+                }
+            }
             Err(error) => tracing::error!(%error, "a checked set can't be used"),
         }
     }
@@ -270,6 +286,8 @@
                 let cluster = &mut self.cluster;
                 let leave = members::Input::Leave;
                 cluster.members.handle(now, leave, &mut self.out.members);
+                let leave = orders::Input::Leave;
+                cluster.orders.handle(now, leave, &mut self.out.orders);
                 let leave = keys::Input::Leave;
                 cluster.keys.handle(now, leave, &mut self.out.keys);
                 self.regroup(now);
--- a/crates/node/src/decide/mod.rs
+++ b/crates/node/src/decide/mod.rs
@@ -8,6 +8,7 @@
 mod carry;
 mod cluster;
 mod keyed;
+mod orders;
 mod status;
 mod table;
 
@@ -19,7 +20,7 @@
 use core::time::Duration;
 use crossbeam::channel::{Receiver, RecvTimeoutError};
 use poplarswitch_catalog::Catalog;
-use poplarswitch_entity::{CallId, Time};
+use poplarswitch_entity::{CallId, FencingNumber, Time};
 use poplarswitch_members as members;
 use poplarswitch_pool::{Input, Pool};
 use poplarswitch_scheduler::Policy;
@@ -46,6 +47,7 @@
     waiters: HashMap<CallId, Submission>,
     cluster: Cluster,
     platform_up: bool,
+    lease_held: Option<FencingNumber>,
     out: Orders,
     stopping: bool,
 }
@@ -69,6 +71,7 @@
             waiters: HashMap::new(),
             cluster,
             platform_up: false,
+            lease_held: None,
             out: Orders::default(),
             stopping: false,
         }
@@ -111,6 +114,7 @@
             Event::Cache(event) => self.feed(now, poplarswitch_scheduler::Input::Cache(event)),
             Event::Peer(event) => self.peer(now, event),
             Event::Platform(replied) => self.replied(now, replied),
+            Event::Orders(input) => self.feed_orders(now, input),
             Event::Activate(catalog) => self.activate(catalog),
             Event::Status(reply) => drop(reply.send(self.status())),
             Event::Drain => self.drain(now),
@@ -141,6 +145,9 @@
         if due(cluster.keys.next_wake()) {
             cluster.keys.tick(now, &mut self.out.keys);
         }
+        if cluster.platform.is_set() && due(cluster.orders.next_wake(now)) {
+            cluster.orders.tick(now, &mut self.out.orders);
+        }
         cluster.drain.tick(now, &mut self.out.drain);
         self.carry_out(now);
     }
@@ -153,6 +160,7 @@
             cluster.members.next_wake(),
             cluster.follower.next_wake(),
             cluster.keys.next_wake(),
+            orders_wake(cluster, now),
             cluster.drain.next_wake(now),
         ];
         let wake = wakes.into_iter().flatten().min();
@@ -222,3 +230,9 @@
     let most = u64::from(shared.settings.limits.calls).max(1);
     (open * 1_000 / most).min(1_000) as u16
 }
+
+/// Without a platform there is no lease, and so there are no orders.
+fn orders_wake(cluster: &Cluster, now: Time) -> Option<Time> {
+    let wake = cluster.orders.next_wake(now);
+    wake.filter(|_| cluster.platform.is_set())
+}
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -54,6 +54,8 @@
     Peer(PeerEvent),
     /// The platform answered.
     Platform(Replied),
+    /// An engine was read, or an order to it ended.
+    Orders(poplarswitch_orders::Input),
     /// A set comes into force.
     Activate(Arc<Catalog>),
     /// An operator asks for the state.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,6 +12,7 @@
 mod event;
 mod node;
 mod operators;
+mod orders;
 mod platform;
 mod ports;
 mod reports;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -17,6 +17,7 @@
 use poplarswitch_keys as keys;
 use poplarswitch_members::{self as members, Identity};
 use poplarswitch_objects::ObjectSet;
+use poplarswitch_orders as orders;
 use poplarswitch_peer::{Hub, HubSettings};
 use poplarswitch_publish::{self as publish, Follower};
 use poplarswitch_settings::{Addresses, SettingsError};
@@ -312,6 +313,7 @@
         members: members::Core::new(identity, members, seed),
         follower: Follower::new(publish::Settings::builder().build(), usable, seed),
         keys: keys::Core::new(shared.now(), me, minute, keys, seed),
+        orders: orders::Core::new(me, orders::Settings::builder().build(), seed),
         drain: Drain::new(drain),
         hub,
         platform: Platform::start(shared)?,
--- /dev/null
+++ b/crates/node/src/orders.rs
@@ -0,0 +1,119 @@
+//! Carries orders to engines and reads them back.
+//!
+//! Each call is short and runs on a thread of its own; the decision thread never waits. An
+//! order whose answer is lost counts as unknown, and the next reading says what became of it.
+
+use crate::{event::Event, shared::Shared};
+use core::{net::SocketAddr, time::Duration};
+use poplarswitch_entity::{AdapterName, EndpointName, FencingNumber, ModelName, ModelVersion};
+use poplarswitch_orders::{Input, Load, Observation, Order, OrderEnd};
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+use ureq::Agent;
+
+/// Longest time for one call to an engine.
+const CALL_WAIT: Duration = Duration::from_secs(3);
+/// Status of an order with an old fencing number.
+const FENCED: u16 = 409;
+
+/// An order as engines take it.
+#[derive(Debug, Serialize)]
+struct Desired<'a> {
+    fencing: FencingNumber,
+    model: &'a ModelName,
+    version: &'a ModelVersion,
+    adapters: &'a [AdapterName],
+}
+
+/// What an engine says of itself.
+#[derive(Debug, Deserialize)]
+struct Held {
+    #[serde(default)]
+    fencing: Option<FencingNumber>,
+    model: ModelName,
+    version: ModelVersion,
+    #[serde(default)]
+    adapters: Vec<AdapterName>,
+    ready: bool,
+}
+
+/// Reads an engine; the result comes as an event.
+pub(crate) fn observe(shared: &Arc<Shared>, endpoint: EndpointName, address: SocketAddr) {
+    let held = Arc::clone(shared);
+    shared.runtime.spawn_blocking(move || {
+        let observation = read(&agent(), address);
+        held.tell(Event::Orders(Input::Observed {
+            endpoint,
+            observation,
+        }));
+    });
+}
+
+/// Sends an order; its end comes as an event.
+pub(crate) fn send(
+    shared: &Arc<Shared>,
+    endpoint: EndpointName,
+    address: SocketAddr,
+    order: Order,
+) {
+    let held = Arc::clone(shared);
+    shared.runtime.spawn_blocking(move || {
+        let end = put(&agent(), address, &order);
+        held.tell(Event::Orders(Input::Ended { endpoint, end }));
+    });
+}
+
+fn agent() -> Agent {
+    Agent::config_builder()
+        .proxy(None)
+        .http_status_as_error(false)
+        .timeout_global(Some(CALL_WAIT))
+        .build()
+        .into()
+}
+
+fn url(address: SocketAddr) -> String {
+    format!("http://{address}/v1/desired")
+}
+
+fn read(agent: &Agent, address: SocketAddr) -> Option<Observation> {
+    let mut response = agent.get(url(address)).call().ok()?;
+    let text = response.body_mut().read_to_string().ok()?;
+    let held: Held = serde_json::from_str(&text).ok()?;
+    let mut adapters = held.adapters;
+    adapters.sort();
+    Some(Observation {
+        load: Some(Load {
+            model: held.model,
+            version: held.version,
+            adapters,
+        }),
+        ready: held.ready,
+        fencing: held.fencing,
+    })
+}
+
+fn put(agent: &Agent, address: SocketAddr, order: &Order) -> OrderEnd {
+    let desired = Desired {
+        fencing: order.fencing,
+        model: &order.load.model,
+        version: &order.load.version,
+        adapters: &order.load.adapters,
+    };
+    let Ok(body) = serde_json::to_string(&desired) else {
+        return OrderEnd::NotTaken;
+    };
+    match agent.put(url(address)).send(body) {
+        Ok(response) if response.status().is_success() => OrderEnd::Taken,
+        Ok(response) if response.status() == FENCED => fenced(agent, address),
+        Ok(_) | Err(ureq::Error::ConnectionFailed) => OrderEnd::NotTaken,
+        Err(_) => OrderEnd::Unknown,
+    }
+}
+
+/// Finds the number that an engine has seen.
+fn fenced(agent: &Agent, address: SocketAddr) -> OrderEnd {
+    read(agent, address)
+        .and_then(|observation| observation.fencing)
+        .map_or(OrderEnd::NotTaken, |newest| OrderEnd::Fenced { newest })
+}
--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -30,6 +30,8 @@
     Follower,
     /// The keys of calls that must run at most once.
     Keys,
+    /// The lease for orders to engines.
+    Orders,
     /// The membership, which reads the list of VMs.
     Members,
 }
--- a/crates/node/src/run/chat.rs
+++ b/crates/node/src/run/chat.rs
@@ -66,7 +66,8 @@
         if head.says_not_run() {
             return Err(Cut::Fault(Fault::Declined));
         }
-        if head.status >= 500 {
+        let resuming = matches!(self.job.mode, Mode::Resume { .. });
+        if head.status >= 500 || resuming && head.status >= 400 {
             return Err(Cut::Fault(Fault::Errored));
         }
         if chat.stream && head.status < 400 {
--- a/crates/node/tests/cluster.rs
+++ b/crates/node/tests/cluster.rs
@@ -317,3 +317,39 @@
         nodes.iter().all(|node| knows(node, 1))
     });
 }
+
+#[gtest]
+fn a_new_version_is_ordered_by_one_node_and_loaded_once() {
+    let backs = Backs::start(2, &EngineSpec::default());
+    let platform = Platform::start(ANY, PlatformSpec::default()).expect("platform starts");
+    let with = |vm| Settings {
+        platform: Some(platform.url()),
+        ..settings(vm)
+    };
+    publish(&platform, &backs.set(), 1);
+    let a = start(with("vm-a"), None);
+    let b = joined("vm-b", &[&a], None);
+    until("both serve", || {
+        [&a, &b].iter().all(|node| status(node).generation.0 == 1)
+    });
+    let text = serde_json::to_string(&backs.set()).expect("a text");
+    let text = text.replace("\"version\":\"1\"", "\"version\":\"2\"");
+    let text = text.replace("\"versions\":[\"1\"]", "\"versions\":[\"2\",\"1\"]");
+    publish(&platform, &serde_json::from_str(&text).expect("a set"), 2);
+    let orders = || {
+        backs
+            .engines
+            .iter()
+            .map(|engine| engine.stats().orders)
+            .sum::<u64>()
+    };
+    until("both engines are ordered", || orders() == 2);
+    for engine in &backs.engines {
+        let url = format!("http://{}/v1/desired", engine.address());
+        until("the version is ready", || {
+            let text = common::agent().get(&url).call().expect("an answer");
+            let text = text.into_body().read_to_string().expect("a text");
+            text.contains("\"version\":\"2\"") && text.contains("\"ready\":true")
+        });
+    }
+}
--- a/crates/node/tests/whole_path.rs
+++ b/crates/node/tests/whole_path.rs
@@ -6,7 +6,7 @@
 use core::time::Duration;
 use googletest::prelude::*;
 use poplarswitch_client::Outcome;
-use poplarswitch_standins::{EngineFaults, EngineSpec, ServiceFaults, answer_text};
+use poplarswitch_standins::{Engine, EngineFaults, EngineSpec, ServiceFaults, answer_text};
 use std::{io::Read as _, io::Write as _, net::TcpStream};
 
 fn quick() -> EngineSpec {
@@ -127,6 +127,7 @@
         }
         other => panic!("a cut stream ended as {other:?}"),
     }
+    expect_that!(backs.engines[0].stats().resumed, ge(1));
     until("the call is over", || status(&node).calls.open == 0);
 }
 
@@ -187,3 +188,26 @@
     expect_that!(again.outcome, eq(Outcome::Answered));
     expect_that!(backs.service.stats().runs.get(&key), some(eq(&1)));
 }
+
+#[gtest]
+fn a_stream_whose_engine_restarts_ends_with_a_typed_error() {
+    let mut backs = Backs::start(1, &slow());
+    let node = node(&backs);
+    let address = backs.engines[0].address();
+    let report = std::thread::scope(|scope| {
+        let running = scope.spawn(|| client(&node).chat(&chat("tell me much")));
+        until("tokens come", || backs.engines[0].stats().tokens > 2);
+        backs.engines.clear();
+        until("the engine is back", || {
+            let again = Engine::start(address, slow());
+            backs.engines.extend(again);
+            !backs.engines.is_empty()
+        });
+        running.join().expect("the caller ends")
+    });
+    let typed = matches!(report.outcome, Outcome::InDoubt(_) | Outcome::Failed(_));
+    expect_that!(typed, eq(true));
+    let whole = answer_text("tell me much", 64);
+    expect_that!(whole.starts_with(&report.text), eq(true));
+    until("the call is over", || status(&node).calls.open == 0);
+}
