--- a/crates/oracle/src/lib.rs
+++ b/crates/oracle/src/lib.rs
@@ -3,6 +3,13 @@
 pub mod calls;
 pub mod cell;
 pub mod cell_machine;
+pub mod cluster_keys;
+pub mod cluster_keys_steps;
+pub mod cluster_members;
+pub mod cluster_members_steps;
+pub mod cluster_net;
+pub mod cluster_publish;
+pub mod cluster_run;
 pub mod fixture;
 pub mod hunt;
 pub mod judge;
