--- a/crates/scheduler/src/serve.rs
+++ b/crates/scheduler/src/serve.rs
@@ -75,7 +75,7 @@
             prefix: prefix_of(call),
             near: &call.request.data_centre,
             avoid: call.avoid,
-            cautious: !call.terms.repeatable,
+            cautious: !call.terms.repeatable || call.terms.tier < group.lowest(),
         };
         self.balancer.choose(group.pool, &ask)
     }
@@ -104,6 +104,7 @@
             caps: caps_of(info, group.reserve.cap),
             started: now,
             first: None,
+            paced: false,
             resumed_at: 0,
             tokens: 0,
             measured: true,
