Count what reading a prompt costs an engine as what it slows

Cause: useful engine time passed 100%: generation goes on at half speed while a prompt is read, yet the whole reading was counted as cost. Change: the cost of a prompt is the share of generation that it takes. Conclusion: 100% is now what engines with full batches could do.

--- a/crates/bench/src/engine.rs
+++ b/crates/bench/src/engine.rs
@@ -95,8 +95,11 @@
     }
 
     /// Endpoint seconds that an answer costs when the batch is full.
+    ///
+    /// Generation goes on while a prompt is read, so reading costs only what it slows.
     pub fn cost(kind: Kind, slots: u32, prefill: f64, tokens: f64) -> f64 {
-        prefill + tokens * token_time(kind, f64::from(slots)) / f64::from(slots)
+        let reading = prefill * (1.0 - PREFILL_SLOWDOWN);
+        reading + tokens * token_time(kind, f64::from(slots)) / f64::from(slots)
     }
 
     /// Takes a call in.
