--- a/crates/scheduler/src/serve.rs
+++ b/crates/scheduler/src/serve.rs
@@ -103,7 +103,7 @@
             site: Some(site),
             caps: caps_of(info, group.reserve.cap),
             started: now,
-            first: None,
+            seen: None,
             paced: false,
             resumed_at: 0,
             tokens: 0,
@@ -146,7 +146,6 @@
     pub(crate) fn count_running(&mut self, key: CallKey) {
         let call = self.table.get(key);
         self.book.accounts[call.account].add_running(call.terms.tier);
-        self.groups[call.group].lanes[call.lane].live += 1;
     }
 
     /// Slot time that a call's workspace pays in advance.
