Keep one slot of a route from the tiers below its bookings

Change: where the set lists a class that may not be repeated for a route, all tiers below it share all slots but one, from the first call on and also when due by their floor; a route with a single slot is exempt. Conclusion: a booking waits for bookings only, as long as two slots are up.

--- a/crates/oracle/src/fixture.rs
+++ b/crates/oracle/src/fixture.rs
@@ -15,6 +15,7 @@
     ],
     "classes": [
         {"name": "booking", "tier": "bookings", "repeatable": false, "max_wait_ms": 8000,
+            "models": ["tiny"], "services": ["seats"],
             "target": {"answer": {"answer_ms": 1500}}},
         {"name": "check", "tier": "urgent", "max_wait_ms": 3000,
             "target": {"answer": {"answer_ms": 1500}}},
--- a/crates/oracle/src/solo_tests.rs
+++ b/crates/oracle/src/solo_tests.rs
@@ -1,8 +1,10 @@
 use crate::{
+    fixture::Kind,
     hunt::{cases, hunt},
     judge::Property,
     mutation::Mutation,
     solo::Solo,
+    solo_machine::Step,
 };
 use googletest::prelude::*;
 
@@ -18,6 +20,20 @@
     }
 }
 
+#[gtest]
+fn a_booking_finds_a_slot_although_lower_tier_calls_came_first() {
+    for (crowd, booking) in [
+        (Kind::Check, Kind::BookingByModel),
+        (Kind::ChatByService, Kind::Booking),
+    ] {
+        let mut solo = Solo::new(None);
+        solo.step(&Step::Burst(crowd, 10));
+        solo.step(&Step::Submit(booking));
+        solo.step(&Step::Wait(8_000));
+        expect_that!(solo.judge.violation, none(), "{booking:?}");
+    }
+}
+
 #[gtest]
 fn the_oracle_catches_each_deliberate_fault() {
     let faults = [
--- a/crates/scheduler/src/group.rs
+++ b/crates/scheduler/src/group.rs
@@ -36,7 +36,9 @@
     pub served: bool,
     /// The class's own bound, if it has one.
     pub cap: Option<CapKey>,
-    /// Sites within the class's own bound.
+    /// The bound that keeps a slot for bookings of a higher tier, if the route has such.
+    pub guard: Option<CapKey>,
+    /// Sites within the class's own bound and the guard.
     pub own: ViewKey,
     /// Sites that also keep the reserve free, once the class counts as long.
     pub reserved: Option<ViewKey>,
@@ -153,6 +155,8 @@
     pub demand: Vec<Meter>,
     pub budget: Budget,
     pub reserve: Reserve,
+    /// The bound that keeps a slot for calls that may not be repeated.
+    pub guard: Option<CapKey>,
 }
 
 impl Group {
@@ -165,6 +169,7 @@
             caps: HashMap::new(),
             demand: Vec::new(),
             budget,
+            guard: None,
             reserve: Reserve {
                 cap: spare,
                 slots: 0,
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -17,6 +17,7 @@
 mod expire;
 mod finish;
 mod group;
+mod guard;
 mod learn;
 mod reload;
 mod reserve;
--- a/crates/scheduler/src/reload.rs
+++ b/crates/scheduler/src/reload.rs
@@ -22,6 +22,7 @@
         self.catalog = catalog;
         self.balancer.sync(now, &Arc::clone(&self.catalog));
         self.add_groups();
+        self.refresh_guards();
         if same {
             self.book.sync(now, &Arc::clone(&self.catalog));
             self.refresh_served();
--- a/crates/scheduler/src/reserve.rs
+++ b/crates/scheduler/src/reserve.rs
@@ -48,7 +48,8 @@
             if info.reserved.is_some() || !self.is_long(group, info) {
                 continue;
             }
-            let caps: Vec<_> = info.cap.into_iter().chain([group.reserve.cap]).collect();
+            let own = info.cap.into_iter().chain(info.guard);
+            let caps: Vec<_> = own.chain([group.reserve.cap]).collect();
             let adapter = info.adapter.clone();
             let view = self.balancer.view(group.pool, &caps, adapter.as_ref());
             self.groups[key].lanes[index].reserved = Some(view);
--- a/crates/scheduler/src/serve.rs
+++ b/crates/scheduler/src/serve.rs
@@ -166,7 +166,8 @@
 
 fn caps_of(info: &LaneInfo, reserve: CapKey) -> Vec<CapKey> {
     let reserve = info.reserved.is_some().then_some(reserve);
-    info.cap.into_iter().chain(reserve).collect()
+    let own = info.cap.into_iter().chain(info.guard);
+    own.chain(reserve).collect()
 }
 
 /// The prefix that a call shares with others; plain services have none.
--- a/crates/scheduler/src/submit.rs
+++ b/crates/scheduler/src/submit.rs
@@ -83,8 +83,9 @@
         }
         let profile = self.book.profile(key, kind);
         let cap = self.own_cap(key, kind);
+        let guard = self.guard_cap(key, terms.tier);
         let group = &mut self.groups[key];
-        let caps: Vec<_> = cap.into_iter().collect();
+        let caps: Vec<_> = cap.into_iter().chain(guard).collect();
         let own = self.balancer.view(group.pool, &caps, adapter);
         let lane = match &mut group.order {
             Order::Arrival(_) => LaneKey::default(),
@@ -101,6 +102,7 @@
             .repeatable(terms.repeatable)
             .served(self.balancer.serves(group.pool, adapter))
             .maybe_cap(cap)
+            .maybe_guard(guard)
             .own(own)
             .build();
         group.lanes.push(info);
