Send the progress of calls in batches of 100 ms

Cause: each call's progress went to its home in a frame of its own, more than half of all messages between VMs. Change: a call's first output goes at once, since times to first output are compared; later progress waits up to 100 ms for other items of the session.

--- a/crates/pool/src/channel.rs
+++ b/crates/pool/src/channel.rs
@@ -15,6 +15,8 @@
 pub const RESEND_AFTER: Duration = Duration::from_millis(60);
 /// Longest delay of an acknowledgement that could ride on another frame.
 const ACK_DELAY: Duration = Duration::from_millis(20);
+/// Longest delay of an item that can wait for others.
+const BATCH_DELAY: Duration = Duration::from_millis(100);
 /// Most items in one frame.
 const FRAME_ITEMS: usize = 256;
 
@@ -33,6 +35,8 @@
     awaiting: Option<Time>,
     sent_at: Time,
     probe: bool,
+    /// When the items that can wait must go; now for urgent ones.
+    send_by: Option<Time>,
     receives: core::marker::PhantomData<R>,
 }
 
@@ -50,13 +54,21 @@
             awaiting: None,
             sent_at: now,
             probe: false,
+            send_by: None,
             receives: core::marker::PhantomData,
         }
     }
 
-    /// Queues an item for the next frame.
+    /// Queues an item that goes at once.
     pub fn push(&mut self, item: S) {
         self.unacked.push_back(item);
+        self.send_by = Some(Time::ZERO);
+    }
+
+    /// Queues an item that can wait for others; the stream keeps its order.
+    pub fn push_later(&mut self, now: Time, item: S) {
+        self.unacked.push_back(item);
+        self.send_by.get_or_insert(now + BATCH_DELAY);
     }
 
     /// Asks for a reply even without items to send.
@@ -119,7 +131,8 @@
     pub fn flush(&mut self, now: Time, counters: &mut Counters) -> Option<Frame<S>> {
         let overdue = self.outstanding() && now >= self.sent_at + RESEND_AFTER;
         let ack_due = self.ack_by.is_some_and(|by| by <= now);
-        if !(self.unsent() || overdue || ack_due || self.probe) {
+        let unsent = self.send_by.is_some_and(|by| by <= now);
+        if !(unsent || overdue || ack_due || self.probe) {
             return None;
         }
         if overdue {
@@ -146,6 +159,7 @@
             self.awaiting = Some(now);
         }
         self.ack_by = None;
+        self.send_by = self.unsent().then_some(now);
         self.sent_at = now;
         Frame {
             session: self.session,
@@ -167,7 +181,9 @@
     /// When `flush` is next worth calling.
     pub fn next_wake(&self) -> Option<Time> {
         let resend = self.outstanding().then(|| self.sent_at + RESEND_AFTER);
-        let unsent = self.unsent().then_some(self.sent_at);
-        [resend, unsent, self.ack_by].into_iter().flatten().min()
+        [resend, self.send_by, self.ack_by]
+            .into_iter()
+            .flatten()
+            .min()
     }
 }
--- a/crates/pool/src/links.rs
+++ b/crates/pool/src/links.rs
@@ -119,6 +119,14 @@
             .push(ask);
     }
 
+    /// Tells a home something that can wait for the next frame.
+    pub fn mention(&mut self, now: Time, to: Incarnation, ask: Ask) {
+        let peer = self.peers.entry(to).or_default();
+        peer.up
+            .get_or_insert_with(|| open(&mut self.opened, now))
+            .push_later(now, ask);
+    }
+
     /// Asks a home to release a call, if a session with it is open.
     pub fn release(&mut self, to: Incarnation, ask: Ask) {
         if let Some(up) = self.peers.get_mut(&to).and_then(|peer| peer.up.as_mut()) {
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -197,10 +197,15 @@
         if own.home != self.me && recent {
             return;
         }
-        own.told = Some(now);
+        let first = own.told.replace(now).is_none();
         let (ask, home) = (own.ask, own.home);
         let input = scheduler::Input::Progress(progress);
-        self.tell(now, home, Ask::Input { ask, input });
+        let ask = Ask::Input { ask, input };
+        if first || home == self.me {
+            self.tell(now, home, ask);
+        } else {
+            self.links.mention(now, home, ask);
+        }
     }
 
     fn ended(&mut self, now: Time, ended: Ended) {
