Show with four deliberate faults that the cell fuzz would find them

Cause: the faults so far change orders on their way out; the protocol between homes and origins had none of its own.

--- a/crates/oracle/src/cell.rs
+++ b/crates/oracle/src/cell.rs
@@ -9,7 +9,7 @@
 };
 use core::time::Duration;
 use poplarswitch_entity::{CallId, Incarnation, Time};
-use poplarswitch_pool::{Input, Output, Pool, PoolMessage};
+use poplarswitch_pool::{Input, Mutation as Fault, Output, Pool, PoolMessage};
 use poplarswitch_scheduler::{self as scheduler, Dispatch, End, Ended, Policy, Progress, Stop};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
@@ -55,6 +55,7 @@
     /// The oracle.
     pub judge: Judge,
     mutation: Option<Mutation>,
+    fault: Option<Fault>,
     now: Time,
     vms: Vec<Vm>,
     net: Net,
@@ -72,6 +73,7 @@
         let mut cell = Self {
             judge: Judge::default(),
             mutation,
+            fault: None,
             now: Time::ZERO,
             vms: Vec::new(),
             net: Net::default(),
@@ -103,6 +105,14 @@
         }
     }
 
+    /// Puts a deliberate fault into every pool.
+    pub fn mutate(&mut self, fault: Fault) {
+        for vm in &mut self.vms {
+            vm.pool.mutate(fault);
+        }
+        self.fault = Some(fault);
+    }
+
     /// Does one step.
     pub fn step(&mut self, step: &Step) {
         match *step {
@@ -295,6 +305,9 @@
             record.live = None;
         }
         self.vms[vm] = self.start_vm();
+        if let Some(fault) = self.fault {
+            self.vms[vm].pool.mutate(fault);
+        }
         self.show_members(vm);
     }
 
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -13,6 +13,7 @@
 mod desk;
 mod links;
 mod message;
+mod mutation;
 mod own;
 mod pool;
 mod ranking;
@@ -24,5 +25,6 @@
 mod pool_tests;
 
 pub use message::{Answer, Ask, AskNumber, Frame, Input, Output, PoolMessage, Session};
+pub use mutation::Mutation;
 pub use pool::Pool;
 pub use status::{Counters, Status};
--- a/crates/pool/src/links.rs
+++ b/crates/pool/src/links.rs
@@ -6,7 +6,9 @@
 //! asked for. A home that stays silent is suspected; an origin that stays silent loses
 //! its slots when its lease runs out.
 
-use crate::{Answer, Ask, Counters, Frame, Output, PoolMessage, Session, channel::Channel};
+use crate::{
+    Answer, Ask, Counters, Frame, Mutation, Output, PoolMessage, Session, channel::Channel,
+};
 use core::time::Duration;
 use poplarswitch_entity::{Incarnation, Time};
 use std::collections::BTreeMap;
@@ -75,6 +77,8 @@
     peers: BTreeMap<Incarnation, Peer>,
     resets: Vec<(Incarnation, Session)>,
     opened: u64,
+    /// A deliberate fault.
+    pub mutation: Option<Mutation>,
 }
 
 impl Links {
@@ -229,10 +233,15 @@
     /// Lets time pass.
     pub fn tick(&mut self, now: Time, members: &[Incarnation], events: &mut Vec<Event>) {
         for (id, peer) in &mut self.peers {
-            peer.check_home(now, events);
+            if self.mutation != Some(Mutation::NeverSuspect) {
+                peer.check_home(now, events);
+            }
             peer.keep_up(now);
             let member = members.binary_search(id).is_ok();
             peer.retry(now, member, &mut self.opened);
+            if self.mutation == Some(Mutation::KeepSilentOrigins) {
+                continue;
+            }
             if peer.lease_over(now) {
                 events.push(Event::Voided(*id));
             }
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -1,7 +1,7 @@
 //! The state machine: own calls, the home's desk and the links between VMs.
 
 use crate::{
-    Answer, Ask, Counters, Input, Output, Status,
+    Answer, Ask, Counters, Input, Mutation, Output, Status,
     desk::Desk,
     links::{Event, Links},
     own::{Own, Phase, Taken},
@@ -31,6 +31,7 @@
     answers: Vec<Answer>,
     counters: Counters,
     due: Option<Time>,
+    mutation: Option<Mutation>,
 }
 
 impl Pool {
@@ -45,9 +46,17 @@
             answers: Vec::new(),
             counters: Counters::default(),
             due: None,
+            mutation: None,
         }
     }
 
+    /// Puts a deliberate fault in.
+    #[cfg(feature = "mutation")]
+    pub const fn mutate(&mut self, mutation: Mutation) {
+        self.mutation = Some(mutation);
+        self.links.mutation = Some(mutation);
+    }
+
     /// Reacts to one input.
     pub fn handle(&mut self, now: Time, input: Input, out: &mut Vec<Output>) {
         self.notice_stall(now);
@@ -285,7 +294,10 @@
             return;
         };
         let taken = own.take(&answer.output);
-        let order = own.truthful(answer.output);
+        let order = match self.mutation {
+            Some(Mutation::ForgetRuns) => answer.output,
+            _ => own.truthful(answer.output),
+        };
         match taken {
             Taken::Ordered => out.push(Output::Order(order)),
             Taken::Over => {
@@ -333,7 +345,9 @@
         self.counters.moved += 1;
         self.links.unfollow(old);
         self.links.follow(new);
-        self.release(now, old, call);
+        if self.mutation != Some(Mutation::KeepOldHome) {
+            self.release(now, old, call);
+        }
         self.ask(now, new, asks, out);
     }
 
