--- a/crates/scheduler/src/group.rs
+++ b/crates/scheduler/src/group.rs
@@ -40,14 +40,28 @@
     pub own: ViewKey,
     /// Sites that also keep the reserve free, once the class counts as long.
     pub reserved: Option<ViewKey>,
-    /// Calls that wait or run.
-    #[builder(default)]
-    pub live: u32,
-    /// Most calls that were live at once, fading.
+    /// Calls that arrive within the target.
+    pub arrivals: Meter,
+    /// Most calls that arrived within the target, fading.
     #[builder(default)]
     pub peak: f64,
 }
 
+impl LaneInfo {
+    /// Whether its calls keep away from endpoints on probation: because they may not run
+    /// twice, or because calls of a lower tier can probe.
+    pub(crate) const fn cautious(&self, lowest: usize) -> bool {
+        !self.repeatable || self.tier < lowest
+    }
+
+    /// Counts an arrival towards the peak.
+    pub(crate) fn note_arrival(&mut self, now: Time) {
+        self.arrivals.add(now, 1.0);
+        let within = self.arrivals.rate(now) * self.target.as_secs_f64();
+        self.peak = self.peak.max(within);
+    }
+}
+
 /// The order in which a route's calls are served.
 #[derive(Debug)]
 pub(crate) enum Order {
@@ -165,6 +179,12 @@
         }
     }
 
+    /// The lowest tier that has had calls.
+    pub(crate) fn lowest(&self) -> usize {
+        let tiers = self.lanes.iter().map(|info| info.tier);
+        tiers.max().unwrap_or_default()
+    }
+
     /// Forgets queue and lanes for a set with other tiers.
     pub(crate) fn reset(&mut self, policy: Policy, floors: &[u8]) {
         self.order = Order::new(policy, floors);
