--- a/crates/node/src/decide/cluster.rs
+++ b/crates/node/src/decide/cluster.rs
@@ -34,7 +34,7 @@
 
 /// What the cores have ordered and nobody has carried out yet.
 #[derive(Debug, Default)]
-pub(super) struct Orders {
+pub(super) struct Pending {
     pub(super) pool: Vec<pool::Output>,
     pub(super) members: Vec<members::Output>,
     pub(super) publish: Vec<publish::Output>,
@@ -43,7 +43,7 @@
     pub(super) drain: Vec<DrainOutput>,
 }
 
-impl Orders {
+impl Pending {
     fn is_empty(&self) -> bool {
         self.pool.is_empty()
             && self.members.is_empty()
--- a/crates/node/src/decide/mod.rs
+++ b/crates/node/src/decide/mod.rs
@@ -16,7 +16,7 @@
     event::{Event, Submission},
     shared::Shared,
 };
-use cluster::Orders;
+use cluster::Pending;
 use core::time::Duration;
 use crossbeam::channel::{Receiver, RecvTimeoutError};
 use poplarswitch_catalog::Catalog;
@@ -48,7 +48,7 @@
     cluster: Cluster,
     platform_up: bool,
     lease_held: Option<FencingNumber>,
-    out: Orders,
+    out: Pending,
     stopping: bool,
 }
 
@@ -72,7 +72,7 @@
             cluster,
             platform_up: false,
             lease_held: None,
-            out: Orders::default(),
+            out: Pending::default(),
             stopping: false,
         }
     }
