--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -107,6 +107,11 @@
         self.first_trusted(&self.ranking.rank(route))
     }
 
+    /// The VM's incarnation.
+    pub const fn me(&self) -> Incarnation {
+        self.me
+    }
+
     /// Events since the start.
     pub const fn counters(&self) -> &Counters {
         &self.counters
