Fuzz orders; wait out a pause before a lost order counts as over

Change: such an order is over after the longest pause and call; a long time without a tick counts as one in which nothing was sent; an unknown end counts from when it was told.

--- a/crates/oracle/src/lib.rs
+++ b/crates/oracle/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod cluster_members;
 pub mod cluster_members_steps;
 pub mod cluster_net;
+pub mod cluster_orders;
 pub mod cluster_publish;
 pub mod cluster_run;
--- a/crates/orders/src/core_machine.rs
+++ b/crates/orders/src/core_machine.rs
@@ -1,7 +1,7 @@
 //! The state machine.
 
 use crate::{
-    EndpointStatus, Input, Load, Observation, Order, OrderEnd, Output, Settings, Wait,
+    EndpointStatus, Input, Load, Mutation, Observation, Order, OrderEnd, Output, Settings, Wait,
     desired::Group,
     lease::Lease,
     reconcile::{Engine, Given, View},
@@ -20,6 +20,8 @@
     group: Group,
     engines: BTreeMap<EndpointName, Engine>,
     store_free: Time,
+    last_tick: Time,
+    mutation: Option<Mutation>,
 }
 
 impl Core {
@@ -32,9 +34,18 @@
             group: Group::default(),
             engines: BTreeMap::new(),
             store_free: Time::ZERO,
+            last_tick: Time::ZERO,
+            mutation: None,
         }
     }
 
+    /// Puts a deliberate fault in.
+    #[cfg(feature = "mutation")]
+    pub fn mutate(&mut self, mutation: Mutation) {
+        self.mutation = Some(mutation);
+        self.lease.keep_lapsed(mutation == Mutation::KeepLapsed);
+    }
+
     /// The fencing number, if this VM holds the lease now.
     pub fn fencing(&self, now: Time) -> Option<FencingNumber> {
         self.lease.held(now).map(|held| held.fencing)
@@ -77,6 +88,7 @@
 
     /// Lets time pass.
     pub fn tick(&mut self, now: Time, out: &mut Vec<Output>) {
+        self.notice_pause(now);
         let idle = self.in_flight() == 0;
         self.lease
             .tick(now, idle, &self.settings, &mut self.rng, out);
@@ -112,6 +124,22 @@
         self.tick(now, out);
     }
 
+    /// Counts a long time without a tick as one in which no order was sent.
+    fn notice_pause(&mut self, now: Time) {
+        let gap = now.since(self.last_tick);
+        self.last_tick = now;
+        if gap < self.settings.call {
+            return;
+        }
+        let given = self
+            .engines
+            .values_mut()
+            .filter_map(|engine| engine.given.as_mut());
+        for given in given.filter(|given| given.ended.is_none()) {
+            given.at = given.at + gap;
+        }
+    }
+
     fn observed(
         &mut self,
         now: Time,
@@ -146,8 +174,12 @@
                     engine.sealed = engine.sealed.max(Some(given.fencing));
                 }
             }
-            // It may take effect until the longest call is over.
-            OrderEnd::Unknown => {}
+            // It was sent, and may take effect until the longest call is over.
+            OrderEnd::Unknown => {
+                if let Some(given) = &mut engine.given {
+                    given.ended = Some(now + self.settings.call);
+                }
+            }
         }
     }
 
@@ -233,6 +265,7 @@
             engines: &self.engines,
             held: self.lease.held(now),
             store_free: self.store_free,
+            mutation: self.mutation,
         }
     }
 }
--- a/crates/orders/src/lease.rs
+++ b/crates/orders/src/lease.rs
@@ -63,6 +63,7 @@
     next: Time,
     leaving: bool,
     released: bool,
+    keep_lapsed: bool,
 }
 
 impl Lease {
@@ -77,12 +78,20 @@
             next: Time::ZERO,
             leaving: false,
             released: false,
+            keep_lapsed: false,
         }
     }
 
+    /// Puts a deliberate fault in: a lapsed lease counts as held.
+    #[cfg(feature = "mutation")]
+    pub(crate) const fn keep_lapsed(&mut self, keep: bool) {
+        self.keep_lapsed = keep;
+    }
+
     /// The lease, if this VM holds it now.
     pub(crate) fn held(&self, now: Time) -> Option<Held> {
-        self.held.filter(|held| now < held.until)
+        self.held
+            .filter(|held| now < held.until || self.keep_lapsed)
     }
 
     pub(crate) fn next_wake(&self) -> Option<Time> {
@@ -120,7 +129,7 @@
         rng: &mut Pcg64Mcg,
         out: &mut Vec<Output>,
     ) {
-        if self.held.is_some_and(|held| now >= held.until) {
+        if self.held.is_some() && self.held(now).is_none() {
             self.lose(out);
         }
         if let Some((_, _, lost)) = self.pending {
--- a/crates/orders/src/lib.rs
+++ b/crates/orders/src/lib.rs
@@ -10,6 +10,7 @@
 mod core_machine;
 mod desired;
 mod lease;
+mod mutation;
 mod reconcile;
 
 #[cfg(test)]
@@ -22,3 +23,4 @@
 };
 pub use core_machine::Core;
 pub use lease::lease_key;
+pub use mutation::Mutation;
--- a/crates/orders/src/reconcile.rs
+++ b/crates/orders/src/reconcile.rs
@@ -1,7 +1,7 @@
 //! Which orders may be given now.
 
 use crate::{
-    Load, Observation, Settings, Wait,
+    Load, Mutation, Observation, Settings, Wait,
     desired::{Desired, Group},
     lease::Held,
 };
@@ -14,7 +14,7 @@
     pub(crate) load: Load,
     pub(crate) fencing: FencingNumber,
     pub(crate) at: Time,
-    /// When its call ended, if it has.
+    /// When it took effect at the latest, if its call has ended.
     pub(crate) ended: Option<Time>,
 }
 
@@ -48,8 +48,9 @@
     /// Forgets an order that has worked or has failed for good.
     pub(crate) fn settle(&mut self, now: Time, settings: &Settings) {
         let Some(given) = &self.given else { return };
-        // A call without an end may still take effect for as long as a call lasts.
-        let ended = given.ended.unwrap_or(given.at + settings.call);
+        // A call without an end may be sent as late as after a pause, and then take its time.
+        let last = given.at + settings.pause + settings.call;
+        let ended = given.ended.unwrap_or(last);
         let seen = self.observed_at > ended && now >= ended;
         let Some(observation) = self.observation.as_ref().filter(|_| seen) else {
             return;
@@ -71,6 +72,7 @@
     pub(crate) engines: &'a BTreeMap<EndpointName, Engine>,
     pub(crate) held: Option<Held>,
     pub(crate) store_free: Time,
+    pub(crate) mutation: Option<Mutation>,
 }
 
 impl View<'_> {
@@ -106,6 +108,9 @@
     fn lease_allows(&self, desired: &Desired) -> bool {
         let Some(held) = self.held else { return false };
         let left = held.until.since(self.now);
+        if self.mutation == Some(Mutation::NoMargin) {
+            return true;
+        }
         if desired.fenced {
             left > self.settings.call
         } else {
@@ -119,6 +124,9 @@
         let Some(model) = engine.serves(self.now, self.settings) else {
             return true;
         };
+        if self.mutation == Some(Mutation::IgnoreFloor) {
+            return true;
+        }
         let floor = self.group.min_ready.get(model).copied().unwrap_or_default();
         let others = self.engines.iter().filter(|(other, engine)| {
             *other != name
@@ -133,6 +141,9 @@
         let (Some(held), Some(desired)) = (self.held, self.group.engines.get(name)) else {
             return false;
         };
+        if self.mutation == Some(Mutation::NoSeal) {
+            return true;
+        }
         if !desired.fenced {
             return self.now >= held.settled;
         }
