--- a/crates/publish/src/follower.rs
+++ b/crates/publish/src/follower.rs
@@ -239,14 +239,15 @@
     }
 
     fn pursue(&mut self, now: Time, out: &mut Vec<Output>) {
+        let ready = self.may_start(now);
         let Some(fetch) = &mut self.fetch else { return };
+        if fetch.assembly().missing().is_empty() && !ready {
+            return;
+        }
         let Some(result) = fetch.assembly().join() else {
             let settings = &self.settings;
             return fetch.pursue(now, settings, &mut self.ids, &mut self.rng, out);
         };
-        if !self.may_start(now) {
-            return;
-        }
         if let Some(fetch) = self.fetch.take() {
             let (release, assembly) = fetch.finish();
             self.blobs = assembly.into_blobs();
