--- a/crates/keys/src/core_machine_tests.rs
+++ b/crates/keys/src/core_machine_tests.rs
@@ -1,1 +1,124 @@
+use crate::{
+    CallKey, Core, Input, KeyText, KeyedCall, KeysMessage, NotRunReason, Output, RunEnd, Settings,
+    Told,
+};
+use core::time::Duration;
+use googletest::prelude::*;
+use poplarswitch_entity::{CallId, Incarnation, Time};
+use std::sync::Arc;
 
+const HOME: Incarnation = Incarnation(1);
+const OTHER: Incarnation = Incarnation(2);
+const START: Time = Time::ZERO;
+
+fn core(me: Incarnation) -> Core {
+    Core::new(START, me, 1_000, Settings::builder().build(), 7)
+}
+
+fn call(seq: u64, digest: u64) -> KeyedCall {
+    let token = core(HOME).token(START);
+    KeyedCall {
+        call: CallId { origin: OTHER, seq },
+        key: CallKey {
+            workspace: "w".into(),
+            text: KeyText::new(format!("{token}.a")),
+        },
+        digest,
+        payload: [].into(),
+    }
+}
+
+fn handle(core: &mut Core, input: Input) -> Vec<Output> {
+    let mut out = Vec::new();
+    core.handle(START, input, &mut out);
+    out
+}
+
+fn tell(seq: u64, told: Told) -> Output {
+    let call = CallId { origin: OTHER, seq };
+    Output::Tell { call, told }
+}
+
+fn end(seq: u64, end: RunEnd) -> Input {
+    let call = CallId { origin: OTHER, seq };
+    Input::Ended { call, end }
+}
+
+#[gtest]
+fn a_repeat_gets_the_answer_of_the_first() {
+    let mut core = core(HOME);
+    let answer: Arc<[u8]> = [4].into();
+    handle(&mut core, Input::Submit(call(1, 0)));
+    handle(&mut core, end(1, RunEnd::Answered(Arc::clone(&answer))));
+    let out = handle(&mut core, Input::Submit(call(2, 0)));
+    expect_that!(out, elements_are![eq(&tell(2, Told::Answer(answer)))]);
+}
+
+#[gtest]
+fn calls_that_meet_run_once_and_are_both_told() {
+    let mut core = core(HOME);
+    handle(&mut core, Input::Submit(call(1, 0)));
+    expect_that!(handle(&mut core, Input::Submit(call(2, 0))), is_empty());
+    let out = handle(&mut core, end(1, RunEnd::InDoubt));
+    let told = [tell(1, Told::InDoubt), tell(2, Told::InDoubt)];
+    expect_that!(out, eq(&told.to_vec()));
+}
+
+#[gtest]
+fn a_key_that_was_not_run_may_run_for_a_new_call_only() {
+    let mut core = core(HOME);
+    handle(&mut core, Input::Submit(call(1, 0)));
+    let refused = Told::NotRun(NotRunReason::Refused);
+    let out = handle(&mut core, end(1, RunEnd::NotRun));
+    expect_that!(out, elements_are![eq(&tell(1, refused.clone()))]);
+    let out = handle(&mut core, Input::Submit(call(1, 0)));
+    expect_that!(out, elements_are![eq(&tell(1, refused))]);
+    let out = handle(&mut core, Input::Submit(call(2, 0)));
+    expect_that!(out, elements_are![eq(&Output::Run(call(2, 0)))]);
+}
+
+#[gtest]
+fn a_key_never_stands_for_two_requests() {
+    let mut core = core(HOME);
+    handle(&mut core, Input::Submit(call(1, 0)));
+    let out = handle(&mut core, Input::Submit(call(2, 9)));
+    expect_that!(out, elements_are![eq(&tell(2, Told::Mismatch))]);
+}
+
+#[gtest]
+fn without_a_way_to_the_home_nothing_runs() {
+    let mut core = core(OTHER);
+    let out = handle(&mut core, Input::Submit(call(1, 0)));
+    expect_that!(out, elements_are![eq(&tell(1, Told::NotRunHere))]);
+}
+
+#[gtest]
+fn a_home_that_dies_after_the_forward_leaves_the_call_in_doubt() {
+    let mut core = core(OTHER);
+    handle(&mut core, Input::Linked(HOME));
+    handle(&mut core, Input::Submit(call(1, 0)));
+    handle(&mut core, Input::Unlinked(HOME));
+    let mut out = Vec::new();
+    core.tick(START + Duration::from_secs(4), &mut out);
+    expect_that!(out, elements_are![eq(&tell(1, Told::InDoubt))]);
+}
+
+#[gtest]
+fn a_broken_link_that_comes_back_repeats_the_forward() {
+    let mut core = core(OTHER);
+    handle(&mut core, Input::Linked(HOME));
+    handle(&mut core, Input::Submit(call(1, 0)));
+    handle(&mut core, Input::Unlinked(HOME));
+    let out = handle(&mut core, Input::Linked(HOME));
+    let message = KeysMessage::Forward(call(1, 0));
+    expect_that!(out, elements_are![eq(&Output::Send { to: HOME, message })]);
+}
+
+#[gtest]
+fn a_key_older_than_the_retention_is_never_taken_for_new() {
+    let mut core = core(HOME);
+    let mut out = Vec::new();
+    let late = START + Duration::from_mins(200);
+    core.handle(late, Input::Submit(call(1, 0)), &mut out);
+    expect_that!(out, elements_are![eq(&tell(1, Told::NotRunHere))]);
+}
