--- a/crates/orders/src/lib.rs
+++ b/crates/orders/src/lib.rs
@@ -14,7 +14,7 @@
 mod reconcile;
 
 #[cfg(test)]
-mod core_machine_tests;
+mod desired_tests;
 #[cfg(test)]
 mod lease_tests;
 
