--- a/crates/members/src/core_machine.rs
+++ b/crates/members/src/core_machine.rs
@@ -152,12 +152,15 @@
         self.report(out);
     }
 
-    /// Reacts to one input.
+    /// Reacts to one input; changes of state are reported on the next tick.
     pub fn handle(&mut self, now: Time, input: Input, out: &mut Vec<Output>) {
         self.notice_pause(now, out);
         match input {
             Input::Message { from, message } => self.message(now, from, message, out),
-            Input::Linked(peer) => self.linked(now, &peer, out),
+            Input::Linked(peer) => {
+                self.linked(now, &peer, out);
+                self.report(out);
+            }
             Input::Unlinked(peer) => {
                 self.links.closed(peer);
             }
@@ -171,7 +174,6 @@
                 self.beat(out);
             }
         }
-        self.report(out);
     }
 
     fn message(
--- a/crates/oracle/examples/cluster_spread.rs
+++ b/crates/oracle/examples/cluster_spread.rs
@@ -2,7 +2,7 @@
 //!
 //! Members and followers run together over one virtual network. Bytes are those of the CBOR
 //! encoding, without headers of the link. The processor time is that of the whole simulation
-//! divided by the VMs, so it is an upper bound.
+//! divided by the VMs, so it is an upper bound. The argument is the largest fleet to measure.
 
 use core::{net::SocketAddr, time::Duration};
 use poplarswitch_entity::{Generation, Incarnation, Time};
@@ -364,7 +364,11 @@
     let large = set(6_500, 900);
     writeln!(out, "| VMs | platform | half of them, s | all of them, s |")?;
     writeln!(out, "|---|---|---|---|")?;
-    for size in [3, 9, 30, 340] {
+    let most: usize = std::env::args()
+        .nth(1)
+        .and_then(|most| most.parse().ok())
+        .unwrap_or(340);
+    for size in [3, 9, 30, 340].into_iter().filter(|size| *size <= most) {
         for scene in [Scene::Up, Scene::Slow, Scene::OneReaches] {
             let set = if size == 340 { &large } else { &small };
             measure_spread(size, scene, set, &mut out)?;
@@ -376,7 +380,10 @@
         "| VMs | 11,000 changes a day | messages sent | members, B/s | sets, B/s | fleet's reads/s | fleet's writes/s | core, % |"
     )?;
     writeln!(out, "|---|---|---|---|---|---|---|---|")?;
-    for size in [3, 9, 30, 120, 340] {
+    for size in [3, 9, 30, 120, 340]
+        .into_iter()
+        .filter(|size| *size <= most)
+    {
         let set = if size >= 120 { &large } else { &small };
         for changes in [false, true] {
             measure_cost(size, changes, set, &mut out)?;
--- a/crates/oracle/src/cluster_publish.rs
+++ b/crates/oracle/src/cluster_publish.rs
@@ -48,6 +48,8 @@
     Pause(Place),
     /// Two VMs lose their link, and get it back in a later step.
     Cut(Place, Place),
+    /// One VM cannot reach the platform, or all can again.
+    Isolate(Option<Place>),
     /// All links work again.
     Mend,
     /// Messages are lost and doubled from now on, or no longer.
@@ -74,6 +76,7 @@
             2 => (0..VMS).prop_map(Step::Replace),
             2 => (0..VMS).prop_map(Step::Pause),
             2 => (0..VMS, 0..VMS).prop_map(|(a, b)| Step::Cut(a, b)),
+            2 => proptest::option::of(0..VMS).prop_map(Step::Isolate),
             1 => Just(Step::Mend),
             1 => any::<bool>().prop_map(Step::Faults),
         ]
@@ -349,6 +352,7 @@
             Step::Cut(a, b) => {
                 self.net.cut.insert((*a, *b));
             }
+            Step::Isolate(place) => self.net.isolated = (*place).into_iter().collect(),
             Step::Mend => self.net.cut.clear(),
             Step::Faults(on) => {
                 self.net.faults.lost = if *on { 20 } else { 0 };
@@ -364,6 +368,7 @@
         self.net.cut.clear();
         self.net.faults = crate::cluster_net::LinkFaults::default();
         self.net.set_health(Health::Up);
+        self.net.isolated = [VMS - 1].into();
         self.run(Duration::from_secs(70))?;
         self.publish(41);
         self.run(SPREAD)?;
