Name everything that changed since the operator's base in a conflict

Cause: a publication from an old base was refused with the other's name but without its changes, and an unreadable set after a lost race was told as a bad head. Change: the base's set is read from the head's history and compared with the current one; an unreadable set leaves the list of changes empty. Conflicts have their own module. Conclusion: both ways to a conflict name what changed.

--- /dev/null
+++ b/crates/publish/src/conflict.rs
@@ -0,0 +1,54 @@
+//! Names what another operator changed.
+
+use crate::{
+    Outcome, Publisher, PublisherOutput, Read, Reader, Release, Snapshot, changes, publisher::Step,
+};
+
+impl Publisher {
+    /// Whether the operator started from another release than the current one.
+    pub(crate) fn is_outdated(&self, snapshot: &Snapshot) -> bool {
+        let current = snapshot.head.current.generation;
+        self.draft.base.is_some_and(|base| base != current)
+    }
+
+    /// Reads the release that the operator started from, to compare it with the current one.
+    pub(crate) fn read_base(&mut self, snapshot: &Snapshot, out: &mut Vec<PublisherOutput>) {
+        let head = &snapshot.head;
+        let base = self.draft.base.unwrap_or_default();
+        let theirs = head.at(base.next()).unwrap_or(&head.current).clone();
+        let Some(base) = head.at(base) else {
+            let changed = Vec::new();
+            return self.finish(Outcome::Conflict { theirs, changed }, out);
+        };
+        let root = base.manifest;
+        self.theirs = Some(theirs);
+        self.current = Some(snapshot.set.clone());
+        self.step = Step::ReadTheirs;
+        self.read_with(out, |reader, ids, asks| reader.start_at(root, ids, asks));
+    }
+
+    /// Reads what came first, now that this publication can no longer take effect.
+    pub(crate) fn read_theirs(&mut self, theirs: Release, out: &mut Vec<PublisherOutput>) {
+        self.drop_blobs(out);
+        self.theirs = Some(theirs);
+        self.step = Step::ReadTheirs;
+        self.read_with(out, Reader::start);
+    }
+
+    pub(crate) fn name_conflict(&mut self, read: Option<Read>, out: &mut Vec<PublisherOutput>) {
+        let Some(theirs) = self.theirs.clone() else {
+            return;
+        };
+        let (old, new) = match (self.current.take(), read) {
+            (Some(current), Some(base)) => (base.set, Some(current)),
+            (None, Some(read)) => {
+                let parent = self.plan.as_ref().map(|plan| plan.parent.clone());
+                (parent, read.snapshot.map(|snapshot| snapshot.set))
+            }
+            (_, None) => (None, None),
+        };
+        let changed = old.zip(new).map(|(old, new)| changes(&old, &new));
+        let changed = changed.unwrap_or_default();
+        self.finish(Outcome::Conflict { theirs, changed }, out);
+    }
+}
--- a/crates/publish/src/lib.rs
+++ b/crates/publish/src/lib.rs
@@ -9,6 +9,7 @@
 mod api;
 mod assembly;
 mod blob;
+mod conflict;
 mod content;
 mod fetch;
 mod follower;
--- a/crates/publish/src/publisher.rs
+++ b/crates/publish/src/publisher.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     BlobRef, Content, Draft, Head, Mutation, Outcome, PublisherInput, PublisherOutput, Read,
-    ReadError, Reader, Release, Verify, changes, head_key,
+    ReadError, Reader, Release, Verify, head_key,
     plan::{Plan, next_head},
     reader::retry_after,
 };
@@ -20,7 +20,7 @@
 const PARALLEL: usize = 8;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Step {
+pub(crate) enum Step {
     Idle,
     Read,
     Write,
@@ -39,17 +39,19 @@
 
 /// Publishes one set.
 pub struct Publisher {
-    draft: Draft,
+    pub(crate) draft: Draft,
     verify: Verify,
-    step: Step,
+    pub(crate) step: Step,
     ids: RequestId,
-    reader: Reader,
-    plan: Option<Plan>,
+    pub(crate) reader: Reader,
+    pub(crate) plan: Option<Plan>,
     pending: BTreeMap<RequestId, Ask>,
     again: Vec<(Time, Ask)>,
     /// Head updates sent whose effect is not known.
     open: u32,
-    theirs: Option<Release>,
+    pub(crate) theirs: Option<Release>,
+    /// The set in force, while the set that the operator started from is read.
+    pub(crate) current: Option<ObjectSet>,
     deadline: Time,
     mutation: Option<Mutation>,
 }
@@ -77,6 +79,7 @@
             again: Vec::new(),
             open: 0,
             theirs: None,
+            current: None,
             deadline: Time::MAX,
             mutation: None,
         }
@@ -161,8 +164,8 @@
 
     fn read(&mut self, read: Result<Read, ReadError>, out: &mut Vec<PublisherOutput>) {
         match read {
+            read if self.step == Step::ReadTheirs => self.name_conflict(read.ok(), out),
             Err(error) => self.finish(Outcome::BadHead(error.to_string()), out),
-            Ok(read) if self.step == Step::ReadTheirs => self.name_conflict(&read, out),
             Ok(read) => self.check(read, out),
         }
     }
@@ -172,14 +175,8 @@
             if let Some(ours) = snapshot.head.find(self.draft.nonce) {
                 return self.finish(Outcome::Accepted(ours.clone()), out);
             }
-            let current = &snapshot.head.current;
-            if let Some(base) = self.draft.base
-                && base != current.generation
-            {
-                let next = snapshot.head.at(base.next()).unwrap_or(current);
-                let theirs = next.clone();
-                let changed = Vec::new();
-                return self.finish(Outcome::Conflict { theirs, changed }, out);
+            if self.is_outdated(snapshot) {
+                return self.read_base(snapshot, out);
             }
         }
         let parent = read.snapshot.as_ref().map(|snapshot| &snapshot.set);
@@ -304,24 +301,6 @@
         }
     }
 
-    fn read_theirs(&mut self, theirs: Release, out: &mut Vec<PublisherOutput>) {
-        self.drop_blobs(out);
-        self.theirs = Some(theirs);
-        self.step = Step::ReadTheirs;
-        self.read_with(out, Reader::start);
-    }
-
-    fn name_conflict(&mut self, read: &Read, out: &mut Vec<PublisherOutput>) {
-        let Some(theirs) = self.theirs.clone() else {
-            return;
-        };
-        let changed = match (&read.snapshot, &self.plan) {
-            (Some(snapshot), Some(plan)) => changes(&plan.parent, &snapshot.set),
-            _ => Vec::new(),
-        };
-        self.finish(Outcome::Conflict { theirs, changed }, out);
-    }
-
     fn accept(&mut self, out: &mut Vec<PublisherOutput>) {
         let Some(plan) = &self.plan else { return };
         let release = plan.head.current.clone();
@@ -332,7 +311,7 @@
     }
 
     /// Removes what this publication wrote; only once its update can no longer take effect.
-    fn drop_blobs(&mut self, out: &mut Vec<PublisherOutput>) {
+    pub(crate) fn drop_blobs(&mut self, out: &mut Vec<PublisherOutput>) {
         let Some(plan) = &self.plan else { return };
         for blob in plan.content.new_refs(self.draft.nonce) {
             self.drop_blob(blob, out);
@@ -363,7 +342,7 @@
         self.finish(Outcome::Undecided { nonce }, out);
     }
 
-    fn finish(&mut self, outcome: Outcome, out: &mut Vec<PublisherOutput>) {
+    pub(crate) fn finish(&mut self, outcome: Outcome, out: &mut Vec<PublisherOutput>) {
         self.step = Step::Done;
         out.push(PublisherOutput::Finished(outcome));
     }
@@ -400,7 +379,7 @@
         out.push(PublisherOutput::Request { id, request });
     }
 
-    fn read_with<T>(
+    pub(crate) fn read_with<T>(
         &mut self,
         out: &mut Vec<PublisherOutput>,
         act: impl FnOnce(&mut Reader, &mut RequestId, &mut Vec<(RequestId, Request)>) -> T,
--- a/crates/publish/src/publisher_tests.rs
+++ b/crates/publish/src/publisher_tests.rs
@@ -117,11 +117,11 @@
     // The late publisher has read generation 1 before the other one publishes.
     for _ in 0..2 {
         for output in core::mem::take(&mut out) {
-            if let PublisherOutput::Request { id, request } = output {
-                if matches!(request, Request::Get { .. }) {
-                    let reply = store.apply(&request);
-                    late.handle(Time::ZERO, PublisherInput::Reply { id, reply }, &mut out);
-                }
+            if let PublisherOutput::Request { id, request } = output
+                && matches!(request, Request::Get { .. })
+            {
+                let reply = store.apply(&request);
+                late.handle(Time::ZERO, PublisherInput::Reply { id, reply }, &mut out);
             }
         }
     }
@@ -180,3 +180,26 @@
         )))]
     );
 }
+
+#[gtest]
+fn an_old_base_is_told_with_everything_that_changed_since() {
+    let mut store = MemoryStore::new();
+    publish(&mut store, 1, &["a"]);
+    publish(&mut store, 2, &["a", "b"]);
+    publish(&mut store, 3, &["a", "b", "c"]);
+    let draft = Draft::builder()
+        .set(set(&["a", "mine"]))
+        .author("late")
+        .nonce(4)
+        .base(Generation(1))
+        .build();
+    let mut late = Publisher::new(draft, Box::new(|_, _| Vec::new()));
+    let out = start(&mut late);
+    let outcome = drive(&mut late, &mut store, out, |_, reply| Some(reply));
+    let Some(Outcome::Conflict { theirs, changed }) = outcome else {
+        panic!("no conflict: {outcome:?}");
+    };
+    expect_that!(theirs.generation, eq(Generation(2)));
+    let names: Vec<&str> = changed.iter().map(|change| change.name.as_str()).collect();
+    expect_that!(names, elements_are![eq(&"b"), eq(&"c")]);
+}
--- a/crates/publish/src/reader.rs
+++ b/crates/publish/src/reader.rs
@@ -3,6 +3,7 @@
 use crate::{Assembly, Blob, BlobRef, Head, Snapshot, head_key};
 use core::time::Duration;
 use poplarswitch_entity::Time;
+use poplarswitch_objects::ObjectSet;
 use poplarswitch_store::{Reply, Request, RequestId, Version, Versioned};
 use snafu::Snafu;
 use std::collections::BTreeMap;
@@ -38,6 +39,8 @@
     pub snapshot: Option<Snapshot>,
     /// The parts of the set.
     pub manifest: Option<crate::Manifest>,
+    /// The set of a release that was read without the head.
+    pub set: Option<ObjectSet>,
 }
 
 #[derive(Debug)]
@@ -63,6 +66,18 @@
         self.ask(Ask::Head, ids, out);
     }
 
+    /// Asks for the set of one release, without the head.
+    pub fn start_at(
+        &mut self,
+        root: BlobRef,
+        ids: &mut RequestId,
+        out: &mut Vec<(RequestId, Request)>,
+    ) {
+        *self = Self::default();
+        self.assembly = Some(Assembly::new(root, &BTreeMap::new()));
+        self.ask(Ask::Part(root), ids, out);
+    }
+
     /// When `tick` is next worth calling.
     pub fn next_wake(&self) -> Option<Time> {
         self.again.iter().map(|(at, _)| *at).min()
@@ -100,6 +115,10 @@
                     return Some(Err(error));
                 }
             }
+            (Ask::Part(part), None) if self.head.is_none() => {
+                let message = format!("{} is gone", part.key());
+                return Some(Err(ReadError::BadPart { message }));
+            }
             // The part was deleted, so the head has moved on by more than its history.
             (Ask::Part(_), None) => {
                 self.start(ids, out);
@@ -151,17 +170,17 @@
         }
     }
 
-    fn read(&self, set: Option<poplarswitch_objects::ObjectSet>) -> Read {
-        let snapshot = self
-            .head
-            .clone()
-            .zip(set)
-            .map(|(head, set)| Snapshot { head, set });
+    fn read(&self, set: Option<ObjectSet>) -> Read {
+        let (snapshot, set) = match (self.head.clone(), set) {
+            (Some(head), Some(set)) => (Some(Snapshot { head, set }), None),
+            (_, set) => (None, set),
+        };
         let manifest = self.assembly.as_ref().and_then(Assembly::manifest).cloned();
         Read {
             version: self.version,
             snapshot,
             manifest,
+            set,
         }
     }
 
