--- a/crates/oracle/src/cluster_net.rs
+++ b/crates/oracle/src/cluster_net.rs
@@ -186,6 +186,18 @@
     /// Forgets a VM's timers and everything on its way to it.
     pub fn forget(&mut self, place: Place) {
         self.queue.retain(|_, event| event.place() != Some(place));
+        // What it asked of the platform may still be done, but nobody is left to be told.
+        for event in self.queue.values_mut() {
+            if let Event::Effect {
+                place: asker,
+                answered,
+                ..
+            } = event
+                && *asker == place
+            {
+                *answered = false;
+            }
+        }
         self.watchers.retain(|watcher| watcher.place != place);
         self.wakes.remove(&place);
         self.paused.remove(&place);
@@ -342,6 +354,7 @@
         let reply = self.store.apply(request);
         if let Request::Watch { key, after, wait } = request
             && matches!(reply, Reply::Unchanged)
+            && answered
         {
             let watcher = Watcher {
                 place,
