--- a/crates/members/src/links.rs
+++ b/crates/members/src/links.rs
@@ -74,6 +74,7 @@
         let near = near.into_iter().filter(|(peer, record)| {
             me.incarnation < **peer || now.since(record.known_since) >= YIELD
         });
+        far.retain(|(_, record)| record.state() == State::Alive);
         far.sort_by_key(|(peer, _)| core::cmp::Reverse(mix(me.incarnation, **peer)));
         far.truncate(settings.far_links);
         near.chain(far)
--- a/crates/oracle/examples/cluster_spread.rs
+++ b/crates/oracle/examples/cluster_spread/fleet.rs
@@ -1,54 +1,44 @@
-//! Measures, in virtual time, how sets spread and what control costs against the fleet's size.
-//!
-//! Members and followers run together over one virtual network. Bytes are those of the CBOR
-//! encoding, without headers of the link. The processor time is that of the whole simulation
-//! divided by the VMs, so it is an upper bound. The argument is the largest fleet to measure.
+//! A fleet of VMs whose members and followers run over one virtual network.
 
 use core::{net::SocketAddr, time::Duration};
 use poplarswitch_entity::{Generation, Incarnation, Time};
 use poplarswitch_members as members;
 use poplarswitch_objects::{Endpoint, ObjectSet, Serves, Workspace};
-use poplarswitch_oracle::cluster_net::{Event, Health, Net, Place};
+use poplarswitch_oracle::cluster_net::{Event, Net, Place};
 use poplarswitch_publish as publish;
-use std::{
-    io::{self, Write},
-    time::Instant,
-};
 
 /// VMs of one cell.
 const CELL: usize = 12;
 /// Places from here on are operators.
 const FIRST_OPERATOR: Place = 10_000;
-/// Time between two changes at the target of 11,000 a day.
-const CHANGE_EVERY: Duration = Duration::from_millis(7_855);
 /// Longest delay of a message.
 const FAR: Duration = Duration::from_millis(80);
 
 #[derive(Clone, Debug, serde::Serialize)]
-enum Message {
+pub(crate) enum Message {
     Members(members::MembersMessage),
     Publish(publish::PublishMessage),
 }
 
-struct Vm {
-    members: members::Core,
+pub(crate) struct Vm {
+    pub(crate) members: members::Core,
     follower: publish::Follower,
     /// When each generation came into force, with its number.
     active: Vec<(Generation, Time)>,
 }
 
-struct Fleet {
-    net: Net<Message>,
-    vms: Vec<Vm>,
+pub(crate) struct Fleet {
+    pub(crate) net: Net<Message>,
+    pub(crate) vms: Vec<Vm>,
     operators: Vec<publish::Publisher>,
     accepted: Vec<(Generation, Time)>,
     set: ObjectSet,
-    bytes: u64,
-    members_bytes: u64,
+    pub(crate) bytes: u64,
+    pub(crate) members_bytes: u64,
 }
 
 impl Fleet {
-    fn new(size: usize, set: ObjectSet) -> Self {
+    pub(crate) fn new(size: usize, set: ObjectSet) -> Self {
         let mut net = Net::new(1);
         net.delay = (Duration::from_micros(300), FAR);
         let vms = (0..size).map(vm).collect();
@@ -153,7 +143,7 @@
         self.schedule(place);
     }
 
-    fn publish(&mut self) {
+    pub(crate) fn publish(&mut self) {
         if let Some(workspace) = self.set.workspaces.first_mut() {
             workspace.weight += 1;
         }
@@ -186,7 +176,7 @@
         }
     }
 
-    fn run(&mut self, time: Duration) {
+    pub(crate) fn run(&mut self, time: Duration) {
         let until = self.net.now + time;
         while let Some(event) = self.net.next(until) {
             match event {
@@ -217,7 +207,7 @@
     }
 
     /// Times from the acceptance of the last set to its force on each VM, sorted.
-    fn spread(&self) -> Option<Vec<f64>> {
+    pub(crate) fn spread(&self) -> Option<Vec<f64>> {
         let (generation, accepted) = *self.accepted.last()?;
         let times = self.vms.iter().map(|vm| {
             let active = vm.active.iter().find(|(other, _)| *other >= generation)?;
@@ -255,7 +245,7 @@
 }
 
 /// A set with some endpoints and workspaces.
-fn set(endpoints: usize, workspaces: usize) -> ObjectSet {
+pub(crate) fn set(endpoints: usize, workspaces: usize) -> ObjectSet {
     let endpoint = |index| {
         Endpoint::builder()
             .name(format!("engine-{index}").as_str())
@@ -280,114 +270,3 @@
         ..ObjectSet::default()
     }
 }
-
-#[derive(Clone, Copy, Debug)]
-enum Scene {
-    Up,
-    Slow,
-    /// All VMs but one have lost the platform.
-    OneReaches,
-}
-
-fn measure_spread(
-    size: usize,
-    scene: Scene,
-    set: &ObjectSet,
-    out: &mut impl Write,
-) -> io::Result<()> {
-    let mut fleet = Fleet::new(size, set.clone());
-    fleet.run(Duration::from_secs(30));
-    fleet.publish();
-    fleet.run(Duration::from_mins(1));
-    match scene {
-        Scene::Up => {}
-        Scene::Slow => fleet.net.set_health(Health::Slow),
-        Scene::OneReaches => {
-            fleet.net.set_health(Health::Down);
-            fleet.net.isolated = (1..size).collect();
-            fleet.run(Duration::from_secs(1));
-            fleet.net.set_health(Health::Up);
-        }
-    }
-    fleet.run(Duration::from_secs(10));
-    fleet.publish();
-    fleet.run(Duration::from_mins(1));
-    match fleet.spread() {
-        Some(times) => {
-            let (half, most) = (times[times.len() / 2], times[times.len() - 1]);
-            writeln!(out, "| {size} | {scene:?} | {half:.3} | {most:.3} |")
-        }
-        None => writeln!(
-            out,
-            "| {size} | {scene:?} | not everywhere | not everywhere |"
-        ),
-    }
-}
-
-fn measure_cost(
-    size: usize,
-    changes: bool,
-    set: &ObjectSet,
-    out: &mut impl Write,
-) -> io::Result<()> {
-    let mut fleet = Fleet::new(size, set.clone());
-    fleet.run(Duration::from_secs(30));
-    fleet.publish();
-    fleet.run(Duration::from_secs(30));
-    let before = (fleet.bytes, fleet.members_bytes, fleet.net.counts);
-    let clock = Instant::now();
-    let rounds = 8;
-    for _ in 0..rounds {
-        if changes {
-            fleet.publish();
-        }
-        fleet.run(CHANGE_EVERY);
-    }
-    let seconds = CHANGE_EVERY.as_secs_f64() * f64::from(rounds);
-    let per_node = |count: u64| count as f64 / seconds / size as f64;
-    let counts = fleet.net.counts;
-    let members = per_node(fleet.members_bytes - before.1);
-    let publish = per_node(fleet.bytes - before.0) - members;
-    let messages = per_node(counts.messages - before.2.messages);
-    let reads = (counts.reads - before.2.reads) as f64 / seconds;
-    let writes = (counts.writes - before.2.writes) as f64 / seconds;
-    let core = clock.elapsed().as_secs_f64() / seconds / size as f64 * 100.0;
-    writeln!(
-        out,
-        "| {size} | {changes} | {messages:.1} | {members:.0} | {publish:.0} | {reads:.1} | {writes:.2} | {core:.3} |"
-    )
-}
-
-fn main() -> io::Result<()> {
-    let mut out = io::stdout().lock();
-    let small = set(27, 10);
-    let large = set(6_500, 900);
-    writeln!(out, "| VMs | platform | half of them, s | all of them, s |")?;
-    writeln!(out, "|---|---|---|---|")?;
-    let most: usize = std::env::args()
-        .nth(1)
-        .and_then(|most| most.parse().ok())
-        .unwrap_or(340);
-    for size in [3, 9, 30, 340].into_iter().filter(|size| *size <= most) {
-        for scene in [Scene::Up, Scene::Slow, Scene::OneReaches] {
-            let set = if size == 340 { &large } else { &small };
-            measure_spread(size, scene, set, &mut out)?;
-        }
-    }
-    writeln!(out)?;
-    writeln!(
-        out,
-        "| VMs | 11,000 changes a day | messages sent | members, B/s | sets, B/s | fleet's reads/s | fleet's writes/s | core, % |"
-    )?;
-    writeln!(out, "|---|---|---|---|---|---|---|---|")?;
-    for size in [3, 9, 30, 120, 340]
-        .into_iter()
-        .filter(|size| *size <= most)
-    {
-        let set = if size >= 120 { &large } else { &small };
-        for changes in [false, true] {
-            measure_cost(size, changes, set, &mut out)?;
-        }
-    }
-    Ok(())
-}
--- a/crates/publish/src/publisher_tests.rs
+++ b/crates/publish/src/publisher_tests.rs
@@ -1,5 +1,5 @@
 use crate::{
-    ChangeKind, Draft, Head, Outcome, Publisher, PublisherInput, PublisherOutput, head_key,
+    ChangeKind, Draft, HISTORY, Head, Outcome, Publisher, PublisherInput, PublisherOutput, head_key,
 };
 use core::time::Duration;
 use googletest::prelude::*;
@@ -35,6 +35,7 @@
 ) -> Option<Outcome> {
     let mut now = Time::ZERO;
     for _ in 0..200 {
+        // Deletions of unused blobs come before the end.
         for output in core::mem::take(&mut out) {
             match output {
                 PublisherOutput::Finished(outcome) => return Some(outcome),
@@ -203,3 +204,21 @@
     let names: Vec<&str> = changed.iter().map(|change| change.name.as_str()).collect();
     expect_that!(names, elements_are![eq(&"b"), eq(&"c")]);
 }
+
+#[gtest]
+fn the_head_and_the_blobs_stay_bounded() {
+    const HEAD_BYTES: usize = 20_000;
+    let mut store = MemoryStore::new();
+    for nonce in 1..=60 {
+        let name = format!("tier-{nonce}");
+        publish(&mut store, nonce, &[&name]);
+    }
+    let head = store.peek(&head_key()).expect("head exists").value.len();
+    expect_that!(head, lt(HEAD_BYTES));
+    let prefix = "sets/".into();
+    let Reply::Listing(listed) = store.apply(&Request::List { prefix }) else {
+        panic!("a listing expected");
+    };
+    // The head, and a part and a manifest of each remembered release.
+    expect_that!(listed.len(), eq(1 + 2 * (HISTORY + 1)));
+}
