--- a/crates/node/src/callers/routes.rs
+++ b/crates/node/src/callers/routes.rs
@@ -2,7 +2,7 @@
 
 use super::{auth, chat, forward, reply};
 use crate::shared::{Shared, wall_ms};
-use http::{Method, Request, Response};
+use http::{HeaderValue, Method, Request, Response, header::CONNECTION};
 use hyper::body::Incoming;
 use poplarswitch_discovery::{Candidate, Question, answer};
 use poplarswitch_entity::{DataCentre, VmName};
@@ -16,26 +16,36 @@
 /// Start of the paths of plain services.
 const SERVICES: &str = "/services/";
 
-/// Answers one request.
+/// Answers one request; a VM that leaves ends the connection with the answer.
 pub(super) async fn route(
     shared: Arc<Shared>,
     request: Request<Incoming>,
 ) -> Response<reply::Body> {
+    let mut response = answer_path(&shared, request).await;
+    if shared.phase() >= Phase::Draining {
+        response
+            .headers_mut()
+            .insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+async fn answer_path(shared: &Arc<Shared>, request: Request<Incoming>) -> Response<reply::Body> {
     let path = request.uri().path();
     match (request.method(), path) {
-        (&Method::POST, "/v1/chat/completions") => chat::handle(&shared, request).await,
-        (&Method::GET, "/v1/models") => models(&shared, &request),
+        (&Method::POST, "/v1/chat/completions") => chat::handle(shared, request).await,
+        (&Method::GET, "/v1/models") => models(shared, &request),
         (&Method::GET, "/v1/address") => {
             let place = request.uri().query().and_then(data_centre);
-            reply::json(200, &addresses(&shared, place))
+            reply::json(200, &addresses(shared, place))
         }
         (&Method::GET, "/healthz") => reply::text(200, "ok"),
-        (&Method::GET, "/readyz") => ready(&shared),
-        (_, path) if path.starts_with(SERVICES) => forward::handle(&shared, request).await,
+        (&Method::GET, "/readyz") => ready(shared),
+        (_, path) if path.starts_with(SERVICES) => forward::handle(shared, request).await,
         (_, "/v1/chat/completions" | "/v1/models" | "/v1/address" | "/healthz" | "/readyz") => {
-            reply::error(&shared, shared.error(ErrorCode::WrongMethod))
+            reply::error(shared, shared.error(ErrorCode::WrongMethod))
         }
-        _ => reply::error(&shared, shared.error(ErrorCode::UnknownPath)),
+        _ => reply::error(shared, shared.error(ErrorCode::UnknownPath)),
     }
 }
 
--- a/crates/node/src/decide/keyed.rs
+++ b/crates/node/src/decide/keyed.rs
@@ -15,6 +15,7 @@
     platform::Asker,
 };
 use bytes::Bytes;
+use core::time::Duration;
 use poplarswitch_discovery::Input as DrainInput;
 use poplarswitch_entity::{CallId, Time};
 use poplarswitch_keys::{CallKey, Input, KeyText, KeyedCall, NotRunReason, Output, RunEnd, Told};
@@ -24,6 +25,9 @@
 use tokio::sync::mpsc;
 use xxhash_rust::xxh3::xxh3_64;
 
+/// Retry time where the VM that holds a key can't be asked, or is not known yet.
+const RETRY_HOME: Duration = Duration::from_secs(1);
+
 impl Decider {
     /// Hands a call to the core that knows where it may run.
     pub(super) fn submit_keyed(&mut self, now: Time, submission: Submission) {
@@ -115,7 +119,10 @@
                 let error = leaving(&self.shared);
                 return self.turn_away(submission, error);
             }
-            Told::NotRunHere => ErrorCode::HomeUnreached,
+            Told::NotRunHere => {
+                let error = self.shared.error(ErrorCode::HomeUnreached);
+                return self.turn_away(submission, error.retry(RETRY_HOME));
+            }
             Told::InDoubt => ErrorCode::InDoubt,
             Told::Mismatch => ErrorCode::KeyConflict,
         };
