--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,11 +12,12 @@
 mod event;
 mod node;
 mod operators;
+mod platform;
 mod ports;
 mod reports;
 mod run;
 mod setup;
 mod shared;
 
-pub use node::{Node, StartError};
+pub use node::{Drainer, Node, StartError};
 pub use setup::Setup;
