Bound the nesting of frames between VMs, and fuzz them

Cause: a nested frame overflowed a 512 KiB stack in a debug build, which aborts the process; greetings are read before the peer has proved that it knows the secret. In a release build, and on the link thread's 2 MiB, it was refused by the library's own bound of 256 levels. Change: frames nest at most 64 levels; fuzzing of greetings, messages, answers, claimed lengths and nesting. Conclusion: all parsers named in the issue are fuzzed; bytes after a whole frame are still ignored.

--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -19,6 +19,8 @@
 #[cfg(test)]
 mod error_tests;
 #[cfg(test)]
+mod peer_fuzz_tests;
+#[cfg(test)]
 mod peer_tests;
 
 pub use address::{AddressList, WeightedAddress};
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -19,6 +19,10 @@
 /// Largest frame between VMs, in bytes.
 pub const MAX_FRAME_BYTES: usize = 4 << 20;
 
+/// Deepest nesting of a frame; what comes before the proof of the secret is read as well, so
+/// it must not reach the end of the reader's stack.
+const MAX_DEPTH: usize = 64;
+
 /// Opens a link, before anything is known of the peer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Greeting {
@@ -81,7 +85,7 @@
 
 /// Reads a frame.
 pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, FrameError> {
-    ciborium::from_reader(bytes).map_err(|error| {
+    ciborium::de::from_reader_with_recursion_limit(bytes, MAX_DEPTH).map_err(|error| {
         FrameSnafu {
             message: error.to_string(),
         }
--- /dev/null
+++ b/crates/wire/src/peer_fuzz_tests.rs
@@ -0,0 +1,140 @@
+use crate::{Envelope, Greeting, Hello, KeyedAnswer, PeerMessage, decode, encode};
+use poplarswitch_entity::{Generation, Incarnation};
+use poplarswitch_fuzz::{any_bytes, config, edited_binary};
+use poplarswitch_members::{Identity, MembersMessage};
+use poplarswitch_publish::{Blob, PublishMessage};
+use poplarswitch_timeline::Stamp;
+use proptest::prelude::*;
+use serde::{Serialize, de::DeserializeOwned};
+use std::{fmt::Debug, thread};
+
+/// The stack of a thread that reads frames.
+const STACK_BYTES: usize = 512 * 1024;
+
+fn identity() -> Identity {
+    Identity::builder()
+        .vm("vm-1")
+        .incarnation(Incarnation(7))
+        .started(5)
+        .data_centre("ifrane")
+        .cell("atlas")
+        .address(([127, 0, 0, 1], 1).into())
+        .caller_address(([127, 0, 0, 1], 2).into())
+        .build()
+}
+
+fn bytes(value: &impl Serialize) -> Vec<u8> {
+    encode(value).expect("encodes")
+}
+
+fn envelope(message: PeerMessage) -> Vec<u8> {
+    let at = Stamp {
+        wall_ms: 1_000,
+        count: 3,
+    };
+    bytes(&Envelope { at, message })
+}
+
+fn hello() -> Vec<u8> {
+    bytes(&Hello {
+        identity: identity(),
+        proof: vec![1, 2, 3],
+    })
+}
+
+fn members() -> Vec<u8> {
+    let message = MembersMessage::Identities(vec![identity(), identity()]);
+    envelope(PeerMessage::Members(message))
+}
+
+fn publish() -> Vec<u8> {
+    let message = PublishMessage::Blobs(vec![Blob("[]".into()), Blob("{}".into())]);
+    envelope(PeerMessage::Publish(message))
+}
+
+fn ask() -> Vec<u8> {
+    envelope(PeerMessage::Publish(PublishMessage::Ask(Generation(4))))
+}
+
+fn answer() -> Vec<u8> {
+    bytes(&KeyedAnswer {
+        status: 200,
+        kind: Some(b"text/plain".to_vec()),
+        body: vec![7; 20],
+    })
+}
+
+/// What is read can be written and read again.
+fn judge<T>(frame: &[u8]) -> Result<(), TestCaseError>
+where
+    T: Serialize + DeserializeOwned + PartialEq + Debug,
+{
+    if let Ok(value) = decode::<T>(frame) {
+        prop_assert_eq!(decode::<T>(&bytes(&value)).ok(), Some(value));
+    }
+    Ok(())
+}
+
+proptest! {
+    #![proptest_config(config(20))]
+
+    #[test]
+    fn edited_greetings_are_read_or_refused(frame in edited_binary(&hello())) {
+        judge::<Hello>(&frame)?;
+        judge::<Greeting>(&frame)?;
+    }
+
+    #[test]
+    fn edited_messages_are_read_or_refused(
+        members in edited_binary(&members()),
+        publish in edited_binary(&publish()),
+        ask in edited_binary(&ask()),
+    ) {
+        judge::<Envelope>(&members)?;
+        judge::<Envelope>(&publish)?;
+        judge::<Envelope>(&ask)?;
+    }
+
+    #[test]
+    fn edited_answers_are_read_or_refused(frame in edited_binary(&answer())) {
+        judge::<KeyedAnswer>(&frame)?;
+    }
+
+    #[test]
+    fn any_bytes_are_read_or_refused(frame in any_bytes()) {
+        judge::<Envelope>(&frame)?;
+        judge::<Hello>(&frame)?;
+        judge::<KeyedAnswer>(&frame)?;
+    }
+}
+
+/// Reads a frame on a thread as small as the ones that read frames.
+fn is_refused(frame: Vec<u8>) -> bool {
+    let read =
+        move || decode::<Envelope>(&frame).is_err() && decode::<KeyedAnswer>(&frame).is_err();
+    let reader = thread::Builder::new().stack_size(STACK_BYTES).spawn(read);
+    reader.expect("a thread").join().expect("no panic")
+}
+
+#[test]
+fn a_deeply_nested_frame_is_refused() {
+    for opening in [0x81, 0xa1, 0x9f, 0xbf, 0xc1] {
+        assert!(is_refused(vec![opening; 1_000_000]), "{opening:x}");
+    }
+    let mut frame = answer();
+    let place = frame.windows(4).position(|four| four == b"body");
+    frame.truncate(place.expect("the field") + 4);
+    frame.extend(vec![0x81; 100_000]);
+    assert!(is_refused(frame));
+}
+
+#[test]
+fn a_claimed_length_beyond_the_frame_is_refused() {
+    for head in [0x5b, 0x7b, 0x9b, 0xbb] {
+        for length in [u64::MAX, u64::MAX / 2, 1 << 40] {
+            let mut frame = vec![head];
+            frame.extend(length.to_be_bytes());
+            assert!(is_refused(frame), "{head:x} {length}");
+        }
+    }
+}
