Measure the content of messages instead of keeping it as a tree

Cause: the content of a chat message was held as a JSON tree: a 250 KB body of small maps raised the process's peak by 21.8 MB (one of zeros by 3.7 MB), so that a few callers with bodies of 1 MB could take all memory of a VM. Change: Content keeps the text of a plain message and counts bytes of text in any other form.

--- a/crates/wire/src/chat.rs
+++ b/crates/wire/src/chat.rs
@@ -1,5 +1,6 @@
 //! The fields of a chat call that the router reads.
 
+use crate::Content;
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
@@ -7,13 +8,13 @@
 const BYTES_PER_TOKEN: usize = 4;
 
 /// One message of a conversation.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
 pub struct Message {
     /// Who speaks.
     pub role: String,
-    /// What is said; engines may take other forms than text.
+    /// What is said.
     #[serde(default)]
-    pub content: serde_json::Value,
+    pub content: Content,
 }
 
 /// Why a body is not a chat call.
@@ -68,7 +69,7 @@
 
     /// Estimated length of the prompt, in tokens.
     pub fn input_tokens(&self) -> u32 {
-        let bytes: usize = self.messages.iter().map(text_bytes).sum();
+        let bytes: usize = self.messages.iter().map(|one| one.content.bytes).sum();
         (bytes / BYTES_PER_TOKEN).max(1) as u32
     }
 
@@ -76,18 +77,11 @@
     pub fn prefix(&self) -> &str {
         self.messages
             .first()
-            .and_then(|message| message.content.as_str())
+            .and_then(|message| message.content.text.as_deref())
             .unwrap_or_default()
     }
 }
 
-fn text_bytes(message: &Message) -> usize {
-    match &message.content {
-        serde_json::Value::String(text) => text.len(),
-        other => other.to_string().len(),
-    }
-}
-
 /// The tokens of a whole answer.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TokenUsage {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod address;
 mod chat;
+mod content;
 mod error;
 pub mod headers;
 mod keyed;
@@ -17,6 +18,8 @@
 #[cfg(test)]
 mod chat_tests;
 #[cfg(test)]
+mod content_tests;
+#[cfg(test)]
 mod error_tests;
 #[cfg(test)]
 mod peer_fuzz_tests;
@@ -25,6 +28,7 @@
 
 pub use address::{AddressList, WeightedAddress};
 pub use chat::{ChatError, ChatHead, Message, ModelCard, ModelList, TokenUsage};
+pub use content::Content;
 pub use error::{ErrorBody, ErrorCode, ErrorInfo, Ran, Step};
 pub use keyed::{KeyedAnswer, KeyedRequest};
 pub use peer::{
