Let a drain be ordered twice without cutting calls

Cause: an operators' order to drain was taken like a stop signal, so a second order, by a second operator or by the tool after a timeout, bounded the drain and cut off the calls in flight. Change: an operators' order begins a drain and changes nothing after that; only a second signal bounds it. Conclusion: the tool may repeat the order.

--- a/crates/node/src/decide/cluster.rs
+++ b/crates/node/src/decide/cluster.rs
@@ -7,7 +7,9 @@
     shared::wall_ms,
 };
 use poplarswitch_catalog::Catalog;
-use poplarswitch_discovery::{Drain, Input as DrainInput, Output as DrainOutput};
+use poplarswitch_discovery::{
+    Drain, Input as DrainInput, Output as DrainOutput, Phase as DrainPhase,
+};
 use poplarswitch_entity::{Incarnation, Time};
 use poplarswitch_keys as keys;
 use poplarswitch_members::{self as members, State};
@@ -288,7 +290,14 @@
         }
     }
 
-    /// An operator or a signal asks this VM to leave.
+    /// An operator asks this VM to leave; an order that comes twice must cut no call.
+    pub(super) fn leave(&mut self, now: Time) {
+        if self.cluster.drain.phase() == DrainPhase::Serving {
+            self.drain(now);
+        }
+    }
+
+    /// A signal asks this VM to leave.
     pub(super) fn drain(&mut self, now: Time) {
         let drain = &mut self.cluster.drain;
         drain.handle(now, DrainInput::Stop, &mut self.out.drain);
--- a/crates/node/src/decide/mod.rs
+++ b/crates/node/src/decide/mod.rs
@@ -113,6 +113,7 @@
             Event::Platform(replied) => self.replied(now, replied),
             Event::Activate(catalog) => self.activate(catalog),
             Event::Status(reply) => drop(reply.send(self.status())),
+            Event::Leave => self.leave(now),
             Event::Drain => self.drain(now),
             Event::Stop => self.stopping = true,
         }
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -58,7 +58,9 @@
     Activate(Arc<Catalog>),
     /// An operator asks for the state.
     Status(Sender<Status>),
-    /// This VM leaves.
+    /// An operator asks this VM to leave; to ask again changes nothing.
+    Leave,
+    /// A signal asks this VM to leave; a second one bounds the time of the drain.
     Drain,
     /// The process ends.
     Stop,
--- a/crates/node/src/operators.rs
+++ b/crates/node/src/operators.rs
@@ -28,7 +28,7 @@
         (&Method::GET, "/timeline") => timeline(shared),
         (&Method::GET, "/settings") => json(&shared.settings),
         (&Method::POST, "/drain") => {
-            shared.tell(Event::Drain);
+            shared.tell(Event::Leave);
             plain(202, "draining")
         }
         _ => plain(404, "no such path"),
--- a/crates/util/src/node_tests.rs
+++ b/crates/util/src/node_tests.rs
@@ -7,9 +7,9 @@
 use poplarswitch_node::{Node, Setup};
 use poplarswitch_objects::{ObjectSet, Serves, read_dir};
 use poplarswitch_settings::{Addresses, Secret, Secrets, Settings};
-use poplarswitch_standins::{Engine, EngineSpec, Service};
+use poplarswitch_standins::{Engine, EngineFaults, EngineSpec, Service};
 use serde_json::Value;
-use std::{fs, path::Path};
+use std::{fs, path::Path, thread};
 use tempfile::TempDir;
 
 const ANY: SocketAddr = SocketAddr::new(core::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
@@ -36,6 +36,8 @@
             .data_centre("ifrane")
             .cell("atlas")
             .addresses(Addresses::loopback())
+            .linger_ms(50)
+            .drain_ms(50)
             .build();
         let secrets = Secrets {
             operators: Secret::new("operators"),
@@ -187,3 +189,33 @@
     let (_, text) = world.operate(&["timeline"]);
     expect_that!(text, contains_substring("drain ended, 0 cut off"));
 }
+
+#[gtest]
+fn a_drain_that_is_ordered_twice_cuts_no_call() {
+    let world = World::new();
+    let slow = EngineFaults {
+        slow_percent: 2_000,
+        ..EngineFaults::default()
+    };
+    world.engine.set_faults(slow);
+    let order = || world.operate(&["drain", "vm-1", "--no-wait"]).0;
+    let (figures, exits) = thread::scope(|scope| {
+        let drains = scope.spawn(|| {
+            while world.engine.stats().started == 0 {
+                thread::yield_now();
+            }
+            [order(), order()]
+        });
+        let figures = world.load(&["--model", "assistant"]);
+        (figures, drains.join().expect("the drains end"))
+    });
+    expect_that!(exits, eq([Exit::Success, Exit::Success]));
+    while world.node.phase() != poplarswitch_wire::Phase::Drained {
+        thread::yield_now();
+    }
+    let (_, text) = world.operate(&["timeline"]);
+    expect_that!(text, contains_substring("drain ended, 0 cut off"));
+    expect_that!(count(&figures, "answered"), gt(0));
+    expect_that!(count(&figures, "lost"), eq(0), "{figures}");
+    expect_that!(figures["in_doubt"], eq(&serde_json::json!({})));
+}
