Serve the operators' and metrics ports on hyper

Cause: connections to these ports could stay without an answer for good. astra 0.4.0 registers a connection with its poller before it enters it into its own table; the event of a request that arrives in between is dropped, and comes only once.

--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -249,14 +249,18 @@
     let (peers, peers_address) = listen("peers", wanted.peers)?;
     let addresses = Addresses {
         callers: callers_address,
-        operators: ports::open_operators(wanted.operators, shared).context(PortSnafu {
-            port: "operators",
-            address: wanted.operators,
-        })?,
-        metrics: ports::open_metrics(wanted.metrics, shared).context(PortSnafu {
-            port: "metrics",
-            address: wanted.metrics,
-        })?,
+        operators: ports::open_operators(wanted.operators, shared, opened.clone()).context(
+            PortSnafu {
+                port: "operators",
+                address: wanted.operators,
+            },
+        )?,
+        metrics: ports::open_metrics(wanted.metrics, shared, opened.clone()).context(
+            PortSnafu {
+                port: "metrics",
+                address: wanted.metrics,
+            },
+        )?,
         peers: peers_address,
     };
     let held = Arc::clone(shared);
--- a/crates/node/src/operators.rs
+++ b/crates/node/src/operators.rs
@@ -3,10 +3,9 @@
 use crate::{
     callers::bearer,
     event::Event,
-    ports::{plain, with_type},
+    ports::{Request, Response, plain, with_type},
     shared::Shared,
 };
-use astra::{Request, Response};
 use core::time::Duration;
 use crossbeam::channel::bounded;
 use http::{HeaderMap, Method};
--- a/crates/node/src/ports.rs
+++ b/crates/node/src/ports.rs
@@ -1,12 +1,16 @@
-//! The operators' and the metrics port, on `astra`.
+//! The operators' and the metrics port.
 //!
-//! Both serve few and trusted clients, so a worker for each connection is no risk. A server
-//! of `astra` has no end of its own: it holds the process's state weakly and refuses requests
-//! once the node is gone.
+//! Each has a thread and a few workers of its own, so that it answers also when every other
+//! thread of the process is taken. Both are on `hyper`: a connection to a server of `astra`
+//! that sends its request at once can stay without an answer for good.
 
-use crate::{operators, shared::Shared};
-use astra::{Body, Request, Response, Server};
-use core::net::SocketAddr;
+use crate::{callers::Door, operators, shared::Shared};
+use bytes::Bytes;
+use core::{convert::Infallible, net::SocketAddr, time::Duration};
+use http::{HeaderValue, StatusCode, header::CONTENT_TYPE};
+use http_body_util::Full;
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
 use prometheus_client::{encoding::text::encode, registry::Registry};
 use std::{
     io,
@@ -14,56 +18,144 @@
     sync::{Arc, Weak},
     thread,
 };
+use tokio::{
+    net::TcpStream,
+    runtime::Builder,
+    sync::{OwnedSemaphorePermit, Semaphore, watch},
+    task,
+};
+
+/// Requests that one of these ports answers at once.
+const WORKERS: usize = 8;
+/// Connections that one of these ports serves at once; others wait to be accepted.
+const CONNECTIONS: usize = 64;
+/// Longest wait for the head of a request, which also ends an idle connection.
+const HEAD_WAIT: Duration = Duration::from_secs(30);
+/// Largest head of a request, in bytes.
+const MAX_HEAD_BYTES: usize = 32 * 1024;
+/// Wait after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-/// Connections that one of these ports serves at once.
-const WORKERS: usize = 16;
+/// A request whose body, if any, is not read.
+pub(crate) type Request = http::Request<()>;
+/// A response that is known at once.
+pub(crate) type Response = http::Response<Full<Bytes>>;
 
 /// Answers the requests of one port.
-type Handler = fn(&Arc<Shared>, &Registry, Request) -> Response;
+type Handler = fn(&Shared, &Registry, &Request) -> Response;
+
+/// What one port answers with; it must not keep the process's state alive.
+struct Port {
+    shared: Weak<Shared>,
+    registry: Registry,
+    handler: Handler,
+}
 
 /// Opens the operators' port.
-pub(crate) fn open_operators(address: SocketAddr, shared: &Arc<Shared>) -> io::Result<SocketAddr> {
-    open(address, shared, "operators", |shared, _, request| {
-        operators::answer(shared, &request)
+pub(crate) fn open_operators(
+    address: SocketAddr,
+    shared: &Arc<Shared>,
+    door: watch::Receiver<Door>,
+) -> io::Result<SocketAddr> {
+    open(address, shared, door, "operators", |shared, _, request| {
+        operators::answer(shared, request)
     })
 }
 
 /// Opens the metrics port.
-pub(crate) fn open_metrics(address: SocketAddr, shared: &Arc<Shared>) -> io::Result<SocketAddr> {
-    open(address, shared, "metrics", |_, registry, request| {
-        metrics(registry, &request)
+pub(crate) fn open_metrics(
+    address: SocketAddr,
+    shared: &Arc<Shared>,
+    door: watch::Receiver<Door>,
+) -> io::Result<SocketAddr> {
+    open(address, shared, door, "metrics", |_, registry, request| {
+        metrics(registry, request)
     })
 }
 
 fn open(
     address: SocketAddr,
     shared: &Arc<Shared>,
+    door: watch::Receiver<Door>,
     name: &str,
     handler: Handler,
 ) -> io::Result<SocketAddr> {
-    // A failing bind ends the thread inside `astra`; try it here first.
-    drop(TcpListener::bind(address)?);
-    let server = Server::bind(address).max_workers(WORKERS).http1_only();
-    let bound = server.local_addr()?;
-    let registry = shared.counters.registry();
-    let shared = Arc::downgrade(shared);
+    let listener = TcpListener::bind(address)?;
+    listener.set_nonblocking(true)?;
+    let bound = listener.local_addr()?;
+    let runtime = Builder::new_current_thread()
+        .max_blocking_threads(WORKERS)
+        .enable_all()
+        .build()?;
+    let port = Arc::new(Port {
+        shared: Arc::downgrade(shared),
+        registry: shared.counters.registry(),
+        handler,
+    });
     thread::Builder::new()
         .name(name.to_owned())
         .spawn(move || {
-            server.serve(move |request, _| respond(&shared, &registry, handler, request))
+            runtime.block_on(serve(port, listener, door));
+            runtime.shutdown_background();
         })?;
     Ok(bound)
 }
 
-fn respond(
-    shared: &Weak<Shared>,
-    registry: &Registry,
-    handler: Handler,
-    request: Request,
-) -> Response {
-    match shared.upgrade() {
-        Some(shared) => handler(&shared, registry, request),
-        None => plain(503, "the process has ended"),
+/// Takes connections until the process closes its door.
+async fn serve(port: Arc<Port>, listener: TcpListener, mut door: watch::Receiver<Door>) {
+    let listener = match tokio::net::TcpListener::from_std(listener) {
+        Ok(listener) => listener,
+        Err(error) => return tracing::error!(%error, "a port can't be served"),
+    };
+    let places = Arc::new(Semaphore::new(CONNECTIONS));
+    loop {
+        let next = async {
+            let place = Arc::clone(&places).acquire_owned().await;
+            (place, listener.accept().await)
+        };
+        let next = tokio::select! {
+            next = next => next,
+            closed = door.wait_for(|door| *door == Door::Closed) => {
+                drop(closed);
+                return;
+            }
+        };
+        match next {
+            (Ok(place), Ok((stream, _))) => {
+                task::spawn(connection(Arc::clone(&port), stream, place));
+            }
+            _ => tokio::time::sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
+async fn connection(port: Arc<Port>, stream: TcpStream, place: OwnedSemaphorePermit) {
+    let service = service_fn(|request| respond(Arc::clone(&port), request));
+    let served = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_WAIT)
+        .max_buf_size(MAX_HEAD_BYTES)
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+    drop(served);
+    drop(place);
+}
+
+async fn respond(
+    port: Arc<Port>,
+    request: http::Request<Incoming>,
+) -> Result<Response, Infallible> {
+    let request = request.map(drop);
+    let answered = task::spawn_blocking(move || port.answer(&request)).await;
+    Ok(answered.unwrap_or_else(|_| plain(500, "the answer failed")))
+}
+
+impl Port {
+    fn answer(&self, request: &Request) -> Response {
+        match self.shared.upgrade() {
+            Some(shared) => (self.handler)(&shared, &self.registry, request),
+            None => plain(503, "the process has ended"),
+        }
     }
 }
 
@@ -85,12 +177,10 @@
 
 /// A text of a content type.
 pub(crate) fn with_type(status: u16, kind: &'static str, text: String) -> Response {
-    let mut response = Response::new(Body::new(text));
+    let mut response = Response::new(Full::new(text.into()));
     *response.status_mut() =
-        http::StatusCode::from_u16(status).unwrap_or(http::StatusCode::INTERNAL_SERVER_ERROR);
-    response.headers_mut().insert(
-        http::header::CONTENT_TYPE,
-        http::HeaderValue::from_static(kind),
-    );
+        StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let kind = HeaderValue::from_static(kind);
+    response.headers_mut().insert(CONTENT_TYPE, kind);
     response
 }
--- a/crates/util/src/fleet.rs
+++ b/crates/util/src/fleet.rs
@@ -21,8 +21,8 @@
 const PARALLEL: usize = 16;
 /// Longest wait for a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
-/// Longest waits for a whole answer, for one attempt after another. Everything that is asked
-/// may be asked twice, and a connection that `astra` has lost answers never.
+/// Longest waits for a whole answer, for one attempt after another; all that is asked may be
+/// asked twice.
 const ANSWER_TIMEOUTS: [Duration; 3] = [
     Duration::from_secs(2),
     Duration::from_secs(5),
