--- a/crates/util/src/node_tests.rs
+++ b/crates/util/src/node_tests.rs
@@ -7,7 +7,7 @@
 use poplarswitch_node::{Node, Setup};
 use poplarswitch_objects::{ObjectSet, Serves, read_dir};
 use poplarswitch_settings::{Addresses, Secret, Secrets, Settings};
-use poplarswitch_standins::{Engine, EngineFaults, EngineSpec, Service};
+use poplarswitch_standins::{Engine, EngineFaults, EngineSpec, Platform, PlatformSpec, Service};
 use serde_json::Value;
 use std::{fs, path::Path, thread};
 use tempfile::TempDir;
@@ -39,11 +39,7 @@
             .linger_ms(50)
             .drain_ms(50)
             .build();
-        let secrets = Secrets {
-            operators: Secret::new("operators"),
-            peers: Secret::new("peers"),
-        };
-        let setup = Setup::builder().settings(settings).secrets(secrets);
+        let setup = Setup::builder().settings(settings).secrets(secrets());
         let node = Node::start(setup.set(set).build()).expect("a node");
         let files = TempDir::new().expect("a directory");
         fs::write(files.path().join("secret"), "operators").expect("a file");
@@ -96,6 +92,13 @@
     }
 }
 
+fn secrets() -> Secrets {
+    Secrets {
+        operators: Secret::new("operators"),
+        peers: Secret::new("peers"),
+    }
+}
+
 /// The example set with one engine and one service at real addresses.
 fn atlas(engine: SocketAddr, service: SocketAddr) -> ObjectSet {
     let mut set = read_dir(Path::new(&example("atlas"))).expect("a set").set;
@@ -219,3 +222,58 @@
     expect_that!(count(&figures, "lost"), eq(0), "{figures}");
     expect_that!(figures["in_doubt"], eq(&serde_json::json!({})));
 }
+
+/// Starts a node that learns its set from the platform and its peers.
+fn member(number: u8, platform: &Platform, seeds: &[SocketAddr]) -> Node {
+    let settings = Settings::builder()
+        .vm(format!("vm-{number}").as_str())
+        .data_centre("ifrane")
+        .cell("atlas")
+        .addresses(Addresses::loopback())
+        .seeds(seeds.to_vec())
+        .platform(platform.url())
+        .build();
+    let setup = Setup::builder().settings(settings).secrets(secrets());
+    Node::start(setup.build()).expect("a node")
+}
+
+#[gtest]
+fn an_applied_set_comes_into_force_on_every_vm() {
+    let platform = Platform::start(ANY, PlatformSpec::default()).expect("a platform");
+    let first = member(1, &platform, &[]);
+    let seeds = [first.addresses().peers];
+    let nodes = [
+        first,
+        member(2, &platform, &seeds),
+        member(3, &platform, &seeds),
+    ];
+    let at: Vec<String> = nodes
+        .iter()
+        .map(|node| node.addresses().operators.to_string())
+        .collect();
+    let at = at.join(",");
+    let files = TempDir::new().expect("a directory");
+    let secret = files.path().join("secret");
+    fs::write(&secret, "operators").expect("a file");
+    let secret = secret.display().to_string();
+    for (generation, set) in [("1", "atlas"), ("2", "abay")] {
+        let (exit, text) = run(&["apply", &example(set), "--platform", &platform.url()]);
+        assert_that!(exit, eq(Exit::Success), "{text}");
+        let line = [
+            "status",
+            "--at",
+            &at,
+            "--secret-file",
+            &secret,
+            "--until",
+            generation,
+        ];
+        let (exit, text) = run(&line);
+        expect_that!(exit, eq(Exit::Success), "{text}");
+    }
+    let (_, text) = run(&["timeline", "--at", &at, "--secret-file", &secret]);
+    for generation in [1, 2] {
+        let event = format!("generation {generation} in force");
+        expect_that!(text.matches(&event).count(), eq(3), "{text}");
+    }
+}
