Log the causes of a failed start

Cause: a node whose port was taken logged only "start". Change: the log has the whole chain: the port, its address and the system's reason.

--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -42,7 +42,7 @@
     match run(&options) {
         Ok(code) => code,
         Err(error) => {
-            tracing::error!("{error}");
+            tracing::error!("{}", snafu::Report::from_error(&error));
             ExitCode::FAILURE
         }
     }
