--- a/crates/verifier/src/rules/names.rs
+++ b/crates/verifier/src/rules/names.rs
@@ -5,7 +5,7 @@
 //! may have slashes and colons as well.
 
 use crate::{Code, Findings, finding::Spot};
-use poplarswitch_objects::{Kind, ObjectSet, Serves};
+use poplarswitch_objects::{Endpoint, Kind, Model, ObjectSet, Serves};
 use std::collections::BTreeMap;
 
 /// Longest name, in bytes.
@@ -63,31 +63,7 @@
 /// Names that stand within objects.
 fn check_inner(set: &ObjectSet, findings: &mut Findings) {
     for (index, model) in set.models.iter().enumerate() {
-        let spot = Spot {
-            kind: Kind::Model,
-            index,
-            name: model.name.as_str(),
-        };
-        for version in &model.versions {
-            check_name(
-                spot,
-                "versions",
-                version.as_str(),
-                Alphabet::Model,
-                findings,
-            );
-        }
-        for adapter in &model.adapters {
-            check_name(
-                spot,
-                "adapters",
-                adapter.as_str(),
-                Alphabet::Model,
-                findings,
-            );
-        }
-        repeated(spot, "versions", &model.versions, findings);
-        repeated(spot, "adapters", &model.adapters, findings);
+        check_model(index, model, findings);
     }
     for (index, class) in set.classes.iter().enumerate() {
         let spot = Spot {
@@ -99,16 +75,48 @@
         repeated(spot, "services", &class.services, findings);
     }
     for (index, endpoint) in set.endpoints.iter().enumerate() {
-        let spot = Spot {
-            kind: Kind::Endpoint,
-            index,
-            name: endpoint.name.as_str(),
-        };
-        let place = endpoint.data_centre.as_str();
-        check_name(spot, "data_centre", place, Alphabet::Plain, findings);
-        if let Serves::Model { adapters, .. } = &endpoint.serves {
-            repeated(spot, "serves.model.adapters", adapters, findings);
-        }
+        check_endpoint(index, endpoint, findings);
+    }
+}
+
+fn check_model(index: usize, model: &Model, findings: &mut Findings) {
+    let spot = Spot {
+        kind: Kind::Model,
+        index,
+        name: model.name.as_str(),
+    };
+    for version in &model.versions {
+        check_name(
+            spot,
+            "versions",
+            version.as_str(),
+            Alphabet::Model,
+            findings,
+        );
+    }
+    for adapter in &model.adapters {
+        check_name(
+            spot,
+            "adapters",
+            adapter.as_str(),
+            Alphabet::Model,
+            findings,
+        );
+    }
+    repeated(spot, "versions", &model.versions, findings);
+    repeated(spot, "adapters", &model.adapters, findings);
+}
+
+fn check_endpoint(index: usize, endpoint: &Endpoint, findings: &mut Findings) {
+    let spot = Spot {
+        kind: Kind::Endpoint,
+        index,
+        name: endpoint.name.as_str(),
+    };
+    let place = endpoint.data_centre.as_str();
+    check_name(spot, "data_centre", place, Alphabet::Plain, findings);
+    if let Serves::Model { adapters, .. } = &endpoint.serves {
+        repeated(spot, "serves.model.adapters", adapters, findings);
     }
 }
 
