--- a/crates/keys/src/lib.rs
+++ b/crates/keys/src/lib.rs
@@ -22,6 +22,8 @@
 mod core_machine_tests;
 #[cfg(test)]
 mod handover_tests;
+#[cfg(test)]
+mod token_fuzz_tests;
 
 pub use api::{
     CallKey, ClaimObject, ClaimState, Concluded, Counts, Input, KeyedCall, KeysMessage,
