--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -54,11 +54,15 @@
     Peer(PeerEvent),
     /// The platform answered.
     Platform(Replied),
+    /// An engine was read, or an order to it ended.
+    Orders(poplarswitch_orders::Input),
     /// A set comes into force.
     Activate(Arc<Catalog>),
     /// An operator asks for the state.
     Status(Sender<Status>),
-    /// This VM leaves.
+    /// An operator asks this VM to leave; to ask again changes nothing.
+    Leave,
+    /// A signal asks this VM to leave; a second one bounds the time of the drain.
     Drain,
     /// The process ends.
     Stop,
--- a/crates/node/src/operators.rs
+++ b/crates/node/src/operators.rs
@@ -3,10 +3,9 @@
 use crate::{
     callers::bearer,
     event::Event,
-    ports::{plain, with_type},
+    ports::{Request, Response, plain, with_type},
     shared::Shared,
 };
-use astra::{Request, Response};
 use core::time::Duration;
 use crossbeam::channel::bounded;
 use http::{HeaderMap, Method};
@@ -28,7 +27,7 @@
         (&Method::GET, "/timeline") => timeline(shared),
         (&Method::GET, "/settings") => json(&shared.settings),
         (&Method::POST, "/drain") => {
-            shared.tell(Event::Drain);
+            shared.tell(Event::Leave);
             plain(202, "draining")
         }
         _ => plain(404, "no such path"),
--- a/crates/scheduler/src/group.rs
+++ b/crates/scheduler/src/group.rs
@@ -36,18 +36,34 @@
     pub served: bool,
     /// The class's own bound, if it has one.
     pub cap: Option<CapKey>,
-    /// Sites within the class's own bound.
+    /// The bound that keeps a slot for bookings of a higher tier, if the route has such.
+    pub guard: Option<CapKey>,
+    /// Sites within the class's own bound and the guard.
     pub own: ViewKey,
     /// Sites that also keep the reserve free, once the class counts as long.
     pub reserved: Option<ViewKey>,
-    /// Calls that wait or run.
-    #[builder(default)]
-    pub live: u32,
-    /// Most calls that were live at once, fading.
+    /// Calls that arrive within the target.
+    pub arrivals: Meter,
+    /// Most calls that arrived within the target, fading.
     #[builder(default)]
     pub peak: f64,
 }
 
+impl LaneInfo {
+    /// Whether its calls keep away from endpoints on probation: because they may not run
+    /// twice, or because calls of a lower tier can probe.
+    pub(crate) const fn cautious(&self, lowest: usize) -> bool {
+        !self.repeatable || self.tier < lowest
+    }
+
+    /// Counts an arrival towards the peak.
+    pub(crate) fn note_arrival(&mut self, now: Time) {
+        self.arrivals.add(now, 1.0);
+        let within = self.arrivals.rate(now) * self.target.as_secs_f64();
+        self.peak = self.peak.max(within);
+    }
+}
+
 /// The order in which a route's calls are served.
 #[derive(Debug)]
 pub(crate) enum Order {
@@ -145,6 +161,8 @@
     pub demand: Vec<Meter>,
     pub budget: Budget,
     pub reserve: Reserve,
+    /// The bound that keeps a slot for calls that may not be repeated.
+    pub guard: Option<CapKey>,
 }
 
 impl Group {
@@ -157,6 +175,7 @@
             caps: HashMap::new(),
             demand: Vec::new(),
             budget,
+            guard: None,
             reserve: Reserve {
                 cap: spare,
                 slots: 0,
@@ -165,6 +184,12 @@
         }
     }
 
+    /// The lowest tier that has had calls.
+    pub(crate) fn lowest(&self) -> usize {
+        let tiers = self.lanes.iter().map(|info| info.tier);
+        tiers.max().unwrap_or_default()
+    }
+
     /// Forgets queue and lanes for a set with other tiers.
     pub(crate) fn reset(&mut self, policy: Policy, floors: &[u8]) {
         self.order = Order::new(policy, floors);
--- a/crates/scheduler/src/serve.rs
+++ b/crates/scheduler/src/serve.rs
@@ -40,8 +40,8 @@
     fn next(&mut self, now: Time, key: GroupKey) -> Option<Next> {
         let group = &mut self.groups[key];
         let (balancer, accounts) = (&self.balancer, &self.book.accounts);
-        let pool = group.pool;
-        if group.order.len() == 0 || !balancer.has_room(pool, ViewKey::ALL) {
+        let (pool, lowest) = (group.pool, group.lowest());
+        if group.order.len() == 0 || !balancer.has_room(pool, ViewKey::ALL, false) {
             return None;
         }
         match &mut group.order {
@@ -51,8 +51,10 @@
             }),
             Order::Full(queue) => {
                 let lanes = &group.lanes;
-                let is_open =
-                    |index: usize, due| balancer.has_room(pool, view_of(&lanes[index], due));
+                let is_open = |index: usize, due| {
+                    let info = &lanes[index];
+                    balancer.has_room(pool, view_of(info, due), info.cautious(lowest))
+                };
                 let pick = queue.pick(
                     now,
                     |lane, due| is_open(lane.index(), due),
@@ -75,7 +77,7 @@
             prefix: prefix_of(call),
             near: &call.request.data_centre,
             avoid: call.avoid,
-            cautious: !call.terms.repeatable,
+            cautious: group.lanes[call.lane].cautious(group.lowest()),
         };
         self.balancer.choose(group.pool, &ask)
     }
@@ -103,7 +105,7 @@
             site: Some(site),
             caps: caps_of(info, group.reserve.cap),
             started: now,
-            first: None,
+            seen: None,
             paced: false,
             resumed_at: 0,
             tokens: 0,
@@ -146,7 +148,6 @@
     pub(crate) fn count_running(&mut self, key: CallKey) {
         let call = self.table.get(key);
         self.book.accounts[call.account].add_running(call.terms.tier);
-        self.groups[call.group].lanes[call.lane].live += 1;
     }
 
     /// Slot time that a call's workspace pays in advance.
@@ -167,7 +168,8 @@
 
 fn caps_of(info: &LaneInfo, reserve: CapKey) -> Vec<CapKey> {
     let reserve = info.reserved.is_some().then_some(reserve);
-    info.cap.into_iter().chain(reserve).collect()
+    let own = info.cap.into_iter().chain(info.guard);
+    own.chain(reserve).collect()
 }
 
 /// The prefix that a call shares with others; plain services have none.
