Wait for the engine before a queued caller leaves

Cause: a_caller_that_leaves_the_queue_is_never_run failed in 3 of 7 runs of a busy machine with fewer than 4 starts: the test cut its four running callers off before their calls had reached the engine, which the counter of running calls does not say. Ruled out: a run of the queued call, which would show 5 starts. Change: the test waits until the engine has started the four; its final check is unchanged. Conclusion: a fault of the test's order, not of the queue.

--- a/crates/node/tests/whole_path.rs
+++ b/crates/node/tests/whole_path.rs
@@ -101,6 +101,9 @@
     };
     let running: Vec<TcpStream> = (0..4).map(|_| open()).collect();
     until("all slots are taken", || status(&node).calls.running == 4);
+    until("the engine runs them", || {
+        backs.engines[0].stats().started == 4
+    });
     let waiting = open();
     until("one waits", || status(&node).calls.open == 5);
     drop(waiting);
