Let a VM take calls only once it has a set

Cause: in the demo, 3 of 208 calls were refused because a VM that had just joined was listed for callers before it had a set, and 13 because callers kept the address of a VM that was leaving. Change: members have a state before alive, told through the load in heartbeats; joining members are no addresses and no homes. The caller goes to another address when a VM says that it is leaving, busy or without a set, which proves that the call was not run. Conclusion: both are states that the system knows; callers need not see them.

--- a/crates/client/src/client.rs
+++ b/crates/client/src/client.rs
@@ -93,6 +93,9 @@
     }
 }
 
+/// Reads the answer to a call that began at a time.
+type Reader = fn(Response<Body>, Instant) -> Report;
+
 /// A request before its address is known.
 #[derive(Debug)]
 struct Outgoing<'a> {
@@ -139,34 +142,42 @@
             "messages": [{"role": "user", "content": call.prompt}],
         })
         .to_string();
-        let began = Instant::now();
         let outgoing = Outgoing {
             path: "v1/chat/completions",
             class: call.class.as_deref(),
             key: None,
             body: &body,
         };
-        match self.send(&outgoing) {
-            Ok(response) if response.status().is_success() => read_stream(response, began),
-            Ok(response) => refused(response, began),
-            Err(outcome) => Report::new(outcome, began),
-        }
+        self.exchange(&outgoing, read_stream)
     }
 
     /// Sends a call to a plain service and reads its answer.
     pub fn invoke(&self, call: &ServiceCall) -> Report {
-        let began = Instant::now();
         let outgoing = Outgoing {
             path: &format!("services/{}", call.path),
             class: call.class.as_deref(),
             key: call.key.as_deref(),
             body: &call.body,
         };
-        match self.send(&outgoing) {
-            Ok(response) if response.status().is_success() => read_whole(response, began),
-            Ok(response) => refused(response, began),
-            Err(outcome) => Report::new(outcome, began),
+        self.exchange(&outgoing, read_whole)
+    }
+
+    /// Sends to one VM after another while they say that another one should be used.
+    fn exchange(&self, outgoing: &Outgoing<'_>, read: Reader) -> Report {
+        let began = Instant::now();
+        let mut report = Report::new(Outcome::Unreached, began);
+        for _ in 0..ADDRESSES {
+            match self.send(outgoing) {
+                Ok(response) if response.status().is_success() => return read(response, began),
+                Ok(response) => report = refused(response, began),
+                Err(outcome) => return Report::new(outcome, began),
+            }
+            if !wants_another(report.outcome) {
+                return report;
+            }
+            self.directory.forget();
         }
+        report
     }
 
     /// Sends to one address after another while none can be reached.
@@ -204,6 +215,14 @@
     }
 }
 
+/// Whether the VM did not run the call and another one may.
+const fn wants_another(outcome: Outcome) -> bool {
+    matches!(
+        outcome,
+        Outcome::NotRun(ErrorCode::Leaving | ErrorCode::NoSet | ErrorCode::Busy)
+    )
+}
+
 fn is_before_send(error: &ureq::Error) -> bool {
     match error {
         ureq::Error::ConnectionFailed
--- a/crates/members/src/api.rs
+++ b/crates/members/src/api.rs
@@ -28,10 +28,15 @@
     pub caller_address: SocketAddr,
 }
 
+/// The load that a VM tells of itself while it has no set.
+pub const JOINING_LOAD: u16 = u16::MAX;
+
 /// How alive a member is, as this VM believes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum State {
+    /// It is heard, but has no set yet and takes no calls.
+    Joining,
     /// Somebody hears its heartbeats.
     Alive,
     /// Nobody has heard it for a while.
--- a/crates/members/src/core_machine.rs
+++ b/crates/members/src/core_machine.rs
@@ -1,7 +1,8 @@
 //! The state machine.
 
 use crate::{
-    Identity, Input, Mark, Member, MembersMessage, Mutation, Output, Seen, Settings, State,
+    Identity, Input, JOINING_LOAD, Mark, Member, MembersMessage, Mutation, Output, Seen, Settings,
+    State,
     links::Links,
     suspicion::RUMOUR_ROUNDS,
     table::{Record, Table, Witness},
@@ -107,7 +108,7 @@
             .filter(|(_, record)| self.is_near(record) && record.state() == State::Alive)
             .map(|(incarnation, _)| *incarnation)
             .collect();
-        if !self.leaving {
+        if self.myself().state == State::Alive {
             cell.push(self.me.incarnation);
         }
         cell.sort();
@@ -168,7 +169,7 @@
             Input::Listed(records) => {
                 self.links.list(records.iter().map(|record| record.address));
             }
-            Input::Load(load) => self.load = load,
+            Input::Load(load) => self.set_load(load, out),
             Input::Leave => {
                 self.leaving = true;
                 self.beat(out);
@@ -176,6 +177,15 @@
         }
     }
 
+    /// Tells the others at once when this VM begins or ends to take calls.
+    fn set_load(&mut self, load: u16, out: &mut Vec<Output>) {
+        let before = self.myself().state;
+        self.load = load;
+        if self.myself().state != before {
+            self.beat(out);
+        }
+    }
+
     fn message(
         &mut self,
         now: Time,
@@ -340,6 +350,8 @@
     fn myself(&self) -> Member {
         let state = if self.leaving {
             State::Leaving
+        } else if self.load == JOINING_LOAD {
+            State::Joining
         } else {
             State::Alive
         };
--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -17,6 +17,8 @@
 #[cfg(test)]
 mod core_machine_tests;
 
-pub use api::{Identity, Input, Mark, Member, MembersMessage, Output, Seen, Settings, State};
+pub use api::{
+    Identity, Input, JOINING_LOAD, Mark, Member, MembersMessage, Output, Seen, Settings, State,
+};
 pub use core_machine::Core;
 pub use mutation::Mutation;
--- a/crates/members/src/table.rs
+++ b/crates/members/src/table.rs
@@ -1,6 +1,6 @@
 //! The members that this VM has heard of.
 
-use crate::{Identity, Mark, Member, Seen, State};
+use crate::{Identity, JOINING_LOAD, Mark, Member, Seen, State};
 use core::time::Duration;
 use poplarswitch_entity::{CellName, Incarnation, Time, VmName};
 use std::collections::BTreeMap;
@@ -51,6 +51,7 @@
             _ if self.replaced => State::Gone,
             Mark::Suspect => State::Suspect,
             Mark::Fine if self.leaving => State::Leaving,
+            Mark::Fine if self.load == JOINING_LOAD => State::Joining,
             Mark::Fine => State::Alive,
         }
     }
--- a/crates/node/src/decide/cluster.rs
+++ b/crates/node/src/decide/cluster.rs
@@ -220,6 +220,7 @@
         };
         let member = found.identity.vm;
         let what = match state {
+            State::Joining => return,
             State::Alive => EventKind::MemberUp { member, life },
             State::Suspect => EventKind::MemberSuspect { member, life },
             State::Leaving => EventKind::MemberLeaving { member, life },
--- a/crates/node/src/decide/mod.rs
+++ b/crates/node/src/decide/mod.rs
@@ -79,6 +79,11 @@
 
     /// Runs until the process ends.
     pub(crate) fn run(mut self, first: Option<Arc<Catalog>>) {
+        let load = members::Input::Load(members::JOINING_LOAD);
+        let now = self.shared.now();
+        self.cluster
+            .members
+            .handle(now, load, &mut self.out.members);
         if let Some(catalog) = first {
             self.activate(catalog);
         }
@@ -200,6 +205,10 @@
         }
         shared.catalog.store(Some(catalog));
         shared.set_phase(Phase::Serving);
+        let load = members::Input::Load(own_load(shared));
+        self.cluster
+            .members
+            .handle(now, load, &mut self.out.members);
         self.regroup(now);
     }
 
@@ -227,6 +236,9 @@
 
 /// Calls held, in thousandths of the limit.
 fn own_load(shared: &Shared) -> u16 {
+    if shared.catalog.load().is_none() {
+        return members::JOINING_LOAD;
+    }
     let open = shared.counters.open.get().max(0) as u64;
     let most = u64::from(shared.settings.limits.calls).max(1);
     (open * 1_000 / most).min(1_000) as u16
--- a/crates/node/src/decide/status.rs
+++ b/crates/node/src/decide/status.rs
@@ -88,6 +88,7 @@
 
 const fn state_name(state: State) -> &'static str {
     match state {
+        State::Joining => "joining",
         State::Alive => "alive",
         State::Suspect => "suspect",
         State::Leaving => "leaving",
--- a/crates/util/src/commands/demo/tally.rs
+++ b/crates/util/src/commands/demo/tally.rs
@@ -4,6 +4,7 @@
 use hdrhistogram::Histogram;
 use poplarswitch_client::{Outcome, Report};
 use poplarswitch_objects::{Class, Target};
+use poplarswitch_wire::ErrorCode;
 use serde::Serialize;
 
 /// Digits of precision of latencies.
@@ -19,6 +20,15 @@
     first: Histogram<u64>,
 }
 
+/// Calls that were not run for one reason.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub(super) struct Reason {
+    /// The reason; none where no VM could be reached.
+    code: Option<ErrorCode>,
+    /// Calls.
+    calls: u32,
+}
+
 /// One line of the table.
 #[derive(Clone, Debug, Default, Serialize)]
 pub(super) struct Line {
@@ -34,6 +44,8 @@
     pub(super) goodput: u64,
     /// Calls that were told that they were not run.
     pub(super) not_run: u32,
+    /// Why calls were not run.
+    pub(super) reasons: Vec<Reason>,
     /// Calls that were told that they may have run.
     pub(super) in_doubt: u32,
     /// Calls whose connection was lost.
@@ -64,7 +76,8 @@
         self.line.calls += 1;
         match report.outcome {
             Outcome::Answered => self.count_answer(report, right),
-            Outcome::NotRun(_) | Outcome::Unreached => self.line.not_run += 1,
+            Outcome::NotRun(code) => self.count_refusal(Some(code)),
+            Outcome::Unreached => self.count_refusal(None),
             Outcome::InDoubt(_) => self.line.in_doubt += 1,
             Outcome::Lost => self.line.cut += 1,
             Outcome::Failed(_) => self.line.failed += 1,
@@ -79,6 +92,15 @@
         }
     }
 
+    fn count_refusal(&mut self, code: Option<ErrorCode>) {
+        self.line.not_run += 1;
+        let reasons = &mut self.line.reasons;
+        match reasons.iter_mut().find(|reason| reason.code == code) {
+            Some(reason) => reason.calls += 1,
+            None => reasons.push(Reason { code, calls: 1 }),
+        }
+    }
+
     fn count_answer(&mut self, report: &Report, right: bool) {
         self.line.answered += 1;
         if !right {
