Keep a workspace's share by class instead of by tier

Cause: a workspace whose reconciliations burst paid with its notices too; one class crowded the others of its own workspace. Change: virtual times are kept per lane and workspace. The new test fails when all lanes share one.

--- a/crates/queue/src/route.rs
+++ b/crates/queue/src/route.rs
@@ -108,8 +108,8 @@
     /// Adds a call of a workspace with a weight.
     pub fn insert(&mut self, waiting: Waiting, weight: u32) {
         let tier = &mut self.tiers[self.places[waiting.lane.0]];
-        tier.enter(waiting.account, weight);
-        let standing = tier.standing(waiting.account);
+        tier.enter(waiting.lane, waiting.account, weight);
+        let standing = tier.standing(waiting.lane, waiting.account);
         self.lanes[waiting.lane.0].insert(waiting.place, waiting.account, standing);
         self.len += 1;
     }
@@ -117,11 +117,11 @@
     /// Takes a call out.
     pub fn remove(&mut self, waiting: Waiting) -> bool {
         let tier = &mut self.tiers[self.places[waiting.lane.0]];
-        let standing = tier.standing(waiting.account);
+        let standing = tier.standing(waiting.lane, waiting.account);
         let lane = &mut self.lanes[waiting.lane.0];
         let found = lane.remove(waiting.place, waiting.account, standing);
         if found {
-            tier.leave(waiting.account);
+            tier.leave(waiting.lane, waiting.account);
             self.len -= 1;
         }
         found
@@ -187,21 +187,22 @@
     /// Takes out a call that was picked and charges its workspace for a slot time.
     pub fn take(&mut self, pick: &Pick, micros: u64) {
         let tier = &mut self.tiers[pick.tier];
-        tier.charge(pick.account, micros);
-        let standing = tier.standing(pick.account);
+        tier.charge(pick.lane, pick.account, micros);
+        let standing = tier.standing(pick.lane, pick.account);
         self.lanes[pick.lane.0].remove(pick.place, pick.account, standing);
         let tiers = &self.tiers;
         self.floors
             .served(pick.tier, |tier| tiers[tier].waiting > 0);
-        self.tiers[pick.tier].leave(pick.account);
+        self.tiers[pick.tier].leave(pick.lane, pick.account);
         self.len -= 1;
-        self.relist(pick.account, pick.tier);
     }
 
     /// Corrects a charge once the slot time is known.
-    pub fn correct(&mut self, tier: usize, account: AccountKey, charged: u64, used: u64) {
-        self.tiers[tier].correct(account, charged, used);
-        self.relist(account, tier);
+    pub fn correct(&mut self, lane: LaneKey, account: AccountKey, charged: u64, used: u64) {
+        let tier = &mut self.tiers[self.places[lane.0]];
+        tier.correct(lane, account, charged, used);
+        let standing = tier.standing(lane, account);
+        self.lanes[lane.0].list(account, standing);
     }
 
     /// Lets a workspace that was held be served again.
@@ -214,8 +215,8 @@
     }
 
     fn relist(&mut self, account: AccountKey, tier: usize) {
-        let standing = self.tiers[tier].standing(account);
         for lane in &self.tiers[tier].lanes {
+            let standing = self.tiers[tier].standing(*lane, account);
             self.lanes[lane.0].list(account, standing);
         }
     }
--- a/crates/queue/src/route_tests.rs
+++ b/crates/queue/src/route_tests.rs
@@ -127,6 +127,25 @@
     expect_that!(left, eq(204 - 70));
 }
 
+#[gtest]
+fn the_burst_of_one_class_is_not_paid_by_another_of_the_same_workspace() {
+    let mut stand = Stand::new(&[0]);
+    let second = stand.queue.add_lane(0);
+    stand.lanes.push(second);
+    let (loud, quiet) = (stand.account(), stand.account());
+    (0..100).for_each(|_| {
+        stand.push(0, loud, 4_900, 1);
+        stand.push(0, quiet, 5_000, 1);
+    });
+    (0..30).for_each(|_| {
+        stand.pop(0);
+    });
+    let own = stand.push(1, loud, 5_500, 1);
+    let served = (46..50).filter_map(|step| stand.pop(step * 100));
+    let calls: Vec<CallKey> = served.map(|pick| pick.call).collect();
+    expect_that!(calls, contains(eq(&own.place.call)));
+}
+
 #[gtest]
 fn a_workspace_that_is_ahead_goes_first_while_the_others_have_time() {
     let mut stand = Stand::new(&[0]);
--- a/crates/scheduler/src/finish.rs
+++ b/crates/scheduler/src/finish.rs
@@ -124,7 +124,8 @@
         let state = &mut self.groups[group];
         if let Order::Full(queue) = &mut state.order {
             let used = now.since(flight.started).as_micros() as u64;
-            queue.correct(tier, account, flight.charged, used);
+            let lane = state.lanes[call.lane].lane;
+            queue.correct(lane, account, flight.charged, used);
         }
         self.dirty.push(group);
         let lowest = self.book.tiers() - 1;
