Give every fiftieth dispatch of a tier to a late call instead of every twentieth

Cause: useful engine time at twice the capacity stayed under the goal of 95%; one dispatch in twenty went to calls that had missed their target. Change: one in fifty.

--- a/crates/queue/src/route.rs
+++ b/crates/queue/src/route.rs
@@ -7,7 +7,7 @@
 use poplarswitch_entity::Time;
 
 /// One in so many dispatches of a tier goes to the call that has been late for longest.
-pub(crate) const LATE_TURN: u64 = 20;
+pub(crate) const LATE_TURN: u64 = 50;
 
 /// Slack below which a workspace's call goes before those of workspaces that are ahead.
 const MARGIN: Duration = Duration::from_secs(1);
