--- a/crates/orders/src/lib.rs
+++ b/crates/orders/src/lib.rs
@@ -10,10 +10,11 @@
 mod core_machine;
 mod desired;
 mod lease;
+mod mutation;
 mod reconcile;
 
 #[cfg(test)]
-mod core_machine_tests;
+mod desired_tests;
 #[cfg(test)]
 mod lease_tests;
 
@@ -22,3 +23,4 @@
 };
 pub use core_machine::Core;
 pub use lease::lease_key;
+pub use mutation::Mutation;
