Remember closed sessions and open new ones after a long pause

Change: closed sessions are remembered for 10 minutes; an origin that stood still for more than a lease opens new sessions by itself; a home releases a call whose answer it hears of without knowing the dispatch; an origin takes no dispatch whose number is not above its last.

--- a/crates/oracle/src/cell_tests.rs
+++ b/crates/oracle/src/cell_tests.rs
@@ -106,3 +106,21 @@
     });
     expect_that!(found, contains(contains_substring("None held: 1")));
 }
+
+#[gtest]
+fn an_origin_that_wakes_after_its_lease_leaves_nothing_behind() {
+    let mut cell = Cell::new(None);
+    for step in [
+        Step::Submit(1, Kind::BookingByModel),
+        Step::Submit(1, Kind::ChatByService),
+        Step::Pause(1),
+        Step::Wait(5_001),
+        Step::Leave(0, 1),
+        Step::Burst(0, Kind::Booking, 6),
+    ] {
+        cell.step(&step);
+    }
+    cell.finish();
+    expect_that!(cell.judge.violation, none());
+    expect_that!(cell.held(), eq(0));
+}
--- a/crates/pool/src/desk.rs
+++ b/crates/pool/src/desk.rs
@@ -14,6 +14,8 @@
     ask: AskNumber,
     running: Option<Attempt>,
     preempted: bool,
+    /// Whether its origin wants to hear no more of it.
+    released: bool,
 }
 
 /// The scheduler and the asks behind its calls.
@@ -101,6 +103,7 @@
             ask,
             running,
             preempted: false,
+            released: false,
         };
         self.guests.insert(call, guest);
     }
@@ -116,6 +119,13 @@
         let Some(guest) = self.guests.get_mut(&ended.call) else {
             return;
         };
+        if guest.running != Some(ended.attempt) {
+            // The session is older than this desk's memory; the origin knows that it is over.
+            if matches!(ended.end, End::Answered { .. }) {
+                self.release(now, ended.call, out);
+            }
+            return;
+        }
         guest.running = None;
         let preempted = core::mem::take(&mut guest.preempted);
         let end = if preempted {
@@ -129,12 +139,18 @@
         }
     }
 
+    /// Takes a call out of the scheduler.
+    ///
+    /// The passing of time alone may dispatch it before the scheduler hears of the release,
+    /// so whether it runs is known only afterwards.
     fn release(&mut self, now: Time, call: CallId, out: &mut Vec<Answer>) {
-        let Some(guest) = self.guests.remove(&call) else {
+        let Some(guest) = self.guests.get_mut(&call) else {
             return;
         };
+        guest.released = true;
         self.feed(now, Input::Cancel(call), out);
-        let Some(attempt) = guest.running else {
+        let guest = self.guests.remove(&call);
+        let Some(attempt) = guest.and_then(|guest| guest.running) else {
             return;
         };
         let end = End::Stopped { emitted: 0 };
@@ -166,7 +182,7 @@
             let Some(guest) = self.guests.get_mut(&call) else {
                 continue;
             };
-            let ask = guest.ask;
+            let (ask, released) = (guest.ask, guest.released);
             match output {
                 Output::Dispatch(ref dispatch) => guest.running = Some(dispatch.attempt),
                 Output::Stop(Stop { reason, .. }) => {
@@ -176,7 +192,9 @@
                     self.guests.remove(&call);
                 }
             }
-            out.push(Answer { ask, output });
+            if !released {
+                out.push(Answer { ask, output });
+            }
         }
     }
 }
--- a/crates/pool/src/links.rs
+++ b/crates/pool/src/links.rs
@@ -20,7 +20,9 @@
 /// Time after which an unused session is closed by its origin.
 const IDLE: Duration = Duration::from_secs(2);
 /// Silence after which a home frees the slots of an origin.
-const LEASE: Duration = Duration::from_secs(5);
+pub const LEASE: Duration = Duration::from_secs(5);
+/// Time for which the sessions of a VM that has left are remembered.
+const FORGET_AFTER: Duration = Duration::from_mins(10);
 /// First delay before a suspected home is probed.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Longest delay before a suspected home is probed.
@@ -38,6 +40,7 @@
     up: Option<Channel<Ask, Answer>>,
     down: Option<Channel<Answer, Ask>>,
     closed: Session,
+    closed_at: Time,
     trust: Trust,
     following: usize,
 }
@@ -48,6 +51,7 @@
             up: None,
             down: None,
             closed: Session(0),
+            closed_at: Time::ZERO,
             trust: Trust::Trusted,
             following: 0,
         }
@@ -96,10 +100,11 @@
     }
 
     /// Forgets peers that have left and have no session.
-    pub fn retain(&mut self, members: &[Incarnation]) {
+    pub fn retain(&mut self, now: Time, members: &[Incarnation]) {
         self.peers.retain(|id, peer| {
             let used = peer.up.is_some() || peer.down.is_some() || peer.following > 0;
-            used || members.binary_search(id).is_ok()
+            let known = peer.closed > Session(0) && now < peer.closed_at + FORGET_AFTER;
+            used || known || members.binary_search(id).is_ok()
         });
     }
 
@@ -157,6 +162,13 @@
         }
     }
 
+    /// Gives up all sessions as an origin; returns the homes that had one.
+    pub fn give_up(&mut self) -> Vec<Incarnation> {
+        let open = self.peers.iter_mut();
+        open.filter_map(|(id, peer)| peer.up.take().map(|_| *id))
+            .collect()
+    }
+
     /// Takes a message.
     pub fn receive(
         &mut self,
@@ -323,6 +335,7 @@
             return false;
         };
         self.closed = down.session;
+        self.closed_at = now;
         true
     }
 
--- a/crates/pool/src/own.rs
+++ b/crates/pool/src/own.rs
@@ -112,6 +112,11 @@
     /// Applies an order of the home that the call follows.
     pub fn take(&mut self, output: &Output) -> Taken {
         match (output, &mut self.phase) {
+            (Output::Dispatch(dispatch), Phase::Deciding(run, _))
+                if dispatch.attempt <= run.attempt =>
+            {
+                Taken::Stale
+            }
             (Output::Dispatch(dispatch), Phase::Waiting | Phase::Deciding(..)) => {
                 self.phase = Phase::Running(Run::from(dispatch));
                 Taken::Ordered
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -3,7 +3,7 @@
 use crate::{
     Answer, Ask, Counters, Input, Mutation, Output, Status,
     desk::Desk,
-    links::{Event, Links},
+    links::{Event, LEASE, Links},
     own::{Own, Phase, Taken},
     ranking::Ranking,
 };
@@ -59,7 +59,7 @@
 
     /// Reacts to one input.
     pub fn handle(&mut self, now: Time, input: Input, out: &mut Vec<Output>) {
-        self.notice_stall(now);
+        self.notice_stall(now, out);
         match input {
             Input::Local(input) => self.local(now, input, out),
             Input::Peer { from, message } => {
@@ -70,7 +70,7 @@
             }
             Input::Members(members) => {
                 if self.ranking.replace(members) {
-                    self.links.retain(self.ranking.members());
+                    self.links.retain(now, self.ranking.members());
                     self.regroup(now, out);
                 }
             }
@@ -80,7 +80,7 @@
 
     /// Lets time pass.
     pub fn tick(&mut self, now: Time, out: &mut Vec<Output>) {
-        self.notice_stall(now);
+        self.notice_stall(now, out);
         let mut events = Vec::new();
         self.links.tick(now, self.ranking.members(), &mut events);
         self.react(now, events, out);
@@ -138,11 +138,19 @@
         }
     }
 
-    fn notice_stall(&mut self, now: Time) {
-        if self.due.is_some_and(|due| now > due + STALL) {
-            self.links.forgive(now);
+    /// Forgives others for this VM's own absence; after a lease, homes have forgotten it.
+    fn notice_stall(&mut self, now: Time, out: &mut Vec<Output>) {
+        let Some(due) = self.due.take().filter(|due| now > *due + STALL) else {
+            return;
+        };
+        self.links.forgive(now);
+        if now <= due + LEASE {
+            return;
+        }
+        for home in self.links.give_up() {
+            self.counters.resets += 1;
+            self.ask_again(now, home, out);
         }
-        self.due = None;
     }
 
     fn finish(&mut self, now: Time, out: &mut Vec<Output>) {
