--- a/crates/node/src/decide/mod.rs
+++ b/crates/node/src/decide/mod.rs
@@ -117,6 +117,7 @@
             Event::Orders(input) => self.feed_orders(now, input),
             Event::Activate(catalog) => self.activate(catalog),
             Event::Status(reply) => drop(reply.send(self.status())),
+            Event::Leave => self.leave(now),
             Event::Drain => self.drain(now),
             Event::Stop => self.stopping = true,
         }
