Close silent links, and judge what a resumed VM hands on by its true age

Change: links silent for 4 s and links to suspects are closed; ages told to others include this VM's pauses; members met by hearsay are judged at once, and every new suspicion is a rumour. Conclusion: nothing is forwarded for long over a link that is dead in one direction.

--- a/crates/members/src/api.rs
+++ b/crates/members/src/api.rs
@@ -169,7 +169,7 @@
     },
     /// Open a link to the VM at an address.
     Dial(SocketAddr),
-    /// Close a link to a member that is gone.
+    /// Close a link to a member that is suspected or gone, or that nothing comes over.
     Close(Incarnation),
     /// Read the platform's list of VMs.
     List,
@@ -202,6 +202,9 @@
     /// Silence in the own cell after which a member is suspected, if another VM confirms.
     #[builder(default = Duration::from_secs(2))]
     pub suspect_after: Duration,
+    /// Silence of a link after which it is closed, whatever others hear.
+    #[builder(default = Duration::from_secs(4))]
+    pub link_after: Duration,
     /// Silence in the own cell after which a member is suspected if nobody can confirm.
     #[builder(default = Duration::from_secs(5))]
     pub lone_after: Duration,
--- a/crates/members/src/core_machine.rs
+++ b/crates/members/src/core_machine.rs
@@ -133,6 +133,7 @@
         self.next_beat = now + self.settings.heartbeat;
         self.beat(out);
         self.suspect(now, out);
+        self.close_silent(now, out);
         self.spread(now, out);
         if now >= self.next_summary {
             self.next_summary = now + self.settings.summary;
@@ -184,6 +185,7 @@
         out: &mut Vec<Output>,
     ) {
         self.fresh = true;
+        self.heard_from(now, from);
         match message {
             MembersMessage::Heartbeat(seen) => self.digest(now, from, &[seen], out),
             MembersMessage::Digest(seen) => self.digest(now, from, &seen, out),
@@ -199,7 +201,11 @@
                 out.push(Output::Send { to: from, message });
             }
             MembersMessage::Identities(identities) => {
-                let new = identities.into_iter().filter(|peer| self.meet(now, peer));
+                // Whether they live is for the next digest to say.
+                let heard = now - self.settings.lone_after;
+                let new = identities
+                    .into_iter()
+                    .filter(|peer| self.meet(now, peer, heard));
                 let new: Vec<Incarnation> = new.map(|peer| peer.incarnation).collect();
                 // What was said of them before they were known is lost; ask again.
                 if !new.is_empty() {
@@ -216,7 +222,8 @@
         }
         let to = peer.incarnation;
         self.links.opened(peer);
-        self.meet(now, peer);
+        self.meet(now, peer, now);
+        self.heard_from(now, to);
         let message = MembersMessage::Heartbeat(self.my_seen());
         out.push(Output::Send { to, message });
         let message = MembersMessage::Digest(self.everything(now));
@@ -224,11 +231,12 @@
     }
 
     /// Adds a member; says whether it is new.
-    fn meet(&mut self, now: Time, identity: &Identity) -> bool {
+    fn meet(&mut self, now: Time, identity: &Identity, heard: Time) -> bool {
         let incarnation = identity.incarnation;
-        let new = incarnation != self.me.incarnation && self.table.add(now, identity);
+        let new = incarnation != self.me.incarnation && self.table.add(now, identity, heard);
         if new {
             self.rumours.insert(incarnation, RUMOUR_ROUNDS);
+            self.rejudge(now, incarnation);
         }
         new
     }
@@ -250,6 +258,7 @@
             if self.table.learn(now, entry) {
                 self.rumours.insert(entry.incarnation, RUMOUR_ROUNDS);
             }
+            self.rejudge(now, entry.incarnation);
         }
         if !wanted.is_empty() {
             let message = MembersMessage::Want(wanted);
@@ -315,7 +324,7 @@
         Some(Seen {
             incarnation,
             seq: record.seq,
-            age_ms: now.since(record.heard).as_millis() as u32,
+            age_ms: (now.since(record.heard) + record.excused).as_millis() as u32,
             mark,
             leaving: record.leaving,
             load: record.load,
@@ -364,7 +373,8 @@
             }
             let incarnation = *incarnation;
             out.push(Output::Changed { incarnation, state });
-            if state == State::Gone && self.links.closed(incarnation) {
+            let dead = matches!(state, State::Suspect | State::Gone);
+            if dead && self.links.closed(incarnation) {
                 out.push(Output::Close(incarnation));
             }
         }
--- a/crates/members/src/core_machine_tests.rs
+++ b/crates/members/src/core_machine_tests.rs
@@ -159,3 +159,34 @@
     expect_that!(told.count(), eq(2));
     expect_that!(core.cell(), not(contains(eq(&Incarnation(1)))));
 }
+
+#[gtest]
+fn a_link_that_nothing_comes_over_is_closed() {
+    let mut core = linked();
+    let mut closed = Vec::new();
+    let mut now = Time::ZERO;
+    for _ in 0..20 {
+        now = now + STEP;
+        let mut out = Vec::new();
+        core.tick(now, &mut out);
+        // Another VM hears the silent one, so it stays alive.
+        let counts = [SILENT, WITNESS].map(|peer| seen(peer, now.0, 0));
+        let digest = MembersMessage::Digest(counts.to_vec());
+        let from = WITNESS;
+        core.handle(
+            now,
+            Input::Message {
+                from,
+                message: digest,
+            },
+            &mut out,
+        );
+        closed.extend(
+            out.into_iter()
+                .filter(|output| matches!(output, Output::Close(_))),
+        );
+    }
+    expect_that!(closed, elements_are![eq(&Output::Close(SILENT))]);
+    expect_that!(state(&core, SILENT), some(eq(State::Alive)));
+    expect_that!(core.links().contains(&SILENT), eq(false));
+}
--- a/crates/members/src/suspicion.rs
+++ b/crates/members/src/suspicion.rs
@@ -48,6 +48,41 @@
         }
     }
 
+    /// Marks a member at once whose silence is already long enough.
+    pub(crate) fn rejudge(&mut self, now: Time, peer: Incarnation) {
+        let mark = self
+            .table
+            .get(peer)
+            .and_then(|record| self.judge(now, record));
+        if let (Some(mark), Some(record)) = (mark, self.table.get_mut(peer)) {
+            record.set_mark(now, mark);
+            self.rumours.insert(peer, RUMOUR_ROUNDS);
+        }
+    }
+
+    /// Notes that something came over the link to a member.
+    pub(crate) fn heard_from(&mut self, now: Time, peer: Incarnation) {
+        if let Some(record) = self.table.get_mut(peer) {
+            record.direct = now;
+        }
+    }
+
+    /// Closes links that nothing comes over, so that nothing is forwarded over them.
+    pub(crate) fn close_silent(&mut self, now: Time, out: &mut Vec<Output>) {
+        let bound = self.settings.link_after;
+        let links = self.links.open().iter().copied();
+        let silent: Vec<Incarnation> = links
+            .filter(|peer| {
+                let record = self.table.get(*peer);
+                record.is_some_and(|record| now.since(record.direct) >= bound)
+            })
+            .collect();
+        for peer in silent {
+            self.links.closed(peer);
+            out.push(Output::Close(peer));
+        }
+    }
+
     /// Some linked members that may have heard the silent ones, of the own cell if there are.
     fn observers(&mut self, doubts: &[Incarnation]) -> Vec<Incarnation> {
         let links = self.links.open().iter().copied();
--- a/crates/members/src/table.rs
+++ b/crates/members/src/table.rs
@@ -19,6 +19,10 @@
     pub(crate) seq: u64,
     /// When the newest heartbeat was heard, by anybody.
     pub(crate) heard: Time,
+    /// Pauses of this VM since then; others are told of them, this VM does not count them.
+    pub(crate) excused: Duration,
+    /// When it was last heard over a link of this VM.
+    pub(crate) direct: Time,
     pub(crate) known_since: Time,
     pub(crate) mark: Mark,
     pub(crate) marked_at: Time,
@@ -30,11 +34,13 @@
 }
 
 impl Record {
-    fn new(now: Time, identity: Identity) -> Self {
+    fn new(now: Time, identity: Identity, heard: Time) -> Self {
         Self {
             identity,
             seq: 0,
-            heard: now,
+            heard,
+            excused: Duration::ZERO,
+            direct: now,
             known_since: now,
             mark: Mark::Fine,
             marked_at: now,
@@ -70,6 +76,7 @@
         self.leaving |= seen.leaving;
         if seen.seq > self.seq {
             self.seq = seen.seq;
+            self.excused = Duration::ZERO;
             self.load = seen.load;
             let heard = now - Duration::from_millis(u64::from(seen.age_ms));
             self.heard = self.heard.max(heard);
@@ -116,11 +123,11 @@
     }
 
     /// Adds a member; of two lives of one VM only the later one stays.
-    pub(crate) fn add(&mut self, now: Time, identity: &Identity) -> bool {
+    pub(crate) fn add(&mut self, now: Time, identity: &Identity, heard: Time) -> bool {
         if self.records.contains_key(&identity.incarnation) {
             return false;
         }
-        let mut record = Record::new(now, identity.clone());
+        let mut record = Record::new(now, identity.clone(), heard);
         if let Some(other) = self.names.get(&identity.vm).copied()
             && let Some(old) = self.records.get_mut(&other)
         {
@@ -134,7 +141,7 @@
         if !record.replaced {
             self.names.insert(identity.vm.clone(), identity.incarnation);
         }
-        self.touch_cell(&identity.cell, now);
+        self.touch_cell(&identity.cell, heard);
         self.records.insert(identity.incarnation, record);
         true
     }
@@ -173,7 +180,9 @@
     /// Counts a pause of this VM as time in which nobody was silent.
     pub(crate) fn excuse(&mut self, now: Time, gap: Duration) {
         for record in self.records.values_mut() {
+            record.excused += gap;
             record.heard = now.min(record.heard + gap);
+            record.direct = now.min(record.direct + gap);
             record.witnesses.clear();
         }
         for heard in self.cells.values_mut() {
