Give every dispatched call a thread

Cause: 1,024 long streams could hold all threads while an urgent call that the scheduler had dispatched waited for one. Conclusion: the bound on calls is the one bound.

--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -36,6 +36,8 @@
 
 /// Threads that serve callers' connections.
 const CALLER_THREADS: usize = 2;
+/// Threads for short calls to engines, beside those of runs.
+const SPARE_THREADS: usize = 64;
 /// Time after which an idle run thread ends.
 const THREAD_IDLE: Duration = Duration::from_secs(10);
 /// Stack of a thread, in bytes.
@@ -96,7 +98,7 @@
     pub fn start(setup: Setup) -> Result<Self, StartError> {
         setup.settings.validate().context(SettingsSnafu)?;
         let catalog = first_catalog(setup.set.as_ref(), setup.generation)?;
-        let runtime = runtime(setup.settings.limits.workers).context(ThreadSnafu)?;
+        let runtime = runtime(setup.settings.limits.calls).context(ThreadSnafu)?;
         let (events, incoming) = unbounded();
         let policy = setup.policy;
         let shared = Arc::new(Shared::new(
@@ -223,10 +225,12 @@
         .context(SetSnafu)
 }
 
-fn runtime(workers: u32) -> io::Result<Runtime> {
+/// Every call that is dispatched finds a thread: its own calls, as many that it runs for other
+/// VMs, and the short calls beside them. A thread is started only when it is needed.
+fn runtime(calls: u32) -> io::Result<Runtime> {
     Builder::new_multi_thread()
         .worker_threads(CALLER_THREADS)
-        .max_blocking_threads(workers as usize)
+        .max_blocking_threads(2 * calls as usize + SPARE_THREADS)
         .thread_keep_alive(THREAD_IDLE)
         .thread_stack_size(STACK_BYTES)
         .thread_name("node")
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -116,7 +116,6 @@
         let counts = [
             ("limits.connections", limits.connections),
             ("limits.calls", limits.calls),
-            ("limits.workers", limits.workers),
             ("limits.body_bytes", limits.body_bytes),
             ("limits.answer_bytes", limits.answer_bytes),
             ("limits.head_ms", limits.head_ms),
@@ -131,8 +130,5 @@
                 errors.push(FieldError::new(field, "more than zero"));
             }
         }
-        if limits.workers > limits.calls {
-            errors.push(FieldError::new("limits.workers", "at most limits.calls"));
-        }
     }
 }
--- a/crates/settings/src/check_tests.rs
+++ b/crates/settings/src/check_tests.rs
@@ -11,7 +11,7 @@
         .cell("atlas")
         .addresses(addresses)
         .platform("platform:80")
-        .limits(Limits::builder().calls(4).workers(8).body_ms(0).build())
+        .limits(Limits::builder().calls(0).body_ms(0).build())
         .build();
     let Err(SettingsError::Check { errors }) = settings.validate() else {
         panic!("must be refused");
@@ -23,8 +23,8 @@
             eq(&"vm"),
             eq(&"platform"),
             eq(&"addresses.metrics"),
+            eq(&"limits.calls"),
             eq(&"limits.body_ms"),
-            eq(&"limits.workers"),
         ]
     );
 }
--- a/crates/settings/src/settings.rs
+++ b/crates/settings/src/settings.rs
@@ -75,9 +75,6 @@
     /// Calls at once, waiting or running.
     #[builder(default = 4_096)]
     pub calls: u32,
-    /// Calls running at endpoints at once, each on a thread.
-    #[builder(default = 1_024)]
-    pub workers: u32,
     /// Largest body of a call, in bytes.
     #[builder(default = 1 << 20)]
     pub body_bytes: u32,
