--- a/crates/node/examples/measure.rs
+++ b/crates/node/examples/measure.rs
@@ -30,6 +30,8 @@
 const CALLS: u32 = 2_000;
 /// Calls before anything is counted.
 const WARM_UP: u32 = 200;
+/// Time between the starts of two streams; a burst beyond the engine's backlog is refused.
+const APART: Duration = Duration::from_millis(3);
 /// Most tokens of a long stream.
 const LONG_TOKENS: u32 = 4_000;
 /// Callers at once, for throughput.
@@ -180,6 +182,7 @@
     for count in [0, 1, 100, 1_000] {
         while open.len() < count {
             open.push(stream(program.callers, &prompt));
+            thread::sleep(APART);
         }
         let began = Instant::now();
         while u64::from(engine.stats().running) < count as u64 && began.elapsed() < FILL {
