--- a/crates/bench/src/world.rs
+++ b/crates/bench/src/world.rs
@@ -190,7 +190,7 @@
     let classes = vec![charge, refill, notice, reconciliation];
     let shapes = [
         Shape::new(1.0, 3.0, 0.0, 150.0, 0.4),
-        Shape::new(12.0, 16.0, 250.0, 30.0, 0.3),
+        Shape::new(12.0, 16.0, 250.0, 30.0, 0.4),
         Shape::new(2.0, 4.0, 800.0, 300.0, 0.4),
         Shape::new(2.0, 8.0, 3_000.0, 1_200.0, 0.5),
     ];
