Repeat a refused order only after the next reading

Cause: an engine that refuses an order for another reason than its number (a 400, say) was ordered again in the same step, so the order went round without a pause. Conclusion: one order for each reading at most.

--- a/crates/orders/src/core_machine.rs
+++ b/crates/orders/src/core_machine.rs
@@ -167,7 +167,13 @@
                 engine.given = None;
                 self.yield_to(now, Some(*newest), out);
             }
-            OrderEnd::NotTaken => engine.given = None,
+            // Repeated only after the next reading, or an engine that refuses would be asked
+            // without a pause.
+            OrderEnd::NotTaken => {
+                if let Some(given) = &mut engine.given {
+                    given.ended = Some(now);
+                }
+            }
             OrderEnd::Taken => {
                 if let Some(given) = &mut engine.given {
                     given.ended = Some(now);
--- a/crates/orders/src/lib.rs
+++ b/crates/orders/src/lib.rs
@@ -13,6 +13,8 @@
 mod mutation;
 mod reconcile;
 
+#[cfg(test)]
+mod core_machine_tests;
 #[cfg(test)]
 mod desired_tests;
 #[cfg(test)]
