Tell when a stand-in engine loaded

Cause: whether two engines loaded at once can't be seen by reading them one after the other. Change: Engine::loads gives the spans in which it was not ready. Conclusion: a test can judge min_ready by the spans' overlap, without a bound on time.

--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -15,6 +15,7 @@
 use batch::Batch;
 use cache::PrefixCache;
 use core::{net::SocketAddr, time::Duration};
+pub use orders::LoadSpan;
 use orders::Loaded;
 use reports::Reports;
 use std::sync::{Arc, Mutex};
@@ -155,6 +156,11 @@
         *lock(&self.state.faults) = faults;
     }
 
+    /// The times in which it loaded a model.
+    pub fn loads(&self) -> Vec<LoadSpan> {
+        lock(&self.state.loaded).spans()
+    }
+
     /// What it has done so far.
     pub fn stats(&self) -> EngineStats {
         let running = lock(&self.state.batch).running();
--- a/crates/standins/src/engine/orders.rs
+++ b/crates/standins/src/engine/orders.rs
@@ -39,6 +39,15 @@
     FencedOff,
 }
 
+/// The time in which an engine loaded and was not ready.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LoadSpan {
+    /// When the order took effect.
+    pub began: Instant,
+    /// When it was ready again.
+    pub ready: Instant,
+}
+
 /// The model that an engine holds or loads.
 #[derive(Debug)]
 pub(super) struct Loaded {
@@ -46,6 +55,7 @@
     load_time: Duration,
     desired: Desired,
     ready_at: Instant,
+    spans: Vec<LoadSpan>,
 }
 
 impl Loaded {
@@ -61,6 +71,7 @@
                 adapters: Vec::new(),
             },
             ready_at: Instant::now(),
+            spans: Vec::new(),
         }
     }
 
@@ -71,7 +82,12 @@
         }
         let same_model = desired.model == self.desired.model;
         if !same_model || desired.version != self.desired.version {
-            self.ready_at = Instant::now() + self.load_time;
+            let began = Instant::now();
+            self.ready_at = began + self.load_time;
+            self.spans.push(LoadSpan {
+                began,
+                ready: self.ready_at,
+            });
         }
         self.desired = desired;
         Taken::Applied
@@ -85,6 +101,11 @@
         }
     }
 
+    /// All loads so far.
+    pub(super) fn spans(&self) -> Vec<LoadSpan> {
+        self.spans.clone()
+    }
+
     /// Whether it can serve a model.
     pub(super) fn serves(&self, model: &str) -> bool {
         self.is_ready() && self.desired.model == model
