Count orders, and record them under their own numbers

Cause: the node recorded the end of an order under the number that the lease had by then, and not at all once the lease was lost; nothing counted orders or showed the holder; the core's periods were fixed, so no test could see a lease run out. Change: the thread that carries an order records and counts its end; an order that waited over 1 s for its thread is not sent; a server error counts as unknown; status shows the lease's number; the set-up takes the core's periods. publish moves to the tests' common module.

--- a/crates/node/src/counters.rs
+++ b/crates/node/src/counters.rs
@@ -23,6 +23,12 @@
     pub(crate) code: String,
 }
 
+/// Labels a series with the end of an order.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct OrderLabel {
+    pub(crate) end: &'static str,
+}
+
 /// All counters.
 #[derive(Debug)]
 pub(crate) struct Counters {
@@ -46,6 +52,8 @@
     pub(crate) unreported: Counter,
     pub(crate) peer_drops: Counter,
     pub(crate) platform_calls: Counter,
+    pub(crate) lease_held: Gauge,
+    pub(crate) orders: Family<OrderLabel, Counter>,
 }
 
 impl Default for Counters {
@@ -72,6 +80,8 @@
             unreported: Counter::default(),
             peer_drops: Counter::default(),
             platform_calls: Counter::default(),
+            lease_held: Gauge::default(),
+            orders: Family::default(),
         }
     }
 }
@@ -83,9 +93,23 @@
         self.register_gauges(&mut registry);
         self.register_calls(&mut registry);
         self.register_edges(&mut registry);
+        self.register_orders(&mut registry);
         registry
     }
 
+    fn register_orders(&self, to: &mut Registry) {
+        to.register(
+            "lease_held",
+            "Whether this VM holds the lease for orders to engines",
+            self.lease_held.clone(),
+        );
+        to.register(
+            "orders",
+            "Orders to engines, by how the call ended",
+            self.orders.clone(),
+        );
+    }
+
     fn register_gauges(&self, to: &mut Registry) {
         to.register("calls_open", "Calls that wait or run", self.open.clone());
         to.register("calls_running", "Calls that run", self.running.clone());
--- a/crates/node/src/decide/orders.rs
+++ b/crates/node/src/decide/orders.rs
@@ -2,8 +2,8 @@
 
 use super::Decider;
 use crate::{orders, platform::Asker};
-use poplarswitch_entity::Time;
-use poplarswitch_orders::{Input, OrderEnd, Output};
+use poplarswitch_entity::{EndpointName, FencingNumber, Time};
+use poplarswitch_orders::{Input, Order, OrderEnd, Output};
 use poplarswitch_timeline::{EventKind, LeaseName};
 
 /// The lease for all engines of the set.
@@ -12,74 +12,49 @@
 impl Decider {
     /// Something happened to an order or an engine.
     pub(super) fn feed_orders(&mut self, now: Time, input: Input) {
-        self.record_order(now, &input);
         let core = &mut self.cluster.orders;
         core.handle(now, input, &mut self.out.orders);
     }
 
-    fn record_order(&self, now: Time, input: &Input) {
-        let Some(number) = self.cluster.orders.fencing(now) else {
-            return;
-        };
-        let what = match input {
-            Input::Ended { endpoint, end } => match end {
-                OrderEnd::Taken => EventKind::OrderApplied {
-                    endpoint: endpoint.clone(),
-                    number,
-                },
-                OrderEnd::Fenced { .. } | OrderEnd::NotTaken => EventKind::OrderRefused {
-                    endpoint: endpoint.clone(),
-                    number,
-                },
-                OrderEnd::Unknown => return,
-            },
-            _ => return,
-        };
-        self.shared.record(None, what);
-    }
-
     /// Carries out what the orders' core orders.
     pub(super) fn carry_orders(&mut self, now: Time, output: Output) {
         match output {
             Output::Request { id, request } => {
                 self.cluster.platform.ask(Asker::Orders, id, request);
             }
-            Output::Observe(endpoint) => match self.endpoints.address(&endpoint) {
-                Some(address) => orders::observe(&self.shared, endpoint, address),
-                None => self.feed_orders(
-                    now,
-                    Input::Observed {
-                        endpoint,
-                        observation: None,
-                    },
-                ),
-            },
-            Output::Order { endpoint, order } => match self.endpoints.address(&endpoint) {
-                Some(address) => {
-                    let number = order.fencing;
-                    let name = endpoint.clone();
-                    self.shared.record(
-                        None,
-                        EventKind::OrderSent {
-                            endpoint: name,
-                            number,
-                        },
-                    );
-                    orders::send(&self.shared, endpoint, address, order);
-                }
-                None => self.feed_orders(
-                    now,
-                    Input::Ended {
-                        endpoint,
-                        end: OrderEnd::NotTaken,
-                    },
-                ),
-            },
+            Output::Observe(endpoint) => self.read_back(now, endpoint),
+            Output::Order { endpoint, order } => self.send_order(now, endpoint, order),
             Output::Lease(number) => self.lease(number),
         }
     }
 
-    fn lease(&mut self, number: Option<poplarswitch_entity::FencingNumber>) {
+    fn read_back(&mut self, now: Time, endpoint: EndpointName) {
+        match self.endpoints.address(&endpoint) {
+            Some(address) => orders::observe(&self.shared, endpoint, address),
+            None => self.feed_orders(
+                now,
+                Input::Observed {
+                    endpoint,
+                    observation: None,
+                },
+            ),
+        }
+    }
+
+    fn send_order(&mut self, now: Time, endpoint: EndpointName, order: Order) {
+        let Some(address) = self.endpoints.address(&endpoint) else {
+            let end = OrderEnd::NotTaken;
+            return self.feed_orders(now, Input::Ended { endpoint, end });
+        };
+        let sent = EventKind::OrderSent {
+            endpoint: endpoint.clone(),
+            number: order.fencing,
+        };
+        self.shared.record(None, sent);
+        orders::send(&self.shared, endpoint, address, now, order);
+    }
+
+    fn lease(&mut self, number: Option<FencingNumber>) {
         let lease = LeaseName::from(LEASE);
         let what = match (number, self.lease_held) {
             (Some(number), _) => EventKind::LeaseTaken { lease, number },
@@ -87,6 +62,8 @@
             (None, None) => return,
         };
         self.lease_held = number;
+        let held = i64::from(number.is_some());
+        self.shared.counters.lease_held.set(held);
         self.shared.record(None, what);
     }
 }
--- a/crates/node/src/decide/status.rs
+++ b/crates/node/src/decide/status.rs
@@ -26,6 +26,7 @@
                 .unwrap_or_default(),
             uptime_us: shared.now().0,
             platform: self.platform_status(),
+            lease: self.cluster.orders.fencing(shared.now()),
             calls: self.counts(),
             classes: self.classes(),
             endpoints: self.endpoints.status(),
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -98,7 +98,7 @@
         let catalog = first_catalog(setup.set.as_ref(), setup.generation)?;
         let runtime = runtime(setup.settings.limits.workers).context(ThreadSnafu)?;
         let (events, incoming) = unbounded();
-        let policy = setup.policy;
+        let (policy, orders) = (setup.policy, setup.orders.clone());
         let shared = Arc::new(Shared::new(
             setup,
             Incarnation(rand::random()),
@@ -109,7 +109,7 @@
         let (addresses, peers) = open_ports(&shared, &runtime, opened)?;
         let (reports, ended) = bounded(0);
         reports::start(&shared, &ended).context(ThreadSnafu)?;
-        let cluster = join_cluster(&shared, &addresses, peers).context(ThreadSnafu)?;
+        let cluster = join_cluster(&shared, &addresses, peers, orders).context(ThreadSnafu)?;
         let decider = Decider::new(Arc::clone(&shared), incoming, cluster, policy);
         let decider = decide(decider, catalog).context(ThreadSnafu)?;
         Ok(Self {
@@ -294,6 +294,7 @@
     shared: &Arc<Shared>,
     addresses: &Addresses,
     peers: TcpListener,
+    orders: orders::Settings,
 ) -> io::Result<Cluster> {
     let settings = &shared.settings;
     let (me, seed) = (shared.incarnation, shared.incarnation.0);
@@ -317,7 +318,7 @@
         members: members::Core::new(identity, members, seed),
         follower: Follower::new(publish::Settings::builder().build(), usable, seed),
         keys: keys::Core::new(shared.now(), me, minute, keys, seed),
-        orders: orders::Core::new(me, orders::Settings::builder().build(), seed),
+        orders: orders::Core::new(me, orders, seed),
         drain: Drain::new(drain),
         hub,
         platform: Platform::start(shared)?,
--- a/crates/node/src/orders.rs
+++ b/crates/node/src/orders.rs
@@ -2,17 +2,23 @@
 //!
 //! Each call is short and runs on a thread of its own; the decision thread never waits. An
 //! order whose answer is lost counts as unknown, and the next reading says what became of it.
+//! An order that waited too long for its thread is not sent, since its lease may be over.
 
-use crate::{event::Event, shared::Shared};
+use crate::{counters::OrderLabel, event::Event, shared::Shared};
 use core::{net::SocketAddr, time::Duration};
-use poplarswitch_entity::{AdapterName, EndpointName, FencingNumber, ModelName, ModelVersion};
+use poplarswitch_entity::{
+    AdapterName, EndpointName, FencingNumber, ModelName, ModelVersion, Time,
+};
 use poplarswitch_orders::{Input, Load, Observation, Order, OrderEnd};
+use poplarswitch_timeline::EventKind;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use ureq::Agent;
 
 /// Longest time for one call to an engine.
 const CALL_WAIT: Duration = Duration::from_secs(3);
+/// Longest time from the decision on an order to its sending.
+const START_WAIT: Duration = Duration::from_secs(1);
 /// Status of an order with an old fencing number.
 const FENCED: u16 = 409;
 
@@ -54,15 +60,41 @@
     shared: &Arc<Shared>,
     endpoint: EndpointName,
     address: SocketAddr,
+    decided: Time,
     order: Order,
 ) {
     let held = Arc::clone(shared);
     shared.runtime.spawn_blocking(move || {
-        let end = put(&agent(), address, &order);
+        let late = held.now().since(decided) > START_WAIT;
+        let end = if late {
+            OrderEnd::NotTaken
+        } else {
+            put(&agent(), address, &order)
+        };
+        note(&held, &endpoint, order.fencing, &end);
         held.tell(Event::Orders(Input::Ended { endpoint, end }));
     });
 }
 
+/// Counts the end of an order and records it under the order's own number.
+fn note(shared: &Shared, endpoint: &EndpointName, number: FencingNumber, end: &OrderEnd) {
+    let endpoint = endpoint.clone();
+    let (end, what) = match end {
+        OrderEnd::Taken => ("taken", Some(EventKind::OrderApplied { endpoint, number })),
+        OrderEnd::Fenced { .. } => ("fenced", Some(EventKind::OrderRefused { endpoint, number })),
+        OrderEnd::NotTaken => (
+            "not_taken",
+            Some(EventKind::OrderRefused { endpoint, number }),
+        ),
+        OrderEnd::Unknown => ("unknown", None),
+    };
+    let label = OrderLabel { end };
+    shared.counters.orders.get_or_create(&label).inc();
+    if let Some(what) = what {
+        shared.record(None, what);
+    }
+}
+
 fn agent() -> Agent {
     Agent::config_builder()
         .proxy(None)
@@ -106,6 +138,7 @@
     match agent.put(url(address)).send(body) {
         Ok(response) if response.status().is_success() => OrderEnd::Taken,
         Ok(response) if response.status() == FENCED => fenced(agent, address),
+        Ok(response) if response.status().is_server_error() => OrderEnd::Unknown,
         Ok(_) | Err(ureq::Error::ConnectionFailed) => OrderEnd::NotTaken,
         Err(_) => OrderEnd::Unknown,
     }
--- a/crates/node/src/setup.rs
+++ b/crates/node/src/setup.rs
@@ -3,6 +3,7 @@
 use bon::Builder;
 use poplarswitch_entity::Generation;
 use poplarswitch_objects::ObjectSet;
+use poplarswitch_orders as orders;
 use poplarswitch_scheduler::Policy;
 use poplarswitch_settings::{Secrets, Settings};
 
@@ -21,4 +22,7 @@
     /// How calls are ordered.
     #[builder(default)]
     pub policy: Policy,
+    /// Periods and bounds of orders to engines.
+    #[builder(default = orders::Settings::builder().build())]
+    pub orders: orders::Settings,
 }
--- a/crates/node/tests/cluster.rs
+++ b/crates/node/tests/cluster.rs
@@ -2,17 +2,14 @@
 
 mod common;
 
-use common::{ANY, Backs, KEY, booking, chat, client, settings, start, status, until};
+use common::{ANY, Backs, KEY, booking, chat, client, publish, settings, start, status, until};
 use core::time::Duration;
 use googletest::prelude::*;
 use poplarswitch_client::{ChatCall, Client, Directory, Outcome};
 use poplarswitch_entity::Generation;
-use poplarswitch_entity::Time;
 use poplarswitch_node::Node;
 use poplarswitch_objects::ObjectSet;
-use poplarswitch_publish::{
-    Draft, Outcome as Published, Publisher, PublisherInput, PublisherOutput,
-};
+use poplarswitch_publish::Outcome as Published;
 use poplarswitch_settings::Settings;
 use poplarswitch_standins::{EngineSpec, Platform, PlatformSpec, answer_text};
 use std::sync::{
@@ -70,28 +67,6 @@
     nodes
 }
 
-/// Publishes a set by hand, as the tool does.
-fn publish(platform: &Platform, set: &ObjectSet, nonce: u64) -> Published {
-    let draft = Draft::builder()
-        .set(set.clone())
-        .author("test")
-        .nonce(nonce)
-        .build();
-    let mut publisher = Publisher::new(draft, Box::new(|_, _| Vec::new()));
-    let mut out = Vec::new();
-    publisher.handle(Time::ZERO, PublisherInput::Start, &mut out);
-    while let Some(output) = out.pop() {
-        match output {
-            PublisherOutput::Request { id, request } => {
-                let reply = platform.apply(&request);
-                publisher.handle(Time::ZERO, PublisherInput::Reply { id, reply }, &mut out);
-            }
-            PublisherOutput::Finished(outcome) => return outcome,
-        }
-    }
-    panic!("the publication did not end");
-}
-
 #[gtest]
 fn calls_through_any_of_three_nodes_are_answered() {
     let backs = Backs::start(2, &EngineSpec::default());
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -7,10 +7,14 @@
     time::Duration,
 };
 use poplarswitch_client::{ChatCall, Client, Directory, ServiceCall};
+use poplarswitch_entity::Time;
 use poplarswitch_node::{Node, Setup};
 use poplarswitch_objects::ObjectSet;
+use poplarswitch_publish::{
+    Draft, Outcome as Published, Publisher, PublisherInput, PublisherOutput,
+};
 use poplarswitch_settings::{Addresses, Limits, Secret, Secrets, Settings};
-use poplarswitch_standins::{Engine, EngineSpec, Service};
+use poplarswitch_standins::{Engine, EngineSpec, Platform, Service};
 use poplarswitch_wire::{ErrorBody, ErrorInfo, Status};
 use serde_json::{Value, json};
 use std::{
@@ -205,3 +209,25 @@
         "messages": [{"role": "user", "content": prompt}]})
     .to_string()
 }
+
+/// Publishes a set by hand, as the tool does.
+pub fn publish(platform: &Platform, set: &ObjectSet, nonce: u64) -> Published {
+    let draft = Draft::builder()
+        .set(set.clone())
+        .author("test")
+        .nonce(nonce)
+        .build();
+    let mut publisher = Publisher::new(draft, Box::new(|_, _| Vec::new()));
+    let mut out = Vec::new();
+    publisher.handle(Time::ZERO, PublisherInput::Start, &mut out);
+    while let Some(output) = out.pop() {
+        match output {
+            PublisherOutput::Request { id, request } => {
+                let reply = platform.apply(&request);
+                publisher.handle(Time::ZERO, PublisherInput::Reply { id, reply }, &mut out);
+            }
+            PublisherOutput::Finished(outcome) => return outcome,
+        }
+    }
+    panic!("the publication did not end");
+}
--- a/crates/timeline/src/event.rs
+++ b/crates/timeline/src/event.rs
@@ -191,7 +191,7 @@
         /// The fencing number that it carried.
         number: FencingNumber,
     },
-    /// An engine was read back in the ordered state.
+    /// An engine took an order.
     OrderApplied {
         /// The engine.
         endpoint: EndpointName,
--- a/crates/wire/src/status.rs
+++ b/crates/wire/src/status.rs
@@ -2,7 +2,7 @@
 
 use core::net::SocketAddr;
 use poplarswitch_entity::{
-    CellName, ClassName, DataCentre, EndpointName, Generation, Incarnation, VmName,
+    CellName, ClassName, DataCentre, EndpointName, FencingNumber, Generation, Incarnation, VmName,
 };
 use serde::{Deserialize, Serialize};
 
@@ -123,6 +123,9 @@
     pub uptime_us: u64,
     /// The platform.
     pub platform: PlatformStatus,
+    /// The fencing number of its lease for orders to engines, if it holds the lease.
+    #[serde(default)]
+    pub lease: Option<FencingNumber>,
     /// Its calls.
     pub calls: CallCounts,
     /// Its calls by class.
