--- a/crates/node/tests/orders.rs
+++ b/crates/node/tests/orders.rs
@@ -239,3 +239,15 @@
         contains_substring("poplarswitch_orders_total{end=\"taken\"}")
     );
 }
+
+#[gtest]
+fn an_engine_with_a_higher_number_ends_the_lease() {
+    let (backs, platform) = (engines(2, true), platform());
+    common::publish(&platform, &versioned(&backs, "1", true), 1);
+    let node = start("vm-a", &platform, &[]);
+    until("it holds the lease", || status(&node).lease.is_some());
+    expect_that!(order(&backs.engines[0], 1_000_000, "1"), eq(200));
+    let lost = |event: &EventKind| matches!(event, EventKind::LeaseLost { .. });
+    until("it gives way", || timeline(&node).iter().any(lost));
+    expect_that!(backs.engines[0].stats().fenced_off, eq(0));
+}
