--- a/crates/members/src/api.rs
+++ b/crates/members/src/api.rs
@@ -28,10 +28,15 @@
     pub caller_address: SocketAddr,
 }
 
+/// The load that a VM tells of itself while it has no set.
+pub const JOINING_LOAD: u16 = u16::MAX;
+
 /// How alive a member is, as this VM believes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum State {
+    /// It is heard, but has no set yet and takes no calls.
+    Joining,
     /// Somebody hears its heartbeats.
     Alive,
     /// Nobody has heard it for a while.
@@ -169,7 +174,7 @@
     },
     /// Open a link to the VM at an address.
     Dial(SocketAddr),
-    /// Close a link to a member that is gone.
+    /// Close a link to a member that is suspected or gone, or that nothing comes over.
     Close(Incarnation),
     /// Read the platform's list of VMs.
     List,
@@ -202,6 +207,9 @@
     /// Silence in the own cell after which a member is suspected, if another VM confirms.
     #[builder(default = Duration::from_secs(2))]
     pub suspect_after: Duration,
+    /// Silence of a link after which it is closed, whatever others hear.
+    #[builder(default = Duration::from_secs(4))]
+    pub link_after: Duration,
     /// Silence in the own cell after which a member is suspected if nobody can confirm.
     #[builder(default = Duration::from_secs(5))]
     pub lone_after: Duration,
--- a/crates/members/src/core_machine.rs
+++ b/crates/members/src/core_machine.rs
@@ -1,7 +1,8 @@
 //! The state machine.
 
 use crate::{
-    Identity, Input, Mark, Member, MembersMessage, Mutation, Output, Seen, Settings, State,
+    Identity, Input, JOINING_LOAD, Mark, Member, MembersMessage, Mutation, Output, Seen, Settings,
+    State,
     links::Links,
     suspicion::RUMOUR_ROUNDS,
     table::{Record, Table, Witness},
@@ -107,7 +108,7 @@
             .filter(|(_, record)| self.is_near(record) && record.state() == State::Alive)
             .map(|(incarnation, _)| *incarnation)
             .collect();
-        if !self.leaving {
+        if self.myself().state == State::Alive {
             cell.push(self.me.incarnation);
         }
         cell.sort();
@@ -133,6 +134,7 @@
         self.next_beat = now + self.settings.heartbeat;
         self.beat(out);
         self.suspect(now, out);
+        self.close_silent(now, out);
         self.spread(now, out);
         if now >= self.next_summary {
             self.next_summary = now + self.settings.summary;
@@ -168,7 +170,7 @@
             Input::Listed(records) => {
                 self.links.list(records.iter().map(|record| record.address));
             }
-            Input::Load(load) => self.load = load,
+            Input::Load(load) => self.set_load(load, out),
             Input::Leave => {
                 self.leaving = true;
                 self.beat(out);
@@ -176,6 +178,15 @@
         }
     }
 
+    /// Tells the others at once when this VM begins or ends to take calls.
+    fn set_load(&mut self, load: u16, out: &mut Vec<Output>) {
+        let before = self.myself().state;
+        self.load = load;
+        if self.myself().state != before {
+            self.beat(out);
+        }
+    }
+
     fn message(
         &mut self,
         now: Time,
@@ -184,6 +195,7 @@
         out: &mut Vec<Output>,
     ) {
         self.fresh = true;
+        self.heard_from(now, from);
         match message {
             MembersMessage::Heartbeat(seen) => self.digest(now, from, &[seen], out),
             MembersMessage::Digest(seen) => self.digest(now, from, &seen, out),
@@ -199,7 +211,11 @@
                 out.push(Output::Send { to: from, message });
             }
             MembersMessage::Identities(identities) => {
-                let new = identities.into_iter().filter(|peer| self.meet(now, peer));
+                // Whether they live is for the next digest to say.
+                let heard = now - self.settings.lone_after;
+                let new = identities
+                    .into_iter()
+                    .filter(|peer| self.meet(now, peer, heard));
                 let new: Vec<Incarnation> = new.map(|peer| peer.incarnation).collect();
                 // What was said of them before they were known is lost; ask again.
                 if !new.is_empty() {
@@ -216,7 +232,8 @@
         }
         let to = peer.incarnation;
         self.links.opened(peer);
-        self.meet(now, peer);
+        self.meet(now, peer, now);
+        self.heard_from(now, to);
         let message = MembersMessage::Heartbeat(self.my_seen());
         out.push(Output::Send { to, message });
         let message = MembersMessage::Digest(self.everything(now));
@@ -224,11 +241,12 @@
     }
 
     /// Adds a member; says whether it is new.
-    fn meet(&mut self, now: Time, identity: &Identity) -> bool {
+    fn meet(&mut self, now: Time, identity: &Identity, heard: Time) -> bool {
         let incarnation = identity.incarnation;
-        let new = incarnation != self.me.incarnation && self.table.add(now, identity);
+        let new = incarnation != self.me.incarnation && self.table.add(now, identity, heard);
         if new {
             self.rumours.insert(incarnation, RUMOUR_ROUNDS);
+            self.rejudge(now, incarnation);
         }
         new
     }
@@ -250,6 +268,7 @@
             if self.table.learn(now, entry) {
                 self.rumours.insert(entry.incarnation, RUMOUR_ROUNDS);
             }
+            self.rejudge(now, entry.incarnation);
         }
         if !wanted.is_empty() {
             let message = MembersMessage::Want(wanted);
@@ -315,7 +334,7 @@
         Some(Seen {
             incarnation,
             seq: record.seq,
-            age_ms: now.since(record.heard).as_millis() as u32,
+            age_ms: (now.since(record.heard) + record.excused).as_millis() as u32,
             mark,
             leaving: record.leaving,
             load: record.load,
@@ -340,6 +359,8 @@
     fn myself(&self) -> Member {
         let state = if self.leaving {
             State::Leaving
+        } else if self.load == JOINING_LOAD {
+            State::Joining
         } else {
             State::Alive
         };
@@ -364,7 +385,8 @@
             }
             let incarnation = *incarnation;
             out.push(Output::Changed { incarnation, state });
-            if state == State::Gone && self.links.closed(incarnation) {
+            let dead = matches!(state, State::Suspect | State::Gone);
+            if dead && self.links.closed(incarnation) {
                 out.push(Output::Close(incarnation));
             }
         }
