--- a/crates/catalog/src/build.rs
+++ b/crates/catalog/src/build.rs
@@ -1,7 +1,7 @@
 //! Resolves a set of objects into a catalog.
 
 use crate::{Catalog, ClassEntry, EndpointEntry, Route, RouteKey, TierEntry, WorkspaceEntry};
-use poplarswitch_entity::{ClassName, Generation, TierName};
+use poplarswitch_entity::{ClassName, DataCentre, Generation, TierName};
 use poplarswitch_objects::{Class, Endpoint, ObjectSet, Serves, Tier, Workspace};
 use snafu::{OptionExt, Snafu};
 
@@ -19,8 +19,19 @@
 }
 
 impl Catalog {
-    /// Resolves a set that the verifier has passed.
+    /// Resolves a set that the verifier has passed, with all of its endpoints.
     pub fn build(set: &ObjectSet, generation: Generation) -> Result<Self, BuildError> {
+        Self::build_within(set, generation, &[])
+    }
+
+    /// Resolves a set with the endpoints of some data centres, or of all if none is named.
+    ///
+    /// Endpoints elsewhere belong to other cells, whose schedulers count their slots.
+    pub fn build_within(
+        set: &ObjectSet,
+        generation: Generation,
+        places: &[DataCentre],
+    ) -> Result<Self, BuildError> {
         let mut catalog = Self {
             generation,
             ..Self::default()
@@ -45,7 +56,9 @@
                 .services
                 .insert(service.name.clone(), service.clone());
         }
-        let mut endpoints: Vec<&Endpoint> = set.endpoints.iter().collect();
+        let within =
+            |endpoint: &&Endpoint| places.is_empty() || places.contains(&endpoint.data_centre);
+        let mut endpoints: Vec<&Endpoint> = set.endpoints.iter().filter(within).collect();
         endpoints.sort_by(|a, b| a.name.cmp(&b.name));
         for endpoint in endpoints {
             catalog.add_endpoint(endpoint);
--- a/crates/catalog/src/build_tests.rs
+++ b/crates/catalog/src/build_tests.rs
@@ -30,6 +30,23 @@
     expect_that!(catalog.endpoints_of(route).len(), eq(1));
 }
 
+#[gtest]
+fn leaves_out_the_endpoints_of_other_cells() {
+    let set = set(r#"{
+        "models": [{"name": "tiny", "versions": ["1"], "default_class": "ask"}],
+        "endpoints": [
+            {"name": "e1", "address": "127.0.0.1:1", "data_centre": "a", "slots": 4,
+                "serves": {"model": {"model": "tiny", "version": "1"}}},
+            {"name": "e2", "address": "127.0.0.1:2", "data_centre": "b", "slots": 4,
+                "serves": {"model": {"model": "tiny", "version": "1"}}}]
+    }"#);
+    let catalog = Catalog::build_within(&set, Generation(1), &["b".into()]).expect("resolves");
+    expect_that!(catalog.endpoint("e1"), none());
+    expect_that!(catalog.endpoint("e2"), some(anything()));
+    let whole = Catalog::build(&set, Generation(1)).expect("resolves");
+    expect_that!(whole.endpoints.len(), eq(2));
+}
+
 #[gtest]
 fn reports_a_missing_tier() {
     let set = set(
--- a/crates/node/src/decide/cluster.rs
+++ b/crates/node/src/decide/cluster.rs
@@ -268,7 +268,8 @@
     }
 
     fn follow(&mut self, now: Time, active: &ActiveSet) {
-        match Catalog::build(&active.set, active.release.generation) {
+        let reach = &self.shared.settings.reach;
+        match Catalog::build_within(&active.set, active.release.generation, reach) {
             Ok(catalog) => {
                 self.activate(Arc::new(catalog));
                 if self.cluster.platform.is_set() {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -13,7 +13,7 @@
 use crossbeam::channel::{Receiver, Sender, bounded, unbounded};
 use poplarswitch_catalog::{BuildError, Catalog};
 use poplarswitch_discovery::{self as discovery, Drain};
-use poplarswitch_entity::{Generation, Incarnation};
+use poplarswitch_entity::{DataCentre, Generation, Incarnation};
 use poplarswitch_keys as keys;
 use poplarswitch_members::{self as members, Identity};
 use poplarswitch_objects::ObjectSet;
@@ -97,7 +97,7 @@
     /// Opens the ports and starts the threads.
     pub fn start(setup: Setup) -> Result<Self, StartError> {
         setup.settings.validate().context(SettingsSnafu)?;
-        let catalog = first_catalog(setup.set.as_ref(), setup.generation)?;
+        let catalog = first_catalog(setup.set.as_ref(), setup.generation, &setup.settings.reach)?;
         let runtime = runtime(setup.settings.limits.calls).context(ThreadSnafu)?;
         let (events, incoming) = unbounded();
         let (policy, orders) = (setup.policy, setup.orders.clone());
@@ -148,7 +148,8 @@
 
     /// Puts a set into force by hand.
     pub fn activate(&self, set: &ObjectSet, generation: Generation) -> Result<(), BuildError> {
-        let catalog = Catalog::build(set, generation)?;
+        let reach = &self.shared.settings.reach;
+        let catalog = Catalog::build_within(set, generation, reach)?;
         self.shared.tell(Event::Activate(Arc::new(catalog)));
         Ok(())
     }
@@ -219,8 +220,9 @@
 fn first_catalog(
     set: Option<&ObjectSet>,
     generation: Generation,
+    reach: &[DataCentre],
 ) -> Result<Option<Catalog>, StartError> {
-    set.map(|set| Catalog::build(set, generation))
+    set.map(|set| Catalog::build_within(set, generation, reach))
         .transpose()
         .context(SetSnafu)
 }
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -86,6 +86,13 @@
                 errors.push(FieldError::new(field, "a name that is not empty"));
             }
         }
+        if self
+            .reach
+            .iter()
+            .any(|place| place.as_str().trim().is_empty())
+        {
+            errors.push(FieldError::new("reach", "names that are not empty"));
+        }
         if let Some(url) = &self.platform
             && !url.starts_with("http://")
         {
--- a/crates/settings/src/settings.rs
+++ b/crates/settings/src/settings.rs
@@ -144,6 +144,10 @@
     /// The group of VMs that share schedulers.
     #[builder(into)]
     pub cell: CellName,
+    /// Data centres whose endpoints the cell uses; all if none is named.
+    #[serde(default)]
+    #[builder(default)]
+    pub reach: Vec<DataCentre>,
     /// Where the process listens.
     #[serde(default)]
     #[builder(default)]
