Spend fewer bytes on sharing pools and on reports

Change: progress of a call goes to its home every 4 s instead of every second; fields of frames have names of one letter on the wire; load is read once a second, cache events every fourth time.

--- a/crates/node/src/reports.rs
+++ b/crates/node/src/reports.rs
@@ -13,7 +13,9 @@
 /// Threads that read reports.
 const POLLERS: usize = 4;
 /// Time between two reports of one endpoint.
-const EVERY: Duration = Duration::from_millis(250);
+const EVERY: Duration = Duration::from_secs(1);
+/// Load reports for each reading of cache events, which are hints only.
+const LOADS_PER_CACHE: u32 = 4;
 /// Longest wait for one report.
 const WAIT: Duration = Duration::from_millis(500);
 
@@ -45,6 +47,7 @@
             agent: agent(),
             seen: HashMap::new(),
             index,
+            rounds: 0,
         };
         let ended = ended.clone();
         thread::Builder::new()
@@ -67,12 +70,14 @@
     agent: Agent,
     seen: HashMap<EndpointName, u64>,
     index: usize,
+    rounds: u32,
 }
 
 impl Poller {
     fn run(mut self, ended: &Receiver<()>) {
         while ended.recv_timeout(EVERY) == Err(RecvTimeoutError::Timeout) {
             let polled = self.shared.polled.load_full();
+            self.rounds = self.rounds.wrapping_add(1);
             self.seen
                 .retain(|name, _| polled.iter().any(|endpoint| endpoint.name == *name));
             for endpoint in polled.iter().skip(self.index).step_by(POLLERS) {
@@ -95,7 +100,9 @@
             queued: load.queued,
             age: Duration::from_millis(load.age_ms),
         }));
-        self.poll_cache(endpoint);
+        if self.rounds.is_multiple_of(LOADS_PER_CACHE) {
+            self.poll_cache(endpoint);
+        }
     }
 
     fn poll_cache(&mut self, endpoint: &Endpoint) {
--- a/crates/pool/src/message.rs
+++ b/crates/pool/src/message.rs
@@ -1,4 +1,6 @@
 //! What goes into a pool, what comes out, and what travels between two of them.
+//!
+//! Fields that travel many times a second have names of one letter on the wire.
 
 use poplarswitch_entity::{CallId, Incarnation};
 use poplarswitch_scheduler as scheduler;
@@ -45,8 +47,10 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Answer {
     /// The ask that it answers.
+    #[serde(rename = "a")]
     pub ask: AskNumber,
     /// The scheduler's order.
+    #[serde(rename = "o")]
     pub output: scheduler::Output,
 }
 
@@ -54,14 +58,19 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Frame<T> {
     /// The session that it belongs to.
+    #[serde(rename = "s")]
     pub session: Session,
     /// Number of the first item.
+    #[serde(rename = "f")]
     pub first: u64,
     /// Items of the opposite stream that have been received.
+    #[serde(rename = "r")]
     pub received: u64,
     /// Whether the receiver must reply even without items.
+    #[serde(rename = "p")]
     pub probe: bool,
     /// The items.
+    #[serde(rename = "i")]
     pub items: Vec<T>,
 }
 
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -16,7 +16,7 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 /// Shortest time between two reports of one call's progress to another VM.
-const PROGRESS_EVERY: Duration = Duration::from_secs(1);
+const PROGRESS_EVERY: Duration = Duration::from_secs(4);
 /// Lateness of a wake-up from which on this process is taken to have stood still.
 const STALL: Duration = Duration::from_millis(150);
 
--- a/crates/scheduler/src/api.rs
+++ b/crates/scheduler/src/api.rs
@@ -52,10 +52,13 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Progress {
     /// The call.
+    #[serde(rename = "c")]
     pub call: CallId,
     /// Its dispatch.
+    #[serde(rename = "a")]
     pub attempt: Attempt,
     /// Tokens emitted so far, in all.
+    #[serde(rename = "t")]
     pub tokens: u32,
 }
 
