Tell the slots that a pool declares

Cause: admission knows only the slots of endpoints that are up, none while all rest. Change: the balancer also counts the slots of all endpoints, up or not.

--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -49,6 +49,8 @@
     pub caps: Vec<Cap>,
     /// Slots of the sites that are not out.
     pub slots: u32,
+    /// Slots of all sites, up or not.
+    pub declared: u32,
     /// Sites that are out because they are slow.
     pub ejected: usize,
     /// Next site in turn.
@@ -67,6 +69,7 @@
             probes: BTreeMap::new(),
             caps: Vec::new(),
             slots: 0,
+            declared: 0,
             ejected: 0,
             turn: 0,
             foreign: 0.0,
@@ -135,8 +138,9 @@
     }
 
     pub(crate) fn count_slots(&mut self, sites: &SlotMap<SiteKey, Site>) {
-        let up = self.sites.iter().map(|key| &sites[*key]);
-        self.slots = up
+        let all = self.sites.iter().map(|key| &sites[*key]);
+        self.declared = all.clone().map(|site| site.slots).sum();
+        self.slots = all
             .filter(|site| site.health.is_up())
             .map(|site| site.slots)
             .sum();
@@ -190,6 +194,11 @@
         self.pools[pool].slots
     }
 
+    /// Slots of all of a pool's endpoints, up or not.
+    pub fn declared_slots(&self, pool: PoolKey) -> u32 {
+        self.pools[pool].declared
+    }
+
     /// Whether a pool has an endpoint that holds an adapter, up or not.
     pub fn serves(&self, pool: PoolKey, adapter: Option<&AdapterName>) -> bool {
         let mut sites = self.pools[pool].sites.iter().map(|key| &self.sites[*key]);
