Refuse no call for a guess of its length

Cause: before its first answer on a route a class counted with its target for 100 tokens (5.5 s for a target of 0.5 s), over the slots of endpoints that are up. A scheduler that had just started refused calls by that guess, and almost all of them while its only endpoint rested after one declined call, because no slot counted then. Calls that a limit of their workspace held back also counted as work before others while slots were free.

Change: an unknown class counts with a quarter of its target and over the slots that the route declares; the first answer replaces the guess. A call whose lane has room is not refused for load.

Tests (virtual time), seen failing before the change: 24 calls on 8 slots, 1 refused; 1,000 calls on 2,000 slots after one decline, 998 refused; a call beside six free slots refused because another workspace was at its limit. Two more keep the bounds: a hopeless queue is refused without evidence, and one answer is evidence.

--- a/crates/scheduler/src/drain.rs
+++ b/crates/scheduler/src/drain.rs
@@ -3,14 +3,19 @@
 //! The work that goes before it, over the slots that higher tiers' arrivals leave: calls of
 //! higher tiers, and of its own tier those of classes with a target no longer than its own.
 //! Work of lower tiers never counts.
+//!
+//! A class that has not had an answer on the route yet is read optimistically: its calls take
+//! a part of their target, and endpoints that are out for the moment count as if they were
+//! up. A guess must not cost a call that could have been served; if it proves too low, the
+//! call's longest wait ends it before anything is run.
 
 use crate::Scheduler;
 use crate::group::{GroupKey, LaneInfo, Order};
 use core::time::Duration;
 use poplarswitch_entity::Time;
 
-/// Tokens that a class without any finished call is assumed to produce.
-const UNKNOWN_TOKENS: u32 = 100;
+/// Part of its target that a call of a class without any finished call is assumed to take.
+const UNKNOWN_PART: u32 = 4;
 /// Share of the slots that a tier can count on however busy the higher tiers are.
 const MIN_SHARE: f64 = 0.25;
 /// Shortest retry time told.
@@ -41,7 +46,12 @@
         if work <= 0.0 {
             return Duration::ZERO;
         }
-        let slots = f64::from(self.balancer.slots(group.pool).max(1));
+        let slots = if self.is_known(own) {
+            self.balancer.slots(group.pool)
+        } else {
+            self.balancer.declared_slots(group.pool)
+        };
+        let slots = f64::from(slots.max(1));
         let higher: f64 = group.demand[..own.tier]
             .iter()
             .map(|meter| meter.rate(now))
@@ -55,12 +65,25 @@
         self.drain(now, group, lane).clamp(MIN_RETRY, MAX_RETRY)
     }
 
-    /// Slot time that a call of a lane is expected to use; pessimistic while unknown.
+    /// Whether a new call of a lane can start at once.
+    pub(crate) fn has_slot(&self, key: GroupKey, lane: usize) -> bool {
+        let group = &self.groups[key];
+        let info = &group.lanes[lane];
+        let cautious = info.cautious(group.lowest());
+        self.balancer.has_room(group.pool, info.own, cautious)
+    }
+
+    /// Whether a class has had an answer on the route.
+    fn is_known(&self, info: &LaneInfo) -> bool {
+        self.book.profiles[info.profile].count() > 0
+    }
+
+    /// Slot time that a call of a lane is expected to use; optimistic while unknown.
     pub(crate) fn usage(&self, key: GroupKey, lane: usize) -> Duration {
         let info = &self.groups[key].lanes[lane];
         let profile = &self.book.profiles[info.profile];
         profile
             .duration_mean()
-            .unwrap_or_else(|| info.target + info.per_token * UNKNOWN_TOKENS)
+            .unwrap_or(info.target / UNKNOWN_PART)
     }
 }
--- a/crates/scheduler/src/group.rs
+++ b/crates/scheduler/src/group.rs
@@ -28,8 +28,6 @@
     pub adapter: Option<AdapterName>,
     /// Time within which its calls expect their first output.
     pub target: Duration,
-    /// Time per token that its calls expect; zero if the answer comes as a whole.
-    pub per_token: Duration,
     /// Whether its calls may run more than once.
     pub repeatable: bool,
     /// Whether an endpoint could serve its calls if all were up.
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -28,6 +28,8 @@
 mod table;
 mod tuning;
 
+#[cfg(test)]
+mod cold_tests;
 #[cfg(test)]
 mod finish_tests;
 #[cfg(test)]
--- a/crates/scheduler/src/submit.rs
+++ b/crates/scheduler/src/submit.rs
@@ -98,7 +98,6 @@
             .maybe_adapter(adapter.cloned())
             .target(terms.target.first_output())
             .arrivals(Meter::new(terms.target.first_output()))
-            .per_token(per_token(terms.target))
             .repeatable(terms.repeatable)
             .served(self.balancer.serves(group.pool, adapter))
             .maybe_cap(cap)
@@ -168,7 +167,7 @@
         seat: &Seat,
     ) -> Result<(), (RefusalReason, Duration)> {
         let left = seat.terms.max_wait.saturating_sub(request.waited);
-        if !self.tuning.admission {
+        if !self.tuning.admission || self.has_slot(seat.group, seat.lane) {
             return Ok(());
         }
         if self.drain(now, seat.group, seat.lane) > left {
@@ -286,10 +285,3 @@
         Policy::StrictLeastOutstanding | Policy::Full => tier,
     }
 }
-
-const fn per_token(target: Target) -> Duration {
-    match target {
-        Target::Stream { inter_token_ms, .. } => Duration::from_millis(inter_token_ms as u64),
-        Target::Answer { .. } => Duration::ZERO,
-    }
-}
