Count the slots of endpoints that rest after a decline

Cause: an endpoint that declines a call rests for 50 ms to 2 s, and its slots did not count for admission meanwhile. With one endpoint the work waiting was divided by one slot, so a known class was refused too: 997 of 1,000 calls on 2,000 slots after an answer of 5 s and one decline (test, seen failing first).

Change: the slots of a pool include endpoints that rest; crashed and ejected ones stay out, and nothing is sent to a resting endpoint.

--- a/crates/balance/src/health.rs
+++ b/crates/balance/src/health.rs
@@ -106,6 +106,11 @@
         matches!(self.cause, Cause::Slow) && !self.is_up()
     }
 
+    /// Whether it only rests after a call that it declined, because its slots are taken.
+    pub const fn is_resting(&self) -> bool {
+        matches!(self.cause, Cause::Busy) && !self.is_up()
+    }
+
     /// Records how a call that started at a time went; tells whether the phase changed.
     pub(crate) fn record(&mut self, now: Time, started: Time, outcome: Outcome) -> bool {
         let before = self.phase;
--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -47,7 +47,7 @@
     /// Sites that may take one call to prove themselves, and whether careful ones too.
     pub probes: BTreeMap<SiteKey, bool>,
     pub caps: Vec<Cap>,
-    /// Slots of the sites that are not out.
+    /// Slots of the sites that are up or merely rest.
     pub slots: u32,
     /// Slots of all sites, up or not.
     pub declared: u32,
@@ -141,7 +141,7 @@
         let all = self.sites.iter().map(|key| &sites[*key]);
         self.declared = all.clone().map(|site| site.slots).sum();
         self.slots = all
-            .filter(|site| site.health.is_up())
+            .filter(|site| site.health.is_up() || site.health.is_resting())
             .map(|site| site.slots)
             .sum();
     }
@@ -189,7 +189,7 @@
         !pool.views[view.0].is_empty() || self.probe_for(pool, view, None, cautious).is_some()
     }
 
-    /// Slots of a pool's endpoints that are up.
+    /// Slots of a pool's endpoints that are up or rest after a declined call.
     pub fn slots(&self, pool: PoolKey) -> u32 {
         self.pools[pool].slots
     }
--- a/crates/scheduler/src/cold_tests.rs
+++ b/crates/scheduler/src/cold_tests.rs
@@ -65,3 +65,17 @@
     });
     expect_that!(overloads(&stand), eq(1));
 }
+
+#[gtest]
+fn a_declined_call_takes_no_slots_away_from_a_known_class() {
+    let mut stand = Stand::new(1, 2_000);
+    stand.submit(0, "ask");
+    stand.pass(5_000);
+    stand.answer(0);
+    stand.submit(1, "ask");
+    stand.fail(1, 0, Fault::Declined);
+    (10..1_010).for_each(|seq| {
+        stand.submit(seq, "ask");
+    });
+    expect_that!(overloads(&stand), eq(0));
+}
