--- a/crates/balance/src/pool.rs
+++ b/crates/balance/src/pool.rs
@@ -47,8 +47,10 @@
     /// Sites that may take one call to prove themselves, and whether careful ones too.
     pub probes: BTreeMap<SiteKey, bool>,
     pub caps: Vec<Cap>,
-    /// Slots of the sites that are not out.
+    /// Slots of the sites that are up or merely rest.
     pub slots: u32,
+    /// Slots of all sites, up or not.
+    pub declared: u32,
     /// Sites that are out because they are slow.
     pub ejected: usize,
     /// Next site in turn.
@@ -67,6 +69,7 @@
             probes: BTreeMap::new(),
             caps: Vec::new(),
             slots: 0,
+            declared: 0,
             ejected: 0,
             turn: 0,
             foreign: 0.0,
@@ -135,9 +138,10 @@
     }
 
     pub(crate) fn count_slots(&mut self, sites: &SlotMap<SiteKey, Site>) {
-        let up = self.sites.iter().map(|key| &sites[*key]);
-        self.slots = up
-            .filter(|site| site.health.is_up())
+        let all = self.sites.iter().map(|key| &sites[*key]);
+        self.declared = all.clone().map(|site| site.slots).sum();
+        self.slots = all
+            .filter(|site| site.health.is_up() || site.health.is_resting())
             .map(|site| site.slots)
             .sum();
     }
@@ -185,11 +189,16 @@
         !pool.views[view.0].is_empty() || self.probe_for(pool, view, None, cautious).is_some()
     }
 
-    /// Slots of a pool's endpoints that are up.
+    /// Slots of a pool's endpoints that are up or rest after a declined call.
     pub fn slots(&self, pool: PoolKey) -> u32 {
         self.pools[pool].slots
     }
 
+    /// Slots of all of a pool's endpoints, up or not.
+    pub fn declared_slots(&self, pool: PoolKey) -> u32 {
+        self.pools[pool].declared
+    }
+
     /// Whether a pool has an endpoint that holds an adapter, up or not.
     pub fn serves(&self, pool: PoolKey, adapter: Option<&AdapterName>) -> bool {
         let mut sites = self.pools[pool].sites.iter().map(|key| &self.sites[*key]);
