Call the members' and keys' state machine modules machine

Cause: `core_machine` says twice what the public type `Core` already says, and a newcomer looks for a second machine beside it. Conclusion: a rename only.

--- a/crates/keys/src/lib.rs
+++ b/crates/keys/src/lib.rs
@@ -8,21 +8,21 @@
 
 mod api;
 mod claim;
-mod core_machine;
 mod entry;
 mod forward;
 mod handover;
 mod home;
+mod machine;
 mod mutation;
 mod token;
 
 #[cfg(test)]
 mod claim_tests;
 #[cfg(test)]
-mod core_machine_tests;
-#[cfg(test)]
 mod handover_tests;
 #[cfg(test)]
+mod machine_tests;
+#[cfg(test)]
 mod token_fuzz_tests;
 
 pub use api::{
@@ -30,6 +30,6 @@
     NotRunReason, Output, Record, RunEnd, Settings, Succession, Told,
 };
 pub use claim::claim_key;
-pub use core_machine::Core;
+pub use machine::Core;
 pub use mutation::Mutation;
 pub use token::{BadToken, KeyText, MAX_KEY_BYTES, Token};
--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -7,18 +7,18 @@
 //! list lags: it only names addresses worth a try.
 
 mod api;
-mod core_machine;
 mod gossip;
 mod links;
+mod machine;
 mod mutation;
 mod suspicion;
 mod table;
 
 #[cfg(test)]
-mod core_machine_tests;
+mod machine_tests;
 
 pub use api::{
     Identity, Input, JOINING_LOAD, Mark, Member, MembersMessage, Output, Seen, Settings, State,
 };
-pub use core_machine::Core;
+pub use machine::Core;
 pub use mutation::Mutation;
