Read a set's objects for publication through ObjectSet::objects

Cause: `publish::content::named` listed the six kinds and their words by hand, beside `ObjectSet::objects`, `Kind::as_str` and `Object::name`, which say the same; a new kind would have had to be added in both. Change: `named` maps over `ObjectSet::objects`. Key words, JSON texts and the order of the map are the same, so parts and their hashes are too; of two objects with one name the later one still stands. Conclusion: one list of kinds. `changes` stays beside `objects::diff`: it compares whole texts and sorts by the kind's word, `diff` compares flattened fields and sorts by declaration order.

--- a/crates/publish/src/content.rs
+++ b/crates/publish/src/content.rs
@@ -165,31 +165,10 @@
 }
 
 fn named(set: &ObjectSet) -> BTreeMap<ObjectKey, String> {
-    let mut named = BTreeMap::new();
-    let mut add = |kind, name: &str, object: Object| {
+    let entry = |object: Object| {
+        let key = (object.kind().as_str(), object.name().to_owned());
         let text = serde_json::to_string(&object).unwrap_or_default();
-        named.insert((kind, name.to_owned()), text);
+        (key, text)
     };
-    for object in &set.classes {
-        add("class", object.name.as_str(), Object::Class(object.clone()));
-    }
-    for object in &set.tiers {
-        add("tier", object.name.as_str(), Object::Tier(object.clone()));
-    }
-    for object in &set.workspaces {
-        let name = object.name.as_str();
-        add("workspace", name, Object::Workspace(object.clone()));
-    }
-    for object in &set.models {
-        add("model", object.name.as_str(), Object::Model(object.clone()));
-    }
-    for object in &set.services {
-        let name = object.name.as_str();
-        add("service", name, Object::Service(object.clone()));
-    }
-    for object in &set.endpoints {
-        let name = object.name.as_str();
-        add("endpoint", name, Object::Endpoint(object.clone()));
-    }
-    named
+    set.objects().map(entry).collect()
 }
