Count emitted tokens in the judge

Cause: the solo and the cell world of the oracle each looked up a call's record, skipped calls that must not be repeated, added the tokens and built the same report of progress. Change: `Judge::emitted` does this once, beside `left` and `ended`, which also keep records. Conclusion: the worlds only choose the dispatch and feed the report.

--- a/crates/oracle/src/cell.rs
+++ b/crates/oracle/src/cell.rs
@@ -10,7 +10,7 @@
 use core::time::Duration;
 use poplarswitch_entity::{CallId, Incarnation, Time};
 use poplarswitch_pool::{Input, Mutation as Fault, Output, Pool, PoolMessage};
-use poplarswitch_scheduler::{self as scheduler, Dispatch, End, Ended, Policy, Progress, Stop};
+use poplarswitch_scheduler::{self as scheduler, Dispatch, End, Ended, Policy, Stop};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 use std::collections::{BTreeMap, BTreeSet};
@@ -251,16 +251,9 @@
         let Some((vm, dispatch)) = heard.get(pick % heard.len().max(1)) else {
             return;
         };
-        let record = self.judge.records.get_mut(&dispatch.call);
-        let Some(record) = record.filter(|record| record.kind.repeatable()) else {
+        let Some(progress) = self.judge.emitted(dispatch, tokens) else {
             return;
         };
-        record.emitted += tokens;
-        let progress = Progress {
-            call: dispatch.call,
-            attempt: dispatch.attempt,
-            tokens: record.emitted,
-        };
         self.feed(*vm, Input::Local(scheduler::Input::Progress(progress)));
     }
 
--- a/crates/oracle/src/judge.rs
+++ b/crates/oracle/src/judge.rs
@@ -8,7 +8,7 @@
 use poplarswitch_catalog::Route;
 use poplarswitch_entity::{Attempt, CallId, EndpointName, Time};
 use poplarswitch_scheduler::{
-    Dispatch, End, Ended, Fault, Output, Refusal, RefusalReason, StopReason, VerdictKind,
+    Dispatch, End, Ended, Fault, Output, Progress, Refusal, RefusalReason, StopReason, VerdictKind,
 };
 use std::collections::BTreeMap;
 
@@ -146,6 +146,20 @@
         }
     }
 
+    /// A repeatable call emitted more tokens; what its VM hears of it.
+    pub(crate) fn emitted(&mut self, dispatch: &Dispatch, tokens: u32) -> Option<Progress> {
+        let record = self.records.get_mut(&dispatch.call)?;
+        if !record.kind.repeatable() {
+            return None;
+        }
+        record.emitted += tokens;
+        Some(Progress {
+            call: dispatch.call,
+            attempt: dispatch.attempt,
+            tokens: record.emitted,
+        })
+    }
+
     /// A live dispatch ended.
     pub fn ended(&mut self, now: Time, ended: &Ended) {
         let Some(record) = self.records.get_mut(&ended.call) else {
--- a/crates/oracle/src/solo.rs
+++ b/crates/oracle/src/solo.rs
@@ -10,7 +10,7 @@
 use core::time::Duration;
 use poplarswitch_entity::{Attempt, CallId, EndpointName, Incarnation, Time};
 use poplarswitch_scheduler::{
-    End, Ended, Input, LoadReport, Output, Policy, Progress, Scheduler, Stop, StopReason,
+    End, Ended, Input, LoadReport, Output, Policy, Scheduler, Stop, StopReason,
 };
 
 /// Lateness of a wake-up in virtual time.
@@ -147,16 +147,9 @@
         let Some(dispatch) = live.get(pick % live.len().max(1)) else {
             return;
         };
-        let record = self.judge.records.get_mut(&dispatch.call);
-        let Some(record) = record.filter(|record| record.kind.repeatable()) else {
+        let Some(progress) = self.judge.emitted(dispatch, tokens) else {
             return;
         };
-        record.emitted += tokens;
-        let progress = Progress {
-            call: dispatch.call,
-            attempt: dispatch.attempt,
-            tokens: record.emitted,
-        };
         self.feed(Input::Progress(progress));
     }
 
