Lock the time line's ring in one place

Cause: four places in crates/node locked `Shared::ring` and each said again what a poisoned lock means. Change: `Shared::ring` gives the guard and the field is private; the guards live as long as before. Conclusion: one rule for a poisoned ring. `run::stop` keeps its own, over another lock.

--- a/crates/node/src/decide/cluster.rs
+++ b/crates/node/src/decide/cluster.rs
@@ -20,7 +20,7 @@
 use poplarswitch_store::{Reply, Request, RequestId};
 use poplarswitch_timeline::EventKind;
 use poplarswitch_wire::{Envelope, PeerMessage, Phase};
-use std::sync::{Arc, PoisonError};
+use std::sync::Arc;
 
 /// Everything that this VM shares with others.
 #[derive(Debug)]
@@ -84,12 +84,7 @@
 
     /// Queues a message to another VM.
     pub(super) fn send(&self, to: Incarnation, message: PeerMessage) {
-        let at = self
-            .shared
-            .ring
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .last();
+        let at = self.shared.ring().last();
         if !self.cluster.hub.send(to, &Envelope { at, message }) {
             self.shared.counters.peer_drops.inc();
         }
@@ -126,11 +121,7 @@
     }
 
     fn message(&mut self, now: Time, from: Incarnation, envelope: Envelope) {
-        self.shared
-            .ring
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .observe(wall_ms(), envelope.at);
+        self.shared.ring().observe(wall_ms(), envelope.at);
         let cluster = &mut self.cluster;
         match envelope.message {
             PeerMessage::Members(message) => {
--- a/crates/node/src/operators.rs
+++ b/crates/node/src/operators.rs
@@ -11,7 +11,6 @@
 use http::{HeaderMap, Method};
 use serde::Serialize;
 use sha2::{Digest, Sha256};
-use std::sync::PoisonError;
 use subtle::ConstantTimeEq;
 
 /// Longest wait for the decision thread.
@@ -50,7 +49,7 @@
 }
 
 fn timeline(shared: &Shared) -> Response {
-    let ring = shared.ring.lock().unwrap_or_else(PoisonError::into_inner);
+    let ring = shared.ring();
     let recording = ring.recording();
     drop(ring);
     json(&recording)
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -12,7 +12,7 @@
 use poplarswitch_timeline::{EventKind, Ring};
 use poplarswitch_wire::{ErrorCode, ErrorInfo, Phase};
 use std::{
-    sync::{Mutex, PoisonError},
+    sync::{Mutex, MutexGuard, PoisonError},
     time::{Instant, SystemTime, UNIX_EPOCH},
 };
 use tokio::runtime::Handle;
@@ -28,7 +28,7 @@
     pub(crate) polled: ArcSwap<Vec<Endpoint>>,
     pub(crate) counters: Counters,
     pub(crate) runtime: Handle,
-    pub(crate) ring: Mutex<Ring>,
+    ring: Mutex<Ring>,
     events: Sender<Event>,
     started: Instant,
     calls: AtomicU64,
@@ -103,10 +103,12 @@
 
     /// Records an event of the time line.
     pub(crate) fn record(&self, call: Option<CallId>, what: EventKind) {
-        self.ring
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .record(wall_ms(), call, what);
+        self.ring().record(wall_ms(), call, what);
+    }
+
+    /// The time line; a thread that panicked while it held the lock leaves it usable.
+    pub(crate) fn ring(&self) -> MutexGuard<'_, Ring> {
+        self.ring.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// An error that arose in this process.
