--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -13,7 +13,7 @@
 use crossbeam::channel::{Receiver, Sender, bounded, unbounded};
 use poplarswitch_catalog::{BuildError, Catalog};
 use poplarswitch_discovery::{self as discovery, Drain};
-use poplarswitch_entity::{Generation, Incarnation};
+use poplarswitch_entity::{DataCentre, Generation, Incarnation};
 use poplarswitch_keys as keys;
 use poplarswitch_members::{self as members, Identity};
 use poplarswitch_objects::ObjectSet;
@@ -97,10 +97,10 @@
     /// Opens the ports and starts the threads.
     pub fn start(setup: Setup) -> Result<Self, StartError> {
         setup.settings.validate().context(SettingsSnafu)?;
-        let catalog = first_catalog(setup.set.as_ref(), setup.generation)?;
+        let catalog = first_catalog(setup.set.as_ref(), setup.generation, &setup.settings.reach)?;
         let runtime = runtime(setup.settings.limits.calls).context(ThreadSnafu)?;
         let (events, incoming) = unbounded();
-        let policy = setup.policy;
+        let (policy, orders) = (setup.policy, setup.orders.clone());
         let shared = Arc::new(Shared::new(
             setup,
             Incarnation(rand::random()),
@@ -111,7 +111,7 @@
         let (addresses, peers) = open_ports(&shared, &runtime, opened)?;
         let (reports, ended) = bounded(0);
         reports::start(&shared, &ended).context(ThreadSnafu)?;
-        let cluster = join_cluster(&shared, &addresses, peers).context(ThreadSnafu)?;
+        let cluster = join_cluster(&shared, &addresses, peers, orders).context(ThreadSnafu)?;
         let decider = Decider::new(Arc::clone(&shared), incoming, cluster, policy);
         let decider = decide(decider, catalog).context(ThreadSnafu)?;
         Ok(Self {
@@ -148,7 +148,8 @@
 
     /// Puts a set into force by hand.
     pub fn activate(&self, set: &ObjectSet, generation: Generation) -> Result<(), BuildError> {
-        let catalog = Catalog::build(set, generation)?;
+        let reach = &self.shared.settings.reach;
+        let catalog = Catalog::build_within(set, generation, reach)?;
         self.shared.tell(Event::Activate(Arc::new(catalog)));
         Ok(())
     }
@@ -219,8 +220,9 @@
 fn first_catalog(
     set: Option<&ObjectSet>,
     generation: Generation,
+    reach: &[DataCentre],
 ) -> Result<Option<Catalog>, StartError> {
-    set.map(|set| Catalog::build(set, generation))
+    set.map(|set| Catalog::build_within(set, generation, reach))
         .transpose()
         .context(SetSnafu)
 }
@@ -298,6 +300,7 @@
     shared: &Arc<Shared>,
     addresses: &Addresses,
     peers: TcpListener,
+    orders: orders::Settings,
 ) -> io::Result<Cluster> {
     let settings = &shared.settings;
     let (me, seed) = (shared.incarnation, shared.incarnation.0);
@@ -321,7 +324,7 @@
         members: members::Core::new(identity, members, seed),
         follower: Follower::new(publish::Settings::builder().build(), usable, seed),
         keys: keys::Core::new(shared.now(), me, minute, keys, seed),
-        orders: orders::Core::new(me, orders::Settings::builder().build(), seed),
+        orders: orders::Core::new(me, orders, seed),
         drain: Drain::new(drain),
         hub,
         platform: Platform::start(shared)?,
