Answer accepted and refused calls in one place

Cause: chat calls and calls to services each chose between running a draft and answering with an error, in the same lines. Change: `submit::answer` takes what `accept` gave; `submit::run` becomes private to its module. Conclusion: the adapters only read and check. Their two `accept` still begin alike.

--- a/crates/node/src/callers/forward.rs
+++ b/crates/node/src/callers/forward.rs
@@ -49,10 +49,8 @@
     shared: &Arc<Shared>,
     request: Request<Incoming>,
 ) -> Response<reply::Body> {
-    match accept(shared, request).await {
-        Ok(draft) => submit::run(shared, draft).await,
-        Err(error) => reply::error(shared, error),
-    }
+    let accepted = accept(shared, request).await;
+    submit::answer(shared, accepted).await
 }
 
 async fn accept(
--- a/crates/node/src/callers/submit.rs
+++ b/crates/node/src/callers/submit.rs
@@ -77,8 +77,19 @@
     error
 }
 
+/// Runs an accepted call, or says why it was refused.
+pub(super) async fn answer(
+    shared: &Arc<Shared>,
+    accepted: Result<Draft, ErrorInfo>,
+) -> Response<reply::Body> {
+    match accepted {
+        Ok(draft) => run(shared, draft).await,
+        Err(error) => reply::error(shared, error),
+    }
+}
+
 /// Submits a call and answers with its first piece or its error.
-pub(super) async fn run(shared: &Arc<Shared>, draft: Draft) -> Response<reply::Body> {
+async fn run(shared: &Arc<Shared>, draft: Draft) -> Response<reply::Body> {
     let mut answer = submit(shared, draft);
     let call = answer.call();
     let mut response = match answer.next().await {
