--- a/crates/oracle/src/cluster_keys.rs
+++ b/crates/oracle/src/cluster_keys.rs
@@ -1,9 +1,9 @@
 //! A world of VMs that run calls which must not be repeated.
 //!
-//! The oracle is the service itself: it counts the runs of each key, with the call that each
-//! run was for, and holds against them what the callers were told.
+//! What ran and what was told goes to the record, which is the oracle.
 
 use crate::{
+    cluster_keys_record::{Call, Record, Run},
     cluster_keys_steps::Step,
     cluster_net::{Event, Health, LinkFaults, Net, Place},
     cluster_run::World,
@@ -11,7 +11,7 @@
 use core::time::Duration;
 use poplarswitch_entity::{CallId, Incarnation, Time};
 use poplarswitch_keys::{
-    CallKey, Core, Input, KeyText, KeyedCall, KeysMessage, Mutation, Output, RunEnd, Settings, Told,
+    CallKey, Core, Input, KeyText, KeyedCall, KeysMessage, Mutation, Output, RunEnd, Settings,
 };
 use rand::RngExt as _;
 use std::collections::BTreeMap;
@@ -31,20 +31,6 @@
     handing: bool,
 }
 
-#[derive(Clone, Debug)]
-struct Call {
-    key: usize,
-    life: Incarnation,
-    at: Time,
-    told: Vec<Told>,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Run {
-    call: CallId,
-    at: Time,
-}
-
 #[derive(Clone, Debug)]
 struct Dispatch {
     place: Place,
@@ -58,15 +44,13 @@
     net: Net<KeysMessage>,
     vms: Vec<Vm>,
     keys: Vec<CallKey>,
-    calls: BTreeMap<CallId, Call>,
-    runs: BTreeMap<usize, Vec<Run>>,
+    record: Record,
     dispatches: Vec<Dispatch>,
     ends: BTreeMap<u64, (Incarnation, CallId, RunEnd)>,
     broken: Vec<(Place, Place)>,
     mutation: Option<Mutation>,
     lives: u64,
     seq: u64,
-    fault: Option<String>,
 }
 
 impl KeysWorld {
@@ -76,15 +60,13 @@
             net: Net::new(seed),
             vms: Vec::new(),
             keys: Vec::new(),
-            calls: BTreeMap::new(),
-            runs: BTreeMap::new(),
+            record: Record::default(),
             dispatches: Vec::new(),
             ends: BTreeMap::new(),
             broken: Vec::new(),
             mutation,
             lives: 0,
             seq: 0,
-            fault: None,
         };
         for place in 0..VMS {
             let vm = world.fresh(place);
@@ -143,7 +125,7 @@
         for output in out {
             match output {
                 Output::Run(call) => self.dispatch(Dispatch { place, life, call }),
-                Output::Tell { call, told } => self.tell(call, &told),
+                Output::Tell { call, told } => self.record.tell(call, &told),
                 Output::Send { to, message } => {
                     let target = (to.0 % PLACES) as usize;
                     if self.vms.get(target).is_some_and(|vm| vm.incarnation == to) {
@@ -195,7 +177,7 @@
                 call: call.call,
                 at: self.net.now,
             };
-            self.runs.entry(key).or_default().push(run);
+            self.record.runs.entry(key).or_default().push(run);
         }
         let end = match luck {
             0 | 1 => RunEnd::NotRun,
@@ -278,7 +260,7 @@
             at: self.net.now,
             told: Vec::new(),
         };
-        self.calls.insert(call, record);
+        self.record.calls.insert(call, record);
         let keyed = KeyedCall {
             call,
             key: self.keys[index].clone(),
@@ -288,45 +270,6 @@
         self.feed(place, Input::Submit(keyed));
     }
 
-    fn tell(&mut self, call: CallId, told: &Told) {
-        let Some(record) = self.calls.get_mut(&call) else {
-            return;
-        };
-        record.told.push(told.clone());
-        let record = record.clone();
-        let earlier = self.runs.get(&record.key).into_iter().flatten();
-        let ran_before = earlier.clone().any(|run| run.at < record.at);
-        let fault = match told {
-            Told::NotRun(_) if ran_before => Some("told not run, but the key had run"),
-            Told::Answer(answer) if **answer != [record.key as u8] => Some("another's answer"),
-            Told::Answer(_) | Told::Ran if earlier.clone().next().is_none() => {
-                Some("answered without a run")
-            }
-            _ if record.told.len() > 1 => Some("told twice"),
-            _ => None,
-        };
-        if let Some(fault) = fault {
-            self.fault = Some(format!("{fault}: {call} {record:?}"));
-        }
-    }
-
-    fn check(&self) -> Result<(), String> {
-        if let Some(fault) = &self.fault {
-            return Err(fault.clone());
-        }
-        for (key, runs) in &self.runs {
-            if runs.len() > 1 {
-                return Err(format!("key {key} ran {} times: {runs:?}", runs.len()));
-            }
-        }
-        let lies = self.runs.values().flatten().find(|run| {
-            let told = self.calls.get(&run.call).map(|call| call.told.as_slice());
-            let mut told = told.unwrap_or_default().iter();
-            told.any(|told| matches!(told, Told::NotRun(_) | Told::NotRunHere))
-        });
-        lies.map_or(Ok(()), |run| Err(format!("told not run, but ran: {run:?}")))
-    }
-
     fn run(&mut self, time: Duration) -> Result<(), String> {
         let until = self.net.now + time;
         while let Some(event) = self.net.next(until) {
@@ -344,7 +287,7 @@
                 Event::Custom { place, code } => self.custom(place, code),
                 Event::Effect { .. } => {}
             }
-            self.check()?;
+            self.record.check()?;
         }
         Ok(())
     }
@@ -401,7 +344,7 @@
                 _ => Health::Lossy,
             }),
         }
-        self.check()
+        self.record.check()
     }
 
     /// Ends all faults; then every call whose VM still lives has been told, once.
@@ -412,6 +355,7 @@
         self.run(Duration::from_mins(1))?;
         let lives: Vec<Incarnation> = self.vms.iter().map(|vm| vm.incarnation).collect();
         let silent = self
+            .record
             .calls
             .iter()
             .find(|(_, call)| lives.contains(&call.life) && call.told.is_empty());
--- a/crates/oracle/src/lib.rs
+++ b/crates/oracle/src/lib.rs
@@ -3,12 +3,15 @@
 pub mod calls;
 pub mod cell;
 pub mod cell_machine;
+pub mod cluster_event;
 pub mod cluster_keys;
+mod cluster_keys_record;
 pub mod cluster_keys_steps;
 pub mod cluster_members;
 pub mod cluster_members_steps;
 pub mod cluster_net;
 pub mod cluster_orders;
+pub mod cluster_orders_steps;
 pub mod cluster_publish;
 pub mod cluster_run;
 pub mod fixture;
--- a/crates/oracle/tests/cluster_orders.rs
+++ b/crates/oracle/tests/cluster_orders.rs
@@ -2,7 +2,8 @@
 
 use googletest::prelude::*;
 use poplarswitch_oracle::{
-    cluster_orders::{Machine, OrdersWorld},
+    cluster_orders::OrdersWorld,
+    cluster_orders_steps::Machine,
     cluster_run::{Search, search},
 };
 use poplarswitch_orders::Mutation;
