--- a/crates/util/src/cli.rs
+++ b/crates/util/src/cli.rs
@@ -39,6 +39,8 @@
     Bench(commands::bench::Args),
     /// Make or hash a bearer key
     Key(commands::key::Args),
+    /// Run the whole path on this machine with stand-ins, faults and callers
+    Demo(commands::demo::Args),
     /// Print the completions of a shell
     Completions(commands::completions::Args),
 }
@@ -57,6 +59,7 @@
             Self::Load(args) => args.run(output),
             Self::Bench(args) => args.run(output),
             Self::Key(args) => args.run(output),
+            Self::Demo(args) => args.run(output),
             Self::Completions(args) => args.run(output),
         }
     }
