--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -9,6 +9,7 @@
 };
 use core::time::Duration;
 use crossbeam::channel::{Receiver, Sender, unbounded};
+use poplarswitch_members::State;
 use poplarswitch_platform::{Client, HttpPlatform, Rates};
 use poplarswitch_store::{Reply, Request, RequestId};
 use std::{io, sync::Arc, thread};
@@ -18,8 +19,8 @@
     writes: 300,
     reads: 2_000,
 };
-/// VMs that share the rates.
-const FLEET: u32 = 9;
+/// Lanes of one VM, each with a client of its own.
+const LANES: u32 = 2;
 /// Retry time where no platform is set.
 const RETRY_UNSET: Duration = Duration::from_secs(30);
 
@@ -100,8 +101,7 @@
 fn lane(shared: &Arc<Shared>, url: &str, name: &str) -> io::Result<Sender<Ask>> {
     let (sender, asks) = unbounded();
     let platform = Box::new(HttpPlatform::new(url));
-    let rates = Rates::share(FLEET_RATES, FLEET);
-    let client = Client::new(platform, rates, shared.incarnation.0);
+    let client = Client::new(platform, share(shared), shared.incarnation.0);
     let shared = Arc::clone(shared);
     thread::Builder::new()
         .name(name.to_owned())
@@ -109,8 +109,16 @@
     Ok(sender)
 }
 
+/// One lane's part of the rates, by the VMs that are known.
+fn share(shared: &Shared) -> Rates {
+    let members = shared.members.load();
+    let alive = members.iter().filter(|member| member.state != State::Gone);
+    Rates::share(FLEET_RATES, alive.count().max(1) as u32 * LANES)
+}
+
 fn carry(shared: &Shared, mut client: Client, asks: &Receiver<Ask>) {
     for Ask { asker, id, request } in asks {
+        client.set_rates(share(shared));
         let reply = client.call(shared.now(), &request);
         shared.tell(Event::Platform(Replied { asker, id, reply }));
     }
--- a/crates/platform/src/budget.rs
+++ b/crates/platform/src/budget.rs
@@ -86,6 +86,12 @@
         }
     }
 
+    /// Changes the rates; what is saved up beyond a second's worth is lost.
+    pub fn set_rates(&mut self, rates: Rates) {
+        self.writes.rate = at_least_one(rates.writes);
+        self.reads.rate = at_least_one(rates.reads);
+    }
+
     /// Takes one call's worth, or says how long to wait for it.
     pub fn take(&mut self, now: Time, spend: Spend) -> Result<(), Duration> {
         match spend {
--- a/crates/platform/src/budget_tests.rs
+++ b/crates/platform/src/budget_tests.rs
@@ -28,6 +28,19 @@
     expect_that!(budget.take(Time::ZERO + wait, Spend::Write), ok(eq(())));
 }
 
+#[gtest]
+fn a_smaller_share_holds_at_once() {
+    let mut budget = Budget::new(RATES);
+    budget.set_rates(Rates {
+        writes: 1,
+        reads: 3,
+    });
+    let calls = (0..100)
+        .filter(|_| budget.take(Time::ZERO, Spend::Read).is_ok())
+        .count();
+    expect_that!(calls, eq(3));
+}
+
 #[gtest]
 fn the_shares_of_a_fleet_stay_within_its_rates() {
     let fleet = Rates {
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -66,6 +66,11 @@
         self.counters
     }
 
+    /// Changes this VM's share of the rates.
+    pub fn set_rates(&mut self, rates: Rates) {
+        self.budget.set_rates(rates);
+    }
+
     /// Carries out one request, or refuses it at once when the budget or backoff forbids it.
     pub fn call(&mut self, now: Time, request: &Request) -> Reply {
         if let Err(retry_after) = self.admit(now, request) {
--- a/crates/verifier/examples/target_size.rs
+++ b/crates/verifier/examples/target_size.rs
@@ -1,13 +1,14 @@
-//! Measures the check of a set of the target's size: 6,500 endpoints, 900 workspaces and 33
+//! Measures the check and the resolution of a set of the target's size: 6,500 endpoints, 900 workspaces and 33
 //! models in 28 data centres.
 
 use core::net::{Ipv4Addr, SocketAddr};
-use poplarswitch_entity::ModelName;
+use poplarswitch_catalog::Catalog;
+use poplarswitch_entity::{DataCentre, Generation, ModelName};
 use poplarswitch_objects::{
     Class, Endpoint, KeyHash, Model, ObjectSet, Serves, Target, Tier, Workspace,
 };
 use poplarswitch_verifier::verify;
-use std::time::Instant;
+use std::{error::Error, fs, time::Instant};
 
 const TIERS: u8 = 4;
 const CLASSES: usize = 12;
@@ -16,6 +17,7 @@
 const ENDPOINTS: u32 = 6_500;
 const DATA_CENTRES: u32 = 28;
 const ROUNDS: u32 = 20;
+const PAGE_BYTES: usize = 4_096;
 
 fn model_name(number: usize) -> ModelName {
     ModelName::new(format!("model-{number:02}"))
@@ -76,14 +78,37 @@
     }
 }
 
-fn main() {
+fn main() -> Result<(), Box<dyn Error>> {
+    let before = resident_bytes()?;
     let set = set();
-    let bytes = serde_json::to_vec(&set).map_or(0, |text| text.len());
-    let began = Instant::now();
-    let findings: usize = (0..ROUNDS).map(|_| verify(&set).len()).sum();
-    let each = began.elapsed() / ROUNDS;
+    let held = resident_bytes()?.saturating_sub(before);
+    let bytes = serde_json::to_vec(&set)?.len();
     println!(
-        "{} objects, {bytes} bytes, {findings} findings, {each:?} a check",
+        "{} objects, {bytes} bytes as JSON, {held} bytes in memory",
         set.len()
     );
+    let began = Instant::now();
+    let findings: usize = (0..ROUNDS).map(|_| verify(&set).len()).sum();
+    println!("check: {findings} findings, {:?}", began.elapsed() / ROUNDS);
+    resolve(&set, "all data centres", &[])?;
+    resolve(&set, "one data centre", &["dc-00".into()])
+}
+
+/// Times the resolution of a set and weighs the result.
+fn resolve(set: &ObjectSet, scope: &str, places: &[DataCentre]) -> Result<(), Box<dyn Error>> {
+    let before = resident_bytes()?;
+    let began = Instant::now();
+    let catalog = Catalog::build_within(set, Generation(1), places)?;
+    let took = began.elapsed();
+    let held = resident_bytes()?.saturating_sub(before);
+    let endpoints = catalog.endpoints.len();
+    println!("catalog of {scope}: {endpoints} endpoints, {took:?}, {held} bytes in memory");
+    Ok(())
+}
+
+/// Memory of this process, to a page.
+fn resident_bytes() -> Result<usize, Box<dyn Error>> {
+    let text = fs::read_to_string("/proc/self/statm")?;
+    let pages: usize = text.split_whitespace().nth(1).unwrap_or_default().parse()?;
+    Ok(pages * PAGE_BYTES)
 }
