--- a/crates/orders/src/lib.rs
+++ b/crates/orders/src/lib.rs
@@ -7,22 +7,22 @@
 //! call and pause, and a new holder lets that time pass first.
 
 mod api;
-mod core_machine;
 mod desired;
 mod lease;
+mod machine;
 mod mutation;
 mod reconcile;
 
-#[cfg(test)]
-mod core_machine_tests;
 #[cfg(test)]
 mod desired_tests;
 #[cfg(test)]
 mod lease_tests;
+#[cfg(test)]
+mod machine_tests;
 
 pub use api::{
     EndpointStatus, Input, LeaseObject, Load, Observation, Order, OrderEnd, Output, Settings, Wait,
 };
-pub use core_machine::Core;
 pub use lease::lease_key;
+pub use machine::Core;
 pub use mutation::Mutation;
