Show in the time line which VM a call was handed to

Cause: the time line had an event for a call that crosses VMs, but nothing recorded it. Conclusion: a merged time line follows a call from its origin to its home.

--- a/crates/node/src/decide/carry.rs
+++ b/crates/node/src/decide/carry.rs
@@ -5,9 +5,9 @@
     table::{Entry, Run},
 };
 use crate::run::{Job, StopHandle};
-use poplarswitch_entity::Time;
+use poplarswitch_entity::{Incarnation, Time};
 use poplarswitch_keys::RunEnd;
-use poplarswitch_pool::Output;
+use poplarswitch_pool::{Output, PoolMessage};
 use poplarswitch_scheduler::{
     self as scheduler, Dispatch, End, Ended, Fault, Input, Refusal, RefusalReason, Stop,
     StopReason, Verdict, VerdictKind,
@@ -21,7 +21,20 @@
     pub(super) fn carry_pool(&mut self, now: Time, output: Output) {
         match output {
             Output::Order(order) => self.order(now, order),
-            Output::Send { to, message } => self.send(to, PeerMessage::Pool(message)),
+            Output::Send { to, message } => {
+                self.record_forwards(to, &message);
+                self.send(to, PeerMessage::Pool(message));
+            }
+        }
+    }
+
+    fn record_forwards(&self, to: Incarnation, message: &PoolMessage) {
+        for call in message.submitted() {
+            let Some(member) = self.cluster.members.member(to) else {
+                return;
+            };
+            let to = member.identity.vm;
+            self.shared.record(Some(call), EventKind::Forwarded { to });
         }
     }
 
--- a/crates/node/tests/cluster.rs
+++ b/crates/node/tests/cluster.rs
@@ -6,15 +6,19 @@
 use core::time::Duration;
 use googletest::prelude::*;
 use poplarswitch_client::{ChatCall, Client, Directory, Outcome};
-use poplarswitch_entity::Generation;
+use poplarswitch_entity::{Generation, VmName};
 use poplarswitch_node::Node;
 use poplarswitch_objects::ObjectSet;
 use poplarswitch_publish::Outcome as Published;
 use poplarswitch_settings::Settings;
 use poplarswitch_standins::{EngineSpec, Platform, PlatformSpec, answer_text};
-use std::sync::{
-    Mutex,
-    atomic::{AtomicBool, AtomicUsize, Ordering},
+use poplarswitch_timeline::EventKind;
+use std::{
+    collections::BTreeSet,
+    sync::{
+        Mutex,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
 };
 
 fn slow() -> EngineSpec {
@@ -79,6 +83,30 @@
     }
 }
 
+#[gtest]
+fn the_time_line_shows_calls_that_cross_to_their_home() {
+    let backs = Backs::start(2, &EngineSpec::default());
+    let nodes = three(&backs);
+    for node in &nodes {
+        let report = common::client_at(node).chat(&chat("who is at home?"));
+        expect_that!(report.outcome, eq(Outcome::Answered));
+    }
+    let homes: Vec<Option<VmName>> = nodes.iter().map(forwarded_to).collect();
+    let named: BTreeSet<&VmName> = homes.iter().flatten().collect();
+    expect_that!(homes.iter().flatten().count(), eq(2));
+    expect_that!(named.len(), eq(1));
+}
+
+/// The VM that a node handed its calls to.
+fn forwarded_to(node: &Node) -> Option<VmName> {
+    common::timeline(node)
+        .into_iter()
+        .find_map(|event| match event {
+            EventKind::Forwarded { to } => Some(to),
+            _ => None,
+        })
+}
+
 #[gtest]
 fn a_booking_repeated_at_another_node_runs_once() {
     let backs = Backs::start(1, &EngineSpec::default());
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -15,6 +15,7 @@
 };
 use poplarswitch_settings::{Addresses, Limits, Secret, Secrets, Settings};
 use poplarswitch_standins::{Engine, EngineSpec, Platform, Service};
+use poplarswitch_timeline::{EventKind, Recording};
 use poplarswitch_wire::{ErrorBody, ErrorInfo, Status};
 use serde_json::{Value, json};
 use std::{
@@ -231,3 +232,13 @@
     }
     panic!("the publication did not end");
 }
+
+/// The events of a node, oldest first.
+pub fn timeline(node: &Node) -> Vec<EventKind> {
+    let url = format!("http://{}/timeline", node.addresses().operators);
+    let request = agent().get(&url);
+    let request = request.header("authorization", format!("Bearer {OPERATOR}"));
+    let mut response = request.call().expect("an answer");
+    let recording: Recording = response.body_mut().read_json().expect("a recording");
+    recording.events.into_iter().map(|one| one.what).collect()
+}
--- a/crates/node/tests/orders.rs
+++ b/crates/node/tests/orders.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{ANY, Backs, OPERATOR, chat, secrets, settings, status, until};
+use common::{ANY, Backs, chat, secrets, settings, status, timeline, until};
 use core::{
     sync::atomic::{AtomicBool, AtomicUsize, Ordering},
     time::Duration,
@@ -14,7 +14,7 @@
 use poplarswitch_objects::{ObjectSet, Serves};
 use poplarswitch_orders as orders;
 use poplarswitch_standins::{Engine, EngineSpec, LoadSpan, Platform, PlatformFaults, PlatformSpec};
-use poplarswitch_timeline::{EventKind, Recording};
+use poplarswitch_timeline::EventKind;
 use serde_json::{Value, json};
 
 /// Periods that are short, so that a test sees several leases.
@@ -87,15 +87,6 @@
     response.expect("an answer").status().as_u16()
 }
 
-fn timeline(node: &Node) -> Vec<EventKind> {
-    let url = format!("http://{}/timeline", node.addresses().operators);
-    let request = common::agent().get(&url);
-    let request = request.header("authorization", format!("Bearer {OPERATOR}"));
-    let mut response = request.call().expect("an answer");
-    let recording: Recording = response.body_mut().read_json().expect("a recording");
-    recording.events.into_iter().map(|one| one.what).collect()
-}
-
 /// The most engines that loaded at the same time.
 fn most_loading(backs: &Backs) -> usize {
     let spans: Vec<LoadSpan> = backs.engines.iter().flat_map(Engine::loads).collect();
--- a/crates/pool/src/message.rs
+++ b/crates/pool/src/message.rs
@@ -86,6 +86,23 @@
     Reset(Session),
 }
 
+impl PoolMessage {
+    /// The calls that an origin hands to a home with this message.
+    pub fn submitted(&self) -> impl Iterator<Item = CallId> {
+        let asks = match self {
+            Self::Up(frame) => frame.items.as_slice(),
+            Self::Down(_) | Self::Reset(_) => &[],
+        };
+        asks.iter().filter_map(|ask| match ask {
+            Ask::Input {
+                input: scheduler::Input::Submit(request),
+                ..
+            } => Some(request.call),
+            Ask::Input { .. } | Ask::Release(_) => None,
+        })
+    }
+}
+
 /// Everything that a pool reacts to.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Input {
