Take in chat calls and service calls by one piece of code

Cause: both ways for callers admitted a call, found its workspace, read its body and checked its size in the same twelve lines; a draft was made with a placeholder for its work that was overwritten afterwards; the load tool built a caller's report by hand. Change: callers/intake.rs holds what every call goes through; a draft takes its work when it is made; Report::unreached serves the load tool and the client.

--- a/crates/client/src/client.rs
+++ b/crates/client/src/client.rs
@@ -81,16 +81,25 @@
 }
 
 impl Report {
-    fn new(outcome: Outcome, began: Instant) -> Self {
+    /// A call for which no VM could be reached.
+    pub const fn unreached() -> Self {
         Self {
-            outcome,
+            outcome: Outcome::Unreached,
             first: None,
-            total: began.elapsed(),
+            total: Duration::ZERO,
             pieces: 0,
             text: String::new(),
             retry_after: None,
         }
     }
+
+    fn new(outcome: Outcome, began: Instant) -> Self {
+        Self {
+            outcome,
+            total: began.elapsed(),
+            ..Self::unreached()
+        }
+    }
 }
 
 /// Reads the answer to a call that began at a time.
--- a/crates/node/src/callers/auth.rs
+++ b/crates/node/src/callers/auth.rs
@@ -1,7 +1,7 @@
 //! Whose call it is.
 
 use http::{HeaderMap, header::AUTHORIZATION};
-use poplarswitch_catalog::{Catalog, WorkspaceEntry};
+use poplarswitch_catalog::{Catalog, WorkspaceKey};
 use poplarswitch_objects::KeyHash;
 use poplarswitch_wire::ErrorCode;
 
@@ -19,13 +19,9 @@
 ///
 /// Only digests are compared, so the time that it takes says nothing about any key, and all
 /// failures look the same.
-pub(super) fn workspace<'a>(
-    catalog: &'a Catalog,
-    headers: &HeaderMap,
-) -> Result<&'a WorkspaceEntry, ErrorCode> {
+pub(super) fn workspace(catalog: &Catalog, headers: &HeaderMap) -> Result<WorkspaceKey, ErrorCode> {
     let key = bearer(headers).ok_or(ErrorCode::Unauthorized)?;
-    let found = catalog.workspace_of(&KeyHash::of(key));
-    found
-        .map(|key| &catalog.workspaces[key])
+    catalog
+        .workspace_of(&KeyHash::of(key))
         .ok_or(ErrorCode::Unauthorized)
 }
--- a/crates/node/src/callers/chat.rs
+++ b/crates/node/src/callers/chat.rs
@@ -1,14 +1,14 @@
 //! Chat calls.
 
-use super::{auth, body, reply, resolve, submit};
+use super::{intake::Intake, reply, submit};
 use crate::{
     call::{Chat, Work},
     shared::Shared,
 };
 use core::time::Duration;
-use http::{HeaderMap, Request, Response};
+use http::{Request, Response};
 use hyper::body::Incoming;
-use poplarswitch_catalog::{Catalog, Route};
+use poplarswitch_catalog::Route;
 use poplarswitch_entity::{AdapterName, PrefixHash};
 use poplarswitch_objects::Workspace;
 use poplarswitch_wire::{ChatHead, ErrorCode, ErrorInfo};
@@ -31,36 +31,19 @@
     shared: &Arc<Shared>,
     request: Request<Incoming>,
 ) -> Result<submit::Draft, ErrorInfo> {
-    let catalog = submit::admit(shared)?;
-    let (parts, incoming) = request.into_parts();
+    let intake = Intake::take(shared, request).await?;
     let refuse = |code| shared.error(code);
-    let workspace = &auth::workspace(&catalog, &parts.headers)
-        .map_err(refuse)?
-        .workspace;
-    let body = body::read(shared, incoming).await.map_err(refuse)?;
-    let head = ChatHead::parse(&body)
+    let head = ChatHead::parse(&intake.body)
         .map_err(|error| refuse(ErrorCode::Malformed).because(error.to_string()))?;
-    let stream = head.stream;
-    let mut draft =
-        draft(shared, &catalog, workspace, &parts.headers, &head, &body).map_err(refuse)?;
-    draft.work = Work::Chat(Chat { body, stream });
-    Ok(draft)
+    draft(shared, &intake, &head).map_err(refuse)
 }
 
-fn draft(
-    shared: &Shared,
-    catalog: &Catalog,
-    workspace: &Workspace,
-    named: &HeaderMap,
-    head: &ChatHead,
-    body: &[u8],
-) -> Result<submit::Draft, ErrorCode> {
-    let model = catalog.model(&head.model).ok_or(ErrorCode::UnknownModel)?;
+fn draft(shared: &Shared, intake: &Intake, head: &ChatHead) -> Result<submit::Draft, ErrorCode> {
+    let model = intake.catalog.model(&head.model);
+    let model = model.ok_or(ErrorCode::UnknownModel)?;
     let route = Route::Model(model.name.clone());
-    let class = resolve::class(catalog, named, model.default_class.as_str(), &route)?;
-    if body.len() > class.class.max_input_bytes as usize {
-        return Err(ErrorCode::BodyTooLarge);
-    }
+    let class = intake.class(model.default_class.as_str(), &route)?;
+    let workspace = intake.workspace();
     let most = class.class.max_output_tokens;
     let request = poplarswitch_scheduler::Request {
         call: shared.next_call(),
@@ -74,7 +57,11 @@
         data_centre: shared.settings.data_centre.clone(),
         waited: Duration::ZERO,
     };
-    submit::Draft::new(request, class, named)
+    let work = Work::Chat(Chat {
+        body: intake.body.clone(),
+        stream: head.stream,
+    });
+    submit::Draft::new(request, class, &intake.parts.headers, work)
 }
 
 /// Hash of the workspace and the start of the prompt.
--- a/crates/node/src/callers/forward.rs
+++ b/crates/node/src/callers/forward.rs
@@ -1,11 +1,10 @@
 //! Calls to plain services.
 
-use super::{auth, body, reply, resolve, submit};
+use super::{intake::Intake, reply, submit};
 use crate::{
     call::{Forward, Work},
     shared::Shared,
 };
-use bytes::Bytes;
 use core::time::Duration;
 use http::{
     HeaderMap, HeaderName, HeaderValue, Request, Response, Uri,
@@ -13,12 +12,10 @@
         AUTHORIZATION, CONNECTION, CONTENT_LENGTH, EXPECT, HOST, PROXY_AUTHORIZATION, TE, TRAILER,
         TRANSFER_ENCODING, UPGRADE,
     },
-    request::Parts,
 };
 use hyper::body::Incoming;
-use poplarswitch_catalog::{Catalog, Route};
+use poplarswitch_catalog::Route;
 use poplarswitch_entity::PrefixHash;
-use poplarswitch_objects::Workspace;
 use poplarswitch_wire::{ErrorCode, ErrorInfo, headers};
 use std::sync::Arc;
 
@@ -57,35 +54,20 @@
     shared: &Arc<Shared>,
     request: Request<Incoming>,
 ) -> Result<submit::Draft, ErrorInfo> {
-    let catalog = submit::admit(shared)?;
-    let (parts, incoming) = request.into_parts();
-    let refuse = |code| shared.error(code);
-    let workspace = &auth::workspace(&catalog, &parts.headers)
-        .map_err(refuse)?
-        .workspace;
-    let body = body::read(shared, incoming).await.map_err(refuse)?;
-    draft(shared, &catalog, workspace, &parts, body).map_err(refuse)
+    let intake = Intake::take(shared, request).await?;
+    draft(shared, &intake).map_err(|code| shared.error(code))
 }
 
-fn draft(
-    shared: &Shared,
-    catalog: &Catalog,
-    workspace: &Workspace,
-    parts: &Parts,
-    body: Bytes,
-) -> Result<submit::Draft, ErrorCode> {
-    let (name, path) = target(&parts.uri).ok_or(ErrorCode::UnknownPath)?;
-    let service = catalog.service(name).ok_or(ErrorCode::UnknownService)?;
+fn draft(shared: &Shared, intake: &Intake) -> Result<submit::Draft, ErrorCode> {
+    let (name, path) = target(&intake.parts.uri).ok_or(ErrorCode::UnknownPath)?;
+    let service = intake.catalog.service(name);
+    let service = service.ok_or(ErrorCode::UnknownService)?;
     let route = Route::Service(service.name.clone());
-    let named = &parts.headers;
-    let class = resolve::class(catalog, named, service.default_class.as_str(), &route)?;
-    if body.len() > class.class.max_input_bytes as usize {
-        return Err(ErrorCode::BodyTooLarge);
-    }
+    let class = intake.class(service.default_class.as_str(), &route)?;
     let request = poplarswitch_scheduler::Request {
         call: shared.next_call(),
         class: class.class.name.clone(),
-        workspace: workspace.name.clone(),
+        workspace: intake.workspace().name.clone(),
         route,
         adapter: None,
         prefix: PrefixHash::default(),
@@ -94,14 +76,14 @@
         data_centre: shared.settings.data_centre.clone(),
         waited: Duration::ZERO,
     };
-    let mut draft = submit::Draft::new(request, class, named)?;
-    draft.work = Work::Forward(Forward {
+    let named = &intake.parts.headers;
+    let work = Work::Forward(Forward {
         path,
-        method: parts.method.clone(),
+        method: intake.parts.method.clone(),
         headers: passed_on(named),
-        body,
+        body: intake.body.clone(),
     });
-    Ok(draft)
+    submit::Draft::new(request, class, named, work)
 }
 
 /// The service's name, and the path and query that it gets.
--- a/crates/node/src/callers/mod.rs
+++ b/crates/node/src/callers/mod.rs
@@ -10,6 +10,7 @@
 mod body;
 mod chat;
 mod forward;
+mod intake;
 mod reply;
 mod resolve;
 mod routes;
--- a/crates/node/src/callers/submit.rs
+++ b/crates/node/src/callers/submit.rs
@@ -5,11 +5,10 @@
     reply, resolve,
 };
 use crate::{
-    call::{Call, Chat, Emission, Head, Piece, Work},
+    call::{Call, Emission, Head, Piece, Work},
     event::{Event, Submission},
     shared::Shared,
 };
-use bytes::Bytes;
 use core::time::Duration;
 use http::{HeaderMap, HeaderValue, Response};
 use poplarswitch_catalog::{Catalog, ClassEntry};
@@ -30,26 +29,23 @@
     rank: u8,
     repeatable: bool,
     key: Option<String>,
-    /// What the endpoint is asked to do.
-    pub(super) work: Work,
+    work: Work,
 }
 
 impl Draft {
-    /// A call of a class, with the key that its headers carry.
+    /// A call of a class with its work, and with the key that its headers carry.
     pub(super) fn new(
         request: Request,
         class: &ClassEntry,
         named: &HeaderMap,
+        work: Work,
     ) -> Result<Self, ErrorCode> {
         Ok(Self {
             request,
             rank: class.rank,
             repeatable: class.class.repeatable,
             key: resolve::idempotency_key(named, class)?,
-            work: Work::Chat(Chat {
-                body: Bytes::new(),
-                stream: false,
-            }),
+            work,
         })
     }
 }
--- a/crates/util/src/commands/load/run.rs
+++ b/crates/util/src/commands/load/run.rs
@@ -11,7 +11,7 @@
 };
 use core::time::Duration;
 use crossbeam::channel::{Receiver, Sender, bounded};
-use poplarswitch_client::{ChatCall, Client, Directory, Outcome, Report, ServiceCall};
+use poplarswitch_client::{ChatCall, Client, Directory, Report, ServiceCall};
 use rand::RngExt as _;
 use snafu::ResultExt;
 use std::{fs, thread, time::Instant};
@@ -81,7 +81,7 @@
     let text = "snow ".repeat(args.input_bytes.div_ceil(5) as usize);
     if let Some(path) = &args.route.service {
         let Some(key) = client.new_key(&format!("load-{nonce:016x}-{number}")) else {
-            return unreached();
+            return Report::unreached();
         };
         return client.invoke(&ServiceCall {
             class: args.class.clone(),
@@ -97,14 +97,3 @@
         max_tokens: args.max_tokens,
     })
 }
-
-const fn unreached() -> Report {
-    Report {
-        outcome: Outcome::Unreached,
-        first: None,
-        total: Duration::ZERO,
-        pieces: 0,
-        text: String::new(),
-        retry_after: None,
-    }
-}
