--- /dev/null
+++ b/crates/ingress/src/admission.rs
@@ -0,0 +1,73 @@
+//! Who is let in, and when a refused caller should come back.
+//!
+//! A VM bounds the calls that it holds by its memory. A call that can't be placed is refused
+//! unrun at once; the time after which its caller should return grows with the number of
+//! refusals, and is spread so that callers don't return together.
+
+use crate::hash::hash_text;
+use core::time::Duration;
+use poplarswitch_entity::Time;
+
+/// Memory that a call in flight takes, its connections included.
+const CALL_BYTES: u64 = 48 << 10;
+/// Part of the memory that calls may take.
+const CALLS_PERCENT: u64 = 50;
+/// Shortest wait that a refused caller is told.
+const LEAST_WAIT: Duration = Duration::from_millis(100);
+/// Longest wait that a refused caller is told; callers wait a third of their time at most.
+const MOST_WAIT: Duration = Duration::from_millis(900);
+/// Time in which the pressure of a refusal halves.
+const PRESSURE_HALF: Duration = Duration::from_millis(400);
+/// Wait for each refusal of the last moments.
+const WAIT_STEP: Duration = Duration::from_millis(60);
+
+/// Whether a call is let in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// It is.
+    Admitted,
+    /// It is refused unrun.
+    Refused {
+        /// When its caller should come back.
+        after: Duration,
+    },
+}
+
+/// The gate of a VM.
+#[derive(Clone, Copy, Debug)]
+pub struct Gate {
+    most: usize,
+    pressure: f64,
+    noted: Time,
+}
+
+impl Gate {
+    /// For a VM with an amount of memory, in bytes.
+    pub const fn new(memory: u64) -> Self {
+        Self {
+            most: (memory * CALLS_PERCENT / 100 / CALL_BYTES) as usize,
+            pressure: 0.0,
+            noted: Time::ZERO,
+        }
+    }
+
+    /// Lets a call in unless the VM holds as many as it can.
+    pub fn admit(&mut self, now: Time, in_flight: usize, call: &str) -> Admission {
+        if in_flight < self.most {
+            return Admission::Admitted;
+        }
+        Admission::Refused {
+            after: self.refuse(now, call),
+        }
+    }
+
+    /// Notes a refusal; returns when the caller should come back.
+    pub fn refuse(&mut self, now: Time, call: &str) -> Duration {
+        let halves = now.since(self.noted).as_secs_f64() / PRESSURE_HALF.as_secs_f64();
+        self.pressure = self.pressure * 0.5_f64.powf(halves) + 1.0;
+        self.noted = now;
+        let longest = (LEAST_WAIT + WAIT_STEP.mul_f64(self.pressure)).min(MOST_WAIT);
+        let spread = (hash_text(call) % 1_000) as f64 / 1_000.0;
+        LEAST_WAIT + (longest - LEAST_WAIT).mul_f64(spread)
+    }
+}
--- /dev/null
+++ b/crates/ingress/src/call.rs
@@ -0,0 +1,58 @@
+//! What the head of a call says.
+//!
+//! The adapter reads the head once; everything behind it sees only this type.
+
+use core::time::Duration;
+
+/// A section of a prompt that calls may share.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Part {
+    /// Identifies the text of the section.
+    pub id: u64,
+    /// Its length in tokens.
+    pub tokens: u32,
+}
+
+/// The prompt of a generation.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Prompt {
+    /// Its sections in order; the last belongs to the call alone.
+    pub parts: Vec<Part>,
+    /// Length in tokens.
+    pub input: u32,
+    /// Most tokens that the answer may have.
+    pub output: u32,
+    /// The caller's estimate of the answer's tokens.
+    pub hint: Option<u32>,
+}
+
+impl Prompt {
+    /// The section that identifies the session: the last one that other calls share.
+    pub fn session(&self) -> Option<Part> {
+        match self.parts.as_slice() {
+            [.., session, _] => Some(*session),
+            [only] => Some(*only),
+            [] => None,
+        }
+    }
+
+    /// Tokens of the answer to plan with.
+    pub fn expected(&self) -> u32 {
+        self.hint.unwrap_or(self.output).min(self.output)
+    }
+}
+
+/// The head of a call.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Call {
+    /// The caller's name for this attempt.
+    pub id: Box<str>,
+    /// How long the caller waits.
+    pub deadline: Option<Duration>,
+    /// The key that names its workspace.
+    pub key: Option<Box<str>>,
+    /// The prompt, for calls to model engines.
+    pub prompt: Option<Prompt>,
+    /// The caller resumes a stream that it has seen in part.
+    pub resumes: bool,
+}
--- /dev/null
+++ b/crates/ingress/src/feed.rs
@@ -0,0 +1,115 @@
+//! How configuration and endpoints reach a VM.
+//!
+//! The platform counts every call, so one VM of each data centre reads it for the others. The
+//! others ask that VM; each answer carries the change and how fresh the view is, as an offset
+//! from the moment at which the question arrived, so no clock is compared and a question that
+//! was delayed makes the answer older, never newer. A VM whose view grows old asks others, and
+//! reads the platform itself.
+
+use crate::{
+    declared::Declared,
+    fleet::{Entry, Removal},
+};
+use core::{net::Ipv4Addr, time::Duration};
+use poplarswitch_entity::Time;
+use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
+
+/// Age of the proof at which a VM no longer relies on its neighbour.
+const OLD: Duration = Duration::from_millis(2_100);
+/// By how much each later neighbour waits longer, so that not all read the platform at once.
+const STAGGER: Duration = Duration::from_millis(120);
+/// Longest of these waits.
+const MOST_STAGGER: Duration = Duration::from_millis(700);
+/// Time for which a neighbour that failed is not asked.
+const AVOIDED: Duration = Duration::from_millis(1_500);
+
+/// What a VM knows.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Cursor {
+    /// Version of its configuration.
+    pub version: u64,
+    /// The platform's revision that its view of the endpoints is of.
+    pub revision: u64,
+}
+
+/// A question to a neighbour.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FeedAsk {
+    /// What the asker knows.
+    pub cursor: Cursor,
+    /// How long the answer may wait for a change, in milliseconds.
+    pub wait: u32,
+}
+
+/// The answer to a question.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FeedReply {
+    /// What the answerer knows.
+    pub cursor: Cursor,
+    /// The moment of the proof, in microseconds after the question arrived; negative if before.
+    /// Nothing if the answerer has no proof.
+    pub proof: Option<i64>,
+    /// The configuration, if it is newer than the asker's.
+    pub declared: Option<Declared>,
+    /// Whether `entries` are all there are.
+    pub complete: bool,
+    /// Endpoints that are new or changed.
+    pub entries: Vec<Entry>,
+    /// Endpoints that are gone, or may be.
+    pub removed: Vec<Removal>,
+}
+
+/// Where to get news from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// From the platform.
+    Platform,
+    /// From another VM.
+    Peer(Ipv4Addr),
+}
+
+/// Decides where a VM gets its news from.
+#[derive(Clone, Debug, Default)]
+pub struct Sources {
+    avoided: HashMap<Ipv4Addr, Time>,
+}
+
+impl Sources {
+    /// Whether this VM reads the platform itself, given the neighbours in their shared order and
+    /// the age of its proof.
+    pub fn reads(&self, me: Ipv4Addr, order: &[Ipv4Addr], age: Option<Duration>) -> bool {
+        let rank = order.iter().position(|ip| *ip == me).unwrap_or(0);
+        let stagger = (STAGGER * rank as u32).min(MOST_STAGGER);
+        rank == 0 || age.is_none_or(|age| age > OLD + stagger)
+    }
+
+    /// The VM to ask: the first neighbour in order that didn't fail, or, if this VM's view is
+    /// old, any other. Nobody if this VM is the first and its view is fresh.
+    pub fn peer(
+        &self,
+        now: Time,
+        me: Ipv4Addr,
+        order: &[Ipv4Addr],
+        others: &[Ipv4Addr],
+        age: Option<Duration>,
+    ) -> Option<Ipv4Addr> {
+        let old = age.is_none_or(|age| age > OLD);
+        let willing = |ip: &&Ipv4Addr| **ip != me && !self.avoids(now, **ip);
+        if old {
+            return order.iter().chain(others).find(willing).copied();
+        }
+        let before = order.iter().take_while(|ip| **ip != me);
+        before.filter(|ip| !self.avoids(now, **ip)).copied().next()
+    }
+
+    /// Notes that a neighbour failed, or that its view is old too.
+    pub fn avoid(&mut self, now: Time, ip: Ipv4Addr) {
+        self.avoided.retain(|_, until| *until > now);
+        self.avoided.insert(ip, now + AVOIDED);
+    }
+
+    fn avoids(&self, now: Time, ip: Ipv4Addr) -> bool {
+        self.avoided.get(&ip).is_some_and(|until| *until > now)
+    }
+}
--- /dev/null
+++ b/crates/ingress/src/fleet.rs
@@ -0,0 +1,326 @@
+//! The endpoints of all services, each life of one under a key of its own.
+//!
+//! An endpoint that drains or is gone takes no more work, at once and for good: a new life under
+//! the same name gets a new key. Entries that lapse while the platform is away are kept for a
+//! short grace after its return, since an endpoint that lives is back by then.
+
+use crate::{hash::hash_text, health::Health};
+use core::net::SocketAddr;
+use poplarswitch_entity::{DataCentre, EndpointName, ServiceName, Time};
+use serde::{Deserialize, Serialize};
+use slotmap::{SlotMap, new_key_type};
+use std::collections::{HashMap, HashSet, VecDeque};
+
+new_key_type! {
+    /// One life of an endpoint.
+    pub struct EndpointKey;
+}
+
+/// Removals that are remembered for VMs that ask what has changed.
+const REMOVALS_KEPT: usize = 512;
+
+/// What an endpoint says of itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum EntryState {
+    /// It takes calls.
+    Ready,
+    /// It finishes its calls and takes no new ones.
+    Draining,
+}
+
+/// An endpoint's entry in the platform.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// Its name.
+    pub name: EndpointName,
+    /// The service that it serves.
+    pub service: ServiceName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Where it stands.
+    pub data_centre: DataCentre,
+    /// Calls that it runs at once.
+    pub slots: u32,
+    /// Whether it takes calls.
+    pub state: EntryState,
+    /// Unix milliseconds of its start; tells lives under one name apart.
+    pub born: u64,
+    /// The platform's revision of the entry.
+    pub revision: u64,
+}
+
+/// An entry that is gone.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Removal {
+    /// Its name.
+    pub name: EndpointName,
+    /// The platform's revision at which it went.
+    pub revision: u64,
+    /// How long the endpoint is still used because the entry may only have lapsed, in
+    /// milliseconds.
+    pub grace: Option<u32>,
+}
+
+/// A change of the fleet that affects calls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FleetChange {
+    /// An endpoint takes calls from now on.
+    Joined(EndpointKey),
+    /// An endpoint takes no more calls.
+    Draining(EndpointKey),
+    /// An endpoint is gone.
+    Left(EndpointKey),
+}
+
+/// An endpoint as this VM knows it.
+#[derive(Clone, Debug)]
+pub struct Endpoint {
+    /// Its entry.
+    pub entry: Entry,
+    /// Hash of its name, the same on every VM.
+    pub rank: u64,
+    /// What calls have shown.
+    pub health: Health,
+    /// Calls of this VM that it holds.
+    pub open: u32,
+    /// Prompt tokens of those calls that have had no event yet.
+    pub reading: u64,
+    /// Calls of other VMs that it holds, as far as they told.
+    pub elsewhere: u32,
+}
+
+impl Endpoint {
+    /// Calls that it holds, as far as this VM knows.
+    pub const fn load(&self) -> u32 {
+        self.open + self.elsewhere
+    }
+}
+
+/// All endpoints.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    endpoints: SlotMap<EndpointKey, Endpoint>,
+    names: HashMap<EndpointName, EndpointKey>,
+    services: HashMap<ServiceName, Vec<EndpointKey>>,
+    lapsed: HashMap<EndpointName, (Time, u64)>,
+    removed: VecDeque<(EndpointName, u64)>,
+    forgotten: u64,
+    revision: u64,
+}
+
+impl Fleet {
+    /// The platform's revision that this view is of.
+    pub const fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Marks everything up to a revision as known.
+    pub fn advance(&mut self, revision: u64) {
+        self.revision = self.revision.max(revision);
+    }
+
+    /// An endpoint, until it is gone.
+    pub fn get(&self, key: EndpointKey) -> Option<&Endpoint> {
+        self.endpoints.get(key)
+    }
+
+    /// An endpoint, to be changed.
+    pub fn get_mut(&mut self, key: EndpointKey) -> Option<&mut Endpoint> {
+        self.endpoints.get_mut(key)
+    }
+
+    /// All endpoints.
+    pub fn iter(&self) -> impl Iterator<Item = (EndpointKey, &Endpoint)> {
+        self.endpoints.iter()
+    }
+
+    /// All endpoints, to be changed.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = (EndpointKey, &mut Endpoint)> {
+        self.endpoints.iter_mut()
+    }
+
+    /// The endpoints of a service that take calls, in an order that all VMs share.
+    pub fn takers(&self, service: &ServiceName) -> &[EndpointKey] {
+        self.services.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// Takes an entry as it was read or as it changed.
+    pub fn upsert(&mut self, entry: Entry) -> Vec<FleetChange> {
+        self.lapsed.remove(&entry.name);
+        let mut changes = Vec::new();
+        if let Some(&key) = self.names.get(&entry.name) {
+            let known = &mut self.endpoints[key];
+            if entry.revision < known.entry.revision {
+                return changes;
+            }
+            if known.entry.born == entry.born && known.entry.address == entry.address {
+                let drains = entry.state == EntryState::Draining;
+                let newly = drains && known.entry.state == EntryState::Ready;
+                let state = if drains {
+                    entry.state
+                } else {
+                    known.entry.state
+                };
+                known.entry = Entry { state, ..entry };
+                if newly {
+                    self.unlist(key);
+                    changes.push(FleetChange::Draining(key));
+                }
+                return changes;
+            }
+            changes.extend(self.drop_key(key));
+        }
+        let ready = entry.state == EntryState::Ready;
+        let service = entry.service.clone();
+        let key = self.endpoints.insert(Endpoint {
+            rank: hash_text(entry.name.as_str()),
+            health: Health::default(),
+            open: 0,
+            reading: 0,
+            elsewhere: 0,
+            entry,
+        });
+        self.names
+            .insert(self.endpoints[key].entry.name.clone(), key);
+        if ready {
+            self.list(service, key);
+            changes.push(FleetChange::Joined(key));
+        }
+        changes
+    }
+
+    /// Takes the removal of an entry. With a grace, the entry may have lapsed while the platform
+    /// was away, and the endpoint is kept until then.
+    pub fn remove(
+        &mut self,
+        name: &EndpointName,
+        revision: u64,
+        grace: Option<Time>,
+    ) -> Option<FleetChange> {
+        let &key = self.names.get(name)?;
+        if revision < self.endpoints[key].entry.revision {
+            return None;
+        }
+        match grace {
+            Some(until) if self.endpoints[key].entry.state == EntryState::Ready => {
+                self.lapsed.entry(name.clone()).or_insert((until, revision));
+                None
+            }
+            _ => {
+                self.bury(name.clone(), revision);
+                self.drop_key(key)
+            }
+        }
+    }
+
+    /// Takes a complete listing as of a revision.
+    pub fn replace(
+        &mut self,
+        entries: Vec<Entry>,
+        revision: u64,
+        grace: Option<Time>,
+    ) -> Vec<FleetChange> {
+        let listed: HashSet<EndpointName> = entries.iter().map(|e| e.name.clone()).collect();
+        let mut missing: Vec<EndpointName> = self.names.keys().cloned().collect();
+        missing.retain(|name| !listed.contains(name));
+        let mut changes: Vec<FleetChange> = entries
+            .into_iter()
+            .flat_map(|entry| self.upsert(entry))
+            .collect();
+        changes.extend(
+            missing
+                .iter()
+                .filter_map(|name| self.remove(name, revision, grace)),
+        );
+        self.advance(revision);
+        changes
+    }
+
+    /// Drops the entries whose grace is over.
+    pub fn expire(&mut self, now: Time) -> Vec<FleetChange> {
+        if self.lapsed.is_empty() {
+            return Vec::new();
+        }
+        let over: Vec<(EndpointName, u64)> = self
+            .lapsed
+            .iter()
+            .filter(|(_, (until, _))| *until <= now)
+            .map(|(name, (_, revision))| (name.clone(), *revision))
+            .collect();
+        let mut changes = Vec::new();
+        for (name, revision) in over {
+            self.lapsed.remove(&name);
+            changes.extend(self.remove(&name, revision, None));
+        }
+        changes
+    }
+
+    /// What has changed since a revision: entries and removals; nothing if the removals of that
+    /// time are forgotten, and the asker needs everything.
+    pub fn since(&self, now: Time, revision: u64) -> Option<(Vec<Entry>, Vec<Removal>)> {
+        if revision < self.forgotten || revision == 0 {
+            return None;
+        }
+        let entries = self.endpoints.values().map(|endpoint| &endpoint.entry);
+        let newer = entries.filter(|entry| entry.revision > revision).cloned();
+        let buried = self.removed.iter().filter(|(_, at)| *at > revision);
+        let buried = buried.map(|(name, at)| Removal {
+            name: name.clone(),
+            revision: *at,
+            grace: None,
+        });
+        let lapsed = self
+            .lapsed(now)
+            .into_iter()
+            .filter(|r| r.revision > revision);
+        Some((newer.collect(), buried.chain(lapsed).collect()))
+    }
+
+    /// Entries that may only have lapsed.
+    pub fn lapsed(&self, now: Time) -> Vec<Removal> {
+        let removals = self.lapsed.iter().map(|(name, (until, revision))| Removal {
+            name: name.clone(),
+            revision: *revision,
+            grace: Some(until.since(now).as_millis() as u32),
+        });
+        removals.collect()
+    }
+
+    /// All entries.
+    pub fn entries(&self) -> Vec<Entry> {
+        self.endpoints.values().map(|e| e.entry.clone()).collect()
+    }
+
+    fn bury(&mut self, name: EndpointName, revision: u64) {
+        self.removed.push_back((name, revision));
+        if self.removed.len() > REMOVALS_KEPT
+            && let Some((_, oldest)) = self.removed.pop_front()
+        {
+            self.forgotten = self.forgotten.max(oldest);
+        }
+    }
+
+    fn list(&mut self, service: ServiceName, key: EndpointKey) {
+        let endpoints = &self.endpoints;
+        let keys = self.services.entry(service).or_default();
+        let rank = endpoints[key].rank;
+        let place = keys.partition_point(|other| endpoints[*other].rank < rank);
+        keys.insert(place, key);
+    }
+
+    fn unlist(&mut self, key: EndpointKey) {
+        let service = &self.endpoints[key].entry.service;
+        if let Some(keys) = self.services.get_mut(service) {
+            keys.retain(|other| *other != key);
+        }
+    }
+
+    fn drop_key(&mut self, key: EndpointKey) -> Option<FleetChange> {
+        self.unlist(key);
+        let endpoint = self.endpoints.remove(key)?;
+        self.names.remove(&endpoint.entry.name);
+        self.lapsed.remove(&endpoint.entry.name);
+        Some(FleetChange::Left(key))
+    }
+}
--- /dev/null
+++ b/crates/ingress/src/leaving.rs
@@ -0,0 +1,77 @@
+//! How a VM leaves.
+//!
+//! Callers keep an address for some time and open connections for longer, so a leaving VM goes
+//! on serving them: it is out of the directory at once, answers short calls to the end, and
+//! refuses unrun those calls that can't end before the process is killed.
+
+use core::time::Duration;
+use poplarswitch_entity::Time;
+
+/// Part of the grace after which calls that last long are refused.
+const LONG_CALLS_PERCENT: u32 = 37;
+/// Part of the grace after which all calls are refused.
+const ALL_CALLS_PERCENT: u32 = 80;
+/// Time before the end of the grace at which the process ends in any case.
+const MARGIN: Duration = Duration::from_millis(300);
+
+/// Where a VM stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// It serves.
+    Serving,
+    /// It leaves, and still takes every call.
+    Lingering,
+    /// It takes calls that end soon.
+    ShortOnly,
+    /// It takes no calls.
+    Closed,
+    /// It is time to end.
+    Over,
+}
+
+/// The way out of a VM.
+#[derive(Clone, Copy, Debug)]
+pub struct Leaving {
+    grace: Duration,
+    linger: Duration,
+    since: Option<Time>,
+}
+
+impl Leaving {
+    /// A VM that serves; `grace` is the time from the signal to the kill, `linger` the time for
+    /// which callers may keep its address.
+    pub const fn new(grace: Duration, linger: Duration) -> Self {
+        Self {
+            grace,
+            linger,
+            since: None,
+        }
+    }
+
+    /// Starts to leave; a second signal changes nothing.
+    pub fn start(&mut self, now: Time) {
+        self.since.get_or_insert(now);
+    }
+
+    /// Whether it leaves.
+    pub const fn is_leaving(&self) -> bool {
+        self.since.is_some()
+    }
+
+    /// Where it stands, with a number of calls in flight.
+    pub fn stage(&self, now: Time, in_flight: usize) -> Stage {
+        let Some(since) = self.since else {
+            return Stage::Serving;
+        };
+        let gone = now.since(since);
+        if gone + MARGIN >= self.grace || (in_flight == 0 && gone >= self.linger) {
+            Stage::Over
+        } else if gone >= self.grace * ALL_CALLS_PERCENT / 100 {
+            Stage::Closed
+        } else if gone >= self.grace * LONG_CALLS_PERCENT / 100 {
+            Stage::ShortOnly
+        } else {
+            Stage::Lingering
+        }
+    }
+}
--- /dev/null
+++ b/crates/ingress/src/roster.rs
@@ -0,0 +1,272 @@
+//! Which VMs live, and which addresses callers get.
+//!
+//! VMs tell each other of their heartbeats by datagrams: each beat goes to a few random members
+//! and repeats the newest beats that the sender has heard of, so news of one VM reaches all in a
+//! few rounds and the cost of a VM doesn't grow with their number. A member counts as alive
+//! while its beat goes up; the times of other VMs' clocks are never compared.
+
+use crate::hash::{hash_pair, hash_text};
+use core::{net::Ipv4Addr, time::Duration};
+use poplarswitch_entity::Time;
+use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
+
+/// Members that one beat repeats; keeps a datagram under the usual 1,500 bytes.
+const REPEATED: usize = 48;
+/// Fleets up to this size beat to everybody.
+const SMALL_FLEET: usize = 12;
+/// Members that a beat goes to in larger fleets.
+const FANOUT: usize = 5;
+/// Silence after which a member of a small fleet gets no new callers.
+const SILENT_SMALL: Duration = Duration::from_millis(1_100);
+/// The same where beats come through others.
+const SILENT_LARGE: Duration = Duration::from_millis(2_200);
+/// Silence after which a member is forgotten.
+const FORGOTTEN: Duration = Duration::from_secs(60);
+
+/// What a VM says of itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Phase {
+    /// It has no usable configuration.
+    Starting,
+    /// It takes calls.
+    Ready,
+    /// It leaves.
+    Leaving,
+}
+
+/// A member's beat as others repeat it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Known(
+    /// Its address.
+    pub Ipv4Addr,
+    /// Its data centre, as an index into the sorted names.
+    pub u8,
+    /// Its newest beat.
+    pub u64,
+    /// What it said of itself.
+    pub Phase,
+);
+
+/// A datagram between VMs.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Beat {
+    /// The sender's own beat.
+    pub own: Known,
+    /// The work that it sends to engines, long and short prompts, in milliseconds.
+    pub demand: (f32, f32),
+    /// Its open calls by endpoint: hash of the name, count.
+    pub open: Vec<(u32, u16)>,
+    /// Newest beats that it has heard of.
+    pub known: Vec<Known>,
+}
+
+/// Another VM as this one knows it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Member {
+    /// Its address.
+    pub ip: Ipv4Addr,
+    /// Its data centre, as an index into the sorted names.
+    pub place: u8,
+    /// Its newest beat.
+    pub seq: u64,
+    /// When the newest beat was heard of.
+    pub heard: Time,
+    /// What it said of itself.
+    pub phase: Phase,
+    /// The work that it sends to engines, and when it said so.
+    pub demand: Option<(f32, f32, Time)>,
+}
+
+/// All other VMs.
+#[derive(Clone, Debug)]
+pub struct Roster {
+    me: Ipv4Addr,
+    place: u8,
+    seq: u64,
+    members: HashMap<Ipv4Addr, Member>,
+}
+
+impl Roster {
+    /// Knows nobody yet. The beats go up from `start`, which must be higher than the last beat
+    /// of the process before: Unix milliseconds will do.
+    pub fn new(me: Ipv4Addr, place: u8, start: u64) -> Self {
+        Self {
+            me,
+            place,
+            seq: start,
+            members: HashMap::new(),
+        }
+    }
+
+    /// Hears of a VM from the platform or the settings, without knowing whether it lives.
+    pub fn introduce(&mut self, ip: Ipv4Addr, place: Option<u8>) {
+        if ip == self.me {
+            return;
+        }
+        let known = self.members.entry(ip).or_insert(Member {
+            ip,
+            place: place.unwrap_or(u8::MAX),
+            seq: 0,
+            heard: Time::ZERO,
+            phase: Phase::Starting,
+            demand: None,
+        });
+        if known.seq == 0
+            && let Some(place) = place
+        {
+            known.place = place;
+        }
+    }
+
+    /// Takes a beat.
+    pub fn note(&mut self, now: Time, beat: &Beat) {
+        let Known(ip, ..) = beat.own;
+        self.hear(now, beat.own, true);
+        if let Some(member) = self.members.get_mut(&ip) {
+            member.demand = Some((beat.demand.0, beat.demand.1, now));
+        }
+        for known in &beat.known {
+            self.hear(now, *known, false);
+        }
+    }
+
+    /// Makes the next beat.
+    pub fn beat(&mut self, now: Time, phase: Phase, demand: (f32, f32)) -> Beat {
+        self.seq += 1;
+        let mut newest: Vec<&Member> = self
+            .members
+            .values()
+            .filter(|m| m.seq > 0 && now.since(m.heard) < self.silent())
+            .collect();
+        newest.sort_unstable_by_key(|member| core::cmp::Reverse(member.heard));
+        newest.truncate(REPEATED);
+        let known = newest
+            .iter()
+            .map(|m| Known(m.ip, m.place, m.seq, m.phase))
+            .collect();
+        Beat {
+            own: Known(self.me, self.place, self.seq, phase),
+            demand,
+            open: Vec::new(),
+            known,
+        }
+    }
+
+    /// To whom the next beat goes; `draw` gives random numbers.
+    pub fn receivers(&self, now: Time, mut draw: impl FnMut() -> u64) -> Vec<Ipv4Addr> {
+        if self.members.len() <= SMALL_FLEET {
+            return self.members.keys().copied().collect();
+        }
+        let mut others: Vec<(u64, Ipv4Addr)> = self
+            .members
+            .values()
+            .map(|member| (draw() + u64::from(self.is_silent(now, member)), member.ip))
+            .collect();
+        others.sort_unstable();
+        others.truncate(FANOUT);
+        others.into_iter().map(|(_, ip)| ip).collect()
+    }
+
+    /// Forgets members that have long been silent.
+    pub fn prune(&mut self, now: Time) -> Vec<Ipv4Addr> {
+        let gone = |m: &Member| m.seq > 0 && now.since(m.heard) > FORGOTTEN;
+        let forgotten: Vec<Ipv4Addr> = self
+            .members
+            .values()
+            .filter(|m| gone(m))
+            .map(|m| m.ip)
+            .collect();
+        self.members.retain(|_, member| !gone(member));
+        forgotten
+    }
+
+    /// All other VMs that are known.
+    pub fn members(&self) -> impl Iterator<Item = &Member> {
+        self.members.values()
+    }
+
+    /// Members that are alive, this VM not among them.
+    pub fn alive(&self, now: Time) -> impl Iterator<Item = &Member> {
+        self.members
+            .values()
+            .filter(move |m| !self.is_silent(now, m))
+    }
+
+    /// VMs that are alive, this one among them.
+    pub fn count(&self, now: Time) -> usize {
+        self.alive(now).count() + 1
+    }
+
+    /// Addresses for a caller: those of its data centre, or all if too few of them are ready.
+    pub fn answer(&self, now: Time, place: Option<u8>, ready: bool, most: usize) -> Vec<Ipv4Addr> {
+        let mut all: Vec<(Ipv4Addr, u8)> = self
+            .alive(now)
+            .filter(|member| member.phase == Phase::Ready)
+            .map(|member| (member.ip, member.place))
+            .collect();
+        if ready {
+            all.push((self.me, self.place));
+        }
+        let near: Vec<(Ipv4Addr, u8)> = all
+            .iter()
+            .copied()
+            .filter(|(_, at)| Some(*at) == place)
+            .collect();
+        // A single address leaves callers without a second one when it fails.
+        let chosen = if near.len() >= 2 { near } else { all };
+        let mut addresses: Vec<Ipv4Addr> = chosen.into_iter().map(|(ip, _)| ip).collect();
+        addresses.sort_unstable();
+        addresses.truncate(most);
+        addresses
+    }
+
+    /// The VMs of this data centre that live, in an order that all of them share; this VM is
+    /// among them.
+    pub fn neighbours(&self, now: Time) -> Vec<Ipv4Addr> {
+        let near = self
+            .alive(now)
+            .filter(|m| m.place == self.place && m.phase != Phase::Leaving);
+        let mut order: Vec<Ipv4Addr> = near.map(|m| m.ip).chain([self.me]).collect();
+        order.sort_unstable_by_key(|ip| hash_pair(hash_text("feed"), u64::from(ip.to_bits())));
+        order
+    }
+
+    /// This VM.
+    pub const fn me(&self) -> Ipv4Addr {
+        self.me
+    }
+
+    fn silent(&self) -> Duration {
+        if self.members.len() <= SMALL_FLEET {
+            SILENT_SMALL
+        } else {
+            SILENT_LARGE
+        }
+    }
+
+    fn is_silent(&self, now: Time, member: &Member) -> bool {
+        member.seq == 0 || now.since(member.heard) > self.silent()
+    }
+
+    fn hear(&mut self, now: Time, known: Known, direct: bool) {
+        let Known(ip, place, seq, phase) = known;
+        if ip == self.me {
+            return;
+        }
+        self.introduce(ip, Some(place));
+        let silent = self.silent();
+        let Some(member) = self.members.get_mut(&ip) else {
+            return;
+        };
+        // A process that starts again after its clock went back has lower beats; its own word
+        // counts once the old ones have stopped.
+        let restarted = direct && seq < member.seq && now.since(member.heard) > silent;
+        if seq > member.seq || restarted {
+            member.seq = seq;
+            member.heard = now;
+            member.phase = phase;
+            member.place = place;
+        }
+    }
+}
--- /dev/null
+++ b/crates/ingress/src/table.rs
@@ -0,0 +1,132 @@
+//! The configuration in the form that calls look up.
+//!
+//! A table never changes; a newer configuration is a new table. A call keeps the table that it
+//! was routed with, so its route, key and limits are of one version.
+
+use crate::declared::{Declared, Limits, RouteSpec, ServiceSpec, WorkspaceSpec};
+use crate::hash::hash_text;
+use poplarswitch_entity::{ServiceName, WorkspaceName};
+use std::{collections::HashMap, sync::Arc};
+
+/// A route in force.
+pub type Route = RouteSpec;
+
+/// A workspace in force.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Workspace {
+    /// Its name.
+    pub name: WorkspaceName,
+    /// Rank that goes before the route's.
+    pub priority: Option<u8>,
+}
+
+/// Whether a caller may use a route.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Access {
+    /// Without a workspace.
+    Open,
+    /// For a workspace.
+    Granted(Workspace),
+    /// The key is unknown or missing.
+    Denied,
+}
+
+/// A configuration, ready for look-ups.
+#[derive(Clone, Debug, Default)]
+pub struct Table {
+    declared: Declared,
+    hosts: HashMap<Box<str>, Vec<Arc<Route>>>,
+    keys: HashMap<Box<str>, Workspace>,
+    services: HashMap<ServiceName, ServiceSpec>,
+}
+
+impl Table {
+    /// Sorts a configuration for look-ups.
+    pub fn new(declared: Declared) -> Self {
+        let mut hosts: HashMap<Box<str>, Vec<Arc<Route>>> = HashMap::new();
+        for route in &declared.routes {
+            let host = route.host.to_ascii_lowercase().into();
+            hosts.entry(host).or_default().push(Arc::new(route.clone()));
+        }
+        for routes in hosts.values_mut() {
+            routes.sort_by_key(|route| core::cmp::Reverse(route.prefix.len()));
+        }
+        let workspaces = declared.workspaces.iter().flatten();
+        let keys = workspaces.flat_map(keys_of).collect();
+        let services = declared.services.iter();
+        let services = services.map(|s| (s.name.clone(), s.clone())).collect();
+        Self {
+            declared,
+            hosts,
+            keys,
+            services,
+        }
+    }
+
+    /// The version; 0 before any configuration is known.
+    pub const fn version(&self) -> u64 {
+        self.declared.version
+    }
+
+    /// The configuration itself.
+    pub const fn declared(&self) -> &Declared {
+        &self.declared
+    }
+
+    /// Bounds on what callers may send.
+    pub const fn limits(&self) -> Limits {
+        self.declared.limits
+    }
+
+    /// The route with the longest prefix that begins the path.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let routes = match self.hosts.get(name) {
+            Some(routes) => routes,
+            None => self.hosts.get(name.to_ascii_lowercase().as_str())?,
+        };
+        routes.iter().find(|route| path.starts_with(&*route.prefix))
+    }
+
+    /// Whether a caller with a key may use a route.
+    pub fn access(&self, route: &Route, key: Option<&str>) -> Access {
+        let known = key.and_then(|key| self.keys.get(key));
+        match known {
+            Some(workspace) => Access::Granted(workspace.clone()),
+            None if route.open || self.declared.workspaces.is_none() => Access::Open,
+            None => Access::Denied,
+        }
+    }
+
+    /// A service by name.
+    pub fn service(&self, name: &ServiceName) -> Option<&ServiceSpec> {
+        self.services.get(name)
+    }
+
+    /// The service that a call goes to, by the weights of its route.
+    pub fn target<'a>(&self, route: &'a Route, call: &str) -> Option<&'a ServiceName> {
+        let total: u64 = route.targets.iter().map(|t| u64::from(t.weight)).sum();
+        if total == 0 {
+            return route.targets.first().map(|target| &target.service);
+        }
+        let mut point = hash_text(call) % total;
+        route.targets.iter().find_map(|target| {
+            let weight = u64::from(target.weight);
+            if point < weight {
+                return Some(&target.service);
+            }
+            point -= weight;
+            None
+        })
+    }
+}
+
+fn keys_of(spec: &WorkspaceSpec) -> impl Iterator<Item = (Box<str>, Workspace)> {
+    let workspace = Workspace {
+        name: spec.name.clone(),
+        priority: spec.priority,
+    };
+    spec.keys
+        .iter()
+        .map(move |key| (key.clone(), workspace.clone()))
+}
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,7 +1,10 @@
 //! The entry VM's process.
 
-use clap::Parser;
+mod relay;
+
+use clap::{Args, CommandFactory as _, Parser, Subcommand};
 use core::net::SocketAddr;
+use poplarswitch_adapter::SETTINGS_VARIABLE;
 use poplarswitch_node::{Node, Setup};
 use poplarswitch_settings::{Secrets, Settings};
 use signal_hook::{
@@ -14,8 +17,30 @@
 
 /// Routes calls to model engines and plain services by class, tier and load.
 #[derive(Debug, Parser)]
-#[command(version)]
+#[command(version, args_conflicts_with_subcommands = true)]
 struct Options {
+    #[command(subcommand)]
+    command: Option<Command>,
+    #[command(flatten)]
+    node: Option<NodeOptions>,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Run as a relay on the operators' platform, whose settings file is named by the
+    /// environment.
+    Relay {
+        /// The settings file of the platform, in place of the one that the environment names.
+        #[arg(long, value_name = "FILE", env = SETTINGS_VARIABLE)]
+        settings: PathBuf,
+        /// Check the settings, print them in the project's own form, and end.
+        #[arg(long)]
+        print_settings: bool,
+    },
+}
+
+#[derive(Debug, Args)]
+struct NodeOptions {
     /// The settings of the process, in JSON.
     #[arg(long, value_name = "FILE")]
     settings: PathBuf,
@@ -35,6 +60,20 @@
 
 fn main() -> ExitCode {
     let options = Options::parse();
+    if let Some(Command::Relay {
+        settings,
+        print_settings,
+    }) = options.command
+    {
+        return relay::run(&settings, print_settings);
+    }
+    let Some(options) = options.node else {
+        let missing = Options::command().error(
+            clap::error::ErrorKind::MissingRequiredArgument,
+            "--settings <FILE> or a subcommand is required",
+        );
+        missing.exit();
+    };
     tracing_subscriber::fmt()
         .with_env_filter(EnvFilter::try_from_default_env().unwrap_or_else(|_| "info".into()))
         .with_writer(std::io::stderr)
@@ -48,7 +87,7 @@
     }
 }
 
-fn run(options: &Options) -> Result<ExitCode, Whatever> {
+fn run(options: &NodeOptions) -> Result<ExitCode, Whatever> {
     let settings = read(options)?;
     if options.print_settings {
         println!("{}", settings.print());
@@ -71,7 +110,7 @@
     Ok(ExitCode::SUCCESS)
 }
 
-fn read(options: &Options) -> Result<Settings, Whatever> {
+fn read(options: &NodeOptions) -> Result<Settings, Whatever> {
     let mut settings = Settings::read(&options.settings).whatever_context("settings")?;
     if let Some(vm) = &options.vm {
         settings.vm = vm.as_str().into();
--- /dev/null
+++ b/crates/node/src/relay.rs
@@ -0,0 +1,47 @@
+//! The process as a relay on the operators' platform.
+
+use poplarswitch_adapter::{Adapter, read_settings};
+use poplarswitch_relay::{RelaySettings, init_logs};
+use std::{path::Path, process::ExitCode, sync::Arc};
+
+/// Runs the relay until it has left.
+pub(crate) fn run(path: &Path, print: bool) -> ExitCode {
+    let settings = match read_settings(path) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("{error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    if print {
+        return print_settings(&settings);
+    }
+    let logs = init_logs();
+    let reload = || read_settings(path).map_err(|error| error.to_string());
+    let ended = poplarswitch_relay::run(settings, Arc::new(Adapter), reload);
+    let code = match &ended {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            tracing::error!(event = "failed", %error, "process");
+            ExitCode::FAILURE
+        }
+    };
+    logs.flush();
+    code
+}
+
+fn print_settings(settings: &RelaySettings) -> ExitCode {
+    let errors = settings.check();
+    for error in &errors {
+        eprintln!("{error}");
+    }
+    match settings.print() {
+        Ok(text) => println!("{text}"),
+        Err(error) => eprintln!("{error}"),
+    }
+    if errors.is_empty() {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
--- /dev/null
+++ b/crates/relay/src/dialect.rs
@@ -0,0 +1,223 @@
+//! The port to a deployment's protocol.
+//!
+//! An adapter knows the names and formats on the wire and decides nothing. Everything that it
+//! reads comes out as types of ours.
+
+use bytes::Bytes;
+use core::{fmt, net::Ipv4Addr, net::SocketAddr, time::Duration};
+use http::{HeaderMap, HeaderName, Method, StatusCode};
+use poplarswitch_entity::{EndpointName, VmName};
+use poplarswitch_ingress::{Call, Declared, Entry};
+
+/// A head that is not a call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BadHead {
+    /// What is wrong, and where.
+    pub reason: String,
+}
+
+impl fmt::Display for BadHead {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.reason)
+    }
+}
+
+/// What an endpoint is told beside the caller's own words.
+#[derive(Clone, Copy, Debug)]
+pub struct Order<'a> {
+    /// The endpoint that must answer.
+    pub endpoint: &'a EndpointName,
+    /// The caller's workspace.
+    pub workspace: Option<&'a str>,
+    /// Rank among calls, 0 first.
+    pub priority: Option<u8>,
+    /// How long the endpoint may work on it.
+    pub left: Duration,
+    /// The last event that the caller has; the answer goes on after it.
+    pub resume: Option<&'a str>,
+}
+
+/// What the head of an endpoint's answer says.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Sign {
+    /// The endpoint says that it didn't run the call.
+    pub not_run: bool,
+    /// The answer comes from another process than the call was meant for.
+    pub displaced: bool,
+    /// The answer bears the endpoint's signature.
+    pub sealed: bool,
+    /// The answer names another call.
+    pub foreign: bool,
+    /// Idle time after which the endpoint closes the connection.
+    pub keep: Option<Duration>,
+}
+
+/// A question to this VM, other than a call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Question {
+    /// Whether it takes calls.
+    Ready,
+    /// Which addresses a caller should use.
+    Addresses {
+        /// Where the caller stands.
+        data_centre: Option<String>,
+    },
+}
+
+/// An entry VM in the platform.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct VmEntry {
+    /// Its name.
+    pub name: VmName,
+    /// Its address.
+    pub ip: Ipv4Addr,
+    /// Where it stands.
+    pub data_centre: String,
+}
+
+/// A call to the platform.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StoreCall {
+    /// Read the configuration.
+    ReadSet,
+    /// Wait for a configuration after a revision.
+    WatchSet {
+        /// The revision.
+        after: u64,
+        /// The longest wait.
+        wait: Duration,
+    },
+    /// List the endpoints whose names follow one.
+    ListEndpoints {
+        /// The last name of the page before.
+        after: Option<String>,
+    },
+    /// Wait for changes of endpoints after a revision.
+    WatchEndpoints {
+        /// The revision.
+        after: u64,
+        /// The longest wait.
+        wait: Duration,
+    },
+    /// List the entry VMs.
+    ListVms,
+    /// Create the entry of this VM.
+    AddVm(VmEntry),
+    /// Replace the entry of this VM.
+    PutVm(VmEntry),
+    /// Remove an entry VM.
+    RemoveVm(VmName),
+}
+
+impl StoreCall {
+    /// The time that the platform may hold the call back.
+    pub const fn wait(&self) -> Duration {
+        match self {
+            Self::WatchSet { wait, .. } | Self::WatchEndpoints { wait, .. } => *wait,
+            _ => Duration::ZERO,
+        }
+    }
+
+    /// A short name for logs.
+    pub const fn name(&self) -> &'static str {
+        match self {
+            Self::ReadSet => "read_set",
+            Self::WatchSet { .. } => "watch_set",
+            Self::ListEndpoints { .. } => "list_endpoints",
+            Self::WatchEndpoints { .. } => "watch_endpoints",
+            Self::ListVms => "list_vms",
+            Self::AddVm(_) => "add_vm",
+            Self::PutVm(_) => "put_vm",
+            Self::RemoveVm(_) => "remove_vm",
+        }
+    }
+}
+
+/// A call to the platform in its own form.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoreRequest {
+    /// The method.
+    pub method: Method,
+    /// Path and query.
+    pub path: String,
+    /// The body; empty for none.
+    pub body: Bytes,
+}
+
+/// What the platform answered.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StoreReply {
+    /// The configuration as of a revision, if it changed or was read.
+    Set {
+        /// The configuration.
+        declared: Option<Box<Declared>>,
+        /// The platform's revision.
+        revision: u64,
+    },
+    /// Endpoints as of a revision.
+    Endpoints {
+        /// Those that are new, changed or listed.
+        entries: Vec<Entry>,
+        /// Those that are gone, or whose entries can't be used, and since which revision.
+        removed: Vec<(EndpointName, u64)>,
+        /// What was wrong with entries that can't be used.
+        errors: Vec<String>,
+        /// The name after which the next page begins.
+        more: Option<String>,
+        /// The platform's revision.
+        revision: u64,
+    },
+    /// The entry VMs.
+    Vms(Vec<VmEntry>),
+    /// The history that a watch asked for is gone.
+    HistoryGone,
+    /// The write was done.
+    Done,
+    /// The write's condition didn't hold; nothing was done.
+    Conflict,
+    /// Nothing was done.
+    Refused(StatusCode),
+}
+
+/// The protocol of a deployment.
+pub trait Dialect: fmt::Debug + Send + Sync {
+    /// Reads the head of a call.
+    ///
+    /// # Errors
+    ///
+    /// Names the header that can't be used.
+    fn call(&self, headers: &HeaderMap) -> Result<Call, BadHead>;
+
+    /// Takes out what callers may not tell endpoints.
+    fn strip(&self, headers: &mut HeaderMap);
+
+    /// Adds what the endpoint is told.
+    fn address(&self, headers: &mut HeaderMap, order: &Order<'_>);
+
+    /// Reads the head of an endpoint's answer to a call.
+    fn sign(&self, status: StatusCode, headers: &HeaderMap, call: &str) -> Sign;
+
+    /// The header in which answers name the call.
+    fn call_header(&self) -> HeaderName;
+
+    /// Reads a question.
+    fn question(&self, method: &Method, path: &str, query: Option<&str>) -> Option<Question>;
+
+    /// The answer to a question for addresses.
+    fn addresses(&self, addresses: &[SocketAddr], ttl: Duration) -> Bytes;
+
+    /// Writes a call to the platform.
+    fn store_request(&self, call: &StoreCall) -> StoreRequest;
+
+    /// Reads the platform's answer.
+    ///
+    /// # Errors
+    ///
+    /// Says what can't be read.
+    fn store_reply(
+        &self,
+        call: &StoreCall,
+        status: StatusCode,
+        body: &[u8],
+    ) -> Result<StoreReply, String>;
+}
--- /dev/null
+++ b/crates/relay/src/feed.rs
@@ -0,0 +1,209 @@
+//! News between VMs: a question and its answer over HTTP, coded by `ciborium`.
+
+use crate::{
+    clock,
+    reader::apply,
+    shared::Shared,
+    tcp::{self, OpenError, Sender},
+};
+use bytes::Bytes;
+use core::{
+    net::{Ipv4Addr, SocketAddr},
+    time::Duration,
+};
+use http::{Request, Response};
+use http_body_util::{BodyExt as _, Full, Limited};
+use poplarswitch_entity::Time;
+use poplarswitch_ingress::{Cursor, FeedAsk, FeedReply};
+use snafu::{ResultExt as _, Snafu};
+use std::sync::Arc;
+use tokio::time::{sleep, timeout};
+
+/// Time for which a question may wait for news.
+const WAIT: Duration = Duration::from_millis(800);
+/// Time for the answer beyond that.
+const ANSWER_WITHIN: Duration = Duration::from_millis(400);
+/// Time for a new connection.
+const CONNECT_WITHIN: Duration = Duration::from_millis(300);
+/// Time between questions when nobody is to be asked.
+const IDLE_LOOK: Duration = Duration::from_millis(150);
+/// Pause after each answer, which joins changes that come together.
+const PAUSE: Duration = Duration::from_millis(40);
+/// Largest question or answer: a configuration and all endpoints.
+const MESSAGE_BYTES: usize = 4 << 20;
+
+/// Why a VM gave no news.
+#[derive(Debug, Snafu)]
+enum AskError {
+    #[snafu(display("{source}"))]
+    Unreached { source: OpenError },
+    #[snafu(display("ask {peer}: no answer in time"))]
+    Silent { peer: SocketAddr },
+    #[snafu(display("ask {peer}: {source}"))]
+    Broken {
+        peer: SocketAddr,
+        source: hyper::Error,
+    },
+    #[snafu(display("ask {peer}: {reason}"))]
+    Unreadable { peer: SocketAddr, reason: String },
+}
+
+/// Answers a question of another VM.
+pub(crate) async fn answer(shared: &Shared, arrived: Time, body: &[u8]) -> Response<Full<Bytes>> {
+    let ask: FeedAsk = match ciborium::from_reader(body) {
+        Ok(ask) => ask,
+        Err(error) => {
+            tracing::warn!(event = "unreadable", %error, "feed");
+            let mut response = Response::default();
+            *response.status_mut() = http::StatusCode::BAD_REQUEST;
+            return response;
+        }
+    };
+    let mut changes = shared.changes();
+    let wait = sleep(Duration::from_millis(u64::from(ask.wait)).min(WAIT));
+    tokio::pin!(wait);
+    while shared.cursor() == ask.cursor {
+        tokio::select! {
+            () = &mut wait => break,
+            changed = changes.changed() => if changed.is_err() { break },
+        }
+    }
+    let reply = news(shared, arrived, ask.cursor);
+    let mut bytes = Vec::new();
+    if let Err(error) = ciborium::into_writer(&reply, &mut bytes) {
+        tracing::warn!(event = "unwritable", %error, "feed");
+    }
+    Response::new(Full::new(bytes.into()))
+}
+
+fn news(shared: &Shared, arrived: Time, known: Cursor) -> FeedReply {
+    let table = shared.table.load_full();
+    let newer = table.version() > known.version;
+    let core = shared.core();
+    let proved = core.freshness.proved();
+    let proof = proved.map(|at| at.0.cast_signed() - arrived.0.cast_signed());
+    let revision = core.fleet.revision();
+    let (complete, entries, removed) = if revision <= known.revision {
+        (false, Vec::new(), Vec::new())
+    } else {
+        match core.fleet.since(arrived, known.revision) {
+            Some((entries, removed)) => (false, entries, removed),
+            None => (true, core.fleet.entries(), core.fleet.lapsed(arrived)),
+        }
+    };
+    FeedReply {
+        cursor: Cursor {
+            version: table.version(),
+            revision,
+        },
+        proof,
+        declared: newer.then(|| table.declared().clone()),
+        complete,
+        entries,
+        removed,
+    }
+}
+
+/// Asks other VMs for news, for as long as the process runs.
+pub(crate) async fn follow(shared: Arc<Shared>) {
+    let mut link: Option<(Ipv4Addr, Sender)> = None;
+    loop {
+        let Some(peer) = next_peer(&shared) else {
+            sleep(IDLE_LOOK).await;
+            continue;
+        };
+        let kept = link.take().filter(|(ip, sender)| *ip == peer && sender.is_ready());
+        match ask(&shared, peer, kept.map(|(_, sender)| sender)).await {
+            Ok((sender, useful)) => {
+                link = Some((peer, sender));
+                if !useful {
+                    shared.core().sources.avoid(clock::now(), peer);
+                }
+                sleep(PAUSE).await;
+            }
+            Err(error) => {
+                tracing::warn!(event = "failed", %peer, %error, "feed");
+                shared.core().sources.avoid(clock::now(), peer);
+            }
+        }
+    }
+}
+
+fn next_peer(shared: &Shared) -> Option<Ipv4Addr> {
+    let now = clock::now();
+    let core = shared.core();
+    let me = core.roster.me();
+    let order = core.roster.neighbours(now);
+    let mut others: Vec<Ipv4Addr> = core.roster.alive(now).map(|member| member.ip).collect();
+    others.sort_unstable_by_key(|ip| ip.to_bits() ^ me.to_bits().rotate_left(7));
+    core.sources.peer(now, me, &order, &others, core.freshness.age(now))
+}
+
+/// Asks one VM; returns its connection, and whether its view is newer than this VM's.
+async fn ask(
+    shared: &Shared,
+    ip: Ipv4Addr,
+    kept: Option<Sender>,
+) -> Result<(Sender, bool), AskError> {
+    let peer = SocketAddr::new(ip.into(), shared.settings.listen.peers.port());
+    let mut sender = match kept {
+        Some(sender) => sender,
+        None => tcp::open(peer, CONNECT_WITHIN).await.context(UnreachedSnafu)?,
+    };
+    let question = FeedAsk {
+        cursor: shared.cursor(),
+        wait: WAIT.as_millis() as u32,
+    };
+    let mut bytes = Vec::new();
+    ciborium::into_writer(&question, &mut bytes).map_err(|error| AskError::Unreadable {
+        peer,
+        reason: error.to_string(),
+    })?;
+    let asked = clock::now();
+    let exchange = async {
+        let request = Request::post("/feed")
+            .header(http::header::HOST, peer.to_string())
+            .body(Full::new(Bytes::from(bytes)))
+            .unwrap_or_default();
+        let response = sender.send_request(request).await.context(BrokenSnafu { peer })?;
+        let body = Limited::new(response.into_body(), MESSAGE_BYTES).collect().await;
+        body.map(http_body_util::Collected::to_bytes).map_err(|error| AskError::Unreadable {
+            peer,
+            reason: error.to_string(),
+        })
+    };
+    let body = timeout(WAIT + ANSWER_WITHIN, exchange)
+        .await
+        .unwrap_or(Err(AskError::Silent { peer }))?;
+    let reply: FeedReply =
+        ciborium::from_reader(body.as_ref()).map_err(|error| AskError::Unreadable {
+            peer,
+            reason: error.to_string(),
+        })?;
+    Ok((sender, take(shared, asked, reply)))
+}
+
+fn take(shared: &Shared, asked: Time, reply: FeedReply) -> bool {
+    let before = shared.core().freshness.proved();
+    let mut core = shared.core();
+    let mut changes = Vec::new();
+    if !reply.complete {
+        changes.extend(reply.entries.into_iter().flat_map(|entry| core.fleet.upsert(entry)));
+    } else if reply.cursor.revision >= core.fleet.revision() {
+        changes = core.fleet.replace(reply.entries, reply.cursor.revision, None);
+    }
+    for removal in reply.removed {
+        let grace = removal.grace.map(|left| asked + Duration::from_millis(u64::from(left)));
+        changes.extend(core.fleet.remove(&removal.name, removal.revision, grace));
+    }
+    core.fleet.advance(reply.cursor.revision);
+    drop(core);
+    shared.note_fleet(&changes, "peer");
+    if let Some(offset) = reply.proof
+        && reply.cursor.version >= shared.table.load().version()
+    {
+        let proved = Time(asked.0.saturating_add_signed(offset));
+        apply(shared, reply.declared, proved, "peer");
+    }
+    shared.core().freshness.proved() > before
+}
--- /dev/null
+++ b/crates/relay/src/lib.rs
@@ -0,0 +1,43 @@
+//! The relay between callers and endpoints.
+//!
+//! One asynchronous process on each entry VM: callers' connections on one side, kept connections
+//! to endpoints on the other, and beside them a view of configuration, endpoints and other VMs.
+//! All decisions are made by the `ingress` package; this one moves bytes, keeps time and writes
+//! down what was decided. The names of a deployment's protocol are behind [`Dialect`].
+
+mod attempt;
+mod beats;
+mod callers;
+mod clock;
+mod dialect;
+mod events;
+mod feed;
+mod logs;
+mod metrics;
+mod pool;
+mod questions;
+mod reader;
+mod record;
+mod reply;
+mod run;
+mod seat;
+mod serve;
+mod settings;
+mod shared;
+mod store;
+mod stream;
+mod tcp;
+mod watched;
+
+#[cfg(test)]
+mod events_tests;
+#[cfg(test)]
+mod logs_tests;
+
+pub use clock::now;
+pub use dialect::{
+    BadHead, Dialect, Order, Question, Sign, StoreCall, StoreReply, StoreRequest, VmEntry,
+};
+pub use logs::{LogWriter, init_logs};
+pub use run::{StartError, run};
+pub use settings::{Bounds, Listen, RelaySettings};
--- /dev/null
+++ b/crates/relay/src/logs.rs
@@ -0,0 +1,158 @@
+//! Structured lines on the standard output.
+//!
+//! Lines go into a buffer of bounded size and rate; a thread of its own writes it out in batches.
+//! No task ever waits for the output: a line that finds no room is dropped and counted, and the
+//! count is written as soon as there is room.
+
+use core::time::Duration;
+use std::{
+    io::{self, Write},
+    sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError},
+    thread,
+    time::Instant,
+};
+use tracing_subscriber::{EnvFilter, fmt::MakeWriter};
+
+/// Bytes that may wait to be written.
+const WAITING_BYTES: usize = 256 << 10;
+/// Bytes that may be written in a second, on average.
+const BYTES_PER_SECOND: f64 = 64.0 * 1024.0;
+/// Time for which lines are collected.
+const BATCH: Duration = Duration::from_millis(250);
+/// Time that the end of the process waits for the last lines.
+const FLUSH_WITHIN: Duration = Duration::from_millis(150);
+
+#[derive(Debug)]
+struct Waiting {
+    bytes: Vec<u8>,
+    dropped: u64,
+    allowance: f64,
+    refilled: Instant,
+    writing: bool,
+}
+
+#[derive(Debug)]
+struct Buffer {
+    waiting: Mutex<Waiting>,
+    filled: Condvar,
+    written: Condvar,
+}
+
+/// Hands lines to the writing thread.
+#[derive(Clone, Debug)]
+pub struct LogWriter(Arc<Buffer>);
+
+impl LogWriter {
+    /// Starts the writing thread.
+    pub fn start(output: impl Write + Send + 'static) -> Self {
+        let buffer = Arc::new(Buffer {
+            waiting: Mutex::new(Waiting {
+                bytes: Vec::new(),
+                dropped: 0,
+                allowance: WAITING_BYTES as f64,
+                refilled: Instant::now(),
+                writing: false,
+            }),
+            filled: Condvar::new(),
+            written: Condvar::new(),
+        });
+        let writer = Self(buffer);
+        let other = writer.clone();
+        thread::spawn(move || other.drain(output));
+        writer
+    }
+
+    /// Waits a short time for the lines to be written.
+    pub fn flush(&self) {
+        let waiting = self.lock();
+        let done = |w: &mut Waiting| w.writing || !w.bytes.is_empty();
+        // Lines that aren't out by now are lost with the process, as after a kill.
+        let _late = self.0.written.wait_timeout_while(waiting, FLUSH_WITHIN + BATCH, done);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Waiting> {
+        self.0.waiting.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn take(&self, line: &[u8]) {
+        let mut waiting = self.lock();
+        let gone = waiting.refilled.elapsed().as_secs_f64();
+        waiting.refilled = Instant::now();
+        let filled = waiting.allowance + gone * BYTES_PER_SECOND;
+        waiting.allowance = filled.min(WAITING_BYTES as f64);
+        let room = waiting.bytes.len() + line.len() <= WAITING_BYTES;
+        if !room || waiting.allowance < line.len() as f64 {
+            waiting.dropped += 1;
+            return;
+        }
+        waiting.allowance -= line.len() as f64;
+        let idle = waiting.bytes.is_empty();
+        waiting.bytes.extend_from_slice(line);
+        drop(waiting);
+        if idle {
+            self.0.filled.notify_one();
+        }
+    }
+
+    fn drain(&self, mut output: impl Write) {
+        loop {
+            let waiting = self.lock();
+            let empty = |w: &mut Waiting| w.bytes.is_empty();
+            let waiting = self.0.filled.wait_while(waiting, empty);
+            drop(waiting.unwrap_or_else(PoisonError::into_inner));
+            thread::sleep(BATCH);
+            let mut waiting = self.lock();
+            let bytes = core::mem::take(&mut waiting.bytes);
+            let dropped = core::mem::take(&mut waiting.dropped);
+            waiting.writing = true;
+            drop(waiting);
+            // Nobody reads the output if this fails; the next batch tries again.
+            let _unread = output.write_all(&bytes);
+            if dropped > 0 {
+                let line = format!("{{\"level\":\"WARN\",\"event\":\"lines_dropped\",\"lines\":{dropped}}}\n");
+                let _unread = output.write_all(line.as_bytes());
+            }
+            let _unread = output.flush();
+            self.lock().writing = false;
+            self.0.written.notify_all();
+        }
+    }
+}
+
+/// Collects one line.
+#[derive(Debug)]
+pub struct Line<'a> {
+    writer: &'a LogWriter,
+}
+
+impl Write for Line<'_> {
+    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+        self.writer.take(line);
+        Ok(line.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+impl<'a> MakeWriter<'a> for LogWriter {
+    type Writer = Line<'a>;
+
+    fn make_writer(&'a self) -> Self::Writer {
+        Line { writer: self }
+    }
+}
+
+/// Sends all log lines, as JSON, to the standard output.
+pub fn init_logs() -> LogWriter {
+    let writer = LogWriter::start(io::stdout());
+    tracing_subscriber::fmt()
+        .json()
+        .flatten_event(true)
+        .with_target(false)
+        .with_env_filter(EnvFilter::try_from_default_env().unwrap_or_else(|_| "info".into()))
+        .with_writer(writer.clone())
+        .init();
+    writer
+}
--- /dev/null
+++ b/crates/relay/src/reader.rs
@@ -0,0 +1,322 @@
+//! Reads configuration and endpoints from the platform.
+//!
+//! Runs on every VM and works only while [`poplarswitch_ingress::Sources`] says that this VM
+//! reads the platform itself. The configuration is watched with short waits, because the moment
+//! at which a watch was sent is the proof that the configuration is the newest. Endpoints are
+//! watched with longer ones.
+
+use crate::{
+    StoreCall, StoreReply, clock,
+    shared::Shared,
+    store::{StoreClient, StoreError},
+};
+use core::time::Duration;
+use poplarswitch_entity::Time;
+use poplarswitch_ingress::{Declared, Entry, Table};
+use poplarswitch_platform::Backoff;
+use std::sync::{
+    Arc,
+    atomic::{AtomicU64, Ordering},
+};
+use tokio::time::sleep;
+
+/// Wait of a watch on the configuration; bounds the age of the proof.
+const SET_WAIT: Duration = Duration::from_millis(1_000);
+/// Wait of a watch on endpoints; a cut is noticed by the other watch.
+const ENDPOINTS_WAIT: Duration = Duration::from_millis(2_000);
+/// Time between looks whether this VM must read.
+const IDLE_LOOK: Duration = Duration::from_millis(150);
+/// Longest wait after failures: the store's return must be noticed within its bounds.
+const LONGEST_BACKOFF: Duration = Duration::from_millis(700);
+/// Time after the platform's return within which lapsed entries of live endpoints are back.
+const LAPSE_GRACE: Duration = Duration::from_millis(2_100);
+
+/// What both watches know of the platform.
+#[derive(Debug, Default)]
+pub(crate) struct Outage {
+    /// When a call last failed, and when one was first answered after it; in microseconds.
+    failed: AtomicU64,
+    back: AtomicU64,
+}
+
+impl Outage {
+    fn note_failure(&self) {
+        self.failed.store(clock::now().0, Ordering::Relaxed);
+        self.back.store(0, Ordering::Relaxed);
+    }
+
+    fn note_answer(&self) {
+        if self.back.load(Ordering::Relaxed) == 0 {
+            self.back.store(clock::now().0, Ordering::Relaxed);
+        }
+    }
+
+    /// Until when entries that are missing may only have lapsed.
+    fn grace(&self, now: Time) -> Option<Time> {
+        if self.failed.load(Ordering::Relaxed) == 0 {
+            return None;
+        }
+        let back = match self.back.load(Ordering::Relaxed) {
+            0 => now,
+            at => Time(at),
+        };
+        let until = back + LAPSE_GRACE;
+        (until > now).then_some(until)
+    }
+}
+
+/// The reader of one VM.
+#[derive(Debug)]
+pub(crate) struct Reader {
+    shared: Arc<Shared>,
+    store: Arc<StoreClient>,
+    outage: Outage,
+}
+
+impl Reader {
+    pub(crate) fn new(shared: Arc<Shared>, store: Arc<StoreClient>) -> Self {
+        Self {
+            shared,
+            store,
+            outage: Outage::default(),
+        }
+    }
+
+    /// Whether this VM reads the platform itself.
+    fn reads(&self) -> bool {
+        let now = clock::now();
+        let core = self.shared.core();
+        let order = core.roster.neighbours(now);
+        core.sources.reads(core.roster.me(), &order, core.freshness.age(now))
+    }
+
+    /// Keeps the configuration up to date.
+    pub(crate) async fn follow_set(self: Arc<Self>) {
+        let mut watched = None;
+        let mut backoff = Backoff::new(self.shared.draw());
+        loop {
+            if !self.reads() {
+                watched = None;
+                sleep(IDLE_LOOK).await;
+                continue;
+            }
+            let call = match watched {
+                Some(after) => StoreCall::WatchSet {
+                    after,
+                    wait: SET_WAIT,
+                },
+                None => StoreCall::ReadSet,
+            };
+            let sent = clock::now();
+            match self.call(&call).await {
+                Some(StoreReply::Set { declared, revision }) => {
+                    backoff.reset();
+                    watched = Some(revision);
+                    apply(&self.shared, declared.map(|d| *d), sent, "platform");
+                }
+                Some(StoreReply::HistoryGone) => watched = None,
+                _ => {
+                    sleep(backoff.next_wait().min(LONGEST_BACKOFF)).await;
+                }
+            }
+        }
+    }
+
+    /// Keeps the endpoints up to date.
+    pub(crate) async fn follow_endpoints(self: Arc<Self>) {
+        // A view that came from a neighbour is as good a start as a listing.
+        let mut listed = true;
+        let mut backoff = Backoff::new(self.shared.draw());
+        loop {
+            if !self.reads() {
+                listed = true;
+                sleep(IDLE_LOOK).await;
+                continue;
+            }
+            let done = if listed && self.shared.core().fleet.revision() > 0 {
+                self.watch_endpoints(&mut listed).await
+            } else {
+                listed = self.list_endpoints().await;
+                listed
+            };
+            if done {
+                backoff.reset();
+            } else {
+                sleep(backoff.next_wait().min(LONGEST_BACKOFF)).await;
+            }
+        }
+    }
+
+    async fn watch_endpoints(&self, listed: &mut bool) -> bool {
+        let after = self.shared.core().fleet.revision();
+        let call = StoreCall::WatchEndpoints {
+            after,
+            wait: ENDPOINTS_WAIT,
+        };
+        match self.call(&call).await {
+            Some(StoreReply::Endpoints {
+                entries,
+                removed,
+                errors,
+                revision,
+                ..
+            }) => {
+                report(&errors);
+                let grace = self.outage.grace(clock::now());
+                let mut core = self.shared.core();
+                let mut changes = Vec::new();
+                for entry in entries {
+                    changes.extend(core.fleet.upsert(entry));
+                }
+                for (name, at) in removed {
+                    changes.extend(core.fleet.remove(&name, at, grace));
+                }
+                core.fleet.advance(revision);
+                drop(core);
+                self.shared.note_fleet(&changes, "platform");
+                true
+            }
+            Some(StoreReply::HistoryGone) => {
+                tracing::info!(event = "history_gone", after, "platform");
+                *listed = false;
+                true
+            }
+            _ => false,
+        }
+    }
+
+    async fn list_endpoints(&self) -> bool {
+        let mut all: Vec<Entry> = Vec::new();
+        let mut after = None;
+        let mut first = None;
+        loop {
+            let reply = self.call(&StoreCall::ListEndpoints { after }).await;
+            let Some(StoreReply::Endpoints {
+                entries,
+                errors,
+                more,
+                revision,
+                ..
+            }) = reply
+            else {
+                return false;
+            };
+            report(&errors);
+            all.extend(entries);
+            // What changes between two pages is seen by a watch from the first page's revision.
+            let first = *first.get_or_insert(revision);
+            match more {
+                Some(name) => after = Some(name),
+                None => {
+                    let grace = self.outage.grace(clock::now());
+                    let changes = self.shared.core().fleet.replace(all, first, grace);
+                    self.shared.note_fleet(&changes, "platform");
+                    return true;
+                }
+            }
+        }
+    }
+
+    async fn call(&self, call: &StoreCall) -> Option<StoreReply> {
+        self.shared.metrics.platform_calls.inc();
+        let was_out = self.outage.grace(clock::now()).is_some();
+        match self.store.call(call).await {
+            Ok(StoreReply::Refused(status)) => {
+                self.fail(call, was_out, &format!("status {status}"));
+                None
+            }
+            Ok(reply) => {
+                self.outage.note_answer();
+                Some(reply)
+            }
+            Err(error) => {
+                self.fail(call, was_out, &error.to_string());
+                None
+            }
+        }
+    }
+
+    fn fail(&self, call: &StoreCall, was_out: bool, reason: &str) {
+        self.shared.metrics.platform_failures.inc();
+        self.outage.note_failure();
+        if !was_out {
+            tracing::warn!(event = "lost", call = call.name(), reason, "platform");
+        }
+    }
+}
+
+/// Registers this VM, and learns of the others.
+pub(crate) async fn introduce(shared: Arc<Shared>, store: Arc<StoreClient>) {
+    let settings = &shared.settings;
+    let me = crate::VmEntry {
+        name: settings.vm.clone(),
+        ip: shared.core().roster.me(),
+        data_centre: settings.data_centre.to_string(),
+    };
+    let mut backoff = Backoff::new(shared.draw());
+    let mut call = StoreCall::AddVm(me.clone());
+    loop {
+        shared.metrics.platform_calls.inc();
+        match store.call(&call).await {
+            Ok(StoreReply::Done) => break,
+            Ok(StoreReply::Conflict) => call = StoreCall::PutVm(me.clone()),
+            result => {
+                log_write(&call, &result);
+                sleep(backoff.next_wait()).await;
+            }
+        }
+    }
+    loop {
+        shared.metrics.platform_calls.inc();
+        match store.call(&StoreCall::ListVms).await {
+            Ok(StoreReply::Vms(vms)) => {
+                let mut core = shared.core();
+                for vm in vms {
+                    let place = shared.settings.place(&vm.data_centre);
+                    core.roster.introduce(vm.ip, place);
+                }
+                return;
+            }
+            result => {
+                log_write(&StoreCall::ListVms, &result);
+                sleep(backoff.next_wait()).await;
+            }
+        }
+    }
+}
+
+fn log_write(call: &StoreCall, result: &Result<StoreReply, StoreError>) {
+    tracing::warn!(event = "failed", call = call.name(), ?result, "platform");
+}
+
+/// Brings a configuration into force if it is newer, and takes the proof of its freshness.
+pub(crate) fn apply(
+    shared: &Shared,
+    declared: Option<Declared>,
+    proved: Time,
+    source: &'static str,
+) {
+    let current = shared.table.load().version();
+    if let Some(declared) = declared {
+        let version = declared.version;
+        if version > current {
+            let routes = declared.routes.len();
+            shared.table.store(Arc::new(Table::new(declared)));
+            tracing::info!(event = "applied", version, before = current, routes, source, "set");
+        } else if version < current {
+            // A reply that was overtaken proves nothing of the version in force.
+            tracing::warn!(event = "ignored", version, current, source, "set");
+            return;
+        }
+    }
+    let newer = shared.core().freshness.prove(proved);
+    if newer {
+        shared.announce();
+    }
+}
+
+fn report(errors: &[String]) {
+    for error in errors {
+        tracing::warn!(event = "unusable", error, "endpoint");
+    }
+}
--- /dev/null
+++ b/crates/relay/src/shared.rs
@@ -0,0 +1,199 @@
+//! What all tasks of the process share.
+//!
+//! Calls read the configuration through a read-copy-update pointer. The cores are behind one
+//! lock that is held for single decisions only, never across a wait.
+
+use crate::{Dialect, clock, metrics::Metrics, pool::Pool, settings::RelaySettings};
+use arc_swap::ArcSwap;
+use core::{net::Ipv4Addr, time::Duration};
+use poplarswitch_entity::Time;
+use poplarswitch_ingress::{
+    Budget, Cursor, Demand, Fleet, FleetChange, Freshness, Gate, Leaving, Phase, Roster, Share,
+    Sides, Sources, Stage, Table,
+};
+use rand::{Rng as _, SeedableRng as _};
+use rand_pcg::Pcg64Mcg;
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicUsize, Ordering},
+    },
+};
+use tokio::sync::watch;
+
+/// Multiple of the addresses' time to live for which callers may use them.
+const ADDRESS_LIVES: u32 = 3;
+/// Time for which callers should keep addresses: short, so that a VM that fails is soon unused.
+const ADDRESS_TTL: Duration = Duration::from_millis(1_500);
+
+/// The cores.
+#[derive(Debug)]
+pub(crate) struct Core {
+    pub(crate) fleet: Fleet,
+    pub(crate) freshness: Freshness,
+    pub(crate) budget: Budget,
+    pub(crate) gate: Gate,
+    pub(crate) roster: Roster,
+    pub(crate) sides: Sides,
+    pub(crate) demand: Demand,
+    pub(crate) leaving: Leaving,
+    pub(crate) sources: Sources,
+    pub(crate) draws: Pcg64Mcg,
+    /// Open calls of other VMs by endpoint, and when they told them.
+    pub(crate) told: HashMap<Ipv4Addr, (Time, Vec<(u32, u16)>)>,
+}
+
+/// What all tasks share.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub(crate) settings: RelaySettings,
+    pub(crate) dialect: Arc<dyn Dialect>,
+    pub(crate) table: ArcSwap<Table>,
+    pub(crate) pool: Pool,
+    pub(crate) metrics: Metrics,
+    in_flight: AtomicUsize,
+    core: Mutex<Core>,
+    changes: watch::Sender<u64>,
+}
+
+impl Shared {
+    pub(crate) fn new(settings: RelaySettings, dialect: Arc<dyn Dialect>) -> Self {
+        let bounds = settings.bounds;
+        let revocation = bounds.revoke_ms.map(Duration::from_millis);
+        let me = match settings.listen.peers.ip() {
+            core::net::IpAddr::V4(ip) => ip,
+            core::net::IpAddr::V6(_) => Ipv4Addr::UNSPECIFIED,
+        };
+        let place = settings.place(settings.data_centre.as_str()).unwrap_or(u8::MAX);
+        let start = clock::unix_millis();
+        let share = Share {
+            ratio: bounds.retry_ratio,
+            allowance: bounds.retry_allowance,
+            window: Duration::from_millis(bounds.retry_window_ms),
+        };
+        let mut roster = Roster::new(me, place, start);
+        for seed in &settings.seeds {
+            roster.introduce(*seed, None);
+        }
+        let core = Core {
+            fleet: Fleet::default(),
+            freshness: Freshness::new(revocation),
+            budget: Budget::new(share),
+            gate: Gate::new(settings.memory),
+            roster,
+            sides: Sides::default(),
+            demand: Demand::default(),
+            leaving: Leaving::new(settings.grace(), ADDRESS_TTL * ADDRESS_LIVES),
+            sources: Sources::default(),
+            draws: Pcg64Mcg::seed_from_u64(start ^ u64::from(me.to_bits())),
+            told: HashMap::new(),
+        };
+        Self {
+            settings,
+            dialect,
+            table: ArcSwap::from_pointee(Table::default()),
+            pool: Pool::default(),
+            metrics: Metrics::default(),
+            in_flight: AtomicUsize::new(0),
+            core: Mutex::new(core),
+            changes: watch::Sender::new(0),
+        }
+    }
+
+    /// The cores, for one decision.
+    pub(crate) fn core(&self) -> MutexGuard<'_, Core> {
+        // A task that panicked has changed single fields at most; the others must go on.
+        self.core.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Wakes those who wait for a change of configuration, endpoints or freshness.
+    pub(crate) fn announce(&self) {
+        self.changes.send_modify(|serial| *serial += 1);
+    }
+
+    /// Wakes on changes.
+    pub(crate) fn changes(&self) -> watch::Receiver<u64> {
+        self.changes.subscribe()
+    }
+
+    /// What this VM knows.
+    pub(crate) fn cursor(&self) -> Cursor {
+        Cursor {
+            version: self.table.load().version(),
+            revision: self.core().fleet.revision(),
+        }
+    }
+
+    /// What this VM says of itself.
+    pub(crate) fn phase(&self, now: Time) -> Phase {
+        let known = self.table.load().version() > 0;
+        let core = self.core();
+        if core.leaving.is_leaving() {
+            Phase::Leaving
+        } else if known && core.freshness.holds(now) {
+            Phase::Ready
+        } else {
+            Phase::Starting
+        }
+    }
+
+    /// Where this VM stands on its way out.
+    pub(crate) fn stage(&self, now: Time) -> Stage {
+        self.core().leaving.stage(now, self.in_flight())
+    }
+
+    /// Calls in flight.
+    pub(crate) fn in_flight(&self) -> usize {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+
+    /// Counts a call until the guard is dropped.
+    pub(crate) fn enter(self: &Arc<Self>) -> InFlight {
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+        InFlight(Arc::clone(self))
+    }
+
+    /// How long callers should keep addresses.
+    pub(crate) fn address_ttl(&self) -> Duration {
+        ADDRESS_TTL.min(Duration::from_millis(self.settings.bounds.ttl_ms))
+    }
+
+    /// Takes changes of the fleet: drops connections that lead nowhere, and writes them down.
+    pub(crate) fn note_fleet(&self, changes: &[FleetChange], source: &'static str) {
+        if changes.is_empty() {
+            return;
+        }
+        for change in changes {
+            let (key, event) = match change {
+                FleetChange::Joined(key) => (*key, "joined"),
+                FleetChange::Draining(key) => (*key, "draining"),
+                FleetChange::Left(key) => {
+                    self.pool.forget(*key);
+                    (*key, "left")
+                }
+            };
+            let core = self.core();
+            let revision = core.fleet.revision();
+            let name = core.fleet.get(key).map(|e| e.entry.name.to_string());
+            drop(core);
+            tracing::info!(event, endpoint = name, ?key, revision, source, "endpoint");
+        }
+        self.announce();
+    }
+
+    /// A random number.
+    pub(crate) fn draw(&self) -> u64 {
+        self.core().draws.next_u64()
+    }
+}
+
+/// Counts a call in flight until it is dropped.
+#[derive(Debug)]
+pub(crate) struct InFlight(Arc<Shared>);
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- a/crates/wire/src/error.rs
+++ b/crates/wire/src/error.rs
@@ -86,6 +86,8 @@
     Busy,
     /// The VM has no set of objects yet.
     NoSet,
+    /// The VM can't prove that its set is the newest.
+    StaleSet,
     /// The endpoint ran the call and failed.
     Failed,
     /// The call may have run.
@@ -118,6 +120,7 @@
             Self::Leaving => "leaving",
             Self::Busy => "busy",
             Self::NoSet => "no_set",
+            Self::StaleSet => "stale_set",
             Self::Failed => "failed",
             Self::InDoubt => "in_doubt",
         }
@@ -141,6 +144,7 @@
             | Self::Leaving
             | Self::Busy
             | Self::NoSet
+            | Self::StaleSet
             | Self::HomeUnreached => 503,
             Self::Failed => 502,
             Self::InDoubt => 504,
@@ -177,7 +181,8 @@
             | Self::Overload
             | Self::Leaving
             | Self::Busy
-            | Self::NoSet => Step::Admit,
+            | Self::NoSet
+            | Self::StaleSet => Step::Admit,
             Self::WaitExpired | Self::NoEndpoint => Step::Queue,
             Self::Failed | Self::InDoubt => Step::Run,
         }
@@ -210,6 +215,7 @@
             Self::Leaving => "this VM is leaving; use another address",
             Self::Busy => "this VM holds as many calls as it may",
             Self::NoSet => "this VM has no configuration yet",
+            Self::StaleSet => "this VM can't prove that its configuration is the newest",
             Self::Failed => "the endpoint ran the call and failed",
             Self::InDoubt => "the call may or may not have run",
         }
