--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -127,7 +127,13 @@
             self.tries.run += u32::from(outcome.may_have_run());
             let now = clock::now();
             let left = self.task.until.since(now);
-            let next = decide(self.task.route.kind, self.task.route.attempts, self.tries, outcome, left);
+            let next = decide(
+                self.task.route.kind,
+                self.task.route.attempts,
+                self.tries,
+                outcome,
+                left,
+            );
             tracing::info!(
                 event = "missed",
                 id = &*self.task.call.id,
@@ -233,14 +239,17 @@
         drop(core);
         choice.ok_or_else(|| {
             let after = self.shared.core().gate.refuse(now, &self.task.call.id);
-            self.unrun(ErrorCode::NoEndpoint, self.task.service.as_str()).retry(after)
+            self.unrun(ErrorCode::NoEndpoint, self.task.service.as_str())
+                .retry(after)
         })
     }
 
     fn resting(&self, key: EndpointKey) -> bool {
         let now = clock::now();
         let core = self.shared.core();
-        core.fleet.get(key).is_none_or(|endpoint| endpoint.health.is_resting(now))
+        core.fleet
+            .get(key)
+            .is_none_or(|endpoint| endpoint.health.is_resting(now))
     }
 
     /// How long to wait for the head of an answer before another endpoint is tried.
@@ -272,7 +281,8 @@
         self.record.reason = reason_name(choice.reason);
         self.record.attempts += 1;
         let seat = Seat::take(&self.shared, key, self.reading(choice.reason));
-        let fresh = fresh || !self.task.route.kind.is_idempotent() && !self.task.route.kind.is_stream();
+        let fresh =
+            fresh || !self.task.route.kind.is_idempotent() && !self.task.route.kind.is_stream();
         let lease = self.shared.pool.acquire(key, address, fresh).await;
         let lease = lease.map_err(|error| {
             self.note(key, |health, now| health.note_unreachable(now));
@@ -284,13 +294,19 @@
         let started = clock::now();
         // Opening the connection took time in which the process may have stood still.
         if self.recheck(started).is_err() || self.place(key).is_none() {
-            return Err(Missed::new(Outcome::NotSent, "the configuration changed meanwhile"));
+            return Err(Missed::new(
+                Outcome::NotSent,
+                "the configuration changed meanwhile",
+            ));
         }
         let left = self.task.until.since(started);
         let request = self.request(&name, left, resume);
         let (response, sender) = self.exchange(key, lease, request, left).await?;
         let (head, body) = response.into_parts();
-        let sign = self.shared.dialect.sign(head.status, &head.headers, &self.task.call.id);
+        let sign = self
+            .shared
+            .dialect
+            .sign(head.status, &head.headers, &self.task.call.id);
         self.judge(key, &head, &sign)?;
         let open = Open {
             head,
@@ -328,10 +344,19 @@
             return 0;
         };
         let own = prompt.parts.last().map_or(prompt.input, |part| part.tokens);
-        u64::from(if reason == Reason::Session { own } else { prompt.input })
+        u64::from(if reason == Reason::Session {
+            own
+        } else {
+            prompt.input
+        })
     }
 
-    fn request(&self, name: &EndpointName, left: Duration, resume: Option<&str>) -> Request<Full<Bytes>> {
+    fn request(
+        &self,
+        name: &EndpointName,
+        left: Duration,
+        resume: Option<&str>,
+    ) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.task.body.clone()));
         *request.method_mut() = self.task.method.clone();
         *request.uri_mut() = self.task.uri.clone();
@@ -369,7 +394,11 @@
                 self.note(key, |health, now| {
                     health.note_failure(now);
                 });
-                let outcome = if unsent { Outcome::NotSent } else { Outcome::Doubtful };
+                let outcome = if unsent {
+                    Outcome::NotSent
+                } else {
+                    Outcome::Doubtful
+                };
                 Err(Missed::new(outcome, cause))
             }
             Err(_elapsed) => {
@@ -386,7 +415,10 @@
     fn judge(&self, key: EndpointKey, head: &response::Parts, sign: &Sign) -> Result<(), Missed> {
         let status = head.status;
         if sign.foreign {
-            return Err(Missed::new(Outcome::Doubtful, "the answer names another call"));
+            return Err(Missed::new(
+                Outcome::Doubtful,
+                "the answer names another call",
+            ));
         }
         if sign.displaced {
             self.note(key, |health, now| health.note_unreachable(now));
@@ -438,13 +470,19 @@
                 self.note(key, |health, now| {
                     health.note_failure(now);
                 });
-                Err(Missed::new(Outcome::Doubtful, format!("the answer broke off: {error}")))
+                Err(Missed::new(
+                    Outcome::Doubtful,
+                    format!("the answer broke off: {error}"),
+                ))
             }
             Err(_elapsed) => {
                 self.note(key, |health, now| {
                     health.note_failure(now);
                 });
-                Err(Missed::new(Outcome::Doubtful, "the answer didn't end in time"))
+                Err(Missed::new(
+                    Outcome::Doubtful,
+                    "the answer didn't end in time",
+                ))
             }
         }
     }
@@ -467,7 +505,13 @@
         let name = endpoint.entry.name.clone();
         drop(core);
         if rests {
-            tracing::info!(event = "rests", endpoint = name.as_str(), failing, id = &*self.task.call.id, "endpoint");
+            tracing::info!(
+                event = "rests",
+                endpoint = name.as_str(),
+                failing,
+                id = &*self.task.call.id,
+                "endpoint"
+            );
         }
     }
 }
--- a/crates/relay/src/beats.rs
+++ b/crates/relay/src/beats.rs
@@ -29,7 +29,11 @@
         let now = clock::now();
         let phase = tick(&shared, now);
         if last != Some(phase) {
-            let age = shared.core().freshness.age(now).map(|age| age.as_millis() as u64);
+            let age = shared
+                .core()
+                .freshness
+                .age(now)
+                .map(|age| age.as_millis() as u64);
             let version = shared.table.load().version();
             tracing::info!(event = "phase", ?phase, version, proof_ms = age, "vm");
         }
@@ -69,9 +73,16 @@
 /// Moves the boundary between long and short prompts to where the demand of all VMs puts it.
 fn balance_sides(shared: &Shared, now: Time) {
     let table = shared.table.load();
-    let engines = table.declared().services.iter().filter(|s| s.engine.is_some());
+    let engines = table
+        .declared()
+        .services
+        .iter()
+        .filter(|s| s.engine.is_some());
     let mut core = shared.core();
-    let total = engines.map(|s| core.fleet.takers(&s.name).len()).max().unwrap_or(0);
+    let total = engines
+        .map(|s| core.fleet.takers(&s.name).len())
+        .max()
+        .unwrap_or(0);
     let mut sum = core.demand.at(now);
     for member in core.roster.alive(now) {
         if let Some((long, short, at)) = member.demand {
@@ -100,10 +111,17 @@
     let (beat, receivers) = {
         let mut core = shared.core();
         let demand = core.demand.at(now);
-        let mut beat = core.roster.beat(now, phase, (demand.long as f32, demand.short as f32));
+        let mut beat = core
+            .roster
+            .beat(now, phase, (demand.long as f32, demand.short as f32));
         let open = core.fleet.iter().filter(|(_, endpoint)| endpoint.open > 0);
         let mut open: Vec<(u32, u16)> = open
-            .map(|(_, endpoint)| (short(endpoint.rank), endpoint.open.min(u32::from(u16::MAX)) as u16))
+            .map(|(_, endpoint)| {
+                (
+                    short(endpoint.rank),
+                    endpoint.open.min(u32::from(u16::MAX)) as u16,
+                )
+            })
             .collect();
         open.sort_unstable_by_key(|(_, count)| core::cmp::Reverse(*count));
         open.truncate(OPEN_MOST);
@@ -125,7 +143,10 @@
     let port = shared.settings.listen.peers.port();
     for ip in receivers {
         // A beat that can't be sent is like one that is lost; the next one follows soon.
-        if let Err(error) = socket.send_to(&bytes, SocketAddr::new(ip.into(), port)).await {
+        if let Err(error) = socket
+            .send_to(&bytes, SocketAddr::new(ip.into(), port))
+            .await
+        {
             tracing::debug!(%ip, %error, "send a beat");
         }
     }
--- a/crates/relay/src/callers.rs
+++ b/crates/relay/src/callers.rs
@@ -126,7 +126,10 @@
     match port {
         Port::Peers => {
             let arrived = clock::now();
-            match Limited::new(request.into_body(), QUESTION_BYTES).collect().await {
+            match Limited::new(request.into_body(), QUESTION_BYTES)
+                .collect()
+                .await
+            {
                 Ok(body) => feed::answer(shared, arrived, &body.to_bytes()).await,
                 Err(error) => {
                     tracing::warn!(event = "unreadable", %error, "feed");
--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -45,8 +45,14 @@
 
 /// The place after the last blank line.
 fn last_end(bytes: &[u8]) -> Option<usize> {
-    let plain = bytes.windows(2).rposition(|w| w == b"\n\n").map(|at| at + 2);
-    let carriage = bytes.windows(4).rposition(|w| w == b"\r\n\r\n").map(|at| at + 4);
+    let plain = bytes
+        .windows(2)
+        .rposition(|w| w == b"\n\n")
+        .map(|at| at + 2);
+    let carriage = bytes
+        .windows(4)
+        .rposition(|w| w == b"\r\n\r\n")
+        .map(|at| at + 4);
     plain.max(carriage)
 }
 
--- a/crates/relay/src/feed.rs
+++ b/crates/relay/src/feed.rs
@@ -112,7 +112,9 @@
             sleep(IDLE_LOOK).await;
             continue;
         };
-        let kept = link.take().filter(|(ip, sender)| *ip == peer && sender.is_ready());
+        let kept = link
+            .take()
+            .filter(|(ip, sender)| *ip == peer && sender.is_ready());
         match ask(&shared, peer, kept.map(|(_, sender)| sender)).await {
             Ok((sender, useful)) => {
                 link = Some((peer, sender));
@@ -136,7 +138,8 @@
     let order = core.roster.neighbours(now);
     let mut others: Vec<Ipv4Addr> = core.roster.alive(now).map(|member| member.ip).collect();
     others.sort_unstable_by_key(|ip| ip.to_bits() ^ me.to_bits().rotate_left(7));
-    core.sources.peer(now, me, &order, &others, core.freshness.age(now))
+    core.sources
+        .peer(now, me, &order, &others, core.freshness.age(now))
 }
 
 /// Asks one VM; returns its connection, and whether its view is newer than this VM's.
@@ -148,7 +151,9 @@
     let peer = SocketAddr::new(ip.into(), shared.settings.listen.peers.port());
     let mut sender = match kept {
         Some(sender) => sender,
-        None => tcp::open(peer, CONNECT_WITHIN).await.context(UnreachedSnafu)?,
+        None => tcp::open(peer, CONNECT_WITHIN)
+            .await
+            .context(UnreachedSnafu)?,
     };
     let question = FeedAsk {
         cursor: shared.cursor(),
@@ -165,12 +170,18 @@
             .header(http::header::HOST, peer.to_string())
             .body(Full::new(Bytes::from(bytes)))
             .unwrap_or_default();
-        let response = sender.send_request(request).await.context(BrokenSnafu { peer })?;
-        let body = Limited::new(response.into_body(), MESSAGE_BYTES).collect().await;
-        body.map(http_body_util::Collected::to_bytes).map_err(|error| AskError::Unreadable {
-            peer,
-            reason: error.to_string(),
-        })
+        let response = sender
+            .send_request(request)
+            .await
+            .context(BrokenSnafu { peer })?;
+        let body = Limited::new(response.into_body(), MESSAGE_BYTES)
+            .collect()
+            .await;
+        body.map(http_body_util::Collected::to_bytes)
+            .map_err(|error| AskError::Unreadable {
+                peer,
+                reason: error.to_string(),
+            })
     };
     let body = timeout(WAIT + ANSWER_WITHIN, exchange)
         .await
@@ -188,12 +199,21 @@
     let mut core = shared.core();
     let mut changes = Vec::new();
     if !reply.complete {
-        changes.extend(reply.entries.into_iter().flat_map(|entry| core.fleet.upsert(entry)));
+        changes.extend(
+            reply
+                .entries
+                .into_iter()
+                .flat_map(|entry| core.fleet.upsert(entry)),
+        );
     } else if reply.cursor.revision >= core.fleet.revision() {
-        changes = core.fleet.replace(reply.entries, reply.cursor.revision, None);
+        changes = core
+            .fleet
+            .replace(reply.entries, reply.cursor.revision, None);
     }
     for removal in reply.removed {
-        let grace = removal.grace.map(|left| asked + Duration::from_millis(u64::from(left)));
+        let grace = removal
+            .grace
+            .map(|left| asked + Duration::from_millis(u64::from(left)));
         changes.extend(core.fleet.remove(&removal.name, removal.revision, grace));
     }
     core.fleet.advance(reply.cursor.revision);
--- a/crates/relay/src/logs.rs
+++ b/crates/relay/src/logs.rs
@@ -67,11 +67,17 @@
         let waiting = self.lock();
         let done = |w: &mut Waiting| w.writing || !w.bytes.is_empty();
         // Lines that aren't out by now are lost with the process, as after a kill.
-        let _late = self.0.written.wait_timeout_while(waiting, FLUSH_WITHIN + BATCH, done);
+        let _late = self
+            .0
+            .written
+            .wait_timeout_while(waiting, FLUSH_WITHIN + BATCH, done);
     }
 
     fn lock(&self) -> MutexGuard<'_, Waiting> {
-        self.0.waiting.lock().unwrap_or_else(PoisonError::into_inner)
+        self.0
+            .waiting
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 
     fn take(&self, line: &[u8]) {
@@ -109,7 +115,9 @@
             // Nobody reads the output if this fails; the next batch tries again.
             let _unread = output.write_all(&bytes);
             if dropped > 0 {
-                let line = format!("{{\"level\":\"WARN\",\"event\":\"lines_dropped\",\"lines\":{dropped}}}\n");
+                let line = format!(
+                    "{{\"level\":\"WARN\",\"event\":\"lines_dropped\",\"lines\":{dropped}}}\n"
+                );
                 let _unread = output.write_all(line.as_bytes());
             }
             let _unread = output.flush();
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -72,14 +72,38 @@
     fn register(&mut self) {
         let registry = &mut self.registry;
         registry.register("calls", "Calls that ended", self.calls.clone());
-        registry.register("first_seconds", "Time to the first byte", self.first.clone());
+        registry.register(
+            "first_seconds",
+            "Time to the first byte",
+            self.first.clone(),
+        );
         registry.register("call_seconds", "Time of a call", self.lasted.clone());
         for (name, help, counter) in [
-            ("endpoint_connections", "New connections to endpoints", &self.connections),
-            ("repeats_unpaid", "Repeats that the budget forbade", &self.budget_spent),
-            ("platform_calls", "Calls to the platform", &self.platform_calls),
-            ("platform_failures", "Calls without an answer", &self.platform_failures),
-            ("bad_datagrams", "Datagrams that aren't beats", &self.bad_datagrams),
+            (
+                "endpoint_connections",
+                "New connections to endpoints",
+                &self.connections,
+            ),
+            (
+                "repeats_unpaid",
+                "Repeats that the budget forbade",
+                &self.budget_spent,
+            ),
+            (
+                "platform_calls",
+                "Calls to the platform",
+                &self.platform_calls,
+            ),
+            (
+                "platform_failures",
+                "Calls without an answer",
+                &self.platform_failures,
+            ),
+            (
+                "bad_datagrams",
+                "Datagrams that aren't beats",
+                &self.bad_datagrams,
+            ),
         ] {
             registry.register(name, help, counter.clone());
         }
@@ -88,13 +112,19 @@
     /// The first byte of an answer went out.
     pub(crate) fn first(&self, route: &str, seconds: f64) {
         let route = route.to_owned();
-        self.first.get_or_create(&RouteLabel { route }).observe(seconds);
+        self.first
+            .get_or_create(&RouteLabel { route })
+            .observe(seconds);
     }
 
     /// A call ended.
     pub(crate) fn end(&self, route: &str, outcome: &'static str, seconds: f64) {
         let route = route.to_owned();
-        self.lasted.get_or_create(&RouteLabel { route: route.clone() }).observe(seconds);
+        self.lasted
+            .get_or_create(&RouteLabel {
+                route: route.clone(),
+            })
+            .observe(seconds);
         self.calls.get_or_create(&EndLabel { route, outcome }).inc();
     }
 
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -64,7 +64,9 @@
         if sender.is_closed() {
             return;
         }
-        let idle = stated.map_or(IDLE_MOST, |stated| (stated * STATED_PERCENT / 100).min(IDLE_MOST));
+        let idle = stated.map_or(IDLE_MOST, |stated| {
+            (stated * STATED_PERCENT / 100).min(IDLE_MOST)
+        });
         let now = clock::now();
         let mut lanes = self.lanes();
         let lane = lanes.entry(key).or_default();
--- a/crates/relay/src/questions.rs
+++ b/crates/relay/src/questions.rs
@@ -14,7 +14,10 @@
 pub(crate) fn answer<B>(shared: &Shared, request: &Request<B>) -> Response<Full<Bytes>> {
     let uri = request.uri();
     let now = clock::now();
-    match shared.dialect.question(request.method(), uri.path(), uri.query()) {
+    match shared
+        .dialect
+        .question(request.method(), uri.path(), uri.query())
+    {
         Some(Question::Ready) => empty(if shared.phase(now) == Phase::Ready {
             StatusCode::OK
         } else {
@@ -23,13 +26,18 @@
         Some(Question::Addresses { data_centre }) => {
             let ready = shared.phase(now) == Phase::Ready;
             let place = data_centre.and_then(|name| shared.settings.place(&name));
-            let found = shared.core().roster.answer(now, place, ready, ADDRESSES_MOST);
+            let found = shared
+                .core()
+                .roster
+                .answer(now, place, ready, ADDRESSES_MOST);
             if found.is_empty() {
                 return empty(StatusCode::SERVICE_UNAVAILABLE);
             }
             let port = shared.settings.listen.callers.port();
-            let found: Vec<SocketAddr> =
-                found.into_iter().map(|ip| SocketAddr::new(ip.into(), port)).collect();
+            let found: Vec<SocketAddr> = found
+                .into_iter()
+                .map(|ip| SocketAddr::new(ip.into(), port))
+                .collect();
             json(shared.dialect.addresses(&found, shared.address_ttl()))
         }
         None => empty(StatusCode::NOT_FOUND),
--- a/crates/relay/src/reader.rs
+++ b/crates/relay/src/reader.rs
@@ -87,7 +87,8 @@
         let now = clock::now();
         let core = self.shared.core();
         let order = core.roster.neighbours(now);
-        core.sources.reads(core.roster.me(), &order, core.freshness.age(now))
+        core.sources
+            .reads(core.roster.me(), &order, core.freshness.age(now))
     }
 
     /// Keeps the configuration up to date.
@@ -302,7 +303,14 @@
         if version > current {
             let routes = declared.routes.len();
             shared.table.store(Arc::new(Table::new(declared)));
-            tracing::info!(event = "applied", version, before = current, routes, source, "set");
+            tracing::info!(
+                event = "applied",
+                version,
+                before = current,
+                routes,
+                source,
+                "set"
+            );
         } else if version < current {
             // A reply that was overtaken proves nothing of the version in force.
             tracing::warn!(event = "ignored", version, current, source, "set");
--- a/crates/relay/src/record.rs
+++ b/crates/relay/src/record.rs
@@ -66,7 +66,9 @@
     fn drop(&mut self) {
         let now = clock::now();
         let lasted = now.since(self.arrived);
-        self.shared.metrics.end(&self.route, self.outcome, lasted.as_secs_f64());
+        self.shared
+            .metrics
+            .end(&self.route, self.outcome, lasted.as_secs_f64());
         let proof = self.shared.core().freshness.age(now);
         tracing::info!(
             event = self.outcome,
@@ -79,7 +81,9 @@
             reason = self.reason,
             attempts = self.attempts,
             resumed = self.resumed,
-            first_ms = self.first.map(|first| first.since(self.arrived).as_millis() as u64),
+            first_ms = self
+                .first
+                .map(|first| first.since(self.arrived).as_millis() as u64),
             ms = lasted.as_millis() as u64,
             cause = self.cause,
             "call"
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -71,7 +71,10 @@
     if !errors.is_empty() {
         return Err(StartError::Settings { errors });
     }
-    let runtime = Builder::new_current_thread().enable_all().build().context(RuntimeSnafu)?;
+    let runtime = Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context(RuntimeSnafu)?;
     runtime.block_on(live(settings, dialect, reload))
 }
 
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -108,8 +108,14 @@
     let service = table.target(route, &call.id).cloned();
     let service = service.ok_or_else(|| Failure::new(ErrorCode::NoEndpoint, vm))?;
     admit(shared, &service, &call)?;
-    let rank = workspace.as_ref().and_then(|w| w.priority).unwrap_or(route.priority);
-    let wait = call.deadline.unwrap_or(LONGEST).min(route.timeout.unwrap_or(LONGEST));
+    let rank = workspace
+        .as_ref()
+        .and_then(|w| w.priority)
+        .unwrap_or(route.priority);
+    let wait = call
+        .deadline
+        .unwrap_or(LONGEST)
+        .min(route.timeout.unwrap_or(LONGEST));
     shared.dialect.strip(&mut head.headers);
     strip_hops(&mut head);
     Ok(Task {
@@ -164,7 +170,11 @@
     core.budget.note_call(now, service);
     if let Some(prompt) = &call.prompt {
         let own = prompt.parts.last().map_or(prompt.input, |part| part.tokens);
-        let unread = if Side::of(prompt) == Side::Long { own } else { prompt.input };
+        let unread = if Side::of(prompt) == Side::Long {
+            own
+        } else {
+            prompt.input
+        };
         core.demand.note(now, prompt, unread);
     }
     match core.gate.admit(now, in_flight, &call.id) {
@@ -199,7 +209,10 @@
 }
 
 fn host_of(head: &request::Parts) -> Option<Box<str>> {
-    let named = head.headers.get(header::HOST).and_then(|host| host.to_str().ok());
+    let named = head
+        .headers
+        .get(header::HOST)
+        .and_then(|host| host.to_str().ok());
     named.or_else(|| head.uri.host()).map(Into::into)
 }
 
@@ -242,7 +255,10 @@
             job.record.begin(clock::now());
             let outcome = outcome_of(head.status);
             job.record.end(outcome, head.status.as_u16());
-            let bodyless = matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+            let bodyless = matches!(
+                head.status,
+                StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
+            );
             let mut response = respond(head, ReplyBody::whole(bytes, guards));
             if bodyless {
                 response.headers_mut().remove(header::CONTENT_LENGTH);
@@ -259,7 +275,11 @@
 
 /// What the end of an answer is called in logs and metrics.
 pub(crate) fn outcome_of(status: StatusCode) -> &'static str {
-    if status.is_success() { "answered" } else { "endpoint_failed" }
+    if status.is_success() {
+        "answered"
+    } else {
+        "endpoint_failed"
+    }
 }
 
 fn respond(mut head: response::Parts, body: ReplyBody) -> Response<ReplyBody> {
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -77,7 +77,10 @@
         let mut errors = Vec::new();
         let bounds = &self.bounds;
         if !self.data_centres.contains(&self.data_centre) {
-            errors.push(format!("data_centre: {} is not in data_centres", self.data_centre));
+            errors.push(format!(
+                "data_centre: {} is not in data_centres",
+                self.data_centre
+            ));
         }
         if self.listen.peers.is_ipv6() {
             errors.push("listen.peers: must be an IPv4 address".to_owned());
@@ -86,7 +89,10 @@
             errors.push(format!("memory: {} bytes are too few", self.memory));
         }
         if !(0.0..=10.0).contains(&bounds.retry_ratio) {
-            errors.push(format!("bounds.retry_ratio: {} is not 0 to 10", bounds.retry_ratio));
+            errors.push(format!(
+                "bounds.retry_ratio: {} is not 0 to 10",
+                bounds.retry_ratio
+            ));
         }
         if !(0.0..=1e9).contains(&bounds.retry_allowance) {
             errors.push("bounds.retry_allowance: must not be negative".to_owned());
@@ -106,7 +112,10 @@
 
     /// The index of a data centre in their sorted order, by which VMs name it to each other.
     pub fn place(&self, name: &str) -> Option<u8> {
-        let place = self.data_centres.iter().position(|dc| dc.as_str() == name)?;
+        let place = self
+            .data_centres
+            .iter()
+            .position(|dc| dc.as_str() == name)?;
         u8::try_from(place).ok()
     }
 
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -65,7 +65,9 @@
             core::net::IpAddr::V4(ip) => ip,
             core::net::IpAddr::V6(_) => Ipv4Addr::UNSPECIFIED,
         };
-        let place = settings.place(settings.data_centre.as_str()).unwrap_or(u8::MAX);
+        let place = settings
+            .place(settings.data_centre.as_str())
+            .unwrap_or(u8::MAX);
         let start = clock::unix_millis();
         let share = Share {
             ratio: bounds.retry_ratio,
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -87,14 +87,18 @@
         let kept = self.lock().pop();
         let mut sender = match kept.filter(Sender::is_ready) {
             Some(sender) => sender,
-            None => tcp::open(peer, CONNECT_WITHIN).await.context(UnreachedSnafu { step })?,
+            None => tcp::open(peer, CONNECT_WITHIN)
+                .await
+                .context(UnreachedSnafu { step })?,
         };
         let response = sender
             .send_request(self.request(call))
             .await
             .context(BrokenSnafu { step, peer })?;
         let status = response.status();
-        let body = Limited::new(response.into_body(), ANSWER_BYTES).collect().await;
+        let body = Limited::new(response.into_body(), ANSWER_BYTES)
+            .collect()
+            .await;
         let body = body.map_err(|error| StoreError::Unreadable {
             step,
             peer,
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -114,7 +114,12 @@
     /// Passes on what one endpoint sends.
     async fn part(&mut self, open: &mut Open) -> Part {
         let until = Instant::now() + self.job.task.until.since(clock::now());
-        let silence = self.job.task.route.pause.map_or(SILENT, |pause| pause * SILENT_PAUSES);
+        let silence = self
+            .job
+            .task
+            .route
+            .pause
+            .map_or(SILENT, |pause| pause * SILENT_PAUSES);
         loop {
             let silent = match &self.events {
                 Some(_) => Instant::now() + silence,
