Rank calls by workspace, and among equals by route

Ruled out: a wrong header (the log showed rank 0 or 1 for every class). Change: Table::rank orders by workspace, then route; the record names the rank.

--- a/crates/ingress/src/table.rs
+++ b/crates/ingress/src/table.rs
@@ -6,7 +6,10 @@
 use crate::declared::{Declared, Limits, RouteSpec, ServiceSpec, WorkspaceSpec};
 use crate::hash::hash_text;
 use poplarswitch_entity::{ServiceName, WorkspaceName};
-use std::{collections::HashMap, sync::Arc};
+use std::{
+    collections::{BTreeSet, HashMap},
+    sync::Arc,
+};
 
 /// A route in force.
 pub type Route = RouteSpec;
@@ -31,10 +34,15 @@
     Denied,
 }
 
+/// The last rank that engines know.
+const LAST_RANK: usize = 9;
+
 /// A configuration, ready for look-ups.
 #[derive(Clone, Debug, Default)]
 pub struct Table {
     declared: Declared,
+    /// Pairs of workspace's and route's priority that occur, most urgent first.
+    ranks: Vec<(u8, u8)>,
     hosts: HashMap<Box<str>, Vec<Arc<Route>>>,
     keys: HashMap<Box<str>, Workspace>,
     services: HashMap<ServiceName, ServiceSpec>,
@@ -56,6 +64,7 @@
         let services = declared.services.iter();
         let services = services.map(|s| (s.name.clone(), s.clone())).collect();
         Self {
+            ranks: ranks(&declared),
             declared,
             hosts,
             keys,
@@ -98,6 +107,19 @@
         }
     }
 
+    /// The rank of a call among all others, 0 first: by its workspace's priority, and among
+    /// equals by its route's. Engines know few ranks, so only pairs that occur count.
+    pub fn rank(&self, route: &Route, workspace: Option<&Workspace>) -> u8 {
+        let pair = pair(workspace.and_then(|w| w.priority), route);
+        let place = self.ranks.partition_point(|other| *other < pair);
+        let last = self.ranks.len().saturating_sub(1).max(1);
+        if last <= LAST_RANK {
+            place as u8
+        } else {
+            (place * LAST_RANK / last) as u8
+        }
+    }
+
     /// A service by name.
     pub fn service(&self, name: &ServiceName) -> Option<&ServiceSpec> {
         self.services.get(name)
@@ -121,6 +143,21 @@
     }
 }
 
+fn pair(workspace: Option<u8>, route: &Route) -> (u8, u8) {
+    (workspace.unwrap_or(route.priority), route.priority)
+}
+
+fn ranks(declared: &Declared) -> Vec<(u8, u8)> {
+    let stated = declared.workspaces.iter().flatten().map(|w| w.priority);
+    let stated: BTreeSet<Option<u8>> = stated.chain([None]).collect();
+    let pairs = declared
+        .routes
+        .iter()
+        .flat_map(|route| stated.iter().map(|w| pair(*w, route)));
+    let pairs: BTreeSet<(u8, u8)> = pairs.collect();
+    pairs.into_iter().collect()
+}
+
 fn keys_of(spec: &WorkspaceSpec) -> impl Iterator<Item = (Box<str>, Workspace)> {
     let workspace = Workspace {
         name: spec.name.clone(),
--- a/crates/relay/src/record.rs
+++ b/crates/relay/src/record.rs
@@ -18,6 +18,7 @@
     pub(crate) version: u64,
     pub(crate) endpoint: Box<str>,
     pub(crate) reason: &'static str,
+    pub(crate) priority: u8,
     pub(crate) attempts: u32,
     pub(crate) resumed: u32,
     pub(crate) status: u16,
@@ -37,6 +38,7 @@
             version,
             endpoint: "".into(),
             reason: "",
+            priority: 0,
             attempts: 0,
             resumed: 0,
             status: 0,
@@ -79,6 +81,7 @@
             proof_ms = proof.map(|age| age.as_millis() as u64),
             endpoint = &*self.endpoint,
             reason = self.reason,
+            priority = self.priority,
             attempts = self.attempts,
             resumed = self.resumed,
             first_ms = self
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -24,8 +24,6 @@
 const LONGEST: Duration = Duration::from_secs(60);
 /// When a caller should try another VM because this one leaves or knows too little.
 const ELSEWHERE: Duration = Duration::from_millis(50);
-/// Most urgent rank that endpoints know, and least urgent one.
-const LAST_RANK: u8 = 9;
 
 /// Serves one call.
 pub(crate) async fn serve(
@@ -108,10 +106,7 @@
     let service = table.target(route, &call.id).cloned();
     let service = service.ok_or_else(|| Failure::new(ErrorCode::NoEndpoint, vm))?;
     admit(shared, &service, &call)?;
-    let rank = workspace
-        .as_ref()
-        .and_then(|w| w.priority)
-        .unwrap_or(route.priority);
+    record.priority = table.rank(route, workspace.as_ref());
     let wait = call
         .deadline
         .unwrap_or(LONGEST)
@@ -127,7 +122,7 @@
         body,
         host,
         workspace: workspace.map(|w| w.name.as_str().into()),
-        priority: rank.min(LAST_RANK),
+        priority: record.priority,
         until: arrived + wait,
         call,
     })
