Leave a neighbour whose reads of the platform fail at once

Cause: freshness was known for the configuration only. Change: endpoints have a proof of their own; a reader whose call fails says so and its followers ask the next one, which reads; answers come as soon as a proof is newer, so followers don't read for themselves.

--- a/crates/ingress/src/admission_tests.rs
+++ b/crates/ingress/src/admission_tests.rs
@@ -1,1 +1,35 @@
+use crate::{Admission, Gate};
+use core::time::Duration;
+use googletest::prelude::*;
+use poplarswitch_entity::Time;
 
+#[gtest]
+fn a_vm_holds_as_many_calls_as_its_memory_carries() {
+    let mut gate = Gate::new(160 << 20);
+    expect_that!(gate.admit(Time::ZERO, 1_000, "a"), eq(Admission::Admitted));
+    expect_that!(
+        gate.admit(Time::ZERO, 2_000, "a"),
+        matches_pattern!(Admission::Refused { .. })
+    );
+}
+
+/// A crowd that is refused at once must not return at once.
+#[gtest]
+fn a_refused_crowd_returns_spread_over_time() {
+    let mut gate = Gate::new(0);
+    let mut waits: Vec<Duration> = (0..200)
+        .map(|call: u32| gate.refuse(Time::ZERO, &call.to_string()))
+        .collect();
+    waits.sort_unstable();
+    expect_that!(waits[0], ge(Duration::from_millis(100)));
+    expect_that!(
+        waits[150].saturating_sub(waits[50]),
+        gt(Duration::from_millis(200))
+    );
+}
+
+#[gtest]
+fn a_single_refusal_asks_for_a_short_wait() {
+    let mut gate = Gate::new(0);
+    expect_that!(gate.refuse(Time::ZERO, "x"), lt(Duration::from_millis(200)));
+}
--- a/crates/ingress/src/feed.rs
+++ b/crates/ingress/src/feed.rs
@@ -16,7 +16,7 @@
 use std::collections::HashMap;
 
 /// Age of the proof at which a VM no longer relies on its neighbour.
-const OLD: Duration = Duration::from_millis(2_100);
+const OLD: Duration = Duration::from_millis(2_400);
 /// By how much each later neighbour waits longer, so that not all read the platform at once.
 const STAGGER: Duration = Duration::from_millis(120);
 /// Longest of these waits.
@@ -50,6 +50,10 @@
     /// The moment of the proof, in microseconds after the question arrived; negative if before.
     /// Nothing if the answerer has no proof.
     pub proof: Option<i64>,
+    /// The same for the view of the endpoints.
+    pub endpoints_proof: Option<i64>,
+    /// The answerer reads the platform, and its last call failed.
+    pub troubled: bool,
     /// The configuration, if it is newer than the asker's.
     pub declared: Option<Declared>,
     /// Whether `entries` are all there are.
@@ -76,12 +80,21 @@
 }
 
 impl Sources {
-    /// Whether this VM reads the platform itself, given the neighbours in their shared order and
-    /// the age of its proof.
-    pub fn reads(&self, me: Ipv4Addr, order: &[Ipv4Addr], age: Option<Duration>) -> bool {
+    /// Whether this VM reads the platform itself: it is the first of the neighbours in their
+    /// shared order that isn't known to fail, or its view has grown old all the same.
+    pub fn reads(
+        &self,
+        now: Time,
+        me: Ipv4Addr,
+        order: &[Ipv4Addr],
+        age: Option<Duration>,
+    ) -> bool {
+        let first = order
+            .iter()
+            .find(|ip| **ip == me || !self.avoids(now, **ip));
         let rank = order.iter().position(|ip| *ip == me).unwrap_or(0);
         let stagger = (STAGGER * rank as u32).min(MOST_STAGGER);
-        rank == 0 || age.is_none_or(|age| age > OLD + stagger)
+        first == Some(&me) || age.is_none_or(|age| age > OLD + stagger)
     }
 
     /// The VM to ask: the first neighbour in order that didn't fail, or, if this VM's view is
--- a/crates/ingress/src/feed_tests.rs
+++ b/crates/ingress/src/feed_tests.rs
@@ -1,1 +1,68 @@
+use crate::Sources;
+use core::{net::Ipv4Addr, time::Duration};
+use googletest::prelude::*;
+use poplarswitch_entity::Time;
 
+const FRESH: Option<Duration> = Some(Duration::from_millis(500));
+const OLD: Option<Duration> = Some(Duration::from_secs(4));
+
+fn ip(last: u8) -> Ipv4Addr {
+    Ipv4Addr::new(10, 0, 0, last)
+}
+
+fn order() -> Vec<Ipv4Addr> {
+    (1..=4).map(ip).collect()
+}
+
+#[gtest]
+fn in_calm_one_vm_of_a_data_centre_reads_the_platform() {
+    let sources = Sources::default();
+    let readers = order()
+        .into_iter()
+        .filter(|me| sources.reads(Time::ZERO, *me, &order(), FRESH));
+    expect_that!(readers.collect::<Vec<_>>(), eq(&vec![ip(1)]));
+    expect_that!(
+        sources.peer(Time::ZERO, ip(3), &order(), &[], FRESH),
+        some(eq(ip(1)))
+    );
+    expect_that!(
+        sources.peer(Time::ZERO, ip(1), &order(), &[], FRESH),
+        none()
+    );
+}
+
+/// The platform turned the first VM of a data centre away. Its neighbours went on asking it, and
+/// sent work to an endpoint that had begun to drain 2.1 s before.
+#[gtest]
+fn the_next_vm_reads_at_once_when_the_first_is_turned_away() {
+    let mut sources = Sources::default();
+    sources.avoid(Time::ZERO, ip(1));
+    expect_that!(sources.reads(Time::ZERO, ip(2), &order(), FRESH), eq(true));
+    expect_that!(sources.reads(Time::ZERO, ip(3), &order(), FRESH), eq(false));
+    expect_that!(
+        sources.peer(Time::ZERO, ip(3), &order(), &[], FRESH),
+        some(eq(ip(2)))
+    );
+}
+
+#[gtest]
+fn a_vm_that_failed_is_asked_again_later() {
+    let mut sources = Sources::default();
+    sources.avoid(Time::ZERO, ip(1));
+    let later = Time::from_millis(2_000);
+    expect_that!(
+        sources.peer(later, ip(3), &order(), &[], FRESH),
+        some(eq(ip(1)))
+    );
+}
+
+#[gtest]
+fn with_an_old_view_a_vm_reads_itself_and_asks_beyond_its_data_centre() {
+    let mut sources = Sources::default();
+    for other in 1..=4 {
+        sources.avoid(Time::ZERO, ip(other));
+    }
+    expect_that!(sources.reads(Time::ZERO, ip(4), &order(), OLD), eq(true));
+    let asked = sources.peer(Time::ZERO, ip(4), &order(), &[ip(9)], OLD);
+    expect_that!(asked, some(eq(ip(9))));
+}
--- a/crates/ingress/src/fleet_tests.rs
+++ b/crates/ingress/src/fleet_tests.rs
@@ -1,1 +1,120 @@
+use crate::{Entry, EntryState, Fleet, FleetChange};
+use googletest::prelude::*;
+use poplarswitch_entity::{DataCentre, EndpointName, ServiceName, Time};
 
+pub(crate) fn entry(name: &str, revision: u64) -> Entry {
+    Entry {
+        name: EndpointName::new(name),
+        service: ServiceName::new("chat"),
+        address: "10.0.0.1:80".parse().unwrap(),
+        data_centre: DataCentre::new("bole"),
+        slots: 4,
+        state: EntryState::Ready,
+        born: 1,
+        revision,
+    }
+}
+
+fn draining(name: &str, revision: u64) -> Entry {
+    Entry {
+        state: EntryState::Draining,
+        ..entry(name, revision)
+    }
+}
+
+fn takers(fleet: &Fleet) -> usize {
+    fleet.takers(&ServiceName::new("chat")).len()
+}
+
+#[gtest]
+fn draining_is_final_for_one_life_of_an_endpoint() {
+    let mut fleet = Fleet::default();
+    fleet.upsert(entry("a", 1));
+    fleet.upsert(draining("a", 2));
+    expect_that!(takers(&fleet), eq(0));
+    // An entry that was read before the drain, and one that claims to be ready again.
+    fleet.upsert(entry("a", 1));
+    fleet.upsert(entry("a", 3));
+    expect_that!(takers(&fleet), eq(0));
+    fleet.upsert(Entry {
+        born: 2,
+        ..entry("a", 4)
+    });
+    expect_that!(takers(&fleet), eq(1));
+}
+
+#[gtest]
+fn a_new_life_under_an_old_name_gets_a_new_key() {
+    let mut fleet = Fleet::default();
+    let first = fleet.upsert(entry("a", 1));
+    let second = fleet.upsert(Entry {
+        born: 9,
+        ..entry("a", 2)
+    });
+    expect_that!(second.len(), eq(2));
+    let [FleetChange::Joined(old)] = first[..] else {
+        panic!("joined")
+    };
+    expect_that!(second[0], eq(FleetChange::Left(old)));
+    expect_that!(fleet.get(old).is_none(), eq(true));
+}
+
+#[gtest]
+fn an_entry_that_is_removed_in_calm_is_gone_at_once() {
+    let mut fleet = Fleet::default();
+    fleet.upsert(entry("a", 1));
+    fleet.remove(&EndpointName::new("a"), 2, None);
+    expect_that!(takers(&fleet), eq(0));
+}
+
+/// Entries lapse while the platform is away; those of live endpoints are back within 2 s.
+#[gtest]
+fn an_entry_that_lapsed_in_an_outage_is_kept_for_the_grace() {
+    let mut fleet = Fleet::default();
+    fleet.upsert(entry("a", 1));
+    fleet.upsert(entry("b", 2));
+    let until = Time::from_millis(2_100);
+    fleet.replace(Vec::new(), 9, Some(until));
+    expect_that!(takers(&fleet), eq(2));
+    fleet.upsert(entry("a", 10));
+    fleet.expire(Time::from_millis(2_000));
+    expect_that!(takers(&fleet), eq(2));
+    fleet.expire(until);
+    expect_that!(takers(&fleet), eq(1));
+}
+
+#[gtest]
+fn a_draining_endpoint_gets_no_grace() {
+    let mut fleet = Fleet::default();
+    fleet.upsert(draining("a", 1));
+    fleet.remove(&EndpointName::new("a"), 2, Some(Time::MAX));
+    expect_that!(fleet.iter().count(), eq(0));
+}
+
+/// A VM that follows another sees the same endpoints, from whichever revision it starts.
+#[gtest]
+fn what_changed_since_a_revision_brings_a_follower_up_to_date() {
+    let mut leader = Fleet::default();
+    for (revision, name) in ["a", "b", "c", "d"].iter().enumerate() {
+        leader.upsert(entry(name, revision as u64 + 1));
+    }
+    leader.advance(4);
+    let mut follower = Fleet::default();
+    follower.replace(leader.entries(), leader.revision(), None);
+    leader.upsert(draining("b", 5));
+    leader.remove(&EndpointName::new("c"), 6, None);
+    leader.remove(&EndpointName::new("d"), 7, Some(Time::from_millis(500)));
+    leader.advance(7);
+    let (entries, removed) = leader.since(Time::ZERO, follower.revision()).unwrap();
+    for entry in entries {
+        follower.upsert(entry);
+    }
+    for removal in removed {
+        let grace = removal.grace.map(|left| Time::from_millis(u64::from(left)));
+        follower.remove(&removal.name, removal.revision, grace);
+    }
+    follower.advance(7);
+    expect_that!(takers(&follower), eq(2));
+    follower.expire(Time::from_millis(500));
+    expect_that!(takers(&follower), eq(1));
+}
--- a/crates/ingress/src/placement_tests.rs
+++ b/crates/ingress/src/placement_tests.rs
@@ -1,1 +1,114 @@
+use crate::{Ask, EndpointKey, Entry, Fleet, Part, Prompt, Reason, Sides, fleet_tests::entry};
+use googletest::prelude::*;
+use poplarswitch_entity::{DataCentre, ServiceName, Time};
 
+const NOW: Time = Time::from_millis(10_000);
+
+fn fleet(count: usize) -> Fleet {
+    let mut fleet = Fleet::default();
+    for n in 0..count {
+        fleet.upsert(entry(&format!("e{n}"), 1));
+    }
+    fleet
+}
+
+fn prompt(session: u64) -> Prompt {
+    let part = |id, tokens| Part { id, tokens };
+    Prompt {
+        parts: vec![part(1, 100), part(session, 80), part(session + 1_000, 600)],
+        input: 780,
+        output: 100,
+        hint: None,
+    }
+}
+
+fn choose(fleet: &Fleet, prompt: Option<&Prompt>, tried: &[EndpointKey]) -> (EndpointKey, Reason) {
+    let service = ServiceName::new("chat");
+    let data_centre = DataCentre::new("bole");
+    let ask = Ask {
+        service: &service,
+        prompt,
+        tried,
+        data_centre: &data_centre,
+    };
+    let choice = fleet.choose(NOW, ask, &Sides::default()).unwrap();
+    (choice.endpoint, choice.reason)
+}
+
+#[gtest]
+fn a_session_keeps_its_endpoint_on_every_vm() {
+    let (one, other) = (fleet(9), fleet(9));
+    for session in 0..50 {
+        let prompt = prompt(session);
+        let (a, _) = choose(&one, Some(&prompt), &[]);
+        let (b, _) = choose(&other, Some(&prompt), &[]);
+        let name = |fleet: &Fleet, key| fleet.get(key).map(|e| e.entry.name.clone());
+        assert_that!(name(&one, a), eq(&name(&other, b)));
+    }
+}
+
+/// Pattern: one key gets much of the traffic.
+#[gtest]
+fn a_hot_session_spills_before_it_crowds_its_endpoint() {
+    let mut fleet = fleet(9);
+    let prompt = prompt(7);
+    let mut spilled = 0;
+    for _ in 0..90 {
+        let (key, reason) = choose(&fleet, Some(&prompt), &[]);
+        spilled += usize::from(reason == Reason::Spill);
+        fleet.get_mut(key).unwrap().open += 1;
+    }
+    let most = fleet.iter().map(|(_, e)| e.open).max();
+    expect_that!(most, some(lt(32)));
+    expect_that!(spilled, gt(50));
+}
+
+#[gtest]
+fn an_endpoint_that_leaves_moves_only_its_own_sessions() {
+    let mut fleet = fleet(9);
+    let before: Vec<EndpointKey> = (0..200)
+        .map(|session| choose(&fleet, Some(&prompt(session)), &[]).0)
+        .collect();
+    let gone = before[0];
+    let name = fleet.get(gone).unwrap().entry.name.clone();
+    fleet.remove(&name, 2, None);
+    for (session, key) in before.iter().enumerate().filter(|(_, key)| **key != gone) {
+        let (now, _) = choose(&fleet, Some(&prompt(session as u64)), &[]);
+        assert_that!(now, eq(*key));
+    }
+}
+
+#[gtest]
+fn calls_without_a_prompt_go_to_the_endpoint_that_holds_fewest() {
+    let mut fleet = fleet(3);
+    let (first, _) = choose(&fleet, None, &[]);
+    fleet.get_mut(first).unwrap().open = 2;
+    let (second, reason) = choose(&fleet, None, &[]);
+    expect_that!(second, not(eq(first)));
+    expect_that!(reason, eq(Reason::Least));
+}
+
+#[gtest]
+fn an_endpoint_of_this_data_centre_is_preferred_among_equals() {
+    let mut fleet = fleet(2);
+    let near = Entry {
+        data_centre: DataCentre::new("kality"),
+        ..entry("far", 1)
+    };
+    fleet.upsert(near);
+    for _ in 0..10 {
+        let (key, _) = choose(&fleet, None, &[]);
+        assert_that!(fleet.get(key).unwrap().entry.name.as_str(), not(eq("far")));
+    }
+}
+
+#[gtest]
+fn resting_endpoints_are_used_only_when_all_rest() {
+    let mut fleet = fleet(2);
+    let (first, _) = choose(&fleet, None, &[]);
+    fleet.get_mut(first).unwrap().health.note_unreachable(NOW);
+    let (second, _) = choose(&fleet, None, &[]);
+    expect_that!(second, not(eq(first)));
+    fleet.get_mut(second).unwrap().health.note_unreachable(NOW);
+    expect_that!(choose(&fleet, None, &[]).1, eq(Reason::Resting));
+}
--- a/crates/ingress/src/roster_tests.rs
+++ b/crates/ingress/src/roster_tests.rs
@@ -1,1 +1,159 @@
+use crate::{Phase, Roster};
+use core::net::Ipv4Addr;
+use googletest::prelude::*;
+use poplarswitch_entity::Time;
+use rand::{Rng as _, RngExt as _, SeedableRng as _};
+use rand_pcg::Pcg64Mcg;
 
+const BEAT_MS: u64 = 300;
+
+fn ip(vm: usize) -> Ipv4Addr {
+    Ipv4Addr::new(10, 1, 0, vm as u8 + 1)
+}
+
+struct Fleet {
+    vms: Vec<Option<Roster>>,
+    phases: Vec<Phase>,
+    draws: Pcg64Mcg,
+    now: Time,
+    lost: f64,
+}
+
+impl Fleet {
+    /// VMs that know only the first of them.
+    fn new(count: usize, seed: u64) -> Self {
+        let vms = (0..count).map(|vm| {
+            let mut roster = Roster::new(ip(vm), (vm % 3) as u8, 1_000);
+            roster.introduce(ip(0), None);
+            Some(roster)
+        });
+        Self {
+            vms: vms.collect(),
+            phases: vec![Phase::Ready; count],
+            draws: Pcg64Mcg::seed_from_u64(seed),
+            now: Time::from_millis(5_000),
+            lost: 0.05,
+        }
+    }
+
+    fn run(&mut self, millis: u64) {
+        for _ in 0..millis / BEAT_MS {
+            self.now = Time(self.now.0 + BEAT_MS * 1_000);
+            for vm in 0..self.vms.len() {
+                self.beat(vm);
+            }
+        }
+    }
+
+    fn beat(&mut self, vm: usize) {
+        let (now, phase) = (self.now, self.phases[vm]);
+        let draws = &mut self.draws;
+        let Some(roster) = &mut self.vms[vm] else {
+            return;
+        };
+        let beat = roster.beat(now, phase, (0.0, 0.0));
+        let to = roster.receivers(now, || draws.next_u64());
+        for receiver in to {
+            let index = usize::from(receiver.octets()[3]) - 1;
+            if self.draws.random_bool(self.lost) {
+                continue;
+            }
+            if let Some(Some(other)) = self.vms.get_mut(index) {
+                other.note(now, &beat);
+            }
+        }
+    }
+
+    fn answer(&self, vm: usize) -> Vec<Ipv4Addr> {
+        let roster = self.vms[vm].as_ref().unwrap();
+        roster.answer(self.now, None, true, 400)
+    }
+}
+
+#[gtest]
+fn everybody_learns_of_everybody_through_one() {
+    for count in [3, 9, 87] {
+        let mut fleet = Fleet::new(count, 7);
+        fleet.run(6_000);
+        for vm in 0..count {
+            assert_that!(fleet.answer(vm).len(), eq(count), "VM {vm} of {count}");
+        }
+    }
+}
+
+#[gtest]
+fn a_vm_that_dies_is_out_of_all_answers_within_seconds() {
+    for (count, within) in [(9, 1_500), (87, 4_000)] {
+        let mut fleet = Fleet::new(count, 3);
+        fleet.run(6_000);
+        fleet.vms[1] = None;
+        fleet.run(within);
+        for vm in (0..count).filter(|vm| *vm != 1) {
+            assert_that!(
+                fleet.answer(vm).contains(&ip(1)),
+                eq(false),
+                "VM {vm} of {count}"
+            );
+        }
+    }
+}
+
+#[gtest]
+fn lost_beats_take_no_living_vm_out() {
+    for count in [9, 87] {
+        let mut fleet = Fleet::new(count, 11);
+        fleet.run(6_000);
+        for _ in 0..100 {
+            fleet.run(BEAT_MS);
+            let worst = (0..count).map(|vm| fleet.answer(vm).len()).min();
+            assert_that!(worst, some(ge(count - 1)), "{count} VMs");
+        }
+    }
+}
+
+#[gtest]
+fn a_vm_that_leaves_is_in_no_answer() {
+    let mut fleet = Fleet::new(9, 5);
+    fleet.run(3_000);
+    fleet.phases[4] = Phase::Leaving;
+    fleet.run(600);
+    expect_that!(fleet.answer(0).contains(&ip(4)), eq(false));
+}
+
+#[gtest]
+fn a_process_that_starts_with_a_clock_that_went_back_is_heard_again() {
+    let mut fleet = Fleet::new(9, 5);
+    fleet.run(3_000);
+    let mut roster = Roster::new(ip(4), 1, 10);
+    roster.introduce(ip(0), None);
+    fleet.vms[4] = Some(roster);
+    fleet.run(3_000);
+    expect_that!(fleet.answer(7).contains(&ip(4)), eq(true));
+}
+
+#[gtest]
+fn a_caller_gets_addresses_of_its_own_data_centre_while_two_are_ready() {
+    let mut fleet = Fleet::new(9, 5);
+    fleet.run(3_000);
+    let near = |fleet: &Fleet| {
+        fleet.vms[0]
+            .as_ref()
+            .unwrap()
+            .answer(fleet.now, Some(1), true, 64)
+    };
+    expect_that!(near(&fleet), eq(&vec![ip(1), ip(4), ip(7)]));
+    fleet.vms[1] = None;
+    fleet.vms[4] = None;
+    fleet.run(3_000);
+    expect_that!(near(&fleet).len(), eq(7));
+}
+
+/// The order decides who reads the platform for the others.
+#[gtest]
+fn neighbours_agree_on_their_order() {
+    let mut fleet = Fleet::new(9, 5);
+    fleet.run(3_000);
+    let order = |vm: usize| fleet.vms[vm].as_ref().unwrap().neighbours(fleet.now);
+    expect_that!(order(1), eq(&order(4)));
+    expect_that!(order(1).len(), eq(3));
+}
--- a/crates/relay/src/feed.rs
+++ b/crates/relay/src/feed.rs
@@ -22,7 +22,7 @@
 /// Time for which a question may wait for news.
 const WAIT: Duration = Duration::from_millis(800);
 /// Time for the answer beyond that.
-const ANSWER_WITHIN: Duration = Duration::from_millis(400);
+const ANSWER_WITHIN: Duration = Duration::from_millis(300);
 /// Time for a new connection.
 const CONNECT_WITHIN: Duration = Duration::from_millis(300);
 /// Time between questions when nobody is to be asked.
@@ -62,7 +62,8 @@
     let mut changes = shared.changes();
     let wait = sleep(Duration::from_millis(u64::from(ask.wait)).min(WAIT));
     tokio::pin!(wait);
-    while shared.cursor() == ask.cursor {
+    let before = proofs(shared);
+    while shared.cursor() == ask.cursor && proofs(shared) == before && !shared.core().troubled {
         tokio::select! {
             () = &mut wait => break,
             changed = changes.changed() => if changed.is_err() { break },
@@ -76,12 +77,18 @@
     Response::new(Full::new(bytes.into()))
 }
 
+fn proofs(shared: &Shared) -> (Option<Time>, Option<Time>) {
+    let core = shared.core();
+    (core.freshness.proved(), core.endpoints_proved)
+}
+
 fn news(shared: &Shared, arrived: Time, known: Cursor) -> FeedReply {
     let table = shared.table.load_full();
     let newer = table.version() > known.version;
     let core = shared.core();
-    let proved = core.freshness.proved();
-    let proof = proved.map(|at| at.0.cast_signed() - arrived.0.cast_signed());
+    let offset = |at: Time| at.0.cast_signed() - arrived.0.cast_signed();
+    let proof = core.freshness.proved().map(offset);
+    let endpoints_proof = core.endpoints_proved.map(offset);
     let revision = core.fleet.revision();
     let (complete, entries, removed) = if revision <= known.revision {
         (false, Vec::new(), Vec::new())
@@ -97,6 +104,8 @@
             revision,
         },
         proof,
+        endpoints_proof,
+        troubled: core.troubled,
         declared: newer.then(|| table.declared().clone()),
         complete,
         entries,
@@ -139,7 +148,7 @@
     let mut others: Vec<Ipv4Addr> = core.roster.alive(now).map(|member| member.ip).collect();
     others.sort_unstable_by_key(|ip| ip.to_bits() ^ me.to_bits().rotate_left(7));
     core.sources
-        .peer(now, me, &order, &others, core.freshness.age(now))
+        .peer(now, me, &order, &others, core.view_age(now))
 }
 
 /// Asks one VM; returns its connection, and whether its view is newer than this VM's.
@@ -195,7 +204,8 @@
 }
 
 fn take(shared: &Shared, asked: Time, reply: FeedReply) -> bool {
-    let before = shared.core().freshness.proved();
+    let troubled = reply.troubled;
+    let before = shared.core().view_age(asked);
     let mut core = shared.core();
     let mut changes = Vec::new();
     if !reply.complete {
@@ -216,7 +226,13 @@
             .map(|left| asked + Duration::from_millis(u64::from(left)));
         changes.extend(core.fleet.remove(&removal.name, removal.revision, grace));
     }
-    core.fleet.advance(reply.cursor.revision);
+    if reply.cursor.revision >= core.fleet.revision() {
+        core.fleet.advance(reply.cursor.revision);
+        let proved = reply
+            .endpoints_proof
+            .map(|offset| Time(asked.0.saturating_add_signed(offset)));
+        core.endpoints_proved = core.endpoints_proved.max(proved);
+    }
     drop(core);
     shared.note_fleet(&changes, "peer");
     if let Some(offset) = reply.proof
@@ -225,5 +241,6 @@
         let proved = Time(asked.0.saturating_add_signed(offset));
         apply(shared, reply.declared, proved, "peer");
     }
-    shared.core().freshness.proved() > before
+    let after = shared.core().view_age(asked);
+    !troubled && after.is_some() && (before.is_none() || after < before)
 }
--- a/crates/relay/src/reader.rs
+++ b/crates/relay/src/reader.rs
@@ -16,12 +16,12 @@
 use poplarswitch_platform::Backoff;
 use std::sync::{
     Arc,
-    atomic::{AtomicU64, Ordering},
+    atomic::{AtomicBool, AtomicU64, Ordering},
 };
 use tokio::time::sleep;
 
 /// Wait of a watch on the configuration; bounds the age of the proof.
-const SET_WAIT: Duration = Duration::from_millis(1_000);
+const SET_WAIT: Duration = Duration::from_millis(800);
 /// Wait of a watch on endpoints; a cut is noticed by the other watch.
 const ENDPOINTS_WAIT: Duration = Duration::from_millis(2_000);
 /// Time between looks whether this VM must read.
@@ -71,6 +71,8 @@
     shared: Arc<Shared>,
     store: Arc<StoreClient>,
     outage: Outage,
+    /// A watch on the endpoints is open.
+    watching: AtomicBool,
 }
 
 impl Reader {
@@ -79,6 +81,7 @@
             shared,
             store,
             outage: Outage::default(),
+            watching: AtomicBool::new(false),
         }
     }
 
@@ -88,7 +91,7 @@
         let core = self.shared.core();
         let order = core.roster.neighbours(now);
         core.sources
-            .reads(core.roster.me(), &order, core.freshness.age(now))
+            .reads(now, core.roster.me(), &order, core.view_age(now))
     }
 
     /// Keeps the configuration up to date.
@@ -97,6 +100,7 @@
         let mut backoff = Backoff::new(self.shared.draw());
         loop {
             if !self.reads() {
+                self.shared.core().troubled = false;
                 watched = None;
                 sleep(IDLE_LOOK).await;
                 continue;
@@ -113,6 +117,10 @@
                 Some(StoreReply::Set { declared, revision }) => {
                     backoff.reset();
                     watched = Some(revision);
+                    // The platform answers, so the open watch would have told of a change.
+                    if self.watching.load(Ordering::Relaxed) {
+                        self.prove_endpoints(sent);
+                    }
                     apply(&self.shared, declared.map(|d| *d), sent, "platform");
                 }
                 Some(StoreReply::HistoryGone) => watched = None,
@@ -154,7 +162,11 @@
             after,
             wait: ENDPOINTS_WAIT,
         };
-        match self.call(&call).await {
+        let sent = clock::now();
+        self.watching.store(true, Ordering::Relaxed);
+        let reply = self.call(&call).await;
+        self.watching.store(false, Ordering::Relaxed);
+        match reply {
             Some(StoreReply::Endpoints {
                 entries,
                 removed,
@@ -174,6 +186,7 @@
                 }
                 core.fleet.advance(revision);
                 drop(core);
+                self.prove_endpoints(sent);
                 self.shared.note_fleet(&changes, "platform");
                 true
             }
@@ -190,6 +203,7 @@
         let mut all: Vec<Entry> = Vec::new();
         let mut after = None;
         let mut first = None;
+        let sent = clock::now();
         loop {
             let reply = self.call(&StoreCall::ListEndpoints { after }).await;
             let Some(StoreReply::Endpoints {
@@ -211,6 +225,7 @@
                 None => {
                     let grace = self.outage.grace(clock::now());
                     let changes = self.shared.core().fleet.replace(all, first, grace);
+                    self.prove_endpoints(sent);
                     self.shared.note_fleet(&changes, "platform");
                     return true;
                 }
@@ -218,6 +233,11 @@
         }
     }
 
+    fn prove_endpoints(&self, sent: Time) {
+        let mut core = self.shared.core();
+        core.endpoints_proved = core.endpoints_proved.max(Some(sent));
+    }
+
     async fn call(&self, call: &StoreCall) -> Option<StoreReply> {
         self.shared.metrics.platform_calls.inc();
         let was_out = self.outage.grace(clock::now()).is_some();
@@ -228,6 +248,7 @@
             }
             Ok(reply) => {
                 self.outage.note_answer();
+                self.shared.core().troubled = false;
                 Some(reply)
             }
             Err(error) => {
@@ -240,6 +261,11 @@
     fn fail(&self, call: &StoreCall, was_out: bool, reason: &str) {
         self.shared.metrics.platform_failures.inc();
         self.outage.note_failure();
+        let before = core::mem::replace(&mut self.shared.core().troubled, true);
+        if !before {
+            // Neighbours that ask this VM must look elsewhere at once.
+            self.shared.announce();
+        }
         if !was_out {
             tracing::warn!(event = "lost", call = call.name(), reason, "platform");
         }
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -32,6 +32,11 @@
 pub(crate) struct Core {
     pub(crate) fleet: Fleet,
     pub(crate) freshness: Freshness,
+    /// When the view of the endpoints was last known to be the newest; decides only where news
+    /// come from.
+    pub(crate) endpoints_proved: Option<Time>,
+    /// The last call of this VM to the platform failed.
+    pub(crate) troubled: bool,
     pub(crate) budget: Budget,
     pub(crate) gate: Gate,
     pub(crate) roster: Roster,
@@ -44,6 +49,14 @@
     pub(crate) told: HashMap<Ipv4Addr, (Time, Vec<(u32, u16)>)>,
 }
 
+impl Core {
+    /// The age of the older one of the views of configuration and endpoints.
+    pub(crate) fn view_age(&self, now: Time) -> Option<Duration> {
+        let endpoints = self.endpoints_proved.map(|at| now.since(at))?;
+        self.freshness.age(now).map(|set| set.max(endpoints))
+    }
+}
+
 /// What all tasks share.
 #[derive(Debug)]
 pub(crate) struct Shared {
@@ -81,6 +94,8 @@
         let core = Core {
             fleet: Fleet::default(),
             freshness: Freshness::new(revocation),
+            endpoints_proved: None,
+            troubled: false,
             budget: Budget::new(share),
             gate: Gate::new(settings.memory),
             roster,
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -15,8 +15,10 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use tokio::time::timeout;
 
-/// Time for an answer beyond the wait that the call asks for; a slow platform takes 0.3 s.
-const ANSWER_WITHIN: Duration = Duration::from_millis(900);
+/// Time for the answer of a watch beyond its wait; a slow platform takes 0.35 s.
+const WATCH_WITHIN: Duration = Duration::from_millis(600);
+/// Time for any other answer.
+const ANSWER_WITHIN: Duration = Duration::from_millis(1_200);
 /// Time for a new connection.
 const CONNECT_WITHIN: Duration = Duration::from_millis(500);
 /// Largest answer: a page of objects, and some.
@@ -76,7 +78,11 @@
     pub(crate) async fn call(&self, call: &StoreCall) -> Result<StoreReply, StoreError> {
         let step = call.name();
         let peer = self.peer;
-        let within = call.wait() + ANSWER_WITHIN;
+        let within = if call.wait().is_zero() {
+            ANSWER_WITHIN
+        } else {
+            call.wait() + WATCH_WITHIN
+        };
         timeout(within, self.exchange(call))
             .await
             .unwrap_or(Err(StoreError::Silent { step, peer }))
