Stay with a neighbour that brings news, and await neighbours at the start

Change: a reply is useless only if the view is old after it; a VM that starts waits 0.6 s for beats; changes that come together are read together.

--- a/crates/ingress/src/feed.rs
+++ b/crates/ingress/src/feed.rs
@@ -21,6 +21,8 @@
 const STAGGER: Duration = Duration::from_millis(120);
 /// Longest of these waits.
 const MOST_STAGGER: Duration = Duration::from_millis(700);
+/// Time after the start in which other VMs' beats are awaited before anything is read.
+const SETTLE: Duration = Duration::from_millis(600);
 /// Time for which a neighbour that failed is not asked.
 const AVOIDED: Duration = Duration::from_millis(1_500);
 
@@ -74,12 +76,27 @@
 }
 
 /// Decides where a VM gets its news from.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Sources {
+    started: Time,
     avoided: HashMap<Ipv4Addr, Time>,
 }
 
 impl Sources {
+    /// For a process that starts.
+    pub fn new(started: Time) -> Self {
+        Self {
+            started,
+            avoided: HashMap::new(),
+        }
+    }
+
+    /// Whether a view of some age is too old to rely on; one that never was is as old as the
+    /// process.
+    pub fn is_old(&self, now: Time, age: Option<Duration>) -> bool {
+        age.unwrap_or_else(|| now.since(self.started)) > OLD
+    }
+
     /// Whether this VM reads the platform itself: it is the first of the neighbours in their
     /// shared order that isn't known to fail, or its view has grown old all the same.
     pub fn reads(
@@ -89,12 +106,16 @@
         order: &[Ipv4Addr],
         age: Option<Duration>,
     ) -> bool {
+        if age.is_none() && now.since(self.started) < SETTLE {
+            return false;
+        }
+        let age = age.unwrap_or_else(|| now.since(self.started));
         let first = order
             .iter()
             .find(|ip| **ip == me || !self.avoids(now, **ip));
         let rank = order.iter().position(|ip| *ip == me).unwrap_or(0);
         let stagger = (STAGGER * rank as u32).min(MOST_STAGGER);
-        first == Some(&me) || age.is_none_or(|age| age > OLD + stagger)
+        first == Some(&me) || age > OLD + stagger
     }
 
     /// The VM to ask: the first neighbour in order that didn't fail, or, if this VM's view is
@@ -107,7 +128,7 @@
         others: &[Ipv4Addr],
         age: Option<Duration>,
     ) -> Option<Ipv4Addr> {
-        let old = age.is_none_or(|age| age > OLD);
+        let old = self.is_old(now, age);
         let willing = |ip: &&Ipv4Addr| **ip != me && !self.avoids(now, **ip);
         if old {
             return order.iter().chain(others).find(willing).copied();
--- a/crates/ingress/src/feed_tests.rs
+++ b/crates/ingress/src/feed_tests.rs
@@ -16,7 +16,7 @@
 
 #[gtest]
 fn in_calm_one_vm_of_a_data_centre_reads_the_platform() {
-    let sources = Sources::default();
+    let sources = Sources::new(Time::ZERO);
     let readers = order()
         .into_iter()
         .filter(|me| sources.reads(Time::ZERO, *me, &order(), FRESH));
@@ -35,7 +35,7 @@
 /// sent work to an endpoint that had begun to drain 2.1 s before.
 #[gtest]
 fn the_next_vm_reads_at_once_when_the_first_is_turned_away() {
-    let mut sources = Sources::default();
+    let mut sources = Sources::new(Time::ZERO);
     sources.avoid(Time::ZERO, ip(1));
     expect_that!(sources.reads(Time::ZERO, ip(2), &order(), FRESH), eq(true));
     expect_that!(sources.reads(Time::ZERO, ip(3), &order(), FRESH), eq(false));
@@ -47,7 +47,7 @@
 
 #[gtest]
 fn a_vm_that_failed_is_asked_again_later() {
-    let mut sources = Sources::default();
+    let mut sources = Sources::new(Time::ZERO);
     sources.avoid(Time::ZERO, ip(1));
     let later = Time::from_millis(2_000);
     expect_that!(
@@ -58,7 +58,7 @@
 
 #[gtest]
 fn with_an_old_view_a_vm_reads_itself_and_asks_beyond_its_data_centre() {
-    let mut sources = Sources::default();
+    let mut sources = Sources::new(Time::ZERO);
     for other in 1..=4 {
         sources.avoid(Time::ZERO, ip(other));
     }
@@ -66,3 +66,14 @@
     let asked = sources.peer(Time::ZERO, ip(4), &order(), &[ip(9)], OLD);
     expect_that!(asked, some(eq(ip(9))));
 }
+
+/// All VMs of a large fleet start at once: they must not all read the platform.
+#[gtest]
+fn a_vm_that_starts_awaits_its_neighbours_first() {
+    let sources = Sources::new(Time::ZERO);
+    let reads = |millis, me| sources.reads(Time::from_millis(millis), me, &order(), None);
+    expect_that!(reads(100, ip(1)), eq(false));
+    expect_that!(reads(700, ip(1)), eq(true));
+    expect_that!(reads(700, ip(3)), eq(false));
+    expect_that!(reads(4_000, ip(3)), eq(true));
+}
--- a/crates/relay/src/feed.rs
+++ b/crates/relay/src/feed.rs
@@ -28,7 +28,7 @@
 /// Time between questions when nobody is to be asked.
 const IDLE_LOOK: Duration = Duration::from_millis(150);
 /// Pause after each answer, which joins changes that come together.
-const PAUSE: Duration = Duration::from_millis(40);
+const PAUSE: Duration = Duration::from_millis(100);
 /// Largest question or answer: a configuration and all endpoints.
 const MESSAGE_BYTES: usize = 4 << 20;
 
@@ -205,7 +205,6 @@
 
 fn take(shared: &Shared, asked: Time, reply: FeedReply) -> bool {
     let troubled = reply.troubled;
-    let before = shared.core().view_age(asked);
     let mut core = shared.core();
     let mut changes = Vec::new();
     if !reply.complete {
@@ -241,6 +240,7 @@
         let proved = Time(asked.0.saturating_add_signed(offset));
         apply(shared, reply.declared, proved, "peer");
     }
-    let after = shared.core().view_age(asked);
-    !troubled && after.is_some() && (before.is_none() || after < before)
+    let core = shared.core();
+    let now = clock::now();
+    !troubled && !core.sources.is_old(now, core.view_age(now))
 }
--- a/crates/relay/src/reader.rs
+++ b/crates/relay/src/reader.rs
@@ -11,7 +11,7 @@
     store::{StoreClient, StoreError},
 };
 use core::time::Duration;
-use poplarswitch_entity::Time;
+use poplarswitch_entity::{EndpointName, Time};
 use poplarswitch_ingress::{Declared, Entry, Table};
 use poplarswitch_platform::Backoff;
 use std::sync::{
@@ -24,6 +24,8 @@
 const SET_WAIT: Duration = Duration::from_millis(800);
 /// Wait of a watch on endpoints; a cut is noticed by the other watch.
 const ENDPOINTS_WAIT: Duration = Duration::from_millis(2_000);
+/// Pause after changes of endpoints, which joins those that come together.
+const CHANGES_PAUSE: Duration = Duration::from_millis(50);
 /// Time between looks whether this VM must read.
 const IDLE_LOOK: Duration = Duration::from_millis(150);
 /// Longest wait after failures: the store's return must be noticed within its bounds.
@@ -175,19 +177,10 @@
                 ..
             }) => {
                 report(&errors);
-                let grace = self.outage.grace(clock::now());
-                let mut core = self.shared.core();
-                let mut changes = Vec::new();
-                for entry in entries {
-                    changes.extend(core.fleet.upsert(entry));
+                let quiet = self.take_changes(entries, removed, sent, revision);
+                if !quiet {
+                    sleep(CHANGES_PAUSE).await;
                 }
-                for (name, at) in removed {
-                    changes.extend(core.fleet.remove(&name, at, grace));
-                }
-                core.fleet.advance(revision);
-                drop(core);
-                self.prove_endpoints(sent);
-                self.shared.note_fleet(&changes, "platform");
                 true
             }
             Some(StoreReply::HistoryGone) => {
@@ -199,6 +192,31 @@
         }
     }
 
+    /// Takes changes of endpoints; returns whether there were none.
+    fn take_changes(
+        &self,
+        entries: Vec<Entry>,
+        removed: Vec<(EndpointName, u64)>,
+        sent: Time,
+        revision: u64,
+    ) -> bool {
+        let quiet = entries.is_empty() && removed.is_empty();
+        let grace = self.outage.grace(clock::now());
+        let mut core = self.shared.core();
+        let mut changes = Vec::new();
+        for entry in entries {
+            changes.extend(core.fleet.upsert(entry));
+        }
+        for (name, at) in removed {
+            changes.extend(core.fleet.remove(&name, at, grace));
+        }
+        core.fleet.advance(revision);
+        core.endpoints_proved = core.endpoints_proved.max(Some(sent));
+        drop(core);
+        self.shared.note_fleet(&changes, "platform");
+        quiet
+    }
+
     async fn list_endpoints(&self) -> bool {
         let mut all: Vec<Entry> = Vec::new();
         let mut after = None;
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -102,7 +102,7 @@
             sides: Sides::default(),
             demand: Demand::default(),
             leaving: Leaving::new(settings.grace(), ADDRESS_TTL * ADDRESS_LIVES),
-            sources: Sources::default(),
+            sources: Sources::new(clock::now()),
             draws: Pcg64Mcg::seed_from_u64(start ^ u64::from(me.to_bits())),
             told: HashMap::new(),
         };
