--- a/crates/ingress/src/admission.rs
+++ b/crates/ingress/src/admission.rs
@@ -14,12 +14,12 @@
 const CALLS_PERCENT: u64 = 50;
 /// Shortest wait that a refused caller is told.
 const LEAST_WAIT: Duration = Duration::from_millis(100);
-/// Longest wait that a refused caller is told; callers wait a third of their time at most.
-const MOST_WAIT: Duration = Duration::from_millis(900);
-/// Time in which the pressure of a refusal halves.
+/// Part of its time that a caller is told to wait at most; callers wait a third of it.
+const MOST_PART: u32 = 4;
+/// Time in which the pressure of refusals halves.
 const PRESSURE_HALF: Duration = Duration::from_millis(400);
 /// Wait for each refusal of the last moments.
-const WAIT_STEP: Duration = Duration::from_millis(60);
+const WAIT_STEP: Duration = Duration::from_millis(400);
 
 /// Whether a call is let in.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -52,21 +52,22 @@
     }
 
     /// Lets a call in unless the VM holds as many as it can.
-    pub fn admit(&mut self, now: Time, in_flight: usize, call: &str) -> Admission {
+    pub fn admit(&mut self, now: Time, in_flight: usize, call: &str, left: Duration) -> Admission {
         if in_flight < self.most {
             return Admission::Admitted;
         }
         Admission::Refused {
-            after: self.refuse(now, call),
+            after: self.refuse(now, call, left),
         }
     }
 
-    /// Notes a refusal; returns when the caller should come back.
-    pub fn refuse(&mut self, now: Time, call: &str) -> Duration {
+    /// Notes a refusal of a call with some time left; returns when its caller should come back.
+    pub fn refuse(&mut self, now: Time, call: &str, left: Duration) -> Duration {
         let halves = now.since(self.noted).as_secs_f64() / PRESSURE_HALF.as_secs_f64();
         self.pressure = self.pressure * 0.5_f64.powf(halves) + 1.0;
         self.noted = now;
-        let longest = (LEAST_WAIT + WAIT_STEP.mul_f64(self.pressure)).min(MOST_WAIT);
+        let most = (left / MOST_PART).max(LEAST_WAIT);
+        let longest = (LEAST_WAIT + WAIT_STEP.mul_f64(self.pressure)).min(most);
         let spread = (hash_text(call) % 1_000) as f64 / 1_000.0;
         LEAST_WAIT + (longest - LEAST_WAIT).mul_f64(spread)
     }
--- a/crates/ingress/src/call.rs
+++ b/crates/ingress/src/call.rs
@@ -36,6 +36,13 @@
         }
     }
 
+    /// Tokens that an engine must probably read: the call's own where it has the session's, else
+    /// all of them.
+    pub fn unread(&self, session_kept: bool) -> u64 {
+        let own = self.parts.last().map_or(self.input, |part| part.tokens);
+        u64::from(if session_kept { own } else { self.input })
+    }
+
     /// Tokens of the answer to plan with.
     pub fn expected(&self) -> u32 {
         self.hint.unwrap_or(self.output).min(self.output)
--- /dev/null
+++ b/crates/ingress/src/engine_tests.rs
@@ -0,0 +1,92 @@
+use crate::{Engine, Report, Usual, work};
+use core::time::Duration;
+use googletest::prelude::*;
+use poplarswitch_entity::Time;
+
+const SLOTS: u32 = 16;
+
+fn usual() -> Usual {
+    Usual {
+        read: 100.0,
+        held: 3_700.0,
+        correction: 1.0,
+    }
+}
+
+fn engine(waiting: u32, running: u32) -> Engine {
+    let mut engine = Engine::default();
+    engine.note_report(
+        Time::ZERO,
+        Report {
+            waiting,
+            running,
+            used: 0,
+            total: 500_000,
+        },
+    );
+    engine
+}
+
+fn first(engine: &Engine, tokens: u64) -> Duration {
+    engine
+        .first_event(Time::ZERO, SLOTS, tokens, &usual())
+        .unwrap()
+}
+
+#[gtest]
+fn an_idle_engine_reads_the_prompt_at_once() {
+    let expected = first(&engine(0, 0), 8_190);
+    expect_that!(expected.as_millis(), all![gt(130), lt(160)]);
+}
+
+#[gtest]
+fn prompts_that_wait_are_read_first() {
+    let expected = first(&engine(10, 2), 8_190);
+    expect_that!(expected.as_millis(), all![gt(1_000), lt(1_300)]);
+}
+
+#[gtest]
+fn a_full_batch_makes_a_call_wait_for_a_place() {
+    let idle = first(&engine(0, 10), 819);
+    let full = first(&engine(4, 16), 819);
+    expect_that!(full, gt(idle + Duration::from_secs(1)));
+}
+
+#[gtest]
+fn calls_sent_since_the_report_count() {
+    let mut engine = engine(0, 0);
+    engine.note_sent(40_950);
+    expect_that!(first(&engine, 819), gt(Duration::from_millis(500)));
+}
+
+#[gtest]
+fn an_old_report_says_nothing() {
+    let expected = engine(0, 0).first_event(Time::from_millis(300), SLOTS, 1, &usual());
+    expect_that!(expected, none());
+}
+
+#[gtest]
+fn predictions_that_are_too_short_are_corrected() {
+    let engine = engine(4, 2);
+    let mut usual = usual();
+    let before = first(&engine, 8_190);
+    for _ in 0..40 {
+        let predicted = engine
+            .first_event(Time::ZERO, SLOTS, 8_190, &usual)
+            .unwrap();
+        usual.note_first(predicted, before * 2);
+    }
+    let after = engine
+        .first_event(Time::ZERO, SLOTS, 8_190, &usual)
+        .unwrap();
+    expect_that!(after.as_secs_f64() / before.as_secs_f64(), near(2.0, 0.25));
+}
+
+/// The boundary of a small fleet with large batches gave patient calls 2 of 9 endpoints, because
+/// tokens were counted at the cost of a small batch.
+#[gtest]
+fn a_token_costs_less_in_a_large_batch() {
+    expect_that!(work(8_190, 0, 16), near(100.0, 0.1));
+    expect_that!(work(0, 300, 64), near(41.7, 1.0));
+    expect_that!(work(0, 300, 16), near(94.3, 1.0));
+}
--- a/crates/ingress/src/fleet.rs
+++ b/crates/ingress/src/fleet.rs
@@ -4,7 +4,7 @@
 //! the same name gets a new key. Entries that lapse while the platform is away are kept for a
 //! short grace after its return, since an endpoint that lives is back by then.
 
-use crate::{hash::hash_text, health::Health};
+use crate::{engine::Engine, hash::hash_text, health::Health, placement::Pressure, sides::Side};
 use core::net::SocketAddr;
 use poplarswitch_entity::{DataCentre, EndpointName, ServiceName, Time};
 use serde::{Deserialize, Serialize};
@@ -82,10 +82,10 @@
     pub rank: u64,
     /// What calls have shown.
     pub health: Health,
+    /// What its engine reports.
+    pub engine: Engine,
     /// Calls of this VM that it holds.
     pub open: u32,
-    /// Prompt tokens of those calls that have had no event yet.
-    pub reading: u64,
     /// Calls of other VMs that it holds, as far as they told.
     pub elsewhere: u32,
 }
@@ -107,6 +107,8 @@
     removed: VecDeque<(EndpointName, u64)>,
     forgotten: u64,
     revision: u64,
+    long: Pressure,
+    short: Pressure,
 }
 
 impl Fleet {
@@ -140,6 +142,22 @@
         self.endpoints.iter_mut()
     }
 
+    /// How loaded the engines of a side are.
+    pub const fn pressure(&self, side: Side) -> &Pressure {
+        match side {
+            Side::Long => &self.long,
+            Side::Short => &self.short,
+        }
+    }
+
+    /// The same, to be changed.
+    pub const fn pressure_mut(&mut self, side: Side) -> &mut Pressure {
+        match side {
+            Side::Long => &mut self.long,
+            Side::Short => &mut self.short,
+        }
+    }
+
     /// The endpoints of a service that take calls, in an order that all VMs share.
     pub fn takers(&self, service: &ServiceName) -> &[EndpointKey] {
         self.services.get(service).map_or(&[], Vec::as_slice)
@@ -176,8 +194,8 @@
         let key = self.endpoints.insert(Endpoint {
             rank: hash_text(entry.name.as_str()),
             health: Health::default(),
+            engine: Engine::default(),
             open: 0,
-            reading: 0,
             elsewhere: 0,
             entry,
         });
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -10,6 +10,7 @@
 mod budget;
 mod call;
 mod declared;
+mod engine;
 mod feed;
 mod fleet;
 mod freshness;
@@ -27,6 +28,8 @@
 #[cfg(test)]
 mod budget_tests;
 #[cfg(test)]
+mod engine_tests;
+#[cfg(test)]
 mod feed_tests;
 #[cfg(test)]
 mod fleet_tests;
@@ -53,6 +56,7 @@
 pub use declared::{
     Declared, EngineSpec, Limits, RouteKind, RouteSpec, ServiceSpec, Target, WorkspaceSpec,
 };
+pub use engine::{Engine, Report, Usual, work};
 pub use feed::{Cursor, FeedAsk, FeedReply, Source, Sources};
 pub use fleet::{Endpoint, EndpointKey, Entry, EntryState, Fleet, FleetChange, Removal};
 pub use freshness::Freshness;
@@ -60,7 +64,7 @@
 pub use health::Health;
 pub use leaving::{Leaving, Stage};
 pub use outcome::{Next, Outcome, Tries, Verdict, decide, verdict};
-pub use placement::{Ask, Choice, Reason};
-pub use roster::{Beat, Known, Member, Phase, Roster};
+pub use placement::{Ask, Choice, Decision, Pressure, Reason};
+pub use roster::{Beat, Known, Member, Phase, Roster, Work};
 pub use sides::{Demand, Side, Sides};
 pub use table::{Access, Route, Table, Workspace};
--- a/crates/ingress/src/placement.rs
+++ b/crates/ingress/src/placement.rs
@@ -1,16 +1,20 @@
-//! Where a call goes.
+//! Where a call goes, and whether it goes at all.
 //!
 //! Model calls of one session go to one endpoint, which keeps their shared prompt in its cache:
-//! the order in which a session tries endpoints is a hash that all VMs compute alike. A hot
-//! session spills to the next endpoint of its order when its first is loaded beyond a bound.
+//! the order in which a session tries endpoints is a hash that all VMs compute alike. While
+//! engines are loaded, a VM asks the first few of that order how they stand right before it
+//! sends, and takes the first that can begin in time. A call that none of them can begin in time
+//! is refused unrun at once: sent on, it would only delay those that can still be in time.
 //! Other calls go to the endpoint that holds fewest.
 
 use crate::{
     call::Prompt,
+    engine::{Report, Usual},
     fleet::{Endpoint, EndpointKey, Fleet},
     hash::hash_pair,
     sides::{Side, Sides},
 };
+use core::time::Duration;
 use poplarswitch_entity::{DataCentre, ServiceName, Time};
 
 /// Load of an endpoint, against the mean of its side, at which a session spills.
@@ -21,6 +25,23 @@
 const FAR_COST: f64 = 0.5;
 /// What certain failure counts, in calls.
 const FAILING_COST: f64 = 12.0;
+/// Endpoints of a session's order that are asked before a call is refused.
+const ASKED: usize = 3;
+/// Part of the objective within which a first event is expected to be in time; predictions are
+/// off by about a quarter.
+const IN_TIME: f64 = 0.75;
+/// Multiple of the objective beyond which a call is refused rather than sent.
+const TOO_LATE: f64 = 1.2;
+/// Part of the time left beyond which an urgent call is refused: late, it is still of use.
+const URGENT_PART: f64 = 0.5;
+/// Pressure above which engines are asked before each call.
+const PRESSED: f64 = 0.15;
+/// Without pressure, one call of so many asks all the same.
+const SAMPLE: u64 = 8;
+/// Time in which the pressure falls to a third.
+const PRESSURE_MEMORY: Duration = Duration::from_millis(1_500);
+/// Share of taken places above which an engine counts as loaded.
+const LOADED: f64 = 0.7;
 
 /// A call that needs an endpoint.
 #[derive(Clone, Copy, Debug)]
@@ -29,6 +50,12 @@
     pub service: &'a ServiceName,
     /// The prompt, for model calls.
     pub prompt: Option<&'a Prompt>,
+    /// The latency objective.
+    pub objective: Option<Duration>,
+    /// The time left.
+    pub left: Duration,
+    /// It is of the most urgent kind, which is never refused for lack of places.
+    pub urgent: bool,
     /// Endpoints that were tried.
     pub tried: &'a [EndpointKey],
     /// Where this VM stands.
@@ -44,6 +71,8 @@
     Spill,
     /// It holds fewest calls.
     Least,
+    /// It would begin first, though late.
+    Late,
     /// All endpoints of the service rest; it may have recovered.
     Resting,
 }
@@ -55,66 +84,203 @@
     pub endpoint: EndpointKey,
     /// Why.
     pub reason: Reason,
+    /// When the first event is expected, if that is known.
+    pub expected: Option<Duration>,
+    /// Another endpoint that probably keeps the session's prompt, from which the chosen one can
+    /// fetch what it lacks; copying is far cheaper than reading.
+    pub keeper: Option<EndpointKey>,
+}
+
+/// What to do with a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Decision {
+    /// Send it.
+    Send(Choice),
+    /// Ask an engine how it stands, then decide again.
+    Probe(EndpointKey),
+    /// Refuse it: no engine can begin it in time.
+    Refuse {
+        /// When the first of them could.
+        expected: Duration,
+    },
+    /// No endpoint is left.
+    Nobody,
+}
+
+/// How loaded the engines of a side are, and how long their calls take.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Pressure {
+    level: f64,
+    noted: Time,
+    asked: u64,
+    /// The usual times of calls.
+    pub usual: Usual,
+}
+
+impl Pressure {
+    /// An engine was found loaded, or a call was late.
+    pub fn note(&mut self, now: Time, loaded: bool) {
+        let gone = now.since(self.noted).as_secs_f64() / PRESSURE_MEMORY.as_secs_f64();
+        self.level *= (-gone).exp();
+        self.noted = now;
+        if loaded {
+            self.level = 1.0;
+        }
+    }
+
+    fn asks(&self, now: Time) -> bool {
+        let gone = now.since(self.noted).as_secs_f64() / PRESSURE_MEMORY.as_secs_f64();
+        self.level * (-gone).exp() > PRESSED || self.asked.is_multiple_of(SAMPLE)
+    }
 }
 
 impl Fleet {
-    /// Chooses an endpoint for a call.
-    pub fn choose(&self, now: Time, ask: Ask<'_>, sides: &Sides) -> Option<Choice> {
+    /// Decides about a call.
+    pub fn choose(&self, now: Time, ask: Ask<'_>, sides: &Sides) -> Decision {
         let takers = self.takers(ask.service);
         let usable = |key: &EndpointKey| {
             let health = &self.endpoint(*key).health;
             !ask.tried.contains(key) && !health.is_resting(now) && !health.is_full(now)
         };
-        let chosen = match ask
+        let decision = match ask
             .prompt
             .and_then(|prompt| prompt.session().map(|s| (prompt, s.id)))
         {
             Some((prompt, session)) => {
-                let (own, other) = sides.split(Side::of(prompt), takers);
+                let side = Side::of(ask.objective);
+                let (own, other) = sides.split(side, takers);
                 let own: Vec<EndpointKey> = own.iter().copied().filter(usable).collect();
-                let other: Vec<EndpointKey> = other.iter().copied().filter(usable).collect();
-                self.by_session(&own, session)
-                    .or_else(|| self.least(&other, ask.data_centre))
+                let order = self.session_order(&own, session);
+                match self.by_session(now, ask, side, prompt, &order) {
+                    Decision::Nobody => {
+                        let other: Vec<EndpointKey> =
+                            other.iter().copied().filter(usable).collect();
+                        self.least(&other, ask.data_centre)
+                    }
+                    decision => decision,
+                }
             }
             None => {
                 let usable: Vec<EndpointKey> = takers.iter().copied().filter(usable).collect();
                 self.least(&usable, ask.data_centre)
             }
         };
-        chosen.or_else(|| self.resting(takers, ask))
+        match decision {
+            Decision::Nobody => self.resting(takers, ask),
+            decision => decision,
+        }
+    }
+
+    /// Counts a call, so that some ask engines without pressure too.
+    pub fn count_ask(&mut self, side: Side) {
+        self.pressure_mut(side).asked += 1;
+    }
+
+    /// Takes an engine's report, or notes that it gave none.
+    pub fn note_report(&mut self, now: Time, key: EndpointKey, side: Side, report: Option<Report>) {
+        let Some(endpoint) = self.get_mut(key) else {
+            return;
+        };
+        let Some(report) = report else {
+            endpoint.health.note_full(now);
+            return;
+        };
+        endpoint.engine.note_report(now, report);
+        let slots = endpoint.entry.slots;
+        let loaded = endpoint
+            .engine
+            .taken(now, slots)
+            .is_some_and(|taken| taken > LOADED);
+        self.pressure_mut(side)
+            .note(now, loaded || report.waiting > 2);
     }
 
     fn endpoint(&self, key: EndpointKey) -> &Endpoint {
         self.get(key).expect("listed endpoints exist")
     }
 
-    fn by_session(&self, keys: &[EndpointKey], session: u64) -> Option<Choice> {
-        let total: f64 = keys
-            .iter()
-            .map(|key| f64::from(self.endpoint(*key).load()))
-            .sum();
-        let mean = total / keys.len().max(1) as f64;
-        let bound = (mean * LOAD_BOUND).max(LOAD_FLOOR);
+    fn session_order(&self, keys: &[EndpointKey], session: u64) -> Vec<EndpointKey> {
         let mut order: Vec<(u64, EndpointKey)> = keys
             .iter()
             .map(|key| (hash_pair(self.endpoint(*key).rank, session), *key))
             .collect();
         order.sort_unstable_by_key(|(hash, _)| *hash);
-        let place = order
+        order.into_iter().map(|(_, key)| key).collect()
+    }
+
+    fn by_session(
+        &self,
+        now: Time,
+        ask: Ask<'_>,
+        side: Side,
+        prompt: &Prompt,
+        order: &[EndpointKey],
+    ) -> Decision {
+        let total: f64 = order
             .iter()
-            .position(|(_, key)| f64::from(self.endpoint(*key).load()) < bound)?;
-        let reason = if place == 0 {
-            Reason::Session
-        } else {
-            Reason::Spill
+            .map(|key| f64::from(self.endpoint(*key).load()))
+            .sum();
+        let mean = total / order.len().max(1) as f64;
+        let bound = (mean * LOAD_BOUND).max(LOAD_FLOOR);
+        let pressure = self.pressure(side);
+        let objective = ask.objective.unwrap_or(ask.left);
+        let mut best: Option<(Duration, EndpointKey)> = None;
+        let mut asked = 0;
+        for (place, key) in order.iter().enumerate() {
+            let endpoint = self.endpoint(*key);
+            let reason = if place == 0 {
+                Reason::Session
+            } else {
+                Reason::Spill
+            };
+            let tokens = prompt.unread(order.len() > 1 || reason == Reason::Session);
+            let slots = endpoint.entry.slots;
+            let expected = endpoint
+                .engine
+                .first_event(now, slots, tokens, &pressure.usual);
+            let choice = Choice {
+                endpoint: *key,
+                reason,
+                expected,
+                keeper: keeper(order, *key),
+            };
+            match expected {
+                Some(expected) => {
+                    if expected <= objective.mul_f64(IN_TIME) {
+                        return Decision::Send(choice);
+                    }
+                    if best.is_none_or(|(least, _)| expected < least) {
+                        best = Some((expected, *key));
+                    }
+                    asked += 1;
+                    if asked >= ASKED {
+                        break;
+                    }
+                }
+                None if f64::from(endpoint.load()) >= bound => {}
+                None if pressure.asks(now) => return Decision::Probe(*key),
+                None => return Decision::Send(choice),
+            }
+        }
+        let bearable = match side {
+            Side::Long => objective.mul_f64(TOO_LATE),
+            Side::Short => objective
+                .mul_f64(TOO_LATE)
+                .max(ask.left.mul_f64(URGENT_PART)),
         };
-        Some(Choice {
-            endpoint: order[place].1,
-            reason,
-        })
+        match best {
+            None => Decision::Nobody,
+            Some((expected, key)) if ask.urgent || expected <= bearable => Decision::Send(Choice {
+                endpoint: key,
+                reason: Reason::Late,
+                expected: Some(expected),
+                keeper: keeper(order, key),
+            }),
+            Some((expected, _)) => Decision::Refuse { expected },
+        }
     }
 
-    fn least(&self, keys: &[EndpointKey], data_centre: &DataCentre) -> Option<Choice> {
+    fn least(&self, keys: &[EndpointKey], data_centre: &DataCentre) -> Decision {
         let cost = |key: &EndpointKey| {
             let endpoint = self.endpoint(*key);
             let far = endpoint.entry.data_centre != *data_centre;
@@ -122,23 +288,37 @@
                 + if far { FAR_COST } else { 0.0 }
                 + endpoint.health.failing() * FAILING_COST
         };
-        let endpoint = keys.iter().min_by(|a, b| cost(a).total_cmp(&cost(b)))?;
-        Some(Choice {
-            endpoint: *endpoint,
-            reason: Reason::Least,
+        let endpoint = keys.iter().min_by(|a, b| cost(a).total_cmp(&cost(b)));
+        endpoint.map_or(Decision::Nobody, |endpoint| {
+            Decision::Send(Choice {
+                endpoint: *endpoint,
+                reason: Reason::Least,
+                expected: None,
+                keeper: None,
+            })
         })
     }
 
     /// With every endpoint at rest, the one that fails least is tried rather than none.
-    fn resting(&self, takers: &[EndpointKey], ask: Ask<'_>) -> Option<Choice> {
+    fn resting(&self, takers: &[EndpointKey], ask: Ask<'_>) -> Decision {
         let untried = takers.iter().filter(|key| !ask.tried.contains(key));
         let endpoint = untried.min_by(|a, b| {
             let (a, b) = (self.endpoint(**a), self.endpoint(**b));
             a.health.failing().total_cmp(&b.health.failing())
-        })?;
-        Some(Choice {
-            endpoint: *endpoint,
-            reason: Reason::Resting,
+        });
+        endpoint.map_or(Decision::Nobody, |endpoint| {
+            Decision::Send(Choice {
+                endpoint: *endpoint,
+                reason: Reason::Resting,
+                expected: None,
+                keeper: None,
+            })
         })
     }
 }
+
+/// The first endpoint of a session's order but the chosen one. It served the session before, or
+/// does while the chosen one is loaded.
+fn keeper(order: &[EndpointKey], chosen: EndpointKey) -> Option<EndpointKey> {
+    order.iter().copied().find(|key| *key != chosen)
+}
--- a/crates/ingress/src/roster.rs
+++ b/crates/ingress/src/roster.rs
@@ -46,6 +46,18 @@
     pub u64,
     /// What it said of itself.
     pub Phase,
+    /// The work that it sends to engines.
+    pub Work,
+);
+
+/// Work that a VM sends to engines, in milliseconds of an engine, over the memory of
+/// [`crate::Demand`].
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Work(
+    /// Of patient calls.
+    pub u16,
+    /// Of urgent ones.
+    pub u16,
 );
 
 /// A datagram between VMs.
@@ -53,8 +65,6 @@
 pub struct Beat {
     /// The sender's own beat.
     pub own: Known,
-    /// The work that it sends to engines, long and short prompts, in milliseconds.
-    pub demand: (f32, f32),
     /// Its open calls by endpoint: hash of the name, count.
     pub open: Vec<(u32, u16)>,
     /// Newest beats that it has heard of.
@@ -74,8 +84,8 @@
     pub heard: Time,
     /// What it said of itself.
     pub phase: Phase,
-    /// The work that it sends to engines, and when it said so.
-    pub demand: Option<(f32, f32, Time)>,
+    /// The work that it sends to engines.
+    pub work: Work,
 }
 
 /// All other VMs.
@@ -110,7 +120,7 @@
             seq: 0,
             heard: Time::ZERO,
             phase: Phase::Starting,
-            demand: None,
+            work: Work::default(),
         });
         if known.seq == 0
             && let Some(place) = place
@@ -121,18 +131,14 @@
 
     /// Takes a beat.
     pub fn note(&mut self, now: Time, beat: &Beat) {
-        let Known(ip, ..) = beat.own;
         self.hear(now, beat.own, true);
-        if let Some(member) = self.members.get_mut(&ip) {
-            member.demand = Some((beat.demand.0, beat.demand.1, now));
-        }
         for known in &beat.known {
             self.hear(now, *known, false);
         }
     }
 
     /// Makes the next beat.
-    pub fn beat(&mut self, now: Time, phase: Phase, demand: (f32, f32)) -> Beat {
+    pub fn beat(&mut self, now: Time, phase: Phase, work: Work) -> Beat {
         self.seq += 1;
         let mut newest: Vec<&Member> = self
             .members
@@ -143,11 +149,10 @@
         newest.truncate(REPEATED);
         let known = newest
             .iter()
-            .map(|m| Known(m.ip, m.place, m.seq, m.phase))
+            .map(|m| Known(m.ip, m.place, m.seq, m.phase, m.work))
             .collect();
         Beat {
-            own: Known(self.me, self.place, self.seq, phase),
-            demand,
+            own: Known(self.me, self.place, self.seq, phase, work),
             open: Vec::new(),
             known,
         }
@@ -250,7 +255,7 @@
     }
 
     fn hear(&mut self, now: Time, known: Known, direct: bool) {
-        let Known(ip, place, seq, phase) = known;
+        let Known(ip, place, seq, phase, work) = known;
         if ip == self.me {
             return;
         }
@@ -267,6 +272,7 @@
             member.heard = now;
             member.phase = phase;
             member.place = place;
+            member.work = work;
         }
     }
 }
--- a/crates/ingress/src/sides.rs
+++ b/crates/ingress/src/sides.rs
@@ -1,40 +1,46 @@
-//! Which endpoints read long prompts.
+//! Which endpoints serve patient calls.
 //!
-//! While an engine reads a long prompt, every stream beside it stands still, so long prompts are
-//! kept on endpoints of their own. How many those are follows the measured work: each VM counts
-//! what it sends, tells the others its sums, and all come to the same boundary. It moves only
-//! when the demand has clearly changed, since a move costs the caches of an endpoint.
+//! While an engine reads a long prompt, every stream beside it stands still. Calls whose
+//! objective leaves time, which are those with long prompts, are therefore kept on endpoints of
+//! their own. The others get as many endpoints as keep them from waiting, the patient ones the
+//! rest. Each VM counts the work that it sends, tells the others its sums, and all come to the
+//! same boundary. It moves only when the demand has clearly changed, since a move costs the
+//! caches of an endpoint.
 
-use crate::call::Prompt;
+use crate::roster::Work;
 use core::time::Duration;
 use poplarswitch_entity::Time;
 
-/// Prompts above this many tokens count as long.
-const LONG_TOKENS: u32 = 3_500;
-/// Prompt tokens that an engine reads in a millisecond.
-const TOKENS_READ_MS: f64 = 81.9;
-/// Milliseconds that a token of an answer takes of a batch.
-const TOKEN_MADE_MS: f64 = 0.27;
-/// Time over which demand is averaged.
-const MEMORY: Duration = Duration::from_secs(10);
-/// Smallest and largest share of the endpoints for long prompts.
-const SHARE_BOUNDS: (f64, f64) = (0.25, 0.85);
-/// Endpoints by which the wanted boundary must differ before it moves.
-const HYSTERESIS: f64 = 0.8;
+/// Calls with a longer objective can wait behind long prompts.
+const PATIENT: Duration = Duration::from_secs(1);
+/// Time over which demand is averaged: bursts last some seconds.
+const MEMORY: Duration = Duration::from_secs(3);
+/// Share of an engine's time up to which urgent calls seldom wait for each other.
+const URGENT_BUSY: f64 = 0.55;
+/// The same for patient calls.
+const PATIENT_BUSY: f64 = 0.85;
+/// Largest share of the endpoints for either side, while the other has demand too.
+const MOST_SHARE: f64 = 0.8;
+/// Share of the endpoints by which the wanted boundary must differ before it moves.
+const HYSTERESIS: f64 = 0.06;
+/// The same in endpoints, for small fleets.
+const LEAST_MOVE: f64 = 0.8;
+/// Demand below this, in busy endpoints, is none.
+const NO_DEMAND: f64 = 0.01;
 
 /// The side of the boundary that a call belongs to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Side {
-    /// Long prompts.
+    /// Patient calls, whose prompts are long.
     Long,
-    /// All others.
+    /// Calls that must begin at once.
     Short,
 }
 
 impl Side {
-    /// The side of a prompt.
-    pub const fn of(prompt: &Prompt) -> Self {
-        if prompt.input > LONG_TOKENS {
+    /// The side of a call with a latency objective.
+    pub fn of(objective: Option<Duration>) -> Self {
+        if objective.is_none_or(|objective| objective >= PATIENT) {
             Self::Long
         } else {
             Self::Short
@@ -53,12 +59,10 @@
 }
 
 impl Demand {
-    /// Counts a call of which a number of prompt tokens must be read.
-    pub fn note(&mut self, now: Time, prompt: &Prompt, unread: u32) {
+    /// Counts the work of a call.
+    pub fn note(&mut self, now: Time, side: Side, work: f64) {
         self.fade(now);
-        let work =
-            f64::from(unread) / TOKENS_READ_MS + f64::from(prompt.expected()) * TOKEN_MADE_MS;
-        match Side::of(prompt) {
+        match side {
             Side::Long => self.long += work,
             Side::Short => self.short += work,
         }
@@ -70,8 +74,8 @@
         self
     }
 
-    /// Sums as another VM told them.
-    pub const fn told(now: Time, long: f64, short: f64) -> Self {
+    /// Sums as of a time.
+    pub const fn of(now: Time, long: f64, short: f64) -> Self {
         Self {
             long,
             short,
@@ -79,6 +83,20 @@
         }
     }
 
+    /// The sums as VMs tell them to each other.
+    pub fn work(self) -> Work {
+        let whole = |sum: f64| sum.min(f64::from(u16::MAX)) as u16;
+        Work(whole(self.long), whole(self.short))
+    }
+
+    /// With the work of another VM, which is as of a moment ago.
+    #[must_use]
+    pub fn plus(mut self, work: Work) -> Self {
+        self.long += f64::from(work.0);
+        self.short += f64::from(work.1);
+        self
+    }
+
     fn fade(&mut self, now: Time) {
         let factor = (-now.since(self.noted).as_secs_f64() / MEMORY.as_secs_f64()).exp();
         self.long *= factor;
@@ -97,25 +115,27 @@
 impl Sides {
     /// Takes the demand of all VMs, and the number of endpoints; returns whether it moved.
     pub fn update(&mut self, total: usize, demand: Demand) -> bool {
-        if total < 2 {
-            *self = Self { total, long: 0 };
-            return false;
-        }
-        let all = demand.long + demand.short;
-        let share = if all > 0.0 { demand.long / all } else { 0.5 };
-        let (least, most) = SHARE_BOUNDS;
-        let wanted = share.clamp(least, most) * total as f64;
-        let moved = (wanted - self.long as f64).abs() > HYSTERESIS;
-        if moved || self.total != total {
-            self.long = (wanted.round() as usize).clamp(1, total - 1);
+        let before = self.long;
+        let wanted = wanted(total as f64, demand);
+        let step = (HYSTERESIS * total as f64).max(LEAST_MOVE);
+        // Without demand, or with demand on one side only, nothing is kept apart.
+        let whole = wanted <= 0.0 || wanted >= total as f64;
+        let due = (wanted - self.long as f64).abs() > step;
+        if due || self.total != total || whole {
+            let least = usize::from(!whole).min(total);
+            let most = total.saturating_sub(least).max(least);
+            self.long = (wanted.round() as usize).clamp(least, most);
         }
         self.total = total;
-        moved
+        self.long != before
     }
 
     /// Splits the endpoints, in their shared order, into those of a side and the others.
     pub fn split<'a, T>(&self, side: Side, endpoints: &'a [T]) -> (&'a [T], &'a [T]) {
         let (long, short) = endpoints.split_at(self.long.min(endpoints.len()));
+        if long.is_empty() || short.is_empty() {
+            return (endpoints, &[]);
+        }
         match side {
             Side::Long => (long, short),
             Side::Short => (short, long),
@@ -127,3 +147,22 @@
         self.long
     }
 }
+
+/// Endpoints that patient calls should have.
+fn wanted(total: f64, demand: Demand) -> f64 {
+    let busy = |work: f64| work / (MEMORY.as_secs_f64() * 1_000.0);
+    let (long, short) = (busy(demand.long), busy(demand.short));
+    if long < NO_DEMAND {
+        return 0.0;
+    }
+    if short < NO_DEMAND {
+        return total;
+    }
+    let (long, short) = (long / PATIENT_BUSY, short / URGENT_BUSY);
+    let urgent = if long + short <= total {
+        total * short / (long + short)
+    } else {
+        short
+    };
+    total - urgent.clamp(total * (1.0 - MOST_SHARE), total * MOST_SHARE)
+}
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -5,18 +5,19 @@
     pool::Lease,
     record::Record,
     reply::{Failure, millis_since},
-    seat::Seat,
+    seat::{Load, Seat},
     shared::Shared,
     tcp::Sender,
 };
 use bytes::Bytes;
-use core::time::Duration;
+use core::{net::SocketAddr, time::Duration};
 use http::{HeaderMap, Method, Request, Response, Uri, response};
 use http_body_util::{BodyExt as _, Full};
 use hyper::body::{Body as _, Incoming};
 use poplarswitch_entity::{EndpointName, ServiceName, Time};
 use poplarswitch_ingress::{
-    Access, Ask, Call, Choice, EndpointKey, Next, Outcome, Reason, Route, Tries, Verdict, decide,
+    Access, Ask, Call, Choice, Decision, EndpointKey, Next, Outcome, Reason, Route, Side, Tries,
+    Verdict, decide,
 };
 use poplarswitch_wire::ErrorCode;
 use std::sync::Arc;
@@ -26,6 +27,12 @@
 const PATIENCE_OBJECTIVES: u32 = 2;
 /// The same for a stream, whose endpoint may only be busy with others.
 const STREAM_PATIENCE_OBJECTIVES: u32 = 5;
+/// Time for an engine's report; a live one answers within a few milliseconds.
+const PROBE_WITHIN: Duration = Duration::from_millis(100);
+/// Engines that are asked for one attempt.
+const PROBES_MOST: usize = 5;
+/// Largest report.
+const REPORT_BYTES: usize = 64 << 10;
 /// Answers up to this size are read whole before they are passed on, so that one that breaks off
 /// can be replaced.
 const WHOLE_BYTES: u64 = 128 << 10;
@@ -108,7 +115,7 @@
                 return Err(self.give_up());
             }
             self.recheck(now)?;
-            let choice = self.choose(now)?;
+            let choice = self.choose().await?;
             let missed = match self.attempt(choice, resume, stale).await {
                 Ok(answer) => return Ok(answer),
                 Err(missed) => missed,
@@ -169,6 +176,15 @@
         paid
     }
 
+    /// When the caller of a refused call should come back.
+    fn wait(&self, now: Time) -> Duration {
+        let left = self.task.until.since(now);
+        self.shared
+            .core()
+            .gate
+            .refuse(now, &self.task.call.id, left)
+    }
+
     /// What the caller is told when its time is over.
     fn give_up(&self) -> Failure {
         let code = if self.tries.run > 0 {
@@ -183,7 +199,7 @@
         let peer = &*self.record.endpoint;
         match verdict {
             Verdict::NotRun => {
-                let after = self.shared.core().gate.refuse(now, &self.task.call.id);
+                let after = self.wait(now);
                 Failure::new(ErrorCode::Overload, peer).retry(after)
             }
             Verdict::Endpoint => Failure::new(ErrorCode::Failed, peer),
@@ -197,7 +213,7 @@
         let vm = self.shared.settings.vm.as_str();
         let fresh = self.shared.core().freshness.holds(now);
         if !fresh {
-            let after = self.shared.core().gate.refuse(now, &self.task.call.id);
+            let after = self.wait(now);
             return Err(self.unrun(ErrorCode::StaleSet, vm).retry(after));
         }
         let table = self.shared.table.load();
@@ -209,7 +225,7 @@
             return Err(self.unrun(ErrorCode::UnknownPath, vm));
         };
         if route.targets != self.task.route.targets {
-            let after = self.shared.core().gate.refuse(now, &self.task.call.id);
+            let after = self.wait(now);
             return Err(self.unrun(ErrorCode::NoEndpoint, vm).retry(after));
         }
         match table.access(route, self.task.call.key.as_deref()) {
@@ -227,21 +243,91 @@
         }
     }
 
-    fn choose(&self, now: Time) -> Result<Choice, Failure> {
+    /// Chooses an endpoint, asking engines how they stand where that decides.
+    async fn choose(&mut self) -> Result<Choice, Failure> {
+        for _ in 0..PROBES_MOST {
+            let now = clock::now();
+            let decision = self.decide(now);
+            match decision {
+                Decision::Send(choice) => return Ok(choice),
+                Decision::Probe(key) => self.probe(key).await,
+                Decision::Refuse { expected } => {
+                    self.record.expected = Some(expected);
+                    return Err(self.refused(now, ErrorCode::Overload));
+                }
+                Decision::Nobody => return Err(self.refused(now, ErrorCode::NoEndpoint)),
+            }
+        }
+        Err(self.refused(clock::now(), ErrorCode::Overload))
+    }
+
+    fn decide(&self, now: Time) -> Decision {
         let core = self.shared.core();
         let ask = Ask {
             service: &self.task.service,
             prompt: self.task.call.prompt.as_ref(),
+            objective: self.task.route.objective,
+            left: self.task.until.since(now),
+            urgent: self.task.route.priority == 0,
             tried: &self.tried,
             data_centre: &self.shared.settings.data_centre,
         };
-        let choice = core.fleet.choose(now, ask, &core.sides);
-        drop(core);
-        choice.ok_or_else(|| {
-            let after = self.shared.core().gate.refuse(now, &self.task.call.id);
-            self.unrun(ErrorCode::NoEndpoint, self.task.service.as_str())
-                .retry(after)
-        })
+        core.fleet.choose(now, ask, &core.sides)
+    }
+
+    fn refused(&self, now: Time, code: ErrorCode) -> Failure {
+        let after = self.wait(now);
+        self.unrun(code, self.task.service.as_str()).retry(after)
+    }
+
+    /// Asks an engine how it stands.
+    async fn probe(&self, key: EndpointKey) {
+        let report = match self.place(key) {
+            Some((name, address)) => match timeout(PROBE_WITHIN, self.report(key, address)).await {
+                Ok(Ok(report)) => Some(report),
+                Ok(Err(cause)) => {
+                    tracing::debug!(endpoint = name.as_str(), cause, "report");
+                    None
+                }
+                Err(_elapsed) => None,
+            },
+            None => None,
+        };
+        self.shared.metrics.probes.inc();
+        let side = self.side();
+        self.shared
+            .core()
+            .fleet
+            .note_report(clock::now(), key, side, report);
+    }
+
+    async fn report(
+        &self,
+        key: EndpointKey,
+        address: SocketAddr,
+    ) -> Result<poplarswitch_ingress::Report, String> {
+        let lease = self.shared.pool.acquire(key, address, false).await;
+        let Lease { mut sender, kept } = lease.map_err(|error| error.to_string())?;
+        if !kept {
+            self.shared.metrics.connections.inc();
+        }
+        let request = Request::get(self.shared.dialect.report_path())
+            .header(http::header::HOST, address.to_string())
+            .body(Full::new(Bytes::new()))
+            .map_err(|error| error.to_string())?;
+        let response = sender
+            .send_request(request)
+            .await
+            .map_err(|error| error.to_string())?;
+        let body = http_body_util::Limited::new(response.into_body(), REPORT_BYTES);
+        let body = body.collect().await.map_err(|error| error.to_string())?;
+        self.shared.pool.put(key, sender, None);
+        self.shared.dialect.report(&body.to_bytes())
+    }
+
+    /// The side that a model call belongs to.
+    pub(crate) fn side(&self) -> Side {
+        Side::of(self.task.route.objective)
     }
 
     fn resting(&self, key: EndpointKey) -> bool {
@@ -279,8 +365,9 @@
         };
         self.record.endpoint = name.as_str().into();
         self.record.reason = reason_name(choice.reason);
+        self.record.expected = choice.expected;
         self.record.attempts += 1;
-        let seat = Seat::take(&self.shared, key, self.reading(choice.reason));
+        let seat = Seat::take(&self.shared, key, self.load(choice));
         let fresh =
             fresh || !self.task.route.kind.is_idempotent() && !self.task.route.kind.is_stream();
         let lease = self.shared.pool.acquire(key, address, fresh).await;
@@ -300,14 +387,21 @@
             ));
         }
         let left = self.task.until.since(started);
-        let request = self.request(&name, left, resume);
+        let keeper = choice.keeper.and_then(|key| self.place(key));
+        let keeper = keeper.map(|(_, address)| address);
+        let request = self.request(&name, left, keeper, resume);
         let (response, sender) = self.exchange(key, lease, request, left).await?;
         let (head, body) = response.into_parts();
         let sign = self
             .shared
             .dialect
             .sign(head.status, &head.headers, &self.task.call.id);
-        self.judge(key, &head, &sign)?;
+        if let Err(missed) = self.judge(key, &head, &sign) {
+            if missed.outcome == Outcome::Refused {
+                seat.refused();
+            }
+            return Err(missed);
+        }
         let open = Open {
             head,
             body,
@@ -331,23 +425,21 @@
         })
     }
 
-    fn place(&self, key: EndpointKey) -> Option<(EndpointName, core::net::SocketAddr)> {
+    fn place(&self, key: EndpointKey) -> Option<(EndpointName, SocketAddr)> {
         let core = self.shared.core();
         let endpoint = core.fleet.get(key)?;
         let ready = endpoint.entry.state == poplarswitch_ingress::EntryState::Ready;
         ready.then(|| (endpoint.entry.name.clone(), endpoint.entry.address))
     }
 
-    /// Prompt tokens that the endpoint will probably have to read.
-    fn reading(&self, reason: Reason) -> u64 {
-        let Some(prompt) = &self.task.call.prompt else {
-            return 0;
-        };
-        let own = prompt.parts.last().map_or(prompt.input, |part| part.tokens);
-        u64::from(if reason == Reason::Session {
-            own
-        } else {
-            prompt.input
+    /// What a model call asks of its engine.
+    fn load(&self, choice: Choice) -> Option<Load> {
+        let prompt = self.task.call.prompt.as_ref()?;
+        Some(Load {
+            side: self.side(),
+            tokens: prompt.unread(choice.keeper.is_some() || choice.reason == Reason::Session),
+            expected: choice.expected,
+            objective: self.task.route.objective,
         })
     }
 
@@ -355,6 +447,7 @@
         &self,
         name: &EndpointName,
         left: Duration,
+        keeper: Option<SocketAddr>,
         resume: Option<&str>,
     ) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.task.body.clone()));
@@ -367,6 +460,7 @@
             workspace: self.task.workspace.as_deref(),
             priority: self.task.call.prompt.as_ref().map(|_| self.task.priority),
             left,
+            keeper,
             resume,
         };
         self.shared.dialect.address(headers, &order);
@@ -521,6 +615,7 @@
         Reason::Session => "session",
         Reason::Spill => "spill",
         Reason::Least => "least",
+        Reason::Late => "late",
         Reason::Resting => "resting",
     }
 }
--- a/crates/relay/src/beats.rs
+++ b/crates/relay/src/beats.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 use poplarswitch_entity::Time;
-use poplarswitch_ingress::{Beat, Demand, Known, Phase};
+use poplarswitch_ingress::{Beat, Known, Phase};
 use rand::Rng as _;
 use std::{collections::HashMap, sync::Arc};
 use tokio::{net::UdpSocket, time::sleep};
@@ -83,14 +83,11 @@
         .map(|s| core.fleet.takers(&s.name).len())
         .max()
         .unwrap_or(0);
-    let mut sum = core.demand.at(now);
-    for member in core.roster.alive(now) {
-        if let Some((long, short, at)) = member.demand {
-            let told = Demand::told(at, f64::from(long), f64::from(short)).at(now);
-            sum.long += told.long;
-            sum.short += told.short;
-        }
-    }
+    let own = core.demand.at(now);
+    let sum = core
+        .roster
+        .alive(now)
+        .fold(own, |sum, member| sum.plus(member.work));
     let before = core.sides.long();
     if core.sides.update(total, sum) {
         let long = core.sides.long();
@@ -111,9 +108,7 @@
     let (beat, receivers) = {
         let mut core = shared.core();
         let demand = core.demand.at(now);
-        let mut beat = core
-            .roster
-            .beat(now, phase, (demand.long as f32, demand.short as f32));
+        let mut beat = core.roster.beat(now, phase, demand.work());
         let open = core.fleet.iter().filter(|(_, endpoint)| endpoint.open > 0);
         let mut open: Vec<(u32, u16)> = open
             .map(|(_, endpoint)| {
@@ -171,7 +166,7 @@
                 continue;
             }
         };
-        let Known(ip, _, _, phase) = beat.own;
+        let Known(ip, _, _, phase, _) = beat.own;
         if from.ip() != IpAddr::V4(ip) {
             shared.metrics.bad_datagrams.inc();
             continue;
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -5,9 +5,9 @@
 
 use bytes::Bytes;
 use core::{fmt, net::Ipv4Addr, net::SocketAddr, time::Duration};
-use http::{HeaderMap, HeaderName, Method, StatusCode};
+use http::{HeaderMap, Method, StatusCode};
 use poplarswitch_entity::{EndpointName, VmName};
-use poplarswitch_ingress::{Call, Declared, Entry};
+use poplarswitch_ingress::{Call, Declared, Entry, Report};
 
 /// A head that is not a call.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -33,6 +33,8 @@
     pub priority: Option<u8>,
     /// How long the endpoint may work on it.
     pub left: Duration,
+    /// Another endpoint from which to fetch what it keeps of the prompt.
+    pub keeper: Option<SocketAddr>,
     /// The last event that the caller has; the answer goes on after it.
     pub resume: Option<&'a str>,
 }
@@ -197,8 +199,15 @@
     /// Reads the head of an endpoint's answer to a call.
     fn sign(&self, status: StatusCode, headers: &HeaderMap, call: &str) -> Sign;
 
-    /// The header in which answers name the call.
-    fn call_header(&self) -> HeaderName;
+    /// The path at which engines report how they stand.
+    fn report_path(&self) -> &'static str;
+
+    /// Reads an engine's report.
+    ///
+    /// # Errors
+    ///
+    /// Says what can't be read.
+    fn report(&self, body: &[u8]) -> Result<Report, String>;
 
     /// Reads a question.
     fn question(&self, method: &Method, path: &str, query: Option<&str>) -> Option<Question>;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -37,6 +37,7 @@
     first: Times,
     lasted: Times,
     pub(crate) connections: Counter,
+    pub(crate) probes: Counter,
     pub(crate) budget_spent: Counter,
     pub(crate) platform_calls: Counter,
     pub(crate) platform_failures: Counter,
@@ -58,6 +59,7 @@
             first: Times::new_with_constructor(times),
             lasted: Times::new_with_constructor(times),
             connections: Counter::default(),
+            probes: Counter::default(),
             budget_spent: Counter::default(),
             platform_calls: Counter::default(),
             platform_failures: Counter::default(),
@@ -84,6 +86,7 @@
                 "New connections to endpoints",
                 &self.connections,
             ),
+            ("reports", "Reports asked of engines", &self.probes),
             (
                 "repeats_unpaid",
                 "Repeats that the budget forbade",
--- a/crates/relay/src/record.rs
+++ b/crates/relay/src/record.rs
@@ -5,6 +5,7 @@
 //! is written when the record is dropped, so a caller that leaves is written down too.
 
 use crate::{clock, shared::Shared};
+use core::time::Duration;
 use poplarswitch_entity::Time;
 use std::sync::Arc;
 
@@ -18,6 +19,8 @@
     pub(crate) version: u64,
     pub(crate) endpoint: Box<str>,
     pub(crate) reason: &'static str,
+    /// When the first event was expected, if an engine was asked.
+    pub(crate) expected: Option<Duration>,
     pub(crate) priority: u8,
     pub(crate) attempts: u32,
     pub(crate) resumed: u32,
@@ -38,6 +41,7 @@
             version,
             endpoint: "".into(),
             reason: "",
+            expected: None,
             priority: 0,
             attempts: 0,
             resumed: 0,
@@ -81,6 +85,7 @@
             proof_ms = proof.map(|age| age.as_millis() as u64),
             endpoint = &*self.endpoint,
             reason = self.reason,
+            expected_ms = self.expected.map(|expected| expected.as_millis() as u64),
             priority = self.priority,
             attempts = self.attempts,
             resumed = self.resumed,
--- a/crates/relay/src/seat.rs
+++ b/crates/relay/src/seat.rs
@@ -1,28 +1,54 @@
 //! A call's place at an endpoint, given back when it is dropped.
 
-use crate::shared::Shared;
-use poplarswitch_ingress::EndpointKey;
+use crate::{clock, shared::Shared};
+use core::time::Duration;
+use poplarswitch_entity::Time;
+use poplarswitch_ingress::{EndpointKey, Side};
 use std::sync::Arc;
 
+/// What a model call asks of its engine.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Load {
+    /// The side that it belongs to.
+    pub(crate) side: Side,
+    /// Tokens that the engine must probably read.
+    pub(crate) tokens: u64,
+    /// When the first event is expected.
+    pub(crate) expected: Option<Duration>,
+    /// The latency objective.
+    pub(crate) objective: Option<Duration>,
+}
+
 /// A call's place at an endpoint.
 #[derive(Debug)]
 pub(crate) struct Seat {
     shared: Arc<Shared>,
     key: EndpointKey,
-    reading: u64,
+    taken: Time,
+    load: Option<Load>,
+    /// The answer has begun.
+    begun: bool,
 }
 
 impl Seat {
-    /// Counts a call at an endpoint, with the prompt tokens that the endpoint must read first.
-    pub(crate) fn take(shared: &Arc<Shared>, key: EndpointKey, reading: u64) -> Self {
-        if let Some(endpoint) = shared.core().fleet.get_mut(key) {
+    /// Counts a call at an endpoint.
+    pub(crate) fn take(shared: &Arc<Shared>, key: EndpointKey, load: Option<Load>) -> Self {
+        let mut core = shared.core();
+        let tokens = load.map_or(0, |load| load.tokens);
+        if let Some(endpoint) = core.fleet.get_mut(key) {
             endpoint.open += 1;
-            endpoint.reading += reading;
+            endpoint.engine.note_sent(tokens);
+        }
+        if let Some(load) = load {
+            core.fleet.pressure_mut(load.side).usual.note_read(tokens);
         }
+        drop(core);
         Self {
             shared: Arc::clone(shared),
             key,
-            reading,
+            taken: clock::now(),
+            load,
+            begun: false,
         }
     }
 
@@ -31,22 +57,52 @@
         self.key
     }
 
-    /// The endpoint has read the prompt.
-    pub(crate) fn begun(&mut self) {
-        let reading = core::mem::take(&mut self.reading);
-        if reading > 0
-            && let Some(endpoint) = self.shared.core().fleet.get_mut(self.key)
+    /// The answer has begun; a late beginning shows that engines are loaded.
+    pub(crate) fn begin(&mut self) {
+        if self.begun {
+            return;
+        }
+        self.begun = true;
+        let now = clock::now();
+        let waited = now.since(self.taken);
+        let Some(load) = self.load else {
+            return;
+        };
+        let mut core = self.shared.core();
+        let pressure = core.fleet.pressure_mut(load.side);
+        if let Some(expected) = load.expected {
+            pressure.usual.note_first(expected, waited);
+        }
+        if load
+            .objective
+            .is_some_and(|objective| waited > objective / 2)
         {
-            endpoint.reading = endpoint.reading.saturating_sub(reading);
+            pressure.note(now, true);
+        }
+    }
+
+    /// The endpoint refused the call for lack of places.
+    pub(crate) fn refused(&self) {
+        if let Some(load) = self.load {
+            let now = clock::now();
+            self.shared
+                .core()
+                .fleet
+                .pressure_mut(load.side)
+                .note(now, true);
         }
     }
 }
 
 impl Drop for Seat {
     fn drop(&mut self) {
-        if let Some(endpoint) = self.shared.core().fleet.get_mut(self.key) {
+        let mut core = self.shared.core();
+        if let Some(endpoint) = core.fleet.get_mut(self.key) {
             endpoint.open = endpoint.open.saturating_sub(1);
-            endpoint.reading = endpoint.reading.saturating_sub(self.reading);
+        }
+        if let (Some(load), true) = (self.load, self.begun) {
+            let held = clock::now().since(self.taken);
+            core.fleet.pressure_mut(load.side).usual.note_held(held);
         }
     }
 }
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -15,7 +15,7 @@
 use http_body_util::{BodyExt as _, Limited};
 use hyper::body::{Body as _, Incoming};
 use poplarswitch_entity::Time;
-use poplarswitch_ingress::{Access, Admission, Call, Route, Side, Stage, Table, Tries};
+use poplarswitch_ingress::{Access, Admission, Call, Route, Side, Stage, Table, Tries, work};
 use poplarswitch_wire::ErrorCode;
 use std::sync::Arc;
 use tokio::time::timeout;
@@ -105,7 +105,14 @@
     let body = read_body(body, limits.body_bytes, limits.idle_time, vm).await?;
     let service = table.target(route, &call.id).cloned();
     let service = service.ok_or_else(|| Failure::new(ErrorCode::NoEndpoint, vm))?;
-    admit(shared, &service, &call)?;
+    let engine = table.service(&service).and_then(|service| service.engine);
+    admit(
+        shared,
+        &service,
+        &call,
+        route.objective,
+        engine.map_or(1, |engine| engine.slots),
+    )?;
     record.priority = table.rank(route, workspace.as_ref());
     let wait = call
         .deadline
@@ -158,21 +165,22 @@
     shared: &Shared,
     service: &poplarswitch_entity::ServiceName,
     call: &Call,
+    objective: Option<Duration>,
+    slots: u32,
 ) -> Result<(), Failure> {
     let now = clock::now();
+    let left = call.deadline.unwrap_or(LONGEST);
     let in_flight = shared.in_flight();
     let mut core = shared.core();
     core.budget.note_call(now, service);
     if let Some(prompt) = &call.prompt {
-        let own = prompt.parts.last().map_or(prompt.input, |part| part.tokens);
-        let unread = if Side::of(prompt) == Side::Long {
-            own
-        } else {
-            prompt.input
-        };
-        core.demand.note(now, prompt, unread);
+        let side = Side::of(objective);
+        let tokens = prompt.unread(side == Side::Long);
+        core.demand
+            .note(now, side, work(tokens, prompt.expected(), slots));
+        core.fleet.count_ask(side);
     }
-    match core.gate.admit(now, in_flight, &call.id) {
+    match core.gate.admit(now, in_flight, &call.id, left) {
         Admission::Admitted => Ok(()),
         Admission::Refused { after } => {
             let vm = shared.settings.vm.as_str();
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -145,7 +145,7 @@
                     Err(_trailers) => continue,
                 },
             };
-            open.seat.begun();
+            open.seat.begin();
             self.job.record.begin(clock::now());
             let bytes = match &mut self.events {
                 Some(events) => match events.push(&bytes) {
