Let calls wait for the configuration of a VM that has just started

Ruled out: a slow platform (the configuration came 10 ms after it was asked for). Change: a call waits up to 0.5 s, or a quarter of its time, for the first configuration; a VM beats at once when it begins or ceases to take calls; beats of others are awaited for 0.35 s instead of 0.6 s.

--- a/crates/ingress/src/feed.rs
+++ b/crates/ingress/src/feed.rs
@@ -22,7 +22,7 @@
 /// Longest of these waits.
 const MOST_STAGGER: Duration = Duration::from_millis(700);
 /// Time after the start in which other VMs' beats are awaited before anything is read.
-const SETTLE: Duration = Duration::from_millis(600);
+const SETTLE: Duration = Duration::from_millis(350);
 /// Time for which a neighbour that failed is not asked.
 const AVOIDED: Duration = Duration::from_millis(1_500);
 
--- a/crates/relay/src/beats.rs
+++ b/crates/relay/src/beats.rs
@@ -41,7 +41,7 @@
         let urgent = phase == Phase::Leaving && last != Some(phase);
         last = Some(phase);
         send(&shared, &socket, now, phase, urgent).await;
-        sleep(BEAT_EVERY).await;
+        await_beat(&shared, phase).await;
         if listener.is_finished() {
             tracing::error!(event = "listener_ended", "beats");
             return;
@@ -49,6 +49,19 @@
     }
 }
 
+/// Waits for the next beat, which comes at once when this VM begins or ceases to take calls.
+async fn await_beat(shared: &Shared, phase: Phase) {
+    let mut changes = shared.changes();
+    let due = sleep(BEAT_EVERY);
+    tokio::pin!(due);
+    while shared.phase(clock::now()) == phase {
+        tokio::select! {
+            () = &mut due => return,
+            changed = changes.changed() => if changed.is_err() { return },
+        }
+    }
+}
+
 /// The work that is due at each beat.
 fn tick(shared: &Shared, now: Time) -> Phase {
     let phase = shared.phase(now);
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -159,6 +159,7 @@
 async fn leave(shared: &Arc<Shared>, store: &Arc<StoreClient>) {
     let started = clock::now();
     shared.core().leaving.start(started);
+    shared.announce();
     tracing::info!(event = "leaving", in_flight = shared.in_flight(), "process");
     let farewell = StoreCall::RemoveVm(shared.settings.vm.clone());
     let store = Arc::clone(store);
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -25,6 +25,11 @@
 /// When a caller should try another VM because this one leaves or knows too little.
 const ELSEWHERE: Duration = Duration::from_millis(50);
 
+/// Time that a call waits for the configuration of a VM that has just started.
+const STARTING: Duration = Duration::from_millis(500);
+/// Part of the caller's time that this may take.
+const STARTING_PART: u32 = 4;
+
 /// Serves one call.
 pub(crate) async fn serve(
     shared: Arc<Shared>,
@@ -83,9 +88,10 @@
     if let Ok(call) = &call {
         record.call.clone_from(&call.id);
     }
+    await_set(shared, call.as_ref().ok().and_then(|call| call.deadline)).await;
     let table = shared.table.load_full();
     record.version = table.version();
-    check_vm(shared, &table, arrived)?;
+    check_vm(shared, &table, clock::now())?;
     let host = host_of(&head).unwrap_or_default();
     let route = table
         .route(&host, head.uri.path())
@@ -135,6 +141,25 @@
     })
 }
 
+/// Waits a moment for a configuration that may be acted on: a VM that has just started has one
+/// within a fraction of a second, and its callers have few attempts.
+async fn await_set(shared: &Shared, deadline: Option<Duration>) {
+    let wait = deadline.map_or(STARTING, |left| STARTING.min(left / STARTING_PART));
+    let mut changes = shared.changes();
+    let over = tokio::time::sleep(wait);
+    tokio::pin!(over);
+    loop {
+        let now = clock::now();
+        if shared.table.load().version() > 0 && shared.core().freshness.holds(now) {
+            return;
+        }
+        tokio::select! {
+            () = &mut over => return,
+            changed = changes.changed() => if changed.is_err() { return },
+        }
+    }
+}
+
 /// Whether this VM may serve anything.
 fn check_vm(shared: &Shared, table: &Table, now: Time) -> Result<(), Failure> {
     let vm = shared.settings.vm.as_str();
