--- a/crates/relay/src/logs_tests.rs
+++ b/crates/relay/src/logs_tests.rs
@@ -1,1 +1,65 @@
+use crate::LogWriter;
+use googletest::prelude::*;
+use std::{
+    io::{self, Write},
+    sync::{Arc, Mutex, mpsc},
+};
+use tracing_subscriber::fmt::MakeWriter as _;
 
+/// An output whose reader has stopped reading.
+struct Stuck(mpsc::Receiver<()>);
+
+impl Write for Stuck {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        // Ends when the test does.
+        let _ended = self.0.recv();
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+#[derive(Clone, Default)]
+struct Kept(Arc<Mutex<Vec<u8>>>);
+
+impl Write for Kept {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.lock().unwrap().extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+#[gtest]
+fn lines_never_wait_for_an_output_that_is_stuck() {
+    let (end, ended) = mpsc::channel();
+    let writer = LogWriter::start(Stuck(ended));
+    for _ in 0..100_000 {
+        writer
+            .make_writer()
+            .write_all(b"a line of some length that is written often\n")
+            .unwrap();
+    }
+    drop(end);
+}
+
+#[gtest]
+fn lines_beyond_the_bound_are_dropped_and_counted() {
+    let kept = Kept::default();
+    let writer = LogWriter::start(kept.clone());
+    for _ in 0..20_000 {
+        writer
+            .make_writer()
+            .write_all(b"0123456789012345678901234567890123456789\n")
+            .unwrap();
+    }
+    writer.flush();
+    let text = String::from_utf8(kept.0.lock().unwrap().clone()).unwrap();
+    expect_that!(text.len(), lt(400_000));
+    expect_that!(text, contains_substring("lines_dropped"));
+}
