Prove the relay with real processes, and call a VM ready only when it knows endpoints

Cause (found by the new tests, once each): a VM said that it took calls when it had a configuration and no endpoints yet: a booking was refused with no_endpoint right after a start, and an endpoint that drained in that gap was never told of. Ruled out: a lost drain (the same test alone passed before and after).

--- /dev/null
+++ b/crates/node/tests/relay/mod.rs
@@ -0,0 +1,231 @@
+//! A fleet of relay processes on loopback addresses, with stand-ins around it.
+
+use core::{
+    net::{Ipv4Addr, SocketAddr},
+    sync::atomic::{AtomicU32, Ordering},
+    time::Duration,
+};
+use poplarswitch_deployment::{
+    Ask, CallError, Caller, Configuration, Deployment, Endpoint, Kind, Store, Told, Vm,
+};
+use rustix::process::{Pid, Signal, kill_process};
+use std::{
+    fs::{self, File},
+    process::{Child, Command, Stdio},
+    thread,
+    time::Instant,
+};
+use tempfile::TempDir;
+
+/// How long anything may take before a test gives up on it.
+const PATIENCE: Duration = Duration::from_secs(30);
+const LOOK: Duration = Duration::from_millis(20);
+
+pub const KEYS: [&str; 2] = ["k1", "k2"];
+
+/// A relay process.
+pub struct Process {
+    pub vm: Vm,
+    child: Option<Child>,
+}
+
+/// Relay processes, a store and endpoints.
+pub struct Fleet {
+    pub store: Store,
+    pub endpoints: Vec<Endpoint>,
+    pub processes: Vec<Process>,
+    pub caller: Caller,
+    deployment: Deployment,
+    folder: TempDir,
+    calls: AtomicU32,
+}
+
+impl Fleet {
+    /// Starts VMs in the network `127.0.NET.0`, two engines and two booking services.
+    pub fn start(net: u8, vms: u8) -> Self {
+        let store = Store::start("127.0.0.1:0".parse().unwrap()).unwrap();
+        store.configure(&Configuration::sample(1, &KEYS));
+        let deployment = Deployment {
+            store: store.address(),
+            port: 8_400,
+            data_centres: vec!["bole".to_owned(), "kality".to_owned()],
+            seeds: vec![Ipv4Addr::new(127, 0, net, 1)],
+        };
+        let vms = (1..=vms).map(|n| Vm {
+            name: format!("front-{n}"),
+            ip: Ipv4Addr::new(127, 0, net, n),
+            data_centre: deployment.data_centres[usize::from(n % 2)].clone(),
+        });
+        let processes = vms.map(|vm| Process { vm, child: None }).collect();
+        let mut fleet = Self {
+            store,
+            endpoints: Vec::new(),
+            processes,
+            caller: Caller::new(Configuration::host()),
+            deployment,
+            folder: TempDir::new().unwrap(),
+            calls: AtomicU32::new(0),
+        };
+        fleet.add_endpoint("engine-1", Kind::Engine);
+        fleet.add_endpoint("engine-2", Kind::Engine);
+        fleet.add_endpoint("booking-1", Kind::Service);
+        fleet.add_endpoint("booking-2", Kind::Service);
+        for index in 0..fleet.processes.len() {
+            fleet.run(index);
+        }
+        fleet.await_ready();
+        fleet
+    }
+
+    fn service(kind: Kind) -> &'static str {
+        match kind {
+            Kind::Engine => "engines",
+            Kind::Service => "booking",
+        }
+    }
+
+    /// Starts an endpoint and registers it.
+    pub fn add_endpoint(&mut self, name: &str, kind: Kind) {
+        let endpoint = Endpoint::start(name, kind, "127.0.0.1:0".parse().unwrap()).unwrap();
+        self.store
+            .register(name, endpoint.entry(Self::service(kind), "bole", false));
+        self.endpoints.push(endpoint);
+    }
+
+    /// Starts the process of a VM.
+    pub fn run(&mut self, index: usize) {
+        let process = &mut self.processes[index];
+        let file = self.folder.path().join(format!("{}.yaml", process.vm.name));
+        fs::write(&file, self.deployment.settings(&process.vm)).unwrap();
+        let log = self.folder.path().join(format!("{}.log", process.vm.name));
+        let log = File::options().create(true).append(true).open(log).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_poplarswitch"))
+            .args(["relay", "--settings"])
+            .arg(&file)
+            .stdin(Stdio::null())
+            .stdout(log)
+            .spawn()
+            .unwrap();
+        process.child = Some(child);
+    }
+
+    /// Sends a signal to the process of a VM.
+    pub fn signal(&self, index: usize, signal: Signal) {
+        let child = self.processes[index].child.as_ref().unwrap();
+        kill_process(Pid::from_child(child), signal).unwrap();
+    }
+
+    /// Kills the process of a VM.
+    pub fn kill(&mut self, index: usize) {
+        let mut child = self.processes[index].child.take().unwrap();
+        child.kill().unwrap();
+        child.wait().unwrap();
+    }
+
+    /// Waits until the process of a VM has ended by itself; returns whether it ended well.
+    pub fn await_end(&mut self, index: usize) -> bool {
+        let mut child = self.processes[index].child.take().unwrap();
+        await_that("the process ends", || child.try_wait().unwrap().is_some());
+        child.wait().unwrap().success()
+    }
+
+    /// Waits until all VMs that run take calls and know each other.
+    pub fn await_ready(&self) {
+        let running: Vec<&Process> = self
+            .processes
+            .iter()
+            .filter(|process| process.child.is_some())
+            .collect();
+        for process in &running {
+            let ready = self.deployment.ready(&process.vm);
+            await_that("the VM is ready", || self.caller.is_ready(ready));
+            let directory = self.deployment.directory(&process.vm);
+            await_that("the VM knows the others", || {
+                self.caller
+                    .resolve(directory, "none")
+                    .is_ok_and(|all| all.len() == running.len())
+            });
+        }
+    }
+
+    /// Addresses that a VM tells callers.
+    pub fn addresses(&self, index: usize) -> Vec<SocketAddr> {
+        let directory = self.deployment.directory(&self.processes[index].vm);
+        self.caller.resolve(directory, "none").unwrap()
+    }
+
+    /// Where a VM takes calls.
+    pub fn address(&self, index: usize) -> SocketAddr {
+        SocketAddr::new(self.processes[index].vm.ip.into(), self.deployment.port)
+    }
+
+    /// Makes a call with a name of its own; returns the name too.
+    pub fn call(&self, index: usize, path: &str) -> (String, Result<Told, CallError>) {
+        self.call_with(index, path, KEYS[0])
+    }
+
+    /// Makes a call with a key.
+    pub fn call_with(
+        &self,
+        index: usize,
+        path: &str,
+        key: &str,
+    ) -> (String, Result<Told, CallError>) {
+        let call = format!("c{}", self.calls.fetch_add(1, Ordering::Relaxed));
+        let ask = Ask {
+            call: &call,
+            path,
+            key,
+            deadline: Duration::from_secs(8),
+        };
+        let told = self.caller.call(self.address(index), &ask);
+        (call, told)
+    }
+
+    /// How often a call was run, by all endpoints.
+    pub fn runs(&self, call: &str) -> usize {
+        let runs = self.endpoints.iter().flat_map(Endpoint::runs);
+        runs.filter(|run| run.call == call).count()
+    }
+
+    /// The log of a VM.
+    pub fn log(&self, index: usize) -> String {
+        let name = &self.processes[index].vm.name;
+        fs::read_to_string(self.folder.path().join(format!("{name}.log"))).unwrap()
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for child in self
+            .processes
+            .iter_mut()
+            .filter_map(|process| process.child.as_mut())
+        {
+            // It may have ended already.
+            let _ended = child.kill();
+            let _waited = child.wait();
+        }
+        if thread::panicking() {
+            for index in 0..self.processes.len() {
+                eprintln!("{}", self.log(index));
+            }
+        }
+    }
+}
+
+/// Waits until something holds.
+pub fn await_that(what: &str, mut holds: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !holds() {
+        assert!(start.elapsed() < PATIENCE, "waited in vain: {what}");
+        thread::sleep(LOOK);
+    }
+}
+
+/// The events of a whole stream.
+pub fn events(call: &str, count: u32) -> String {
+    (1..=count)
+        .map(|id| format!("id: {id}\ndata: {call} {id}\n\n"))
+        .collect()
+}
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -149,8 +149,7 @@
     let over = tokio::time::sleep(wait);
     tokio::pin!(over);
     loop {
-        let now = clock::now();
-        if shared.table.load().version() > 0 && shared.core().freshness.holds(now) {
+        if shared.can_serve(clock::now()) {
             return;
         }
         tokio::select! {
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -144,17 +144,27 @@
 
     /// What this VM says of itself.
     pub(crate) fn phase(&self, now: Time) -> Phase {
-        let known = self.table.load().version() > 0;
         let core = self.core();
         if core.leaving.is_leaving() {
             Phase::Leaving
-        } else if known && core.freshness.holds(now) {
+        } else if self.is_informed(&core, now) {
             Phase::Ready
         } else {
             Phase::Starting
         }
     }
 
+    /// Whether this VM knows enough to serve: a fresh configuration, and the endpoints.
+    fn is_informed(&self, core: &Core, now: Time) -> bool {
+        let known = self.table.load().version() > 0 && core.endpoints_proved.is_some();
+        known && core.freshness.holds(now)
+    }
+
+    /// Whether calls can be served.
+    pub(crate) fn can_serve(&self, now: Time) -> bool {
+        self.is_informed(&self.core(), now)
+    }
+
     /// Where this VM stands on its way out.
     pub(crate) fn stage(&self, now: Time) -> Stage {
         self.core().leaving.stage(now, self.in_flight())
