Soak real processes under random faults, with a proxy before each endpoint

Cause: the twelve process tests inject one fault each; faults come in series and overlap. Change: a proxy stand-in (delays, cuts one way, silence, resets), a seeded soak of four VMs with signals, store troubles, links, endpoints and revoked keys; it checks own and whole answers, at most once, refused never ran, keys revoked in time, and that all serve again.

--- a/crates/node/tests/relay/mod.rs
+++ b/crates/node/tests/relay/mod.rs
@@ -1,12 +1,14 @@
 //! A fleet of relay processes on loopback addresses, with stand-ins around it.
 
+#![allow(dead_code, reason = "each test program uses a part of it")]
+
 use core::{
     net::{Ipv4Addr, SocketAddr},
     sync::atomic::{AtomicU32, Ordering},
     time::Duration,
 };
 use poplarswitch_deployment::{
-    Ask, CallError, Caller, Configuration, Deployment, Endpoint, Kind, Store, Told, Vm,
+    Ask, CallError, Caller, Configuration, Deployment, Endpoint, Kind, Proxy, Store, Told, Vm,
 };
 use rustix::process::{Pid, Signal, kill_process};
 use std::{
@@ -33,6 +35,7 @@
 pub struct Fleet {
     pub store: Store,
     pub endpoints: Vec<Endpoint>,
+    pub proxies: Vec<Proxy>,
     pub processes: Vec<Process>,
     pub caller: Caller,
     deployment: Deployment,
@@ -60,6 +63,7 @@
         let mut fleet = Self {
             store,
             endpoints: Vec::new(),
+            proxies: Vec::new(),
             processes,
             caller: Caller::new(Configuration::host()),
             deployment,
@@ -84,12 +88,21 @@
         }
     }
 
-    /// Starts an endpoint and registers it.
+    /// Starts an endpoint behind a proxy and registers it.
     pub fn add_endpoint(&mut self, name: &str, kind: Kind) {
         let endpoint = Endpoint::start(name, kind, "127.0.0.1:0".parse().unwrap()).unwrap();
-        self.store
-            .register(name, endpoint.entry(Self::service(kind), "bole", false));
+        let proxy = Proxy::start(endpoint.address()).unwrap();
         self.endpoints.push(endpoint);
+        self.proxies.push(proxy);
+        self.register(self.endpoints.len() - 1, kind, false);
+    }
+
+    /// Writes the entry of an endpoint.
+    pub fn register(&self, index: usize, kind: Kind, draining: bool) {
+        let endpoint = &self.endpoints[index];
+        let address = self.proxies[index].address();
+        let entry = endpoint.entry(address, Self::service(kind), "bole", draining);
+        self.store.register(endpoint.name(), entry);
     }
 
     /// Starts the process of a VM.
@@ -109,6 +122,32 @@
         process.child = Some(child);
     }
 
+    /// Whether the process of a VM runs.
+    pub fn is_up(&self, index: usize) -> bool {
+        self.processes[index].child.is_some()
+    }
+
+    /// Sends a signal to the process of a VM, if it runs.
+    pub fn signal_if_up(&self, index: usize, signal: Signal) {
+        if self.is_up(index) {
+            self.signal(index, signal);
+        }
+    }
+
+    /// Kills the process of a VM, if it runs.
+    pub fn kill_if_up(&mut self, index: usize) {
+        if self.is_up(index) {
+            self.kill(index);
+        }
+    }
+
+    /// Starts the process of a VM, if it doesn't run.
+    pub fn run_if_down(&mut self, index: usize) {
+        if !self.is_up(index) {
+            self.run(index);
+        }
+    }
+
     /// Sends a signal to the process of a VM.
     pub fn signal(&self, index: usize, signal: Signal) {
         let child = self.processes[index].child.as_ref().unwrap();
