--- a/crates/util/src/cli.rs
+++ b/crates/util/src/cli.rs
@@ -37,6 +37,8 @@
     Load(commands::load::Args),
     /// Measure the policy in virtual time against its baselines
     Bench(commands::bench::Args),
+    /// Print the scores in a journal of measured runs as a page
+    Journal(commands::journal::Args),
     /// Make or hash a bearer key
     Key(commands::key::Args),
     /// Run the whole path on this machine with stand-ins, faults and callers
@@ -58,6 +60,7 @@
             Self::Timeline(args) => args.run(output),
             Self::Load(args) => args.run(output),
             Self::Bench(args) => args.run(output),
+            Self::Journal(args) => args.run(output),
             Self::Key(args) => args.run(output),
             Self::Demo(args) => args.run(output),
             Self::Completions(args) => args.run(output),
--- a/crates/util/src/commands/mod.rs
+++ b/crates/util/src/commands/mod.rs
@@ -8,6 +8,7 @@
 pub(crate) mod diff;
 pub(crate) mod drain;
 pub(crate) mod get;
+pub(crate) mod journal;
 pub(crate) mod key;
 pub(crate) mod load;
 pub(crate) mod status;
