Split the carrying of calls in three, and meet the linter

Change: job.rs carries a call, placing.rs finds its endpoint, attempt.rs makes one attempt; an answer's meaning is one enum in place of three flags. No behaviour changes.

--- a/crates/ingress/src/admission.rs
+++ b/crates/ingress/src/admission.rs
@@ -69,6 +69,6 @@
         let most = (left / MOST_PART).max(LEAST_WAIT);
         let longest = (LEAST_WAIT + WAIT_STEP.mul_f64(self.pressure)).min(most);
         let spread = (hash_text(call) % 1_000) as f64 / 1_000.0;
-        LEAST_WAIT + (longest - LEAST_WAIT).mul_f64(spread)
+        LEAST_WAIT + longest.saturating_sub(LEAST_WAIT).mul_f64(spread)
     }
 }
--- a/crates/ingress/src/admission_tests.rs
+++ b/crates/ingress/src/admission_tests.rs
@@ -29,7 +29,7 @@
     expect_that!(waits[0], ge(Duration::from_millis(100)));
     expect_that!(
         waits[150].saturating_sub(waits[50]),
-        gt(Duration::from_millis(1_000))
+        gt(Duration::from_secs(1))
     );
 }
 
--- a/crates/ingress/src/placement.rs
+++ b/crates/ingress/src/placement.rs
@@ -142,28 +142,24 @@
             let health = &self.endpoint(*key).health;
             !ask.tried.contains(key) && !health.is_resting(now) && !health.is_full(now)
         };
-        let decision = match ask
+        let session = ask
             .prompt
-            .and_then(|prompt| prompt.session().map(|s| (prompt, s.id)))
-        {
-            Some((prompt, session)) => {
-                let side = Side::of(ask.objective);
-                let (own, other) = sides.split(side, takers);
-                let own: Vec<EndpointKey> = own.iter().copied().filter(usable).collect();
-                let order = self.session_order(&own, session);
-                match self.by_session(now, ask, side, prompt, &order) {
-                    Decision::Nobody => {
-                        let other: Vec<EndpointKey> =
-                            other.iter().copied().filter(usable).collect();
-                        self.least(&other, ask.data_centre)
-                    }
-                    decision => decision,
+            .and_then(|prompt| prompt.session().map(|s| (prompt, s.id)));
+        let decision = if let Some((prompt, session)) = session {
+            let side = Side::of(ask.objective);
+            let (own, other) = sides.split(side, takers);
+            let own: Vec<EndpointKey> = own.iter().copied().filter(usable).collect();
+            let order = self.session_order(&own, session);
+            match self.by_session(now, ask, side, prompt, &order) {
+                Decision::Nobody => {
+                    let other: Vec<EndpointKey> = other.iter().copied().filter(usable).collect();
+                    self.least(&other, ask.data_centre)
                 }
+                decision => decision,
             }
-            None => {
-                let usable: Vec<EndpointKey> = takers.iter().copied().filter(usable).collect();
-                self.least(&usable, ask.data_centre)
-            }
+        } else {
+            let usable: Vec<EndpointKey> = takers.iter().copied().filter(usable).collect();
+            self.least(&usable, ask.data_centre)
         };
         match decision {
             Decision::Nobody => self.resting(takers, ask),
--- a/crates/ingress/src/roster.rs
+++ b/crates/ingress/src/roster.rs
@@ -22,7 +22,7 @@
 /// The same where beats come through others.
 const SILENT_LARGE: Duration = Duration::from_millis(2_200);
 /// Silence after which a member is forgotten.
-const FORGOTTEN: Duration = Duration::from_secs(60);
+const FORGOTTEN: Duration = Duration::from_mins(1);
 
 /// What a VM says of itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/ingress/src/sides.rs
+++ b/crates/ingress/src/sides.rs
@@ -69,6 +69,7 @@
     }
 
     /// The sums as of now.
+    #[must_use]
     pub fn at(mut self, now: Time) -> Self {
         self.fade(now);
         self
--- a/crates/node/tests/relay/mod.rs
+++ b/crates/node/tests/relay/mod.rs
@@ -264,7 +264,8 @@
 
 /// The events of a whole stream.
 pub fn events(call: &str, count: u32) -> String {
-    (1..=count)
+    let events: Vec<String> = (1..=count)
         .map(|id| format!("id: {id}\ndata: {call} {id}\n\n"))
-        .collect()
+        .collect();
+    events.concat()
 }
--- a/crates/node/tests/relay_process.rs
+++ b/crates/node/tests/relay_process.rs
@@ -4,7 +4,7 @@
 
 use core::time::Duration;
 use googletest::prelude::*;
-use poplarswitch_deployment::{Configuration, Kind, Trouble};
+use poplarswitch_deployment::{Configuration, Endpoint, Kind, Trouble};
 use relay::{Fleet, KEYS, await_that, events};
 use rustix::process::Signal;
 use std::thread;
@@ -25,7 +25,7 @@
             assert_that!(told.unwrap().body, eq(&events(&call, 5)));
         }
     }
-    let runs = fleet.endpoints.iter().flat_map(|endpoint| endpoint.runs());
+    let runs = fleet.endpoints.iter().flat_map(Endpoint::runs);
     for run in runs {
         assert_that!(run.workspace.as_deref(), some(eq("guides")));
     }
--- a/crates/node/tests/relay_soak.rs
+++ b/crates/node/tests/relay_soak.rs
@@ -193,11 +193,11 @@
     let sent = Instant::now();
     let told = caller.call(vm, &ask).ok();
     Call {
-        told,
-        sent,
         name,
         path,
         key,
+        sent,
+        told,
     }
 }
 
@@ -277,7 +277,9 @@
             .map(|(_, f)| *f)
             .collect();
         open.retain(|(at, _)| *at > now);
-        due.into_iter().for_each(|fault| soak.end(fault));
+        for fault in due {
+            soak.end(fault);
+        }
         let fault = draw(&mut draws);
         let lasts = Duration::from_millis(draws.random_range(200..4_000));
         // A second fault of the same kind on the same thing would end with the first.
@@ -294,7 +296,9 @@
         soak.begin(fault);
         open.push((now + lasts, fault));
     }
-    open.into_iter().for_each(|(_, fault)| soak.end(fault));
+    for (_, fault) in open {
+        soak.end(fault);
+    }
 }
 
 #[gtest]
--- a/crates/relay/src/beats.rs
+++ b/crates/relay/src/beats.rs
@@ -51,13 +51,13 @@
 
 /// Waits for the next beat, which comes at once when this VM begins or ceases to take calls.
 async fn await_beat(shared: &Shared, phase: Phase) {
-    let mut changes = shared.changes();
+    let mut news = shared.changes();
     let due = sleep(BEAT_EVERY);
     tokio::pin!(due);
     while shared.phase(clock::now()) == phase {
         tokio::select! {
             () = &mut due => return,
-            changed = changes.changed() => if changed.is_err() { return },
+            changed = news.changed() => if changed.is_err() { return },
         }
     }
 }
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -39,17 +39,27 @@
     pub resume: Option<&'a str>,
 }
 
+/// What an answer is about.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Meaning {
+    /// The call.
+    #[default]
+    Answer,
+    /// The endpoint says that it didn't run the call.
+    NotRun,
+    /// It comes from another process than the call was meant for.
+    Displaced,
+    /// It names another call.
+    Foreign,
+}
+
 /// What the head of an endpoint's answer says.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Sign {
-    /// The endpoint says that it didn't run the call.
-    pub not_run: bool,
-    /// The answer comes from another process than the call was meant for.
-    pub displaced: bool,
-    /// The answer bears the endpoint's signature.
+    /// What it is about.
+    pub meaning: Meaning,
+    /// It bears the endpoint's signature.
     pub sealed: bool,
-    /// The answer names another call.
-    pub foreign: bool,
     /// Idle time after which the endpoint closes the connection.
     pub keep: Option<Duration>,
 }
--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -57,8 +57,8 @@
 }
 
 fn last_id(events: &[u8]) -> Option<String> {
-    let lines = events.split(|byte| *byte == b'\n').rev();
-    let id = lines.filter_map(|line| line.strip_prefix(b"id:")).next()?;
+    let mut lines = events.split(|byte| *byte == b'\n').rev();
+    let id = lines.find_map(|line| line.strip_prefix(b"id:"))?;
     let text = core::str::from_utf8(id).ok()?;
     Some(text.trim().to_owned())
 }
--- a/crates/relay/src/events_tests.rs
+++ b/crates/relay/src/events_tests.rs
@@ -13,7 +13,7 @@
             out.extend(events.push(piece).into_iter().flatten());
         }
         let end = STREAM.len() - b"id: 4\ndata: d".len();
-        assert_that!(&out[..], eq(&STREAM[..end]), "pieces of {size}");
+        assert_that!(&*out, eq(&STREAM[..end]), "pieces of {size}");
         assert_that!(events.last(), some(eq("3")), "pieces of {size}");
     }
 }
@@ -24,7 +24,7 @@
     events.push(b"id: 1\ndata: a\n\nid: 2\nda");
     events.restart();
     let next = events.push(b"id: 2\ndata: b\n\n").unwrap();
-    expect_that!(&next[..], eq(b"id: 2\ndata: b\n\n"));
+    expect_that!(&*next, eq(b"id: 2\ndata: b\n\n"));
     expect_that!(events.last(), some(eq("2")));
 }
 
--- a/crates/relay/src/feed.rs
+++ b/crates/relay/src/feed.rs
@@ -59,17 +59,17 @@
             return response;
         }
     };
-    let mut changes = shared.changes();
+    let mut news = shared.changes();
     let wait = sleep(Duration::from_millis(u64::from(ask.wait)).min(WAIT));
     tokio::pin!(wait);
     let before = proofs(shared);
     while shared.cursor() == ask.cursor && proofs(shared) == before && !shared.core().troubled {
         tokio::select! {
             () = &mut wait => break,
-            changed = changes.changed() => if changed.is_err() { break },
+            changed = news.changed() => if changed.is_err() { break },
         }
     }
-    let reply = news(shared, arrived, ask.cursor);
+    let reply = reply(shared, arrived, ask.cursor);
     let mut bytes = Vec::new();
     if let Err(error) = ciborium::into_writer(&reply, &mut bytes) {
         tracing::warn!(event = "unwritable", %error, "feed");
@@ -82,7 +82,7 @@
     (core.freshness.proved(), core.endpoints_proved)
 }
 
-fn news(shared: &Shared, arrived: Time, known: Cursor) -> FeedReply {
+fn reply(shared: &Shared, arrived: Time, known: Cursor) -> FeedReply {
     let table = shared.table.load_full();
     let newer = table.version() > known.version;
     let core = shared.core();
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -12,8 +12,10 @@
 mod dialect;
 mod events;
 mod feed;
+mod job;
 mod logs;
 mod metrics;
+mod placing;
 mod pool;
 mod questions;
 mod reader;
@@ -36,7 +38,7 @@
 
 pub use clock::now;
 pub use dialect::{
-    BadHead, Dialect, Order, Question, Sign, StoreCall, StoreReply, StoreRequest, VmEntry,
+    BadHead, Dialect, Meaning, Order, Question, Sign, StoreCall, StoreReply, StoreRequest, VmEntry,
 };
 pub use logs::{LogWriter, init_logs};
 pub use run::{StartError, run};
--- a/crates/relay/src/logs.rs
+++ b/crates/relay/src/logs.rs
@@ -134,9 +134,9 @@
 }
 
 impl Write for Line<'_> {
-    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
-        self.writer.take(line);
-        Ok(line.len())
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        self.writer.take(buf);
+        Ok(buf.len())
     }
 
     fn flush(&mut self) -> io::Result<()> {
--- a/crates/relay/src/logs_tests.rs
+++ b/crates/relay/src/logs_tests.rs
@@ -10,10 +10,10 @@
 struct Stuck(mpsc::Receiver<()>);
 
 impl Write for Stuck {
-    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
         // Ends when the test does.
         let _ended = self.0.recv();
-        Ok(bytes.len())
+        Ok(buf.len())
     }
 
     fn flush(&mut self) -> io::Result<()> {
@@ -25,9 +25,9 @@
 struct Kept(Arc<Mutex<Vec<u8>>>);
 
 impl Write for Kept {
-    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        self.0.lock().unwrap().extend_from_slice(bytes);
-        Ok(bytes.len())
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        self.0.lock().unwrap().extend_from_slice(buf);
+        Ok(buf.len())
     }
 
     fn flush(&mut self) -> io::Result<()> {
--- /dev/null
+++ b/crates/relay/src/placing.rs
@@ -0,0 +1,124 @@
+//! Finds an endpoint for a call, asking engines how they stand where that decides.
+
+use crate::{clock, job::Job, pool::Lease, reply::Failure, seat::Load};
+use bytes::Bytes;
+use core::{net::SocketAddr, time::Duration};
+use http::Request;
+use http_body_util::{BodyExt as _, Full, Limited};
+use poplarswitch_entity::Time;
+use poplarswitch_ingress::{Ask, Choice, Decision, EndpointKey, Reason, Report, Side};
+use poplarswitch_wire::ErrorCode;
+use tokio::time::timeout;
+
+/// Time for an engine's report; a live one answers within a few milliseconds.
+const PROBE_WITHIN: Duration = Duration::from_millis(100);
+/// Engines that are asked for one attempt.
+const PROBES_MOST: usize = 5;
+/// Largest report.
+const REPORT_BYTES: usize = 64 << 10;
+impl Job {
+    /// Chooses an endpoint, asking engines how they stand where that decides.
+    pub(crate) async fn choose(&mut self) -> Result<Choice, Failure> {
+        for _ in 0..PROBES_MOST {
+            let now = clock::now();
+            let decision = self.decide(now);
+            match decision {
+                Decision::Send(choice) => return Ok(choice),
+                Decision::Probe(key) => self.probe(key).await,
+                Decision::Refuse { expected } => {
+                    self.record.expected = Some(expected);
+                    return Err(self.refused(now, ErrorCode::Overload));
+                }
+                Decision::Nobody => return Err(self.refused(now, ErrorCode::NoEndpoint)),
+            }
+        }
+        Err(self.refused(clock::now(), ErrorCode::Overload))
+    }
+
+    fn decide(&self, now: Time) -> Decision {
+        let core = self.shared.core();
+        let ask = Ask {
+            service: &self.task.service,
+            prompt: self.task.call.prompt.as_ref(),
+            objective: self.task.route.objective,
+            left: self.task.until.since(now),
+            urgent: self.task.route.priority == 0,
+            tried: &self.tried,
+            data_centre: &self.shared.settings.data_centre,
+        };
+        core.fleet.choose(now, ask, &core.sides)
+    }
+
+    fn refused(&self, now: Time, code: ErrorCode) -> Failure {
+        let after = self.wait(now);
+        self.unrun(code, self.task.service.as_str()).retry(after)
+    }
+
+    /// Asks an engine how it stands.
+    async fn probe(&self, key: EndpointKey) {
+        let report = match self.place(key) {
+            Some((name, address)) => match timeout(PROBE_WITHIN, self.report(key, address)).await {
+                Ok(Ok(report)) => Some(report),
+                Ok(Err(cause)) => {
+                    tracing::debug!(endpoint = name.as_str(), cause, "report");
+                    None
+                }
+                Err(_elapsed) => None,
+            },
+            None => None,
+        };
+        self.shared.metrics.probes.inc();
+        let side = self.side();
+        self.shared
+            .core()
+            .fleet
+            .note_report(clock::now(), key, side, report);
+    }
+
+    async fn report(&self, key: EndpointKey, address: SocketAddr) -> Result<Report, String> {
+        let lease = self.shared.pool.acquire(key, address, false).await;
+        let Lease { mut sender, kept } = lease.map_err(|error| error.to_string())?;
+        if !kept {
+            self.shared.metrics.connections.inc();
+        }
+        let request = Request::get(self.shared.dialect.report_path())
+            .header(http::header::HOST, address.to_string())
+            .body(Full::new(Bytes::new()))
+            .map_err(|error| error.to_string())?;
+        let response = sender
+            .send_request(request)
+            .await
+            .map_err(|error| error.to_string())?;
+        let body = Limited::new(response.into_body(), REPORT_BYTES);
+        let body = body.collect().await.map_err(|error| error.to_string())?;
+        self.shared.pool.put(key, sender, None);
+        self.shared.dialect.report(&body.to_bytes())
+    }
+
+    /// The side that a model call belongs to.
+    pub(crate) fn side(&self) -> Side {
+        Side::of(self.task.route.objective)
+    }
+
+    /// What a model call asks of its engine.
+    pub(crate) fn load(&self, choice: Choice) -> Option<Load> {
+        let prompt = self.task.call.prompt.as_ref()?;
+        Some(Load {
+            side: self.side(),
+            tokens: prompt.unread(choice.keeper.is_some() || choice.reason == Reason::Session),
+            expected: choice.expected,
+            objective: self.task.route.objective,
+        })
+    }
+}
+
+/// The name of a reason in logs.
+pub(crate) const fn reason_name(reason: Reason) -> &'static str {
+    match reason {
+        Reason::Session => "session",
+        Reason::Spill => "spill",
+        Reason::Least => "least",
+        Reason::Late => "late",
+        Reason::Resting => "resting",
+    }
+}
--- a/crates/relay/src/reader.rs
+++ b/crates/relay/src/reader.rs
@@ -23,7 +23,7 @@
 /// Wait of a watch on the configuration; bounds the age of the proof.
 const SET_WAIT: Duration = Duration::from_millis(800);
 /// Wait of a watch on endpoints; a cut is noticed by the other watch.
-const ENDPOINTS_WAIT: Duration = Duration::from_millis(2_000);
+const ENDPOINTS_WAIT: Duration = Duration::from_secs(2);
 /// Pause after changes of endpoints, which joins those that come together.
 const CHANGES_PAUSE: Duration = Duration::from_millis(50);
 /// Time between looks whether this VM must read.
@@ -243,16 +243,15 @@
             all.extend(entries);
             // What changes between two pages is seen by a watch from the first page's revision.
             let first = *first.get_or_insert(revision);
-            match more {
-                Some(name) => after = Some(name),
-                None => {
-                    let grace = self.outage.grace(clock::now());
-                    let changes = self.shared.core().fleet.replace(all, first, grace);
-                    self.prove_endpoints(sent);
-                    self.shared.note_fleet(&changes, "platform");
-                    return true;
-                }
+            if more.is_some() {
+                after = more;
+                continue;
             }
+            let grace = self.outage.grace(clock::now());
+            let changes = self.shared.core().fleet.replace(all, first, grace);
+            self.prove_endpoints(sent);
+            self.shared.note_fleet(&changes, "platform");
+            return true;
         }
     }
 
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -1,8 +1,9 @@
 //! Takes in a call, carries it, and answers.
 
 use crate::{
-    attempt::{Answer, Job, Task},
+    attempt::Answer,
     clock,
+    job::{Job, Task},
     record::Record,
     reply::{Failure, Guards, ReplyBody},
     shared::Shared,
@@ -21,7 +22,7 @@
 use tokio::time::timeout;
 
 /// Longest wait of a caller that states none, on a route that states none.
-const LONGEST: Duration = Duration::from_secs(60);
+const LONGEST: Duration = Duration::from_mins(1);
 /// When a caller should try another VM because this one leaves or knows too little.
 const ELSEWHERE: Duration = Duration::from_millis(50);
 
@@ -145,7 +146,7 @@
 /// within a fraction of a second, and its callers have few attempts.
 async fn await_set(shared: &Shared, deadline: Option<Duration>) {
     let wait = deadline.map_or(STARTING, |left| STARTING.min(left / STARTING_PART));
-    let mut changes = shared.changes();
+    let mut news = shared.changes();
     let over = tokio::time::sleep(wait);
     tokio::pin!(over);
     loop {
@@ -154,7 +155,7 @@
         }
         tokio::select! {
             () = &mut over => return,
-            changed = changes.changed() => if changed.is_err() { return },
+            changed = news.changed() => if changed.is_err() { return },
         }
     }
 }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -6,9 +6,10 @@
 //! on. Any other answer that breaks off ends the caller's connection.
 
 use crate::{
-    attempt::{Answer, Job, Open},
+    attempt::{Answer, Open},
     clock,
     events::Events,
+    job::Job,
     reply::{BrokenOff, Pieces},
     serve::outcome_of,
 };
@@ -32,7 +33,7 @@
 /// Starts to pass an answer on; returns its head and its pieces.
 pub(crate) fn start(mut job: Job, mut open: Open) -> (response::Parts, Pieces) {
     let (sender, pieces) = mpsc::channel(QUEUE);
-    let (mut head, _) = http::Response::new(()).into_parts();
+    let (mut head, ()) = http::Response::new(()).into_parts();
     core::mem::swap(&mut head, &mut open.head);
     job.record.status = head.status.as_u16();
     let outcome = outcome_of(head.status);
@@ -93,7 +94,7 @@
                 }
                 Part::CallerLeft => return End::CallerLeft,
                 Part::Overdue => {
-                    self.job.record.cause = "the time of the call is over".to_owned();
+                    "the time of the call is over".clone_into(&mut self.job.record.cause);
                     return End::Broken;
                 }
                 Part::Broken(cause) => cause,
@@ -197,7 +198,7 @@
             Ok(Answer::Open(open)) if open.head.status.is_success() => Some(*open),
             Ok(_) => None,
             Err(failure) => {
-                job.record.cause = failure.code.as_str().to_owned();
+                failure.code.as_str().clone_into(&mut job.record.cause);
                 None
             }
         }
