--- a/crates/node/tests/relay/mod.rs
+++ b/crates/node/tests/relay/mod.rs
@@ -13,6 +13,7 @@
 use rustix::process::{Pid, Signal, kill_process};
 use std::{
     fs::{self, File},
+    net::TcpStream,
     process::{Child, Command, Stdio},
     thread,
     time::Instant,
@@ -141,10 +142,13 @@
         }
     }
 
-    /// Starts the process of a VM, if it doesn't run.
+    /// Starts the process of a VM, if it doesn't run, and waits until it listens: a signal that
+    /// comes before the program has begun ends it like any program (soak seed 13).
     pub fn run_if_down(&mut self, index: usize) {
         if !self.is_up(index) {
             self.run(index);
+            let ready = self.deployment.ready(&self.processes[index].vm);
+            await_that("the process listens", || TcpStream::connect(ready).is_ok());
         }
     }
 
