--- a/crates/standins/src/body.rs
+++ b/crates/standins/src/body.rs
@@ -8,7 +8,7 @@
 use std::io;
 
 /// A whole or streamed body.
-pub(crate) type Body = UnsyncBoxBody<Bytes, io::Error>;
+pub type Body = UnsyncBoxBody<Bytes, io::Error>;
 
 /// A body that is known at once.
 pub(crate) fn full(data: impl Into<Bytes>) -> Body {
@@ -18,19 +18,19 @@
 }
 
 /// A body that comes piece by piece; an error cuts the connection.
-pub(crate) fn streamed(pieces: impl Stream<Item = io::Result<Bytes>> + Send + 'static) -> Body {
+pub fn streamed(pieces: impl Stream<Item = io::Result<Bytes>> + Send + 'static) -> Body {
     StreamBody::new(pieces.map(|piece| piece.map(Frame::data))).boxed_unsync()
 }
 
 /// A response with a status and a text.
-pub(crate) fn plain(status: StatusCode, text: impl Into<Bytes>) -> Response<Body> {
+pub fn plain(status: StatusCode, text: impl Into<Bytes>) -> Response<Body> {
     let mut response = Response::new(full(text));
     *response.status_mut() = status;
     response
 }
 
 /// A response with a JSON value.
-pub(crate) fn json(status: StatusCode, value: &impl serde::Serialize) -> Response<Body> {
+pub fn json(status: StatusCode, value: &impl serde::Serialize) -> Response<Body> {
     let text = serde_json::to_vec(value).unwrap_or_default();
     let mut response = plain(status, text);
     let kind = http::HeaderValue::from_static("application/json");
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -20,7 +20,8 @@
 mod service_tests;
 
 pub use answer::{answer_text, answer_tokens, token_text};
+pub use body::{Body, json, plain, streamed};
 pub use engine::{Engine, EngineFaults, EngineSpec, EngineStats, LoadSpan};
 pub use platform::{Platform, PlatformFaults, PlatformSpec, PlatformStats};
-pub use server::ServerError;
+pub use server::{Answer, Cut, Handler, Server, ServerError};
 pub use service::{Service, ServiceFaults, ServiceStats};
--- a/crates/standins/src/server.rs
+++ b/crates/standins/src/server.rs
@@ -25,20 +25,20 @@
 /// The connection is cut without an answer.
 #[derive(Debug, Snafu)]
 #[snafu(display("connection cut by an injected fault"))]
-pub(crate) struct Cut;
+pub struct Cut;
 
 /// What becomes of a request.
-pub(crate) type Answer = Result<Response<Body>, Cut>;
+pub type Answer = Result<Response<Body>, Cut>;
 
 /// Answers requests.
-pub(crate) trait Handler: Send + Sync + 'static {
+pub trait Handler: Send + Sync + 'static {
     /// Answers one request.
     fn answer(self: Arc<Self>, request: Request<Incoming>) -> impl Future<Output = Answer> + Send;
 }
 
 /// A running server; dropping it closes its port and all connections at once.
 #[derive(Debug)]
-pub(crate) struct Server {
+pub struct Server {
     address: SocketAddr,
     stop: Option<oneshot::Sender<()>>,
     thread: Option<thread::JoinHandle<()>>,
@@ -46,10 +46,7 @@
 
 impl Server {
     /// Listens on an address and answers in a thread of its own.
-    pub(crate) fn start<H: Handler>(
-        address: SocketAddr,
-        handler: Arc<H>,
-    ) -> Result<Self, ServerError> {
+    pub fn start<H: Handler>(address: SocketAddr, handler: Arc<H>) -> Result<Self, ServerError> {
         let runtime = Builder::new_current_thread()
             .enable_all()
             .build()
@@ -77,7 +74,7 @@
     }
 
     /// Where it listens.
-    pub(crate) const fn address(&self) -> SocketAddr {
+    pub const fn address(&self) -> SocketAddr {
         self.address
     }
 }
