--- a/crates/ingress/src/call.rs
+++ b/crates/ingress/src/call.rs
@@ -60,6 +60,4 @@
     pub key: Option<Box<str>>,
     /// The prompt, for calls to model engines.
     pub prompt: Option<Prompt>,
-    /// The caller resumes a stream that it has seen in part.
-    pub resumes: bool,
 }
--- a/crates/ingress/src/declared.rs
+++ b/crates/ingress/src/declared.rs
@@ -75,8 +75,6 @@
 pub struct EngineSpec {
     /// Calls in a batch.
     pub slots: u32,
-    /// Tokens in memory.
-    pub memory: u64,
 }
 
 /// A service that endpoints serve.
@@ -84,8 +82,6 @@
 pub struct ServiceSpec {
     /// Its name.
     pub name: ServiceName,
-    /// Connections that an endpoint accepts from all callers together.
-    pub connections: Option<u32>,
     /// Its engines, if it serves models.
     pub engine: Option<EngineSpec>,
 }
--- a/crates/ingress/src/engine.rs
+++ b/crates/ingress/src/engine.rs
@@ -37,10 +37,6 @@
     pub waiting: u32,
     /// Calls whose answers are being made.
     pub running: u32,
-    /// Tokens of memory that can't be taken from them.
-    pub used: u64,
-    /// Tokens of memory in all.
-    pub total: u64,
 }
 
 /// What is known of an engine.
--- a/crates/ingress/src/engine_tests.rs
+++ b/crates/ingress/src/engine_tests.rs
@@ -15,15 +15,7 @@
 
 fn engine(waiting: u32, running: u32) -> Engine {
     let mut engine = Engine::default();
-    engine.note_report(
-        Time::ZERO,
-        Report {
-            waiting,
-            running,
-            used: 0,
-            total: 500_000,
-        },
-    );
+    engine.note_report(Time::ZERO, Report { waiting, running });
     engine
 }
 
--- a/crates/ingress/src/placement.rs
+++ b/crates/ingress/src/placement.rs
@@ -172,15 +172,11 @@
         self.pressure_mut(side).asked += 1;
     }
 
-    /// Takes an engine's report, or notes that it gave none.
-    pub fn note_report(&mut self, now: Time, key: EndpointKey, side: Side, report: Option<Report>) {
+    /// Takes an engine's report.
+    pub fn note_report(&mut self, now: Time, key: EndpointKey, side: Side, report: Report) {
         let Some(endpoint) = self.get_mut(key) else {
             return;
         };
-        let Some(report) = report else {
-            endpoint.health.note_full(now);
-            return;
-        };
         endpoint.engine.note_report(now, report);
         let slots = endpoint.entry.slots;
         let loaded = endpoint
--- a/crates/ingress/src/placement_tests.rs
+++ b/crates/ingress/src/placement_tests.rs
@@ -56,7 +56,7 @@
     for probes in 0..9 {
         match decide(fleet, Some(&prompt), &[], urgent) {
             Decision::Probe(key) => {
-                fleet.note_report(NOW, key, Side::Short, Some(report));
+                fleet.note_report(NOW, key, Side::Short, report);
             }
             decided => return (decided, probes),
         }
@@ -149,8 +149,6 @@
     let behind = Report {
         waiting: 30,
         running: 4,
-        used: 0,
-        total: 500_000,
     };
     let (decision, probes) = decide_with(&mut fleet(9), behind, false);
     expect_that!(decision, matches_pattern!(Decision::Refuse { .. }));
@@ -162,8 +160,6 @@
     let behind = Report {
         waiting: 30,
         running: 4,
-        used: 0,
-        total: 500_000,
     };
     let (decision, _) = decide_with(&mut fleet(9), behind, true);
     expect_that!(decision, matches_pattern!(Decision::Send(_)));
@@ -175,18 +171,17 @@
     let behind = Report {
         waiting: 30,
         running: 4,
-        ..Report::default()
     };
     fleet.pressure_mut(Side::Short).note(NOW, true);
     let prompt = prompt(3);
     let Decision::Probe(first) = decide(&fleet, Some(&prompt), &[], false) else {
         panic!("asks the first")
     };
-    fleet.note_report(NOW, first, Side::Short, Some(behind));
+    fleet.note_report(NOW, first, Side::Short, behind);
     let Decision::Probe(second) = decide(&fleet, Some(&prompt), &[], false) else {
         panic!("asks the second")
     };
-    fleet.note_report(NOW, second, Side::Short, Some(Report::default()));
+    fleet.note_report(NOW, second, Side::Short, Report::default());
     let Decision::Send(choice) = decide(&fleet, Some(&prompt), &[], false) else {
         panic!("sends")
     };
--- a/crates/relay/src/placing.rs
+++ b/crates/relay/src/placing.rs
@@ -6,7 +6,7 @@
 use http::Request;
 use http_body_util::{BodyExt as _, Full, Limited};
 use poplarswitch_entity::Time;
-use poplarswitch_ingress::{Ask, Choice, Decision, EndpointKey, Reason, Report, Side};
+use poplarswitch_ingress::{Ask, Choice, Decision, EndpointKey, Health, Reason, Report, Side};
 use poplarswitch_wire::ErrorCode;
 use tokio::time::timeout;
 
@@ -54,25 +54,29 @@
         self.unrun(code, self.task.service.as_str()).retry(after)
     }
 
-    /// Asks an engine how it stands.
+    /// Asks an engine how it stands; one that doesn't say within a moment counts as full.
     async fn probe(&self, key: EndpointKey) {
-        let report = match self.place(key) {
-            Some((name, address)) => match timeout(PROBE_WITHIN, self.report(key, address)).await {
-                Ok(Ok(report)) => Some(report),
-                Ok(Err(cause)) => {
-                    tracing::debug!(endpoint = name.as_str(), cause, "report");
-                    None
-                }
-                Err(_elapsed) => None,
-            },
-            None => None,
-        };
         self.shared.metrics.probes.inc();
-        let side = self.side();
-        self.shared
-            .core()
-            .fleet
-            .note_report(clock::now(), key, side, report);
+        let Some((name, address)) = self.place(key) else {
+            return;
+        };
+        let report = timeout(PROBE_WITHIN, self.report(key, address)).await;
+        match report.unwrap_or_else(|_elapsed| Err("no report in time".to_owned())) {
+            Ok(report) => {
+                let side = self.side();
+                let mut core = self.shared.core();
+                core.fleet.note_report(clock::now(), key, side, report);
+            }
+            Err(cause) => {
+                tracing::info!(
+                    event = "silent",
+                    endpoint = name.as_str(),
+                    cause,
+                    "endpoint"
+                );
+                self.note(key, Health::note_full);
+            }
+        }
     }
 
     async fn report(&self, key: EndpointKey, address: SocketAddr) -> Result<Report, String> {
