--- a/crates/util/src/cli_tests.rs
+++ b/crates/util/src/cli_tests.rs
@@ -128,3 +128,27 @@
     let figures: serde_json::Value = serde_json::from_slice(&figures).expect("JSON");
     expect_that!(figures["rows"].as_array().map(Vec::len), some(eq(4)));
 }
+
+#[gtest]
+fn journal_prints_scores_by_site_and_names_what_it_cant_read() {
+    let root = TempDir::new().expect("a directory");
+    let entry = r#"{"id": "a1", "at": ["2026-12-04T00:00:00Z", ""], "cmd": "score", "why": "first",
+        "site": "abay", "score": 0.5, "days": [
+        {"name": "quiet-1", "G": 0.9, "rules": {}}, {"name": "scale-1", "G": 0.2, "rules": {"TIER": 1}}]}"#;
+    fs::write(root.path().join("1.json"), entry).expect("a file");
+    fs::write(root.path().join("2.json"), "half an entr").expect("a file");
+    let (exit, text) = run(&["journal", &root.path().display().to_string()]);
+    expect_that!(exit, eq(Exit::Success));
+    expect_that!(text, contains_substring("## abay"));
+    expect_that!(
+        text,
+        contains_substring("quiet-1 0.900, scale-1 0.200 (broken: TIER)")
+    );
+    expect_that!(text, contains_substring("Not readable"));
+}
+
+#[gtest]
+fn a_journal_that_is_not_there_is_an_error() {
+    let (exit, _) = run(&["journal", "no/such/folder"]);
+    expect_that!(exit, not(eq(Exit::Success)));
+}
