Write down when the platform answers again

Cause: a lost platform had a line, its return had none. Change: one line, event regained; the test of an outage looks for both.

--- a/crates/node/tests/relay_process.rs
+++ b/crates/node/tests/relay_process.rs
@@ -153,6 +153,12 @@
             fleet.call(vm, "/book/1").1.unwrap().status == 200
         });
     }
+    for event in ["lost", "regained"] {
+        await_that("the outage is written down", || {
+            let line = format!("\"message\":\"platform\",\"event\":\"{event}\"");
+            (0..2).any(|vm| fleet.log(vm).contains(&line))
+        });
+    }
 }
 
 #[gtest]
--- a/crates/relay/src/reader.rs
+++ b/crates/relay/src/reader.rs
@@ -270,7 +270,9 @@
             }
             Ok(reply) => {
                 self.outage.note_answer();
-                self.shared.core().troubled = false;
+                if core::mem::take(&mut self.shared.core().troubled) {
+                    tracing::info!(event = "regained", call = call.name(), "platform");
+                }
                 Some(reply)
             }
             Err(error) => {
