Note an endpoint's failure in one place, and take out what nobody uses

Cause: a last read of the change: the same closure noted a failed call seven times, a guard of every answer was optional and always there, and one accessor of the roster had no caller. Change: Job::note_failure; the guard is plain; Roster::members is gone. Behaviour and tests stay as they are.

--- a/crates/ingress/src/roster.rs
+++ b/crates/ingress/src/roster.rs
@@ -186,11 +186,6 @@
         forgotten
     }
 
-    /// All other VMs that are known.
-    pub fn members(&self) -> impl Iterator<Item = &Member> {
-        self.members.values()
-    }
-
     /// Members that are alive, this VM not among them.
     pub fn alive(&self, now: Time) -> impl Iterator<Item = &Member> {
         self.members
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -137,9 +137,7 @@
             self.note(key, |health, _| health.note_success());
             return Ok(answer);
         }
-        self.note(key, |health, now| {
-            health.note_failure(now);
-        });
+        self.note_failure(key);
         Err(Missed {
             outcome: Outcome::Failed,
             answer: Some(Box::new(answer)),
@@ -196,9 +194,7 @@
                 if unsent && kept {
                     return Err(Missed::new(Outcome::NotSent, cause));
                 }
-                self.note(key, |health, now| {
-                    health.note_failure(now);
-                });
+                self.note_failure(key);
                 let outcome = if unsent {
                     Outcome::NotSent
                 } else {
@@ -207,9 +203,7 @@
                 Err(Missed::new(outcome, cause))
             }
             Err(_elapsed) => {
-                self.note(key, |health, now| {
-                    health.note_failure(now);
-                });
+                self.note_failure(key);
                 let cause = format!("no answer within {} ms", patience.as_millis());
                 Err(Missed::new(Outcome::Doubtful, cause))
             }
@@ -237,9 +231,7 @@
             }
         }
         if !sign.sealed {
-            self.note(key, |health, now| {
-                health.note_failure(now);
-            });
+            self.note_failure(key);
             let cause = format!("status {status} without the endpoint's signature");
             return Err(Missed::new(Outcome::Doubtful, cause));
         }
@@ -275,18 +267,14 @@
                 Ok(Answer::Whole(head, whole.to_bytes()))
             }
             Ok(Err(error)) => {
-                self.note(key, |health, now| {
-                    health.note_failure(now);
-                });
+                self.note_failure(key);
                 Err(Missed::new(
                     Outcome::Doubtful,
                     format!("the answer broke off: {error}"),
                 ))
             }
             Err(_elapsed) => {
-                self.note(key, |health, now| {
-                    health.note_failure(now);
-                });
+                self.note_failure(key);
                 Err(Missed::new(
                     Outcome::Doubtful,
                     "the answer didn't end in time",
@@ -295,6 +283,13 @@
         }
     }
 
+    /// Notes that an endpoint failed a call.
+    pub(crate) fn note_failure(&self, key: EndpointKey) {
+        self.note(key, |health, now| {
+            health.note_failure(now);
+        });
+    }
+
     /// Notes what a call has shown of an endpoint, and writes down when it starts to rest.
     pub(crate) fn note(&self, key: EndpointKey, change: impl FnOnce(&mut Health, Time)) {
         let now = clock::now();
--- a/crates/relay/src/reply.rs
+++ b/crates/relay/src/reply.rs
@@ -39,7 +39,7 @@
 #[derive(Debug)]
 pub(crate) struct Guards {
     pub(crate) _serving: Serving,
-    pub(crate) _in_flight: Option<InFlight>,
+    pub(crate) _in_flight: InFlight,
 }
 
 /// The body of an answer.
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -43,7 +43,7 @@
     let mut record = Record::new(Arc::clone(&shared), arrived);
     let guards = Guards {
         _serving: serving,
-        _in_flight: Some(in_flight),
+        _in_flight: in_flight,
     };
     let mut response = match take_in(&shared, request, arrived, &mut record).await {
         Ok(task) => {
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -101,9 +101,7 @@
             };
             // Closes the connection, so the endpoint stops before another one goes on.
             drop(open);
-            self.job.note(key, |health, now| {
-                health.note_failure(now);
-            });
+            self.job.note_failure(key);
             self.job.record.cause = cause;
             match self.resume(key).await {
                 Some(next) => open = next,
