Write a call's deadline and a refused caller's wait into its line

The line of a call named its outcome but not how long its caller waited, nor when a refused one was told to return, so returns in a burst couldn't be told from new calls in the log. Both stand there now. No behaviour changes.

--- a/crates/relay/src/record.rs
+++ b/crates/relay/src/record.rs
@@ -22,6 +22,10 @@
     /// When the first event was expected, if an engine was asked.
     pub(crate) expected: Option<Duration>,
     pub(crate) priority: u8,
+    /// How long the caller waits.
+    pub(crate) deadline: Option<Duration>,
+    /// When a refused caller was told to come back.
+    pub(crate) retry: Option<Duration>,
     pub(crate) attempts: u32,
     pub(crate) resumed: u32,
     pub(crate) status: u16,
@@ -43,6 +47,8 @@
             reason: "",
             expected: None,
             priority: 0,
+            deadline: None,
+            retry: None,
             attempts: 0,
             resumed: 0,
             status: 0,
@@ -87,6 +93,8 @@
             reason = self.reason,
             expected_ms = self.expected.map(|expected| expected.as_millis() as u64),
             priority = self.priority,
+            deadline_ms = self.deadline.map(|left| left.as_millis() as u64),
+            retry_ms = self.retry.map(|after| after.as_millis() as u64),
             attempts = self.attempts,
             resumed = self.resumed,
             first_ms = self
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -72,6 +72,7 @@
     if record.endpoint.is_empty() {
         record.endpoint = failure.peer.as_str().into();
     }
+    record.retry = failure.after;
     record.end(failure.code.as_str(), failure.status().as_u16());
     failure.response(guards)
 }
@@ -88,6 +89,7 @@
     let call = shared.dialect.call(&head.headers);
     if let Ok(call) = &call {
         record.call.clone_from(&call.id);
+        record.deadline = call.deadline;
     }
     await_set(shared, call.as_ref().ok().and_then(|call| call.deadline)).await;
     let table = shared.table.load_full();
