Keep log lines whole when the output takes them in pieces

Cause: the writing thread handed a batch to write_all and passed over its error. An output that doesn't wait takes part of a batch and then none: the rest was lost, in the middle of a line and without a count. Ruled out: our own bound (its count of dropped lines stands in the same log, and those lines are dropped whole). Change: the thread writes on where the output stopped, waits while it is full, and counts lines that an output fails to take. The output has no second buffer. The test failed before.

--- a/crates/relay/src/logs.rs
+++ b/crates/relay/src/logs.rs
@@ -6,7 +6,9 @@
 
 use core::time::Duration;
 use std::{
+    fs::File,
     io::{self, Write},
+    os::fd::AsFd as _,
     sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError},
     thread,
     time::Instant,
@@ -21,6 +23,8 @@
 const BATCH: Duration = Duration::from_millis(250);
 /// Time that the end of the process waits for the last lines.
 const FLUSH_WITHIN: Duration = Duration::from_millis(150);
+/// Time between attempts to write to an output that is full; a tenth of a batch.
+const FULL_WAIT: Duration = Duration::from_millis(25);
 
 #[derive(Debug)]
 struct Waiting {
@@ -112,21 +116,45 @@
             let dropped = core::mem::take(&mut waiting.dropped);
             waiting.writing = true;
             drop(waiting);
-            // Nobody reads the output if this fails; the next batch tries again.
-            let _unread = output.write_all(&bytes);
+            let mut lost = write_lines(&mut output, &bytes);
             if dropped > 0 {
                 let line = format!(
                     "{{\"level\":\"WARN\",\"event\":\"lines_dropped\",\"lines\":{dropped}}}\n"
                 );
-                let _unread = output.write_all(line.as_bytes());
+                lost += write_lines(&mut output, line.as_bytes());
             }
-            let _unread = output.flush();
-            self.lock().writing = false;
+            let mut waiting = self.lock();
+            waiting.dropped += lost;
+            waiting.writing = false;
+            drop(waiting);
             self.0.written.notify_all();
         }
     }
 }
 
+/// Writes lines to an output that may take them in pieces; returns how many it did not take.
+fn write_lines(output: &mut impl Write, lines: &[u8]) -> u64 {
+    let mut rest = lines;
+    while !rest.is_empty() {
+        match output.write(rest) {
+            Ok(taken) if taken > 0 => rest = &rest[taken..],
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => thread::sleep(FULL_WAIT),
+            // Nobody reads the output. What is lost is counted; the next batch tries again.
+            Ok(_) | Err(_) => return rest.iter().filter(|byte| **byte == b'\n').count() as u64,
+        }
+    }
+    0
+}
+
+/// The standard output without a buffer of its own, which would cut lines when it is full.
+fn output() -> Box<dyn Write + Send> {
+    match io::stdout().as_fd().try_clone_to_owned() {
+        Ok(fd) => Box::new(File::from(fd)),
+        Err(_out_of_descriptors) => Box::new(io::stdout()),
+    }
+}
+
 /// Collects one line.
 #[derive(Debug)]
 pub struct Line<'a> {
@@ -154,7 +182,7 @@
 
 /// Sends all log lines, as JSON, to the standard output.
 pub fn init_logs() -> LogWriter {
-    let writer = LogWriter::start(io::stdout());
+    let writer = LogWriter::start(output());
     tracing_subscriber::fmt()
         .json()
         .flatten_event(true)
--- a/crates/relay/src/logs_tests.rs
+++ b/crates/relay/src/logs_tests.rs
@@ -63,3 +63,39 @@
     expect_that!(text.len(), lt(400_000));
     expect_that!(text, contains_substring("lines_dropped"));
 }
+
+/// A pipe that is not waited for: it takes a few bytes, then none until its reader has come.
+#[derive(Clone, Default)]
+struct Narrow {
+    kept: Kept,
+    full: bool,
+}
+
+impl Write for Narrow {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        self.full = !self.full;
+        if !self.full {
+            return Err(io::ErrorKind::WouldBlock.into());
+        }
+        self.kept.write(&buf[..buf.len().min(700)])
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// After a restart of 300 VMs their lines broke off in the middle, and those of the first moments
+/// were missing without a count.
+#[gtest]
+fn lines_stay_whole_when_the_output_takes_them_in_pieces() {
+    let narrow = Narrow::default();
+    let writer = LogWriter::start(narrow.clone());
+    let line = format!("{}\n", "0123456789".repeat(12));
+    for _ in 0..20 {
+        writer.make_writer().write_all(line.as_bytes()).unwrap();
+    }
+    writer.flush();
+    let text = String::from_utf8(narrow.kept.0.lock().unwrap().clone()).unwrap();
+    expect_that!(text, eq(&line.repeat(20)));
+}
