Write log lines in pieces that a pipe keeps whole

What collects them takes 8 KB of one write (8,218 bytes of a batch arrived, in the middle of a line). Change: whole lines are written in pieces of up to 4,096 bytes, which a pipe takes whole, also from several writers.

--- a/crates/relay/src/logs.rs
+++ b/crates/relay/src/logs.rs
@@ -6,9 +6,7 @@
 
 use core::time::Duration;
 use std::{
-    fs::File,
     io::{self, Write},
-    os::fd::AsFd as _,
     sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError},
     thread,
     time::Instant,
@@ -21,6 +19,8 @@
 const BYTES_PER_SECOND: f64 = 64.0 * 1024.0;
 /// Time for which lines are collected.
 const BATCH: Duration = Duration::from_millis(250);
+/// Bytes that are written at once: a pipe takes so many whole, also from several writers.
+const PIECE_BYTES: usize = 4_096;
 /// Time that the end of the process waits for the last lines.
 const FLUSH_WITHIN: Duration = Duration::from_millis(150);
 /// Time between attempts to write to an output that is full; a tenth of a batch.
@@ -136,22 +136,33 @@
 fn write_lines(output: &mut impl Write, lines: &[u8]) -> u64 {
     let mut rest = lines;
     while !rest.is_empty() {
-        match output.write(rest) {
+        let whole = whole_lines(rest);
+        match when_free(|| output.write(whole)) {
             Ok(taken) if taken > 0 => rest = &rest[taken..],
-            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => thread::sleep(FULL_WAIT),
             // Nobody reads the output. What is lost is counted; the next batch tries again.
-            Ok(_) | Err(_) => return rest.iter().filter(|byte| **byte == b'\n').count() as u64,
+            Ok(_) | Err(_) => return rest.split(|byte| *byte == b'\n').count() as u64 - 1,
         }
     }
-    0
+    // The output's own buffer may hold the end of the last line.
+    u64::from(when_free(|| output.flush()).is_err())
+}
+
+/// As many lines from the first on as fit into one piece, but at least one.
+fn whole_lines(lines: &[u8]) -> &[u8] {
+    let fitting = &lines[..lines.len().min(PIECE_BYTES)];
+    let end = fitting.iter().rposition(|byte| *byte == b'\n');
+    let end = end.or_else(|| lines.iter().position(|byte| *byte == b'\n'));
+    end.map_or(lines, |end| &lines[..=end])
 }
 
-/// The standard output without a buffer of its own, which would cut lines when it is full.
-fn output() -> Box<dyn Write + Send> {
-    match io::stdout().as_fd().try_clone_to_owned() {
-        Ok(fd) => Box::new(File::from(fd)),
-        Err(_out_of_descriptors) => Box::new(io::stdout()),
+/// Repeats a step while the output is full.
+fn when_free<T>(mut step: impl FnMut() -> io::Result<T>) -> io::Result<T> {
+    loop {
+        match step() {
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => thread::sleep(FULL_WAIT),
+            done => return done,
+        }
     }
 }
 
@@ -182,7 +193,7 @@
 
 /// Sends all log lines, as JSON, to the standard output.
 pub fn init_logs() -> LogWriter {
-    let writer = LogWriter::start(output());
+    let writer = LogWriter::start(io::stdout());
     tracing_subscriber::fmt()
         .json()
         .flatten_event(true)
--- a/crates/relay/src/logs_tests.rs
+++ b/crates/relay/src/logs_tests.rs
@@ -99,3 +99,41 @@
     let text = String::from_utf8(narrow.kept.0.lock().unwrap().clone()).unwrap();
     expect_that!(text, eq(&line.repeat(20)));
 }
+
+/// Keeps each write apart.
+#[derive(Clone, Default)]
+struct Pieces(Arc<Mutex<Vec<String>>>);
+
+impl Write for Pieces {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        let piece = String::from_utf8(buf.to_vec()).unwrap();
+        self.0.lock().unwrap().push(piece);
+        Ok(buf.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// The lines of several processes may go into one pipe, which keeps only short writes apart.
+#[gtest]
+fn each_write_is_short_and_ends_with_a_line() {
+    let pieces = Pieces::default();
+    let writer = LogWriter::start(pieces.clone());
+    let (short, long) = (
+        format!("{}\n", "s".repeat(150)),
+        format!("{}\n", "l".repeat(6_000)),
+    );
+    let text = short.repeat(100) + &long + &short.repeat(100);
+    for line in text.split_inclusive('\n') {
+        writer.make_writer().write_all(line.as_bytes()).unwrap();
+    }
+    writer.flush();
+    let pieces = pieces.0.lock().unwrap();
+    expect_that!(pieces.concat(), eq(&text));
+    for piece in pieces.iter().filter(|piece| **piece != long) {
+        expect_that!(piece.len(), le(4_096));
+        expect_that!(piece, ends_with("\n"));
+    }
+}
