Make a first listing of thousands of endpoints cheap

Cause: after a restart of 300 VMs with 3,000 endpoints each VM wrote one line for each endpoint, 1,600 beyond the bound, and the line that says when it was ready was among those dropped. The VM that reads for its data centre encoded the whole list anew for each of a hundred neighbours. Change: endpoints that come, drain or go together are named in lines of 32, each with its count; an endpoint that left is named too, where only its key stood before. The whole list is encoded once for a revision and handed to all who ask. Tests: the list (snapshot_tests), the names (fleet_tests).

--- a/crates/ingress/src/feed.rs
+++ b/crates/ingress/src/feed.rs
@@ -10,6 +10,7 @@
     declared::Declared,
     fleet::{Entry, Removal},
 };
+use bytes::Bytes;
 use core::{net::Ipv4Addr, time::Duration};
 use poplarswitch_entity::Time;
 use serde::{Deserialize, Serialize};
@@ -63,9 +64,9 @@
     pub troubled: bool,
     /// The configuration, if it is newer than the asker's.
     pub declared: Option<Declared>,
-    /// Whether `entries` are all there are.
-    pub complete: bool,
-    /// Endpoints that are new or changed.
+    /// All endpoints, as a list of entries that is encoded once for all who ask.
+    pub whole: Option<Bytes>,
+    /// Endpoints that are new or changed, if not all are told.
     pub entries: Vec<Entry>,
     /// Endpoints that are gone, or may be.
     pub removed: Vec<Removal>,
--- a/crates/ingress/src/fleet.rs
+++ b/crates/ingress/src/fleet.rs
@@ -62,15 +62,40 @@
     pub grace: Option<u32>,
 }
 
-/// A change of the fleet that affects calls.
+/// What became of an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum FleetChange {
-    /// An endpoint takes calls from now on.
-    Joined(EndpointKey),
-    /// An endpoint takes no more calls.
-    Draining(EndpointKey),
-    /// An endpoint is gone.
-    Left(EndpointKey),
+pub enum Step {
+    /// It takes calls from now on.
+    Joined,
+    /// It takes no more calls.
+    Draining,
+    /// It is gone.
+    Left,
+}
+
+impl Step {
+    /// All of them, those that end an endpoint first.
+    pub const ALL: [Self; 3] = [Self::Left, Self::Draining, Self::Joined];
+
+    /// Its name in logs.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Joined => "joined",
+            Self::Draining => "draining",
+            Self::Left => "left",
+        }
+    }
+}
+
+/// A change of the fleet that affects calls.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FleetChange {
+    /// The endpoint, whose key may no longer lead anywhere.
+    pub key: EndpointKey,
+    /// Its name.
+    pub name: EndpointName,
+    /// What became of it.
+    pub step: Step,
 }
 
 /// An endpoint as this VM knows it.
@@ -183,7 +208,7 @@
                 known.entry = Entry { state, ..entry };
                 if newly {
                     self.unlist(key);
-                    changes.push(FleetChange::Draining(key));
+                    changes.push(self.changed(key, Step::Draining));
                 }
                 return changes;
             }
@@ -203,7 +228,7 @@
             .insert(self.endpoints[key].entry.name.clone(), key);
         if ready {
             self.list(service, key);
-            changes.push(FleetChange::Joined(key));
+            changes.push(self.changed(key, Step::Joined));
         }
         changes
     }
@@ -339,6 +364,15 @@
         let endpoint = self.endpoints.remove(key)?;
         self.names.remove(&endpoint.entry.name);
         self.lapsed.remove(&endpoint.entry.name);
-        Some(FleetChange::Left(key))
+        Some(FleetChange {
+            key,
+            name: endpoint.entry.name,
+            step: Step::Left,
+        })
+    }
+
+    fn changed(&self, key: EndpointKey, step: Step) -> FleetChange {
+        let name = self.endpoints[key].entry.name.clone();
+        FleetChange { key, name, step }
     }
 }
--- a/crates/ingress/src/fleet_tests.rs
+++ b/crates/ingress/src/fleet_tests.rs
@@ -1,4 +1,4 @@
-use crate::{Entry, EntryState, Fleet, FleetChange};
+use crate::{Entry, EntryState, Fleet, FleetChange, Step};
 use googletest::prelude::*;
 use poplarswitch_entity::{DataCentre, EndpointName, ServiceName, Time};
 
@@ -52,10 +52,18 @@
         ..entry("a", 2)
     });
     expect_that!(second.len(), eq(2));
-    let [FleetChange::Joined(old)] = first[..] else {
-        panic!("joined")
-    };
-    expect_that!(second[0], eq(FleetChange::Left(old)));
+    expect_that!(first[0].step, eq(Step::Joined));
+    let old = first[0].key;
+    let name = EndpointName::new("a");
+    let step = Step::Left;
+    expect_that!(
+        second[0],
+        eq(&FleetChange {
+            key: old,
+            name,
+            step
+        })
+    );
     expect_that!(fleet.get(old).is_none(), eq(true));
 }
 
--- a/crates/relay/src/feed.rs
+++ b/crates/relay/src/feed.rs
@@ -4,6 +4,7 @@
     clock,
     reader::apply,
     shared::Shared,
+    snapshot::{self, SnapshotError},
     tcp::{self, OpenError, Sender},
 };
 use bytes::Bytes;
@@ -90,13 +91,13 @@
     let proof = core.freshness.proved().map(offset);
     let endpoints_proof = core.endpoints_proved.map(offset);
     let revision = core.fleet.revision();
-    let (complete, entries, removed) = if revision <= known.revision {
-        (false, Vec::new(), Vec::new())
+    let (whole, entries, removed) = if revision <= known.revision {
+        (None, Vec::new(), Vec::new())
+    } else if let Some((entries, removed)) = core.fleet.since(arrived, known.revision) {
+        (None, entries, removed)
     } else {
-        match core.fleet.since(arrived, known.revision) {
-            Some((entries, removed)) => (false, entries, removed),
-            None => (true, core.fleet.entries(), core.fleet.lapsed(arrived)),
-        }
+        let whole = shared.snapshot.at(revision, || core.fleet.entries());
+        (Some(whole), Vec::new(), core.fleet.lapsed(arrived))
     };
     FeedReply {
         cursor: Cursor {
@@ -107,7 +108,7 @@
         endpoints_proof,
         troubled: core.troubled,
         declared: newer.then(|| table.declared().clone()),
-        complete,
+        whole,
         entries,
         removed,
     }
@@ -195,29 +196,27 @@
     let body = timeout(WAIT + ANSWER_WITHIN, exchange)
         .await
         .unwrap_or(Err(AskError::Silent { peer }))?;
+    let unreadable = |reason| AskError::Unreadable { peer, reason };
     let reply: FeedReply =
-        ciborium::from_reader(body.as_ref()).map_err(|error| AskError::Unreadable {
-            peer,
-            reason: error.to_string(),
-        })?;
-    Ok((sender, take(shared, asked, reply)))
+        ciborium::from_reader(body.as_ref()).map_err(|error| unreadable(error.to_string()))?;
+    let useful = take(shared, asked, reply).map_err(|error| unreadable(error.to_string()))?;
+    Ok((sender, useful))
 }
 
-fn take(shared: &Shared, asked: Time, reply: FeedReply) -> bool {
+fn take(shared: &Shared, asked: Time, reply: FeedReply) -> Result<bool, SnapshotError> {
     let troubled = reply.troubled;
+    let whole = reply.whole.as_deref().map(snapshot::entries).transpose()?;
     let mut core = shared.core();
     let mut changes = Vec::new();
-    if !reply.complete {
-        changes.extend(
-            reply
-                .entries
-                .into_iter()
-                .flat_map(|entry| core.fleet.upsert(entry)),
-        );
-    } else if reply.cursor.revision >= core.fleet.revision() {
-        changes = core
-            .fleet
-            .replace(reply.entries, reply.cursor.revision, None);
+    match whole {
+        Some(entries) if reply.cursor.revision >= core.fleet.revision() => {
+            changes = core.fleet.replace(entries, reply.cursor.revision, None);
+        }
+        Some(_older) => {}
+        None => {
+            let entries = reply.entries.into_iter();
+            changes.extend(entries.flat_map(|entry| core.fleet.upsert(entry)));
+        }
     }
     for removal in reply.removed {
         let grace = removal
@@ -242,5 +241,5 @@
     }
     let core = shared.core();
     let now = clock::now();
-    !troubled && !core.sources.is_old(now, core.view_age(now))
+    Ok(!troubled && !core.sources.is_old(now, core.view_age(now)))
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -26,6 +26,7 @@
 mod serve;
 mod settings;
 mod shared;
+mod snapshot;
 mod store;
 mod stream;
 mod tcp;
@@ -35,6 +36,8 @@
 mod events_tests;
 #[cfg(test)]
 mod logs_tests;
+#[cfg(test)]
+mod snapshot_tests;
 
 pub use clock::now;
 pub use dialect::{
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -3,13 +3,15 @@
 //! Calls read the configuration through a read-copy-update pointer. The cores are behind one
 //! lock that is held for single decisions only, never across a wait.
 
-use crate::{Dialect, clock, metrics::Metrics, pool::Pool, settings::RelaySettings};
+use crate::{
+    Dialect, clock, metrics::Metrics, pool::Pool, settings::RelaySettings, snapshot::Snapshot,
+};
 use arc_swap::ArcSwap;
 use core::{net::Ipv4Addr, time::Duration};
 use poplarswitch_entity::Time;
 use poplarswitch_ingress::{
     Budget, Cursor, Demand, Fleet, FleetChange, Freshness, Gate, Leaving, Phase, Roster, Share,
-    Sides, Sources, Stage, Table,
+    Sides, Sources, Stage, Step, Table,
 };
 use rand::{Rng as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
@@ -27,6 +29,9 @@
 /// Time for which callers should keep addresses: short, so that a VM that fails is soon unused.
 const ADDRESS_TTL: Duration = Duration::from_millis(1_500);
 
+/// Endpoints that one line names: a first listing of thousands must fit into the bound on lines.
+const NAMES_A_LINE: usize = 32;
+
 /// The cores.
 #[derive(Debug)]
 pub(crate) struct Core {
@@ -65,6 +70,7 @@
     pub(crate) table: ArcSwap<Table>,
     pub(crate) pool: Pool,
     pub(crate) metrics: Metrics,
+    pub(crate) snapshot: Snapshot,
     in_flight: AtomicUsize,
     core: Mutex<Core>,
     changes: watch::Sender<u64>,
@@ -112,6 +118,7 @@
             table: ArcSwap::from_pointee(Table::default()),
             pool: Pool::default(),
             metrics: Metrics::default(),
+            snapshot: Snapshot::default(),
             in_flight: AtomicUsize::new(0),
             core: Mutex::new(core),
             changes: watch::Sender::new(0),
@@ -191,20 +198,23 @@
         if changes.is_empty() {
             return;
         }
-        for change in changes {
-            let (key, event) = match change {
-                FleetChange::Joined(key) => (*key, "joined"),
-                FleetChange::Draining(key) => (*key, "draining"),
-                FleetChange::Left(key) => {
-                    self.pool.forget(*key);
-                    (*key, "left")
-                }
-            };
-            let core = self.core();
-            let revision = core.fleet.revision();
-            let name = core.fleet.get(key).map(|e| e.entry.name.to_string());
-            drop(core);
-            tracing::info!(event, endpoint = name, ?key, revision, source, "endpoint");
+        let revision = self.core().fleet.revision();
+        let of = |step| changes.iter().filter(move |change| change.step == step);
+        for change in of(Step::Left) {
+            self.pool.forget(change.key);
+        }
+        for step in Step::ALL {
+            let names: Vec<&str> = of(step).map(|change| change.name.as_str()).collect();
+            for names in names.chunks(NAMES_A_LINE) {
+                tracing::info!(
+                    event = step.as_str(),
+                    endpoint = names.join(","),
+                    count = names.len(),
+                    revision,
+                    source,
+                    "endpoint"
+                );
+            }
         }
         self.announce();
     }
--- /dev/null
+++ b/crates/relay/src/snapshot.rs
@@ -0,0 +1,37 @@
+//! All endpoints, encoded once for all VMs that ask.
+//!
+//! After a restart of all VMs every VM of a data centre asks the one that reads the platform for
+//! the whole list at the same moment. Encoding thousands of entries takes a small VM tens of
+//! milliseconds, so the bytes are kept for those who come next.
+
+use bytes::Bytes;
+use poplarswitch_ingress::Entry;
+use std::sync::{Mutex, PoisonError};
+
+/// Why a list of endpoints can't be read.
+pub(crate) type SnapshotError = ciborium::de::Error<std::io::Error>;
+
+/// The list as of the last revision that was asked for.
+#[derive(Debug, Default)]
+pub(crate) struct Snapshot(Mutex<Option<(u64, Bytes)>>);
+
+impl Snapshot {
+    /// The list as of a revision, encoded unless it is at hand.
+    pub(crate) fn at(&self, revision: u64, list: impl FnOnce() -> Vec<Entry>) -> Bytes {
+        let mut kept = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some((_, bytes)) = kept.as_ref().filter(|(at, _)| *at == revision) {
+            return bytes.clone();
+        }
+        let mut bytes = Vec::new();
+        ciborium::into_writer(&list(), &mut bytes)
+            .expect("entries are plain data, and memory takes them");
+        let bytes = Bytes::from(bytes);
+        *kept = Some((revision, bytes.clone()));
+        bytes
+    }
+}
+
+/// Reads a list.
+pub(crate) fn entries(mut bytes: &[u8]) -> Result<Vec<Entry>, SnapshotError> {
+    ciborium::from_reader(&mut bytes)
+}
