Send a request on a kept connection in one place

The client for the platform, the questions between VMs and the reports of engines each had their own copy of 'send, read a bounded body'. tcp::exchange does it for the three; their errors name step and peer as before.

--- a/crates/relay/src/feed.rs
+++ b/crates/relay/src/feed.rs
@@ -5,7 +5,7 @@
     reader::apply,
     shared::Shared,
     snapshot::{self, SnapshotError},
-    tcp::{self, OpenError, Sender},
+    tcp::{self, ExchangeError, OpenError, Sender},
 };
 use bytes::Bytes;
 use core::{
@@ -13,7 +13,7 @@
     time::Duration,
 };
 use http::{Request, Response};
-use http_body_util::{BodyExt as _, Full, Limited};
+use http_body_util::Full;
 use poplarswitch_entity::Time;
 use poplarswitch_ingress::{Cursor, FeedAsk, FeedReply};
 use snafu::{ResultExt as _, Snafu};
@@ -43,7 +43,7 @@
     #[snafu(display("ask {peer}: {source}"))]
     Broken {
         peer: SocketAddr,
-        source: hyper::Error,
+        source: ExchangeError,
     },
     #[snafu(display("ask {peer}: {reason}"))]
     Unreadable { peer: SocketAddr, reason: String },
@@ -180,20 +180,11 @@
             .header(http::header::HOST, peer.to_string())
             .body(Full::new(Bytes::from(bytes)))
             .unwrap_or_default();
-        let response = sender
-            .send_request(request)
+        tcp::exchange(&mut sender, request, MESSAGE_BYTES)
             .await
-            .context(BrokenSnafu { peer })?;
-        let body = Limited::new(response.into_body(), MESSAGE_BYTES)
-            .collect()
-            .await;
-        body.map(http_body_util::Collected::to_bytes)
-            .map_err(|error| AskError::Unreadable {
-                peer,
-                reason: error.to_string(),
-            })
+            .context(BrokenSnafu { peer })
     };
-    let body = timeout(WAIT + ANSWER_WITHIN, exchange)
+    let (_status, body) = timeout(WAIT + ANSWER_WITHIN, exchange)
         .await
         .unwrap_or(Err(AskError::Silent { peer }))?;
     let unreadable = |reason| AskError::Unreadable { peer, reason };
--- a/crates/relay/src/placing.rs
+++ b/crates/relay/src/placing.rs
@@ -1,10 +1,10 @@
 //! Finds an endpoint for a call, asking engines how they stand where that decides.
 
-use crate::{clock, job::Job, pool::Lease, reply::Failure, seat::Load};
+use crate::{clock, job::Job, pool::Lease, reply::Failure, seat::Load, tcp};
 use bytes::Bytes;
 use core::{net::SocketAddr, time::Duration};
 use http::Request;
-use http_body_util::{BodyExt as _, Full, Limited};
+use http_body_util::Full;
 use poplarswitch_entity::Time;
 use poplarswitch_ingress::{Ask, Choice, Decision, EndpointKey, Health, Reason, Report, Side};
 use poplarswitch_wire::ErrorCode;
@@ -89,14 +89,11 @@
             .header(http::header::HOST, address.to_string())
             .body(Full::new(Bytes::new()))
             .map_err(|error| error.to_string())?;
-        let response = sender
-            .send_request(request)
+        let (_status, body) = tcp::exchange(&mut sender, request, REPORT_BYTES)
             .await
             .map_err(|error| error.to_string())?;
-        let body = Limited::new(response.into_body(), REPORT_BYTES);
-        let body = body.collect().await.map_err(|error| error.to_string())?;
         self.shared.pool.put(key, sender, None);
-        self.shared.dialect.report(&body.to_bytes())
+        self.shared.dialect.report(&body)
     }
 
     /// The side that a model call belongs to.
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -5,12 +5,12 @@
 
 use crate::{
     Dialect, StoreCall, StoreReply,
-    tcp::{self, OpenError, Sender},
+    tcp::{self, ExchangeError, OpenError, Sender},
 };
 use bytes::Bytes;
 use core::{net::SocketAddr, time::Duration};
 use http::{Request, header};
-use http_body_util::{BodyExt as _, Full, Limited};
+use http_body_util::Full;
 use snafu::{ResultExt as _, Snafu};
 use std::sync::{Arc, Mutex, PoisonError};
 use tokio::time::timeout;
@@ -46,7 +46,7 @@
     Broken {
         step: &'static str,
         peer: SocketAddr,
-        source: hyper::Error,
+        source: ExchangeError,
     },
     /// The answer can't be read.
     #[snafu(display("{step} at {peer}: {reason}"))]
@@ -97,26 +97,16 @@
                 .await
                 .context(UnreachedSnafu { step })?,
         };
-        let response = sender
-            .send_request(self.request(call))
+        let (status, body) = tcp::exchange(&mut sender, self.request(call), ANSWER_BYTES)
             .await
             .context(BrokenSnafu { step, peer })?;
-        let status = response.status();
-        let body = Limited::new(response.into_body(), ANSWER_BYTES)
-            .collect()
-            .await;
-        let body = body.map_err(|error| StoreError::Unreadable {
-            step,
-            peer,
-            reason: error.to_string(),
-        })?;
         let mut kept = self.lock();
         if kept.len() < KEPT_MOST && !sender.is_closed() {
             kept.push(sender);
         }
         drop(kept);
         self.dialect
-            .store_reply(call, status, &body.to_bytes())
+            .store_reply(call, status, &body)
             .map_err(|reason| StoreError::Unreadable { step, peer, reason })
     }
 
--- a/crates/relay/src/tcp.rs
+++ b/crates/relay/src/tcp.rs
@@ -5,7 +5,8 @@
 
 use bytes::Bytes;
 use core::{net::SocketAddr, time::Duration};
-use http_body_util::Full;
+use http::{Request, StatusCode};
+use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use snafu::{ResultExt as _, Snafu};
@@ -65,6 +66,32 @@
     Ok(sender)
 }
 
+/// Why a request on a connection has no answer.
+#[derive(Debug, Snafu)]
+pub(crate) enum ExchangeError {
+    /// The connection broke; the request may have been carried out.
+    #[snafu(display("{source}"))]
+    Broken { source: hyper::Error },
+    /// The body broke off, or is larger than the caller takes.
+    #[snafu(display("the answer's body: {reason}"))]
+    Body { reason: String },
+}
+
+/// Sends a request and reads its answer whole, up to a number of bytes.
+pub(crate) async fn exchange(
+    sender: &mut Sender,
+    request: Request<Full<Bytes>>,
+    most: usize,
+) -> Result<(StatusCode, Bytes), ExchangeError> {
+    let response = sender.send_request(request).await.context(BrokenSnafu)?;
+    let status = response.status();
+    let body = Limited::new(response.into_body(), most).collect().await;
+    let body = body.map_err(|error| ExchangeError::Body {
+        reason: error.to_string(),
+    })?;
+    Ok((status, body.to_bytes()))
+}
+
 fn tune(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
