Let the soak cut single VMs off the store, drain endpoints and bound repeats

What the soak didn't test: a VM that alone loses its way to the store, the bound on work that reaches an endpoint which drains, the budget of repeats, and more than four VMs. Each VM now reaches the store through a proxy of its own; an endpoint drains and comes back as another life; SOAK_VMS sets the number of VMs. The faults come from a second plan, so the first plan of seeds that ever failed is as it was. The plan and the checks are in files of their own. Still not covered: cuts between VMs, which take each other's addresses from their beats, and jumping clocks.

--- a/crates/node/tests/relay/mod.rs
+++ b/crates/node/tests/relay/mod.rs
@@ -23,6 +23,8 @@
 /// How long anything may take before a test gives up on it.
 const PATIENCE: Duration = Duration::from_secs(30);
 const LOOK: Duration = Duration::from_millis(20);
+/// Addresses in one answer of the directory; from the operators' page.
+const ADDRESSES_MOST: usize = 64;
 
 pub const KEYS: [&str; 2] = ["k1", "k2"];
 
@@ -39,6 +41,8 @@
     pub store: Store,
     pub endpoints: Vec<Endpoint>,
     pub proxies: Vec<Proxy>,
+    /// The way of each VM to the store.
+    pub ways: Vec<Proxy>,
     pub processes: Vec<Process>,
     pub caller: Caller,
     deployment: Deployment,
@@ -62,6 +66,9 @@
             ip: Ipv4Addr::new(127, 0, net, n),
             data_centre: deployment.data_centres[usize::from(n % 2)].clone(),
         });
+        let ways = (0..vms.len())
+            .map(|_vm| Proxy::start(store.address()).unwrap())
+            .collect();
         let processes = vms
             .map(|vm| Process {
                 vm,
@@ -73,6 +80,7 @@
             store,
             endpoints: Vec::new(),
             proxies: Vec::new(),
+            ways,
             processes,
             caller: Caller::new(Configuration::host()),
             deployment,
@@ -103,14 +111,14 @@
         let proxy = Proxy::start(endpoint.address()).unwrap();
         self.endpoints.push(endpoint);
         self.proxies.push(proxy);
-        self.register(self.endpoints.len() - 1, kind, false);
+        self.register(self.endpoints.len() - 1, kind, 1, false);
     }
 
-    /// Writes the entry of an endpoint.
-    pub fn register(&self, index: usize, kind: Kind, draining: bool) {
+    /// Writes the entry of an endpoint in one of its lives.
+    pub fn register(&self, index: usize, kind: Kind, life: u64, draining: bool) {
         let endpoint = &self.endpoints[index];
         let address = self.proxies[index].address();
-        let entry = endpoint.entry(address, Self::service(kind), "bole", draining);
+        let entry = endpoint.entry(address, Self::service(kind), "bole", life, draining);
         self.store.register(endpoint.name(), entry);
     }
 
@@ -118,7 +126,11 @@
     pub fn run(&mut self, index: usize) {
         let process = &mut self.processes[index];
         let file = self.folder.path().join(format!("{}.yaml", process.vm.name));
-        fs::write(&file, self.deployment.settings(&process.vm)).unwrap();
+        let deployment = Deployment {
+            store: self.ways[index].address(),
+            ..self.deployment.clone()
+        };
+        fs::write(&file, deployment.settings(&process.vm)).unwrap();
         let log = self.folder.path().join(format!("{}.log", process.vm.name));
         let log = File::options().create(true).append(true).open(log).unwrap();
         let child = Command::new(env!("CARGO_BIN_EXE_poplarswitch"))
@@ -208,7 +220,7 @@
             await_that("the VM knows the others", || {
                 self.caller
                     .resolve(directory, "none")
-                    .is_ok_and(|all| all.len() == running.len())
+                    .is_ok_and(|all| all.len() == running.len().min(ADDRESSES_MOST))
             });
         }
     }
--- a/crates/node/tests/relay_process.rs
+++ b/crates/node/tests/relay_process.rs
@@ -108,7 +108,7 @@
 #[gtest]
 fn an_endpoint_that_drains_gets_no_more_work() {
     let fleet = Fleet::start(16, 3);
-    fleet.register(2, Kind::Service, true);
+    fleet.register(2, Kind::Service, 1, true);
     for vm in 0..3 {
         await_that("the VM knows of the drain", || {
             fleet
--- a/crates/node/tests/relay_soak.rs
+++ b/crates/node/tests/relay_soak.rs
@@ -1,9 +1,11 @@
 //! A soak of real processes: random faults in series and overlapping, while callers call.
 //!
-//! `SOAK_SEEDS=1,2,3` names the seeds to run and `SOAK_SECONDS` their length; CI runs one short
-//! one. The promises are checked from what callers were told and what endpoints ran.
+//! `SOAK_SEEDS=1,2,3` names the seeds to run, `SOAK_SECONDS` their length and `SOAK_VMS` the number
+//! of VMs; CI runs a few short ones. The promises are checked from what callers were told and what
+//! endpoints ran.
 
 mod relay;
+mod soak;
 
 use core::{
     net::SocketAddr,
@@ -11,14 +13,19 @@
     time::Duration,
 };
 use googletest::prelude::*;
-use poplarswitch_deployment::{Ask, Caller, Configuration, Link, Told, Trouble};
+use poplarswitch_deployment::{Ask, Caller, Configuration, Endpoint, Kind, Link, Run, Trouble};
 use rand::{RngExt as _, SeedableRng as _, seq::IndexedRandom as _};
 use rand_pcg::Pcg64Mcg;
-use relay::{Fleet, KEYS, await_that, events};
+use relay::{Fleet, KEYS, await_that};
 use rustix::process::Signal;
+use soak::{
+    checks::{Call, History, Runs},
+    plan::{Fault, Span, draw, draw_more, spares_store},
+};
 use std::{env, thread, time::Instant};
 
-/// Seeds that CI runs: one that never failed, and those that did.
+/// Seeds that CI runs: two that never failed, the second of which spares the store, and those that
+/// did.
 ///
 /// 13: a VM was told to leave before its program had begun, and its end by the signal counted as a
 /// bad end; the soak now waits until a VM that was started listens.
@@ -26,67 +33,15 @@
 /// nobody had told it; the soak now awaits only VMs that were told.
 /// 42: a call waited unread at a stopped VM while its key was useless, and ran after the key had
 /// been given back (version 3 on the call's line); the check now looks at when it ran.
-const SEEDS: &str = "1,13,21,42";
+const SEEDS: &str = "1,5,13,21,42";
 /// Length of a run of CI, in seconds.
 const SECONDS: u64 = 8;
+/// VMs of a run of CI.
 const VMS: usize = 4;
 const CALLERS: u64 = 4;
+/// What the endpoints are; the first two are engines.
+const KINDS: [Kind; 4] = [Kind::Engine, Kind::Engine, Kind::Service, Kind::Service];
 const PATHS: [&str; 4] = ["/book/1", "/seats/1", "/chat/1", "/brief/1"];
-/// The stated bound on a key that is taken away.
-const REVOKED_WITHIN: Duration = Duration::from_secs(5);
-
-/// A fault that ends later.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Fault {
-    Stop(usize),
-    Kill(usize),
-    Term(usize),
-    Store(Trouble),
-    Link(usize, Link),
-    Refuses(usize),
-    Loses(usize),
-    Breaks(usize),
-    Revoke,
-    Forget,
-}
-
-/// A call and what became of it.
-struct Call {
-    name: String,
-    path: &'static str,
-    key: &'static str,
-    sent: Instant,
-    told: Option<Told>,
-}
-
-fn draw(draws: &mut Pcg64Mcg) -> Fault {
-    let vm = draws.random_range(0..VMS);
-    let endpoint = draws.random_range(0..4);
-    let late = Duration::from_millis(draws.random_range(50..400));
-    match draws.random_range(0..14) {
-        0 => Fault::Stop(vm),
-        1 => Fault::Kill(vm),
-        2 => Fault::Term(vm),
-        3 => Fault::Store(Trouble::Refuses(503)),
-        4 => Fault::Store(Trouble::Silent),
-        5 => Fault::Store(Trouble::Slow(late)),
-        6 => Fault::Store(Trouble::LosesAnswers),
-        7 => {
-            let links = [
-                Link::Delays(late),
-                Link::CutBack,
-                Link::Silent,
-                Link::Resets,
-            ];
-            Fault::Link(endpoint, *links.choose(draws).unwrap())
-        }
-        8 => Fault::Refuses(endpoint),
-        9 => Fault::Loses(endpoint),
-        10 => Fault::Breaks(endpoint),
-        11 => Fault::Revoke,
-        _ => Fault::Forget,
-    }
-}
 
 /// Ends the callers when it is dropped.
 struct EndOfCalls<'a>(&'a AtomicBool);
@@ -100,24 +55,31 @@
 struct Soak {
     fleet: Fleet,
     version: u64,
-    /// When the second key was taken away, and given back.
-    revoked: Vec<(Instant, Option<Instant>)>,
+    /// The life that each endpoint is in.
+    lives: [u64; KINDS.len()],
+    history: History,
 }
 
 impl Soak {
     fn begin(&mut self, fault: Fault) {
+        self.history.faults.push((fault, Span::from_now()));
         match fault {
             Fault::Stop(vm) => self.fleet.signal_if_up(vm, Signal::STOP),
             Fault::Kill(vm) => self.fleet.kill_if_up(vm),
             Fault::Term(vm) => self.fleet.tell_to_leave(vm),
             Fault::Store(trouble) => self.fleet.store.trouble(trouble),
+            Fault::Way(vm, link) => self.fleet.ways[vm].set(link),
             Fault::Link(endpoint, link) => self.fleet.proxies[endpoint].set(link),
+            Fault::Drain(n) => {
+                self.fleet.register(n, KINDS[n], self.lives[n], true);
+                self.history.drains.push((n, Span::from_now()));
+            }
             Fault::Refuses(n) => self.fleet.endpoints[n].behave(|b| b.refuses = true),
             Fault::Loses(n) => self.fleet.endpoints[n].behave(|b| b.loses = true),
             Fault::Breaks(n) => self.fleet.endpoints[n].behave(|b| b.breaks = Some(2)),
             Fault::Revoke => {
                 self.configure(&KEYS[..1]);
-                self.revoked.push((Instant::now(), None));
+                self.history.revoked.push(Span::from_now());
             }
             Fault::Forget => self.fleet.store.forget(),
         }
@@ -135,18 +97,32 @@
                 self.fleet.run_if_down(vm);
             }
             Fault::Store(_) => self.fleet.store.trouble(Trouble::None),
+            Fault::Way(vm, _) => self.fleet.ways[vm].set(Link::Passes),
             Fault::Link(endpoint, _) => self.fleet.proxies[endpoint].set(Link::Passes),
+            Fault::Drain(n) => {
+                self.history
+                    .drains
+                    .iter_mut()
+                    .filter(|(endpoint, _)| *endpoint == n)
+                    .for_each(|(_, span)| span.end());
+                self.lives[n] += 1;
+                self.fleet.register(n, KINDS[n], self.lives[n], false);
+            }
             Fault::Refuses(n) => self.fleet.endpoints[n].behave(|b| b.refuses = false),
             Fault::Loses(n) => self.fleet.endpoints[n].behave(|b| b.loses = false),
             Fault::Breaks(n) => self.fleet.endpoints[n].behave(|b| b.breaks = None),
             Fault::Revoke => {
-                if let Some((_, back @ None)) = self.revoked.last_mut() {
-                    *back = Some(Instant::now());
-                }
+                self.history.revoked.iter_mut().for_each(Span::end);
                 self.configure(&KEYS);
             }
             Fault::Forget => {}
         }
+        let ended = self
+            .history
+            .faults
+            .iter_mut()
+            .filter(|(other, _)| *other == fault);
+        ended.for_each(|(_, span)| span.end());
     }
 
     fn configure(&mut self, keys: &[&str]) {
@@ -155,54 +131,12 @@
             .store
             .configure(&Configuration::sample(self.version, keys));
     }
-
-    /// Whether a call ran with a key that must have been useless: it was sent later than the bound
-    /// after the key was taken away, and ran before the key was given back. A call that a stopped
-    /// VM read only after that may run.
-    fn ran_with_a_useless_key(&self, call: &Call) -> bool {
-        let taken = |began: Instant| {
-            self.revoked.iter().any(|(at, back)| {
-                call.sent > *at + REVOKED_WITHIN && back.is_none_or(|back| began < back)
-            })
-        };
-        call.key == KEYS[1] && self.fleet.runs_of(&call.name).any(|run| taken(run.began))
-    }
-
-    fn check(&self, call: &Call) {
-        let Call { name, path, .. } = call;
-        let runs = self.fleet.runs(name);
-        let once = matches!(*path, "/book/1" | "/chat/1");
-        assert!(
-            runs <= if once { 1 } else { 2 },
-            "{name} on {path} ran {runs} times"
-        );
-        assert!(
-            !self.ran_with_a_useless_key(call),
-            "{name} ran with a key that was taken away"
-        );
-        let Some(told) = &call.told else {
-            return;
-        };
-        if told.not_run() {
-            assert!(
-                runs == 0,
-                "{name} on {path} was told {} and ran",
-                told.status
-            );
-        }
-        if told.status == 200 {
-            let whole = match *path {
-                "/chat/1" | "/brief/1" => told.body == events(name, 5),
-                _ => told.body.starts_with(&format!("{name} answered by")),
-            };
-            assert!(whole, "{name} on {path} got {:?}", told.body);
-        }
-    }
 }
 
 fn call(
     caller: &Caller,
-    vm: SocketAddr,
+    vm: usize,
+    address: SocketAddr,
     name: String,
     path: &'static str,
     key: &'static str,
@@ -214,8 +148,9 @@
         deadline: Duration::from_secs(3),
     };
     let sent = Instant::now();
-    let told = caller.call(vm, &ask).ok();
+    let told = caller.call(address, &ask).ok();
     Call {
+        vm,
         name,
         path,
         key,
@@ -224,15 +159,16 @@
     }
 }
 
-fn soak(seed: u64, length: Duration) {
-    eprintln!("soak: seed {seed}");
+fn run(seed: u64, length: Duration, vms: usize) {
+    eprintln!("soak: seed {seed}, {vms} VMs");
     let net = 100 + (seed % 100) as u8;
     let mut soak = Soak {
-        fleet: Fleet::start(net, VMS as u8),
+        fleet: Fleet::start(net, vms as u8),
         version: 1,
-        revoked: Vec::new(),
+        lives: [1; KINDS.len()],
+        history: History::default(),
     };
-    let addresses: Vec<SocketAddr> = (0..VMS).map(|vm| soak.fleet.address(vm)).collect();
+    let addresses: Vec<SocketAddr> = (0..vms).map(|vm| soak.fleet.address(vm)).collect();
     let over = AtomicBool::new(false);
     let names = AtomicU32::new(0);
     let calls: Vec<Call> = thread::scope(|scope| {
@@ -245,10 +181,10 @@
                     let mut calls = Vec::new();
                     while !over.load(Ordering::Relaxed) {
                         let name = format!("s{}", names.fetch_add(1, Ordering::Relaxed));
-                        let vm = *addresses.choose(&mut draws).unwrap();
+                        let vm = draws.random_range(0..addresses.len());
                         let path = PATHS.choose(&mut draws).unwrap();
                         let key = KEYS.choose(&mut draws).unwrap();
-                        calls.push(call(&caller, vm, name, path, key));
+                        calls.push(call(&caller, vm, addresses[vm], name, path, key));
                         thread::sleep(Duration::from_millis(draws.random_range(0..20)));
                     }
                     calls
@@ -265,7 +201,7 @@
             .collect()
     });
     soak.fleet.await_ready();
-    for vm in 0..VMS {
+    for vm in 0..vms {
         for path in PATHS {
             await_that("calls are served again", || {
                 soak.fleet
@@ -275,22 +211,37 @@
             });
         }
     }
+    let ran: Vec<Vec<Run>> = soak.fleet.endpoints.iter().map(Endpoint::runs).collect();
+    let mut runs = Runs::new();
+    for (endpoint, ran) in ran.iter().enumerate() {
+        for run in ran {
+            runs.entry(&run.call).or_default().push((endpoint, run));
+        }
+    }
     for call in &calls {
-        soak.check(call);
+        soak.history.check(
+            call,
+            runs.get(call.name.as_str()).map_or(&[], Vec::as_slice),
+        );
     }
+    History::check_repeats(&calls, &runs);
     let answered = calls
         .iter()
         .flat_map(|call| &call.told)
         .filter(|told| told.status == 200);
     eprintln!(
-        "soak: seed {seed}: {} calls, {} answered",
+        "soak: seed {seed}: {} calls, {} answered, {} late in a drain",
         calls.len(),
-        answered.count()
+        answered.count(),
+        soak.history.late_in_a_drain(&calls)
     );
 }
 
+/// Begins and ends faults until the time is over.
 fn inject(soak: &mut Soak, seed: u64, length: Duration) {
     let mut draws = Pcg64Mcg::seed_from_u64(seed);
+    let mut more = Pcg64Mcg::seed_from_u64(!seed);
+    let vms = soak.fleet.processes.len();
     let start = Instant::now();
     let mut open: Vec<(Instant, Fault)> = Vec::new();
     while start.elapsed() < length {
@@ -305,21 +256,28 @@
         for fault in due {
             soak.end(fault);
         }
-        let fault = draw(&mut draws);
+        let fault = draw(&mut draws, vms);
         let lasts = Duration::from_millis(draws.random_range(200..4_000));
-        // A second fault of the same kind on the same thing would end with the first.
-        if open
-            .iter()
-            .any(|(_, other)| core::mem::discriminant(other) == core::mem::discriminant(&fault))
-        {
-            continue;
+        let mut faults = vec![(fault, lasts)];
+        if more.random_ratio(1, 3) {
+            let lasts = Duration::from_millis(more.random_range(1_000..8_000));
+            faults.push((draw_more(&mut more, vms), lasts));
+        }
+        for (fault, lasts) in faults {
+            // A second fault of the same kind on the same thing would end with the first.
+            let same =
+                |other: &Fault| core::mem::discriminant(other) == core::mem::discriminant(&fault);
+            let spared = spares_store(seed) && fault.is_of_store();
+            if spared || open.iter().any(|(_, other)| same(other)) {
+                continue;
+            }
+            eprintln!(
+                "soak: {:.1} s {fault:?} for {lasts:?}",
+                start.elapsed().as_secs_f64()
+            );
+            soak.begin(fault);
+            open.push((now + lasts, fault));
         }
-        eprintln!(
-            "soak: {:.1} s {fault:?} for {lasts:?}",
-            start.elapsed().as_secs_f64()
-        );
-        soak.begin(fault);
-        open.push((now + lasts, fault));
     }
     for (_, fault) in open {
         soak.end(fault);
@@ -333,7 +291,12 @@
         .ok()
         .and_then(|text| text.parse().ok());
     let length = Duration::from_secs(seconds.unwrap_or(SECONDS));
+    let vms = env::var("SOAK_VMS").map_or(VMS, |text| text.parse().expect("a number of VMs"));
     for seed in seeds.split(',') {
-        soak(seed.trim().parse().expect("a seed is a number"), length);
+        run(
+            seed.trim().parse().expect("a seed is a number"),
+            length,
+            vms,
+        );
     }
 }
--- /dev/null
+++ b/crates/node/tests/soak/checks.rs
@@ -0,0 +1,150 @@
+//! The promises, checked from what callers were told and what endpoints ran.
+
+use super::plan::{Fault, Span};
+use crate::relay::{KEYS, events};
+use core::time::Duration;
+use poplarswitch_deployment::{Run, Told};
+use std::{collections::HashMap, time::Instant};
+
+/// The stated bound on a key that is taken away.
+const REVOKED_WITHIN: Duration = Duration::from_secs(5);
+/// The stated bound on work that reaches an endpoint which drains.
+const DRAINED_WITHIN: Duration = Duration::from_secs(2);
+/// Calm that a VM needs before and throughout a drain for the bound to hold.
+const IN_TOUCH: Duration = Duration::from_secs(3);
+/// The stated budget of runs beyond the first of each call: a share of the calls of a window, and
+/// an allowance.
+const REPEATS: f64 = 0.2;
+const REPEATS_MORE: f64 = 58.0;
+const REPEATS_WINDOW: Duration = Duration::from_secs(10);
+
+/// All runs of a call, and where.
+pub type Runs<'a> = HashMap<&'a str, Vec<(usize, &'a Run)>>;
+
+/// A call and what became of it.
+pub struct Call {
+    /// The VM that took it.
+    pub vm: usize,
+    pub name: String,
+    pub path: &'static str,
+    pub key: &'static str,
+    pub sent: Instant,
+    pub told: Option<Told>,
+}
+
+/// What happened in a run that the promises depend on.
+#[derive(Debug, Default)]
+pub struct History {
+    /// When the second key was taken away, and given back.
+    pub revoked: Vec<Span>,
+    /// When an endpoint began to drain, and came back.
+    pub drains: Vec<(usize, Span)>,
+    /// All faults.
+    pub faults: Vec<(Fault, Span)>,
+}
+
+impl History {
+    /// Whether a call ran with a key that must have been useless: it was sent later than the bound
+    /// after the key was taken away, and ran before the key was given back. A call that a stopped
+    /// VM read only after that may run.
+    fn ran_with_a_useless_key(&self, call: &Call, runs: &[(usize, &Run)]) -> bool {
+        let taken = |began: Instant| {
+            self.revoked.iter().any(|span| {
+                call.sent > span.from + REVOKED_WITHIN && span.to.is_none_or(|back| began < back)
+            })
+        };
+        call.key == KEYS[1] && runs.iter().any(|(_, run)| taken(run.began))
+    }
+
+    /// Whether a run reached an endpoint later than the bound after it began to drain, though
+    /// nothing kept the news from the VM that sent it.
+    fn ran_where_it_drains(&self, vm: usize, endpoint: usize, run: &Run) -> bool {
+        self.drains.iter().any(|(drained, span)| {
+            let late = run.began > span.from + DRAINED_WITHIN;
+            let before = span.to.is_none_or(|back| run.began < back);
+            let touched = span.from.checked_sub(IN_TOUCH).unwrap_or(span.from);
+            let calm = !self.faults.iter().any(|(fault, span)| {
+                fault.hides_news(vm, endpoint) && span.overlaps(touched, run.began)
+            });
+            *drained == endpoint && late && before && calm
+        })
+    }
+
+    /// Calls that came to a VM so late in a drain that none may have reached the endpoint: without
+    /// some, the bound would hold for want of a test.
+    pub fn late_in_a_drain(&self, calls: &[Call]) -> usize {
+        let late = |call: &&Call| {
+            self.drains.iter().any(|(endpoint, span)| {
+                let touched = span.from.checked_sub(IN_TOUCH).unwrap_or(span.from);
+                let calm = !self.faults.iter().any(|(fault, other)| {
+                    fault.hides_news(call.vm, *endpoint) && other.overlaps(touched, call.sent)
+                });
+                let from = span.from + DRAINED_WITHIN;
+                calm && call.sent > from && span.to.is_none_or(|back| call.sent < back)
+            })
+        };
+        calls.iter().filter(late).count()
+    }
+
+    /// Checks the runs beyond the first of each call against the budget of all VMs.
+    pub fn check_repeats(calls: &[Call], runs: &Runs<'_>) {
+        for service in ["/book/1 /seats/1", "/chat/1 /brief/1"] {
+            let here: Vec<&Call> = calls.iter().filter(|c| service.contains(c.path)).collect();
+            let mut repeats: Vec<Instant> = here
+                .iter()
+                .filter_map(|call| runs.get(call.name.as_str()))
+                .flat_map(|runs| {
+                    let mut began: Vec<Instant> = runs.iter().map(|(_, run)| run.began).collect();
+                    began.sort_unstable();
+                    began.into_iter().skip(1)
+                })
+                .collect();
+            repeats.sort_unstable();
+            for (first, from) in repeats.iter().enumerate() {
+                let to = *from + REPEATS_WINDOW;
+                let within = repeats[first..].partition_point(|at| *at < to);
+                let sent = here.iter().filter(|c| (*from..to).contains(&c.sent));
+                let most = REPEATS * sent.count() as f64 + REPEATS_MORE;
+                assert!(
+                    within as f64 <= most,
+                    "{within} repeats in a window for {service}"
+                );
+            }
+        }
+    }
+
+    pub fn check(&self, call: &Call, runs: &[(usize, &Run)]) {
+        let Call { name, path, .. } = call;
+        for (endpoint, run) in runs {
+            assert!(
+                !self.ran_where_it_drains(call.vm, *endpoint, run),
+                "{name} ran at an endpoint that drained"
+            );
+        }
+        let useless = self.ran_with_a_useless_key(call, runs);
+        let runs = runs.len();
+        let once = matches!(*path, "/book/1" | "/chat/1");
+        assert!(
+            runs <= if once { 1 } else { 2 },
+            "{name} on {path} ran {runs} times"
+        );
+        assert!(!useless, "{name} ran with a key that was taken away");
+        let Some(told) = &call.told else {
+            return;
+        };
+        if told.not_run() {
+            assert!(
+                runs == 0,
+                "{name} on {path} was told {} and ran",
+                told.status
+            );
+        }
+        if told.status == 200 {
+            let whole = match *path {
+                "/chat/1" | "/brief/1" => told.body == events(name, 5),
+                _ => told.body.starts_with(&format!("{name} answered by")),
+            };
+            assert!(whole, "{name} on {path} got {:?}", told.body);
+        }
+    }
+}
