--- a/crates/node/tests/relay/mod.rs
+++ b/crates/node/tests/relay/mod.rs
@@ -186,6 +186,11 @@
         }
     }
 
+    /// The system's id of the process of a VM.
+    pub fn process_id(&self, index: usize) -> u32 {
+        self.processes[index].child.as_ref().unwrap().id()
+    }
+
     /// Sends a signal to the process of a VM.
     pub fn signal(&self, index: usize, signal: Signal) {
         let child = self.processes[index].child.as_ref().unwrap();
--- /dev/null
+++ b/crates/node/tests/relay_measure.rs
@@ -0,0 +1,128 @@
+//! Measures one relay process: memory, processor at rest, latency that it adds, memory a stream.
+//!
+//! Run by hand, in release, on a machine that does nothing else:
+//!
+//!     cargo test --release -p poplarswitch-node --test relay_measure -- --ignored --nocapture
+
+mod relay;
+
+use core::{
+    net::SocketAddr,
+    sync::atomic::{AtomicU32, Ordering},
+    time::Duration,
+};
+use googletest::prelude::*;
+use hdrhistogram::Histogram;
+use poplarswitch_deployment::{Ask, Caller, Configuration};
+use relay::{Fleet, KEYS};
+use std::{fs, thread, time::Instant};
+
+/// Calls in a row, for latency, after some that warm connections up.
+const CALLS: u32 = 4_000;
+const WARM_UP: u32 = 200;
+/// Streams at once.
+const STREAMS: u32 = 500;
+/// Time between the starts of two streams.
+const APART: Duration = Duration::from_millis(3);
+/// Time over which processor use at rest is counted.
+const REST: Duration = Duration::from_secs(10);
+/// Clock ticks of the system a second.
+const TICKS: f64 = 100.0;
+
+fn status(fleet: &Fleet, file: &str) -> String {
+    fs::read_to_string(format!("/proc/{}/{file}", fleet.process_id(0))).unwrap()
+}
+
+fn resident_kb(fleet: &Fleet) -> f64 {
+    let text = status(fleet, "status");
+    let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kb = line.and_then(|line| line.trim().trim_end_matches(" kB").parse().ok());
+    kb.expect("the system states resident memory in kB")
+}
+
+/// Seconds of processor time that the process has used.
+fn used(fleet: &Fleet) -> f64 {
+    let text = status(fleet, "stat");
+    let fields: Vec<&str> = text
+        .rsplit(')')
+        .next()
+        .unwrap()
+        .split_whitespace()
+        .collect();
+    let ticks = |field: usize| fields[field].parse::<f64>().unwrap();
+    // User and system time, counted after the name in parentheses.
+    (ticks(11) + ticks(12)) / TICKS
+}
+
+fn series(caller: &Caller, address: SocketAddr, names: &AtomicU32) -> Histogram<u64> {
+    let mut times = Histogram::new(3).unwrap();
+    for number in 0..WARM_UP + CALLS {
+        let name = format!("m{}", names.fetch_add(1, Ordering::Relaxed));
+        let ask = Ask {
+            call: &name,
+            path: "/seats/1",
+            key: KEYS[0],
+            deadline: Duration::from_secs(3),
+        };
+        let began = Instant::now();
+        let told = caller.call(address, &ask).unwrap();
+        assert_that!(told.status, eq(200));
+        if number >= WARM_UP {
+            times.record(began.elapsed().as_micros() as u64).unwrap();
+        }
+    }
+    times
+}
+
+#[gtest]
+#[ignore = "measures; run by hand"]
+fn one_relay() {
+    let fleet = Fleet::start(23, 1);
+    for endpoint in &fleet.endpoints {
+        endpoint.behave(|behaviour| behaviour.work = Duration::ZERO);
+    }
+    thread::sleep(Duration::from_secs(2));
+    let (before, kb) = (used(&fleet), resident_kb(&fleet));
+    thread::sleep(REST);
+    let busy = (used(&fleet) - before) / REST.as_secs_f64();
+    println!(
+        "at rest: {:.1} MB, {:.2} % of a core",
+        kb / 1_024.0,
+        busy * 100.0
+    );
+
+    let (caller, names) = (Caller::new(Configuration::host()), AtomicU32::new(0));
+    let direct = series(&caller, fleet.proxies[2].address(), &names);
+    let routed = series(&caller, fleet.address(0), &names);
+    for (quantile, name) in [(0.5, "p50"), (0.99, "p99")] {
+        let (a, b) = (
+            direct.value_at_quantile(quantile),
+            routed.value_at_quantile(quantile),
+        );
+        println!(
+            "{name}: direct {a} us, routed {b} us, added {} us",
+            b.saturating_sub(a)
+        );
+    }
+
+    for engine in &fleet.endpoints[..2] {
+        engine.behave(|behaviour| {
+            behaviour.events = 60;
+            behaviour.pause = Duration::from_millis(100);
+        });
+    }
+    let before = resident_kb(&fleet);
+    let peak = thread::scope(|scope| {
+        for _ in 0..STREAMS {
+            scope.spawn(|| fleet.call(0, "/chat/1").1.map(|told| told.status));
+            thread::sleep(APART);
+        }
+        thread::sleep(Duration::from_secs(1));
+        resident_kb(&fleet)
+    });
+    let each = (peak - before) / f64::from(STREAMS);
+    println!(
+        "{STREAMS} streams: {:.1} MB, {each:.1} kB a stream",
+        peak / 1_024.0
+    );
+}
