Bound idle connections by an endpoint's places over all VMs

Bookings need new connections. Not seen to break anything yet; the caps aren't told on the wire, so the endpoint's places are the measure. Change: four connections for each place over all VMs, at least one and at most six for a VM that uses the endpoint at all.

--- a/crates/ingress/src/fleet.rs
+++ b/crates/ingress/src/fleet.rs
@@ -16,6 +16,12 @@
     pub struct EndpointKey;
 }
 
+/// Idle connections that all VMs together keep for each place of an endpoint: endpoints take few
+/// connections more than they have places (6 to 18 for each on the operators' sheets), and reset
+/// those beyond.
+const KEPT_A_PLACE: usize = 4;
+/// Idle connections that a VM keeps to an endpoint; more were never used at once.
+const KEPT_MOST: usize = 6;
 /// Removals that are remembered for VMs that ask what has changed.
 const REMOVALS_KEPT: usize = 512;
 
@@ -120,6 +126,12 @@
     pub const fn load(&self) -> u32 {
         self.open + self.elsewhere
     }
+
+    /// Idle connections that one of a number of VMs may keep to it.
+    pub fn kept_most(&self, vms: usize) -> usize {
+        let all = self.entry.slots as usize * KEPT_A_PLACE;
+        (all / vms.max(1)).clamp(1, KEPT_MOST)
+    }
 }
 
 /// All endpoints.
--- a/crates/ingress/src/fleet_tests.rs
+++ b/crates/ingress/src/fleet_tests.rs
@@ -126,3 +126,20 @@
     follower.expire(Time::from_millis(500));
     expect_that!(takers(&follower), eq(1));
 }
+
+/// Pattern: a burst opens connections from every VM of a large fleet. Kept by all of them, they
+/// crowded out those that bookings need, which are always new.
+#[gtest]
+fn idle_connections_of_all_vms_leave_room_at_an_endpoint() {
+    let mut fleet = Fleet::default();
+    fleet.upsert(entry("a", 1));
+    let (_, endpoint) = fleet.iter().next().unwrap();
+    for vms in [1, 4, 16, 87, 300] {
+        let kept = endpoint.kept_most(vms);
+        expect_that!(kept, ge(1));
+        // The entry has four places; a VM that uses it at all keeps one.
+        expect_that!(kept * vms, le((4 * 4).max(vms)), "{vms} VMs");
+    }
+    expect_that!(endpoint.kept_most(2), eq(6));
+    expect_that!(endpoint.kept_most(0), eq(6));
+}
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -263,7 +263,7 @@
         let key = seat.key();
         match timeout(left, body.collect()).await {
             Ok(Ok(whole)) => {
-                self.shared.pool.put(key, sender, keep);
+                self.shared.keep(key, sender, keep);
                 Ok(Answer::Whole(head, whole.to_bytes()))
             }
             Ok(Err(error)) => {
--- a/crates/relay/src/placing.rs
+++ b/crates/relay/src/placing.rs
@@ -92,7 +92,7 @@
         let (_status, body) = tcp::exchange(&mut sender, request, REPORT_BYTES)
             .await
             .map_err(|error| error.to_string())?;
-        self.shared.pool.put(key, sender, None);
+        self.shared.keep(key, sender, None);
         self.shared.dialect.report(&body)
     }
 
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -18,8 +18,6 @@
 const IDLE_MOST: Duration = Duration::from_secs(4);
 /// Part of the stated idle time that is used; the endpoint's clock started earlier than ours.
 const STATED_PERCENT: u32 = 70;
-/// Idle connections kept for an endpoint.
-const KEPT_MOST: usize = 6;
 
 #[derive(Debug)]
 struct Idle {
@@ -59,8 +57,14 @@
         })
     }
 
-    /// Takes a connection back after a whole answer.
-    pub(crate) fn put(&self, key: EndpointKey, sender: Sender, stated: Option<Duration>) {
+    /// Takes a connection back after a whole answer, unless `most` are kept already.
+    pub(crate) fn put(
+        &self,
+        key: EndpointKey,
+        sender: Sender,
+        stated: Option<Duration>,
+        most: usize,
+    ) {
         if sender.is_closed() {
             return;
         }
@@ -71,7 +75,7 @@
         let mut lanes = self.lanes();
         let lane = lanes.entry(key).or_default();
         lane.retain(|idle| idle.until > now && !idle.sender.is_closed());
-        if lane.len() < KEPT_MOST {
+        if lane.len() < most {
             lane.push(Idle {
                 sender,
                 until: now + idle,
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -5,13 +5,14 @@
 
 use crate::{
     Dialect, clock, metrics::Metrics, pool::Pool, settings::RelaySettings, snapshot::Snapshot,
+    tcp::Sender,
 };
 use arc_swap::ArcSwap;
 use core::{net::Ipv4Addr, time::Duration};
 use poplarswitch_entity::Time;
 use poplarswitch_ingress::{
-    Budget, Cursor, Demand, Fleet, FleetChange, Freshness, Gate, Leaving, Phase, Roster, Share,
-    Sides, Sources, Stage, Step, Table,
+    Budget, Cursor, Demand, EndpointKey, Fleet, FleetChange, Freshness, Gate, Leaving, Phase,
+    Roster, Share, Sides, Sources, Stage, Step, Table,
 };
 use rand::{Rng as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
@@ -219,6 +220,18 @@
         self.announce();
     }
 
+    /// Takes a connection to an endpoint back after a whole answer.
+    pub(crate) fn keep(&self, key: EndpointKey, sender: Sender, stated: Option<Duration>) {
+        let core = self.core();
+        let vms = core.roster.count(clock::now());
+        let most = core.fleet.get(key).map(|e| e.kept_most(vms));
+        drop(core);
+        // Nothing is kept for an endpoint that has left.
+        if let Some(most) = most {
+            self.pool.put(key, sender, stated, most);
+        }
+    }
+
     /// A random number.
     pub(crate) fn draw(&self) -> u64 {
         self.core().draws.next_u64()
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -89,7 +89,7 @@
             let key = open.seat.key();
             let cause = match self.part(&mut open).await {
                 Part::Whole => {
-                    self.job.shared.pool.put(key, open.sender, open.keep);
+                    self.job.shared.keep(key, open.sender, open.keep);
                     return End::Whole;
                 }
                 Part::CallerLeft => return End::CallerLeft,
