Encode the whole list anew when an entry's grace has ended

Change: the fleet counts changes of its entries, and the list is kept by that count. Test: the_end_of_a_grace_is_a_change_though_the_revision_stays.

--- a/crates/ingress/src/fleet.rs
+++ b/crates/ingress/src/fleet.rs
@@ -144,6 +144,7 @@
     removed: VecDeque<(EndpointName, u64)>,
     forgotten: u64,
     revision: u64,
+    changes: u64,
     long: Pressure,
     short: Pressure,
 }
@@ -154,6 +155,12 @@
         self.revision
     }
 
+    /// Counts changes of the entries. Entries change without the platform's revision when a grace
+    /// ends, or when a view is taken in several steps.
+    pub const fn changes(&self) -> u64 {
+        self.changes
+    }
+
     /// Marks everything up to a revision as known.
     pub fn advance(&mut self, revision: u64) {
         self.revision = self.revision.max(revision);
@@ -218,6 +225,7 @@
                     known.entry.state
                 };
                 known.entry = Entry { state, ..entry };
+                self.changes += 1;
                 if newly {
                     self.unlist(key);
                     changes.push(self.changed(key, Step::Draining));
@@ -228,6 +236,7 @@
         }
         let ready = entry.state == EntryState::Ready;
         let service = entry.service.clone();
+        self.changes += 1;
         let key = self.endpoints.insert(Endpoint {
             rank: hash_text(entry.name.as_str()),
             health: Health::default(),
@@ -374,6 +383,7 @@
     fn drop_key(&mut self, key: EndpointKey) -> Option<FleetChange> {
         self.unlist(key);
         let endpoint = self.endpoints.remove(key)?;
+        self.changes += 1;
         self.names.remove(&endpoint.entry.name);
         self.lapsed.remove(&endpoint.entry.name);
         Some(FleetChange {
--- a/crates/ingress/src/fleet_tests.rs
+++ b/crates/ingress/src/fleet_tests.rs
@@ -143,3 +143,36 @@
     expect_that!(endpoint.kept_most(2), eq(6));
     expect_that!(endpoint.kept_most(0), eq(6));
 }
+
+/// A list that is kept for others as of a count must not be handed out once an entry's grace is
+/// over: they would send work to an endpoint that is gone.
+#[gtest]
+fn the_end_of_a_grace_is_a_change_though_the_revision_stays() {
+    let mut fleet = Fleet::default();
+    fleet.replace(vec![entry("a", 1), entry("b", 2)], 5, None);
+    fleet.remove(&EndpointName::new("a"), 6, Some(Time::from_millis(2_000)));
+    fleet.advance(6);
+    let (revision, changes) = (fleet.revision(), fleet.changes());
+    expect_that!(fleet.entries().len(), eq(2));
+    fleet.expire(Time::from_millis(3_000));
+    expect_that!(fleet.entries().len(), eq(1));
+    expect_that!(fleet.revision(), eq(revision));
+    expect_that!(fleet.changes(), not(eq(changes)));
+}
+
+#[gtest]
+fn every_entry_that_comes_or_changes_is_a_change() {
+    let mut fleet = Fleet::default();
+    let mut seen = vec![fleet.changes()];
+    for (state, revision) in [(EntryState::Ready, 1), (EntryState::Draining, 2)] {
+        fleet.upsert(Entry {
+            state,
+            ..entry("a", revision)
+        });
+        seen.push(fleet.changes());
+    }
+    fleet.remove(&EndpointName::new("a"), 3, None);
+    seen.push(fleet.changes());
+    seen.dedup();
+    expect_that!(seen.len(), eq(4));
+}
--- a/crates/relay/src/feed.rs
+++ b/crates/relay/src/feed.rs
@@ -96,7 +96,9 @@
     } else if let Some((entries, removed)) = core.fleet.since(arrived, known.revision) {
         (None, entries, removed)
     } else {
-        let whole = shared.snapshot.at(revision, || core.fleet.entries());
+        let whole = shared
+            .snapshot
+            .at(core.fleet.changes(), || core.fleet.entries());
         (Some(whole), Vec::new(), core.fleet.lapsed(arrived))
     };
     FeedReply {
--- a/crates/relay/src/snapshot.rs
+++ b/crates/relay/src/snapshot.rs
@@ -11,22 +11,22 @@
 /// Why a list of endpoints can't be read.
 pub(crate) type SnapshotError = ciborium::de::Error<std::io::Error>;
 
-/// The list as of the last revision that was asked for.
+/// The list as of the last count of changes that was asked for.
 #[derive(Debug, Default)]
 pub(crate) struct Snapshot(Mutex<Option<(u64, Bytes)>>);
 
 impl Snapshot {
-    /// The list as of a revision, encoded unless it is at hand.
-    pub(crate) fn at(&self, revision: u64, list: impl FnOnce() -> Vec<Entry>) -> Bytes {
+    /// The list as of a count of changes, encoded unless it is at hand.
+    pub(crate) fn at(&self, changes: u64, list: impl FnOnce() -> Vec<Entry>) -> Bytes {
         let mut kept = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some((_, bytes)) = kept.as_ref().filter(|(at, _)| *at == revision) {
+        if let Some((_, bytes)) = kept.as_ref().filter(|(at, _)| *at == changes) {
             return bytes.clone();
         }
         let mut bytes = Vec::new();
         ciborium::into_writer(&list(), &mut bytes)
             .expect("entries are plain data, and memory takes them");
         let bytes = Bytes::from(bytes);
-        *kept = Some((revision, bytes.clone()));
+        *kept = Some((changes, bytes.clone()));
         bytes
     }
 }
--- a/crates/relay/src/snapshot_tests.rs
+++ b/crates/relay/src/snapshot_tests.rs
@@ -23,8 +23,8 @@
 fn a_list_is_encoded_once_for_all_who_ask() {
     let snapshot = Snapshot::default();
     let encoded = Cell::new(0);
-    let ask = |revision, count| {
-        snapshot.at(revision, || {
+    let ask = |changes, count| {
+        snapshot.at(changes, || {
             encoded.set(encoded.get() + 1);
             list(count)
         })
