--- a/crates/node/tests/soak/checks.rs
+++ b/crates/node/tests/soak/checks.rs
@@ -56,17 +56,16 @@
         call.key == KEYS[1] && runs.iter().any(|(_, run)| taken(run.began))
     }
 
-    /// Whether a run reached an endpoint later than the bound after it began to drain, though
-    /// nothing kept the news from the VM that sent it.
-    fn ran_where_it_drains(&self, vm: usize, endpoint: usize, run: &Run) -> bool {
+    /// Whether an endpoint had drained for longer than the bound at a moment, and nothing kept the
+    /// news from a VM until then.
+    fn knows_the_drain(&self, vm: usize, endpoint: usize, at: Instant) -> bool {
         self.drains.iter().any(|(drained, span)| {
-            let late = run.began > span.from + DRAINED_WITHIN;
-            let before = span.to.is_none_or(|back| run.began < back);
             let touched = span.from.checked_sub(IN_TOUCH).unwrap_or(span.from);
-            let calm = !self.faults.iter().any(|(fault, span)| {
-                fault.hides_news(vm, endpoint) && span.overlaps(touched, run.began)
+            let calm = !self.faults.iter().any(|(fault, other)| {
+                fault.hides_news(vm, endpoint) && other.overlaps(touched, at)
             });
-            *drained == endpoint && late && before && calm
+            let late = at > span.from + DRAINED_WITHIN && span.to.is_none_or(|back| at < back);
+            *drained == endpoint && late && calm
         })
     }
 
@@ -74,14 +73,8 @@
     /// some, the bound would hold for want of a test.
     pub fn late_in_a_drain(&self, calls: &[Call]) -> usize {
         let late = |call: &&Call| {
-            self.drains.iter().any(|(endpoint, span)| {
-                let touched = span.from.checked_sub(IN_TOUCH).unwrap_or(span.from);
-                let calm = !self.faults.iter().any(|(fault, other)| {
-                    fault.hides_news(call.vm, *endpoint) && other.overlaps(touched, call.sent)
-                });
-                let from = span.from + DRAINED_WITHIN;
-                calm && call.sent > from && span.to.is_none_or(|back| call.sent < back)
-            })
+            let mut endpoints = self.drains.iter().map(|(endpoint, _)| *endpoint);
+            endpoints.any(|endpoint| self.knows_the_drain(call.vm, endpoint, call.sent))
         };
         calls.iter().filter(late).count()
     }
@@ -113,11 +106,12 @@
         }
     }
 
+    /// Checks what became of one call.
     pub fn check(&self, call: &Call, runs: &[(usize, &Run)]) {
         let Call { name, path, .. } = call;
         for (endpoint, run) in runs {
             assert!(
-                !self.ran_where_it_drains(call.vm, *endpoint, run),
+                !self.knows_the_drain(call.vm, *endpoint, run.began),
                 "{name} ran at an endpoint that drained"
             );
         }
