--- a/crates/ingress/src/fleet.rs
+++ b/crates/ingress/src/fleet.rs
@@ -70,7 +70,7 @@
 
 /// What became of an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Step {
+pub enum Transition {
     /// It takes calls from now on.
     Joined,
     /// It takes no more calls.
@@ -79,7 +79,7 @@
     Left,
 }
 
-impl Step {
+impl Transition {
     /// All of them, those that end an endpoint first.
     pub const ALL: [Self; 3] = [Self::Left, Self::Draining, Self::Joined];
 
@@ -101,7 +101,7 @@
     /// Its name.
     pub name: EndpointName,
     /// What became of it.
-    pub step: Step,
+    pub transition: Transition,
 }
 
 /// An endpoint as this VM knows it.
@@ -228,7 +228,7 @@
                 self.changes += 1;
                 if newly {
                     self.unlist(key);
-                    changes.push(self.changed(key, Step::Draining));
+                    changes.push(self.changed(key, Transition::Draining));
                 }
                 return changes;
             }
@@ -249,7 +249,7 @@
             .insert(self.endpoints[key].entry.name.clone(), key);
         if ready {
             self.list(service, key);
-            changes.push(self.changed(key, Step::Joined));
+            changes.push(self.changed(key, Transition::Joined));
         }
         changes
     }
@@ -389,12 +389,16 @@
         Some(FleetChange {
             key,
             name: endpoint.entry.name,
-            step: Step::Left,
+            transition: Transition::Left,
         })
     }
 
-    fn changed(&self, key: EndpointKey, step: Step) -> FleetChange {
+    fn changed(&self, key: EndpointKey, transition: Transition) -> FleetChange {
         let name = self.endpoints[key].entry.name.clone();
-        FleetChange { key, name, step }
+        FleetChange {
+            key,
+            name,
+            transition,
+        }
     }
 }
--- a/crates/ingress/src/fleet_tests.rs
+++ b/crates/ingress/src/fleet_tests.rs
@@ -1,4 +1,4 @@
-use crate::{Entry, EntryState, Fleet, FleetChange, Step};
+use crate::{Entry, EntryState, Fleet, FleetChange, Transition};
 use googletest::prelude::*;
 use poplarswitch_entity::{DataCentre, EndpointName, ServiceName, Time};
 
@@ -52,16 +52,16 @@
         ..entry("a", 2)
     });
     expect_that!(second.len(), eq(2));
-    expect_that!(first[0].step, eq(Step::Joined));
+    expect_that!(first[0].transition, eq(Transition::Joined));
     let old = first[0].key;
     let name = EndpointName::new("a");
-    let step = Step::Left;
+    let transition = Transition::Left;
     expect_that!(
         second[0],
         eq(&FleetChange {
             key: old,
             name,
-            step
+            transition
         })
     );
     expect_that!(fleet.get(old).is_none(), eq(true));
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -58,7 +58,9 @@
 };
 pub use engine::{Engine, Report, Usual, work};
 pub use feed::{Cursor, FeedAsk, FeedReply, Source, Sources};
-pub use fleet::{Endpoint, EndpointKey, Entry, EntryState, Fleet, FleetChange, Removal, Step};
+pub use fleet::{
+    Endpoint, EndpointKey, Entry, EntryState, Fleet, FleetChange, Removal, Transition,
+};
 pub use freshness::Freshness;
 pub use hash::{hash_pair, hash_text};
 pub use health::Health;
--- a/crates/node/tests/relay/mod.rs
+++ b/crates/node/tests/relay/mod.rs
@@ -41,8 +41,8 @@
     pub store: Store,
     pub endpoints: Vec<Endpoint>,
     pub proxies: Vec<Proxy>,
-    /// The way of each VM to the store.
-    pub ways: Vec<Proxy>,
+    /// The proxy between each VM and the store.
+    pub store_links: Vec<Proxy>,
     pub processes: Vec<Process>,
     pub caller: Caller,
     deployment: Deployment,
@@ -66,7 +66,7 @@
             ip: Ipv4Addr::new(127, 0, net, n),
             data_centre: deployment.data_centres[usize::from(n % 2)].clone(),
         });
-        let ways = (0..vms.len())
+        let store_links = (0..vms.len())
             .map(|_vm| Proxy::start(store.address()).unwrap())
             .collect();
         let processes = vms
@@ -80,7 +80,7 @@
             store,
             endpoints: Vec::new(),
             proxies: Vec::new(),
-            ways,
+            store_links,
             processes,
             caller: Caller::new(Configuration::host()),
             deployment,
@@ -127,7 +127,7 @@
         let process = &mut self.processes[index];
         let file = self.folder.path().join(format!("{}.yaml", process.vm.name));
         let deployment = Deployment {
-            store: self.ways[index].address(),
+            store: self.store_links[index].address(),
             ..self.deployment.clone()
         };
         fs::write(&file, deployment.settings(&process.vm)).unwrap();
--- a/crates/node/tests/relay_soak.rs
+++ b/crates/node/tests/relay_soak.rs
@@ -68,7 +68,7 @@
             Fault::Kill(vm) => self.fleet.kill_if_up(vm),
             Fault::Term(vm) => self.fleet.tell_to_leave(vm),
             Fault::Store(trouble) => self.fleet.store.trouble(trouble),
-            Fault::Way(vm, link) => self.fleet.ways[vm].set(link),
+            Fault::StoreLink(vm, link) => self.fleet.store_links[vm].set(link),
             Fault::Link(endpoint, link) => self.fleet.proxies[endpoint].set(link),
             Fault::Drain(n) => {
                 self.fleet.register(n, KINDS[n], self.lives[n], true);
@@ -97,7 +97,7 @@
                 self.fleet.run_if_down(vm);
             }
             Fault::Store(_) => self.fleet.store.trouble(Trouble::None),
-            Fault::Way(vm, _) => self.fleet.ways[vm].set(Link::Passes),
+            Fault::StoreLink(vm, _) => self.fleet.store_links[vm].set(Link::Passes),
             Fault::Link(endpoint, _) => self.fleet.proxies[endpoint].set(Link::Passes),
             Fault::Drain(n) => {
                 self.history
--- a/crates/node/tests/soak/plan.rs
+++ b/crates/node/tests/soak/plan.rs
@@ -13,9 +13,9 @@
     Kill(usize),
     Term(usize),
     Store(Trouble),
-    /// The way of a VM to the store.
-    Way(usize, Link),
-    /// The way of all VMs to an endpoint.
+    /// The connections of a VM to the store.
+    StoreLink(usize, Link),
+    /// The connections of all VMs to an endpoint.
     Link(usize, Link),
     /// An endpoint drains, and comes back as a new life.
     Drain(usize),
@@ -35,7 +35,7 @@
     /// Whether a VM may rightly learn late that an endpoint drains.
     pub const fn hides_news(self, vm: usize, endpoint: usize) -> bool {
         match self {
-            Self::Stop(at) | Self::Kill(at) | Self::Term(at) | Self::Way(at, _) => at == vm,
+            Self::Stop(at) | Self::Kill(at) | Self::Term(at) | Self::StoreLink(at, _) => at == vm,
             Self::Link(at, _) => at == endpoint,
             Self::Store(_) | Self::Forget => true,
             Self::Drain(_) | Self::Refuses(_) | Self::Loses(_) | Self::Breaks(_) | Self::Revoke => {
@@ -76,7 +76,7 @@
     seed % 10 == 5
 }
 
-/// What a way does.
+/// What connections do.
 fn link(draws: &mut Pcg64Mcg, late: Duration) -> Link {
     let links = [
         Link::Delays(late),
@@ -114,7 +114,7 @@
 pub fn draw_more(draws: &mut Pcg64Mcg, vms: usize) -> Fault {
     let late = Duration::from_millis(draws.random_range(50..400));
     if draws.random() {
-        Fault::Way(draws.random_range(0..vms), link(draws, late))
+        Fault::StoreLink(draws.random_range(0..vms), link(draws, late))
     } else {
         Fault::Drain(draws.random_range(0..4))
     }
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -1,6 +1,6 @@
 //! The object API over HTTP.
 
-use crate::{Carrier, CarryError, Platform, Records, WireRequest};
+use crate::{ExecuteError, Executor, Platform, Records, WireRequest};
 use core::time::Duration;
 use http::{Method, StatusCode};
 use poplarswitch_store::{Reply, Request};
@@ -63,7 +63,7 @@
     /// The platform's address.
     peer: String,
     /// The cause.
-    source: CarryError<SendError>,
+    source: ExecuteError<SendError>,
 }
 
 /// Speaks to the platform at one address.
@@ -71,7 +71,7 @@
 pub struct HttpPlatform {
     agent: Agent,
     base: String,
-    carrier: Carrier,
+    executor: Executor,
 }
 
 impl HttpPlatform {
@@ -84,7 +84,7 @@
         Self {
             agent: config.into(),
             base: base.trim_end_matches('/').to_owned(),
-            carrier: Carrier::new(records),
+            executor: Executor::new(records),
         }
     }
 
@@ -97,11 +97,11 @@
         let Self {
             agent,
             base,
-            carrier,
+            executor,
         } = self;
         let within = timeout(request);
-        let carried = carrier.carry(request, RETRY_AFTER, |wire| send(agent, base, wire, within));
-        carried.context(HttpPlatformSnafu {
+        let done = executor.execute(request, RETRY_AFTER, |wire| send(agent, base, wire, within));
+        done.context(HttpPlatformSnafu {
             step: step(request),
             peer: base.as_str(),
         })
@@ -156,7 +156,7 @@
 /// A write that may have arrived is unknown; anything else was not done.
 fn failed(request: &Request, error: &HttpPlatformError) -> Reply {
     tracing::debug!(%error, "platform request failed");
-    let unsent = matches!(&error.source, CarryError::Send { source } if source.before_send());
+    let unsent = matches!(&error.source, ExecuteError::Send { source } if source.before_send());
     match request {
         Request::Put { .. } | Request::Delete { .. } if !unsent => Reply::Unknown,
         _ => Reply::Unavailable {
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -21,4 +21,4 @@
 pub use budget::{Budget, Rates, Spend};
 pub use client::{Client, Counters, Platform};
 pub use http::{HttpPlatform, HttpPlatformError, SendError};
-pub use records::{Carrier, CarryError, Page, RecordCall, RecordReply, Records, WireRequest};
+pub use records::{ExecuteError, Executor, Page, RecordCall, RecordReply, Records, WireRequest};
--- a/crates/platform/src/records.rs
+++ b/crates/platform/src/records.rs
@@ -143,7 +143,7 @@
 
 /// Why a request was not carried out.
 #[derive(Debug, Snafu)]
-pub enum CarryError<E: std::error::Error + 'static> {
+pub enum ExecuteError<E: std::error::Error + 'static> {
     /// A call got no answer; it may have been done all the same.
     #[snafu(display("{source}"))]
     Send {
@@ -160,12 +160,12 @@
 
 /// Carries out requests one by one.
 #[derive(Debug)]
-pub struct Carrier {
+pub struct Executor {
     records: Box<dyn Records>,
     cursors: HashMap<Key, Cursor>,
 }
 
-impl Carrier {
+impl Executor {
     /// Speaks as an adapter does.
     pub fn new(records: Box<dyn Records>) -> Self {
         Self {
@@ -180,27 +180,27 @@
     /// # Errors
     ///
     /// Fails if a call got no answer, or one that can't be read.
-    pub fn carry<E: std::error::Error + 'static>(
+    pub fn execute<E: std::error::Error + 'static>(
         &mut self,
         request: &Request,
         refused: Duration,
         send: impl FnMut(&WireRequest) -> Result<(StatusCode, Vec<u8>), E>,
-    ) -> Result<Reply, CarryError<E>> {
+    ) -> Result<Reply, ExecuteError<E>> {
         let Self { records, cursors } = self;
-        let mut way = Way {
+        let mut exchange = Exchange {
             records: &**records,
             send,
         };
         let found = match request {
-            Request::Get { key } => way.call(&RecordCall::Read(key))?,
-            Request::Put { key, value, guard } => way.put(key, value, *guard)?,
-            Request::Delete { key, guard } => way.remove(key, *guard)?,
-            Request::Watch { key, after, wait } => way.watch(cursors, key, *after, *wait)?,
-            Request::List { prefix } => way.pages(|after| RecordCall::List {
+            Request::Get { key } => exchange.call(&RecordCall::Read(key))?,
+            Request::Put { key, value, guard } => exchange.put(key, value, *guard)?,
+            Request::Delete { key, guard } => exchange.remove(key, *guard)?,
+            Request::Watch { key, after, wait } => exchange.watch(cursors, key, *after, *wait)?,
+            Request::List { prefix } => exchange.pages(|after| RecordCall::List {
                 prefix: prefix.clone(),
                 after,
             })?,
-            Request::Vms => way.pages(|after| RecordCall::Vms { after })?,
+            Request::Vms => exchange.pages(|after| RecordCall::Vms { after })?,
         };
         Ok(reply(request, found, refused))
     }
@@ -225,24 +225,29 @@
     }
 }
 
-/// The way to the platform, for one request.
-struct Way<'a, S> {
+/// The calls of one request.
+struct Exchange<'a, S> {
     records: &'a dyn Records,
     send: S,
 }
 
-impl<E, S> Way<'_, S>
+impl<E, S> Exchange<'_, S>
 where
     E: std::error::Error + 'static,
     S: FnMut(&WireRequest) -> Result<(StatusCode, Vec<u8>), E>,
 {
-    fn call(&mut self, call: &RecordCall<'_>) -> Result<RecordReply, CarryError<E>> {
+    fn call(&mut self, call: &RecordCall<'_>) -> Result<RecordReply, ExecuteError<E>> {
         let (status, body) = (self.send)(&self.records.request(call)).context(SendSnafu)?;
         let read = self.records.reply(call, status, &body);
-        read.map_err(|reason| CarryError::Unreadable { reason })
+        read.map_err(|reason| ExecuteError::Unreadable { reason })
     }
 
-    fn put(&mut self, key: &Key, value: &[u8], guard: Guard) -> Result<RecordReply, CarryError<E>> {
+    fn put(
+        &mut self,
+        key: &Key,
+        value: &[u8],
+        guard: Guard,
+    ) -> Result<RecordReply, ExecuteError<E>> {
         let replace = |version| RecordCall::Replace {
             key,
             value,
@@ -271,7 +276,7 @@
         }
     }
 
-    fn remove(&mut self, key: &Key, guard: Guard) -> Result<RecordReply, CarryError<E>> {
+    fn remove(&mut self, key: &Key, guard: Guard) -> Result<RecordReply, ExecuteError<E>> {
         let version = match guard {
             Guard::Matches(version) => Some(version),
             Guard::Absent | Guard::Always => None,
@@ -290,7 +295,7 @@
         key: &Key,
         after: Version,
         wait: Duration,
-    ) -> Result<RecordReply, CarryError<E>> {
+    ) -> Result<RecordReply, ExecuteError<E>> {
         let known = cursors.get(key).filter(|cursor| cursor.version == after);
         let start = known.map(|cursor| cursor.revision);
         let found = match start {
@@ -324,7 +329,7 @@
     fn pages(
         &mut self,
         call: impl for<'n> Fn(Option<&'n str>) -> RecordCall<'n>,
-    ) -> Result<RecordReply, CarryError<E>> {
+    ) -> Result<RecordReply, ExecuteError<E>> {
         let mut all = Page::default();
         loop {
             match self.call(&call(all.more.as_deref()))? {
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -12,7 +12,7 @@
 use poplarswitch_entity::Time;
 use poplarswitch_ingress::{
     Budget, Cursor, Demand, EndpointKey, Fleet, FleetChange, Freshness, Gate, Leaving, Phase,
-    Roster, Share, Sides, Sources, Stage, Step, Table,
+    Roster, Share, Sides, Sources, Stage, Table, Transition,
 };
 use rand::{Rng as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
@@ -200,15 +200,19 @@
             return;
         }
         let revision = self.core().fleet.revision();
-        let of = |step| changes.iter().filter(move |change| change.step == step);
-        for change in of(Step::Left) {
+        let of = |transition| {
+            changes
+                .iter()
+                .filter(move |change| change.transition == transition)
+        };
+        for change in of(Transition::Left) {
             self.pool.forget(change.key);
         }
-        for step in Step::ALL {
-            let names: Vec<&str> = of(step).map(|change| change.name.as_str()).collect();
+        for transition in Transition::ALL {
+            let names: Vec<&str> = of(transition).map(|change| change.name.as_str()).collect();
             for names in names.chunks(NAMES_A_LINE) {
                 tracing::info!(
-                    event = step.as_str(),
+                    event = transition.as_str(),
                     endpoint = names.join(","),
                     count = names.len(),
                     revision,
