--- a/crates/ingress/src/engine.rs
+++ b/crates/ingress/src/engine.rs
@@ -121,8 +121,7 @@
         let report = self.fresh(now)?;
         let reading = f64::from(report.waiting) * usual.read
             + (self.sent_tokens + tokens) as f64 / TOKENS_READ_MS;
-        let taken = report.running + report.waiting + self.sent;
-        let over = f64::from((taken + 1).saturating_sub(slots));
+        let over = f64::from((self.calls(report) + 1).saturating_sub(slots));
         let places = over * usual.held / f64::from(slots.max(1));
         let millis = (reading.max(places) + reading.min(places) / 2.0) * usual.correction;
         Some(FIRST_EVENT + Duration::from_secs_f64(millis / 1_000.0))
@@ -131,7 +130,11 @@
     /// Share of the places that are taken.
     pub fn taken(&self, now: Time, slots: u32) -> Option<f64> {
         let report = self.fresh(now)?;
-        let taken = report.running + report.waiting + self.sent;
-        Some(f64::from(taken) / f64::from(slots.max(1)))
+        Some(f64::from(self.calls(report)) / f64::from(slots.max(1)))
+    }
+
+    /// Calls that it holds: those of its report, and those of this VM since.
+    const fn calls(&self, report: Report) -> u32 {
+        report.running + report.waiting + self.sent
     }
 }
--- a/crates/ingress/src/placement.rs
+++ b/crates/ingress/src/placement.rs
@@ -118,17 +118,17 @@
 impl Pressure {
     /// An engine was found loaded, or a call was late.
     pub fn note(&mut self, now: Time, loaded: bool) {
-        let gone = now.since(self.noted).as_secs_f64() / PRESSURE_MEMORY.as_secs_f64();
-        self.level *= (-gone).exp();
+        self.level = if loaded { 1.0 } else { self.at(now) };
         self.noted = now;
-        if loaded {
-            self.level = 1.0;
-        }
     }
 
     fn asks(&self, now: Time) -> bool {
+        self.at(now) > PRESSED || self.asked.is_multiple_of(SAMPLE)
+    }
+
+    fn at(&self, now: Time) -> f64 {
         let gone = now.since(self.noted).as_secs_f64() / PRESSURE_MEMORY.as_secs_f64();
-        self.level * (-gone).exp() > PRESSED || self.asked.is_multiple_of(SAMPLE)
+        self.level * (-gone).exp()
     }
 }
 
--- a/crates/node/examples/measure.rs
+++ b/crates/node/examples/measure.rs
@@ -3,6 +3,9 @@
 //! The node runs as a process of its own, so that its memory is not mixed with that of the
 //! stand-ins and callers, which run here.
 
+#[path = "../tests/common/usage.rs"]
+mod usage;
+
 use core::{
     net::{Ipv4Addr, SocketAddr, SocketAddrV4},
     sync::atomic::{AtomicBool, AtomicU64, Ordering},
@@ -24,6 +27,7 @@
     time::Instant,
 };
 use ureq::Agent;
+use usage::{processor_seconds, resident_mb};
 
 const ANY: SocketAddr = SocketAddr::V4(SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0));
 const KEY: &str = "measure";
@@ -45,8 +49,6 @@
 const SETTLE: Duration = Duration::from_secs(4);
 /// Time over which processor use at rest is counted.
 const REST: Duration = Duration::from_secs(10);
-/// Clock ticks of the system a second.
-const TICKS: f64 = 100.0;
 
 struct Program {
     child: Child,
@@ -77,7 +79,7 @@
     let program = start(platform);
     println!("start-up to ready: {:.1} ms", millis(program.start_up));
     thread::sleep(SETTLE);
-    println!("memory at rest: {:.1} MB", resident_mb(&program));
+    println!("memory at rest: {:.1} MB", resident_mb(program.child.id()));
     println!(
         "processor at rest: {:.2}% of a core",
         busy_percent(&program)
@@ -190,7 +192,7 @@
             thread::sleep(Duration::from_millis(50));
         }
         thread::sleep(SETTLE);
-        let (running, memory) = (engine.stats().running, resident_mb(&program));
+        let (running, memory) = (engine.stats().running, resident_mb(program.child.id()));
         println!("memory with {count} streams ({running} at the engine): {memory:.1} MB");
         println!("  {}", counted(&program));
     }
@@ -320,34 +322,11 @@
     built.expect("a target directory").join("poplarswitch")
 }
 
-fn resident_mb(program: &Program) -> f64 {
-    let path = format!("/proc/{}/status", program.child.id());
-    let text = std::fs::read_to_string(path).expect("the process lives");
-    let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-    let kilobytes = line.and_then(|line| line.split_whitespace().next());
-    kilobytes
-        .and_then(|text| text.parse::<f64>().ok())
-        .unwrap_or_default()
-        / 1_024.0
-}
-
 fn busy_percent(program: &Program) -> f64 {
-    let before = ticks(program);
+    let process = program.child.id();
+    let before = processor_seconds(process);
     thread::sleep(REST);
-    (ticks(program) - before) / TICKS / REST.as_secs_f64() * 100.0
-}
-
-fn ticks(program: &Program) -> f64 {
-    let path = format!("/proc/{}/stat", program.child.id());
-    let text = std::fs::read_to_string(path).expect("the process lives");
-    let fields: Vec<&str> = text
-        .rsplit(')')
-        .next()
-        .unwrap_or_default()
-        .split_whitespace()
-        .collect();
-    let number = |index: usize| fields.get(index).and_then(|text| text.parse::<f64>().ok());
-    number(11).unwrap_or_default() + number(12).unwrap_or_default()
+    (processor_seconds(process) - before) / REST.as_secs_f64() * 100.0
 }
 
 fn millis(duration: Duration) -> f64 {
--- a/crates/node/tests/relay_measure.rs
+++ b/crates/node/tests/relay_measure.rs
@@ -5,6 +5,8 @@
 //!     cargo test --release -p poplarswitch-node --test relay_measure -- --ignored --nocapture
 
 mod relay;
+#[path = "common/usage.rs"]
+mod usage;
 
 use core::{
     net::SocketAddr,
@@ -15,7 +17,8 @@
 use hdrhistogram::Histogram;
 use poplarswitch_deployment::{Ask, Caller, Configuration};
 use relay::{Fleet, KEYS};
-use std::{fs, thread, time::Instant};
+use std::{thread, time::Instant};
+use usage::{processor_seconds, resident_mb};
 
 /// Calls in a row, for latency, after some that warm connections up.
 const CALLS: u32 = 4_000;
@@ -26,33 +29,6 @@
 const APART: Duration = Duration::from_millis(3);
 /// Time over which processor use at rest is counted.
 const REST: Duration = Duration::from_secs(10);
-/// Clock ticks of the system a second.
-const TICKS: f64 = 100.0;
-
-fn status(fleet: &Fleet, file: &str) -> String {
-    fs::read_to_string(format!("/proc/{}/{file}", fleet.process_id(0))).unwrap()
-}
-
-fn resident_kb(fleet: &Fleet) -> f64 {
-    let text = status(fleet, "status");
-    let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-    let kb = line.and_then(|line| line.trim().trim_end_matches(" kB").parse().ok());
-    kb.expect("the system states resident memory in kB")
-}
-
-/// Seconds of processor time that the process has used.
-fn used(fleet: &Fleet) -> f64 {
-    let text = status(fleet, "stat");
-    let fields: Vec<&str> = text
-        .rsplit(')')
-        .next()
-        .unwrap()
-        .split_whitespace()
-        .collect();
-    let ticks = |field: usize| fields[field].parse::<f64>().unwrap();
-    // User and system time, counted after the name in parentheses.
-    (ticks(11) + ticks(12)) / TICKS
-}
 
 fn series(caller: &Caller, address: SocketAddr, names: &AtomicU32) -> Histogram<u64> {
     let mut times = Histogram::new(3).unwrap();
@@ -82,14 +58,11 @@
         endpoint.behave(|behaviour| behaviour.work = Duration::ZERO);
     }
     thread::sleep(Duration::from_secs(2));
-    let (before, kb) = (used(&fleet), resident_kb(&fleet));
+    let process = fleet.process_id(0);
+    let (before, memory) = (processor_seconds(process), resident_mb(process));
     thread::sleep(REST);
-    let busy = (used(&fleet) - before) / REST.as_secs_f64();
-    println!(
-        "at rest: {:.1} MB, {:.2} % of a core",
-        kb / 1_024.0,
-        busy * 100.0
-    );
+    let busy = (processor_seconds(process) - before) / REST.as_secs_f64();
+    println!("at rest: {memory:.1} MB, {:.2} % of a core", busy * 100.0);
 
     let (caller, names) = (Caller::new(Configuration::host()), AtomicU32::new(0));
     let direct = series(&caller, fleet.proxies[2].address(), &names);
@@ -101,7 +74,7 @@
         );
         println!(
             "{name}: direct {a} us, routed {b} us, added {} us",
-            b.saturating_sub(a)
+            b.cast_signed() - a.cast_signed()
         );
     }
 
@@ -111,18 +84,15 @@
             behaviour.pause = Duration::from_millis(100);
         });
     }
-    let before = resident_kb(&fleet);
+    let before = resident_mb(process);
     let peak = thread::scope(|scope| {
         for _ in 0..STREAMS {
             scope.spawn(|| fleet.call(0, "/chat/1").1.map(|told| told.status));
             thread::sleep(APART);
         }
         thread::sleep(Duration::from_secs(1));
-        resident_kb(&fleet)
+        resident_mb(process)
     });
-    let each = (peak - before) / f64::from(STREAMS);
-    println!(
-        "{STREAMS} streams: {:.1} MB, {each:.1} kB a stream",
-        peak / 1_024.0
-    );
+    let each = (peak - before) * 1_024.0 / f64::from(STREAMS);
+    println!("{STREAMS} streams: {peak:.1} MB, {each:.1} kB a stream");
 }
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -2,7 +2,7 @@
 
 use crate::{ExecuteError, Executor, Platform, Records, WireRequest};
 use core::time::Duration;
-use http::{Method, StatusCode};
+use http::StatusCode;
 use poplarswitch_store::{Reply, Request};
 use snafu::{ResultExt as _, Snafu};
 use std::io;
@@ -117,13 +117,11 @@
     let mut request = HttpRequest::builder()
         .method(wire.method.clone())
         .uri(format!("{base}{}", wire.path));
-    if !wire.body.is_empty() {
-        request = request.header(header::CONTENT_TYPE, "application/json");
-    }
-    let sent = if wire.method == Method::GET || wire.body.is_empty() {
+    let sent = if wire.body.is_empty() {
         let request = request.body(()).context(UnwritableSnafu)?;
         agent.run(timed(agent, request, within))
     } else {
+        request = request.header(header::CONTENT_TYPE, "application/json");
         let request = request.body(wire.body.as_ref()).context(UnwritableSnafu)?;
         agent.run(timed(agent, request, within))
     };
--- a/crates/platform/src/records.rs
+++ b/crates/platform/src/records.rs
@@ -296,17 +296,15 @@
         after: Version,
         wait: Duration,
     ) -> Result<RecordReply, ExecuteError<E>> {
-        let known = cursors.get(key).filter(|cursor| cursor.version == after);
-        let start = known.map(|cursor| cursor.revision);
-        let found = match start {
-            Some(after) => self.call(&RecordCall::Watch { key, after, wait })?,
-            None => match self.call(&RecordCall::Survey(key))? {
+        let watch = |after| RecordCall::Watch { key, after, wait };
+        let found = match cursors.get(key) {
+            Some(cursor) if cursor.version == after => self.call(&watch(cursor.revision))?,
+            _ => match self.call(&RecordCall::Survey(key))? {
                 // Nothing is newer yet, and the watch goes on from what was surveyed.
                 RecordReply::Seen { object, revision }
                     if object.as_ref().is_none_or(|object| object.version <= after) =>
                 {
-                    let after = revision;
-                    self.call(&RecordCall::Watch { key, after, wait })?
+                    self.call(&watch(revision))?
                 }
                 other => other,
             },
--- a/crates/relay/src/snapshot.rs
+++ b/crates/relay/src/snapshot.rs
@@ -32,6 +32,6 @@
 }
 
 /// Reads a list.
-pub(crate) fn entries(mut bytes: &[u8]) -> Result<Vec<Entry>, SnapshotError> {
-    ciborium::from_reader(&mut bytes)
+pub(crate) fn entries(bytes: &[u8]) -> Result<Vec<Entry>, SnapshotError> {
+    ciborium::from_reader(bytes)
 }
