Remove the entries of VMs that died, and none that was written since

VMs that start now ask the first of that list, so leftovers would cost them time. A leaving VM's removal had no condition, so one that the platform carries out late could take the entry of the next process of that VM. Only the first page of the list was read. Change: the VM that reads the platform for its data centre looks through the list every 30 s and removes entries whose VMs were silent twice and that were not written in between, on condition of their revision, a few at a time, and none while it hears less than half of the list. Leaving VMs name the revision too. The calls about the list moved from the reader into a module of their own.

--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -17,6 +17,7 @@
 mod hash;
 mod health;
 mod leaving;
+mod leftovers;
 mod outcome;
 mod placement;
 mod roster;
@@ -40,6 +41,8 @@
 #[cfg(test)]
 mod leaving_tests;
 #[cfg(test)]
+mod leftovers_tests;
+#[cfg(test)]
 mod outcome_tests;
 #[cfg(test)]
 mod placement_tests;
@@ -65,6 +68,7 @@
 pub use hash::{hash_pair, hash_text};
 pub use health::Health;
 pub use leaving::{Leaving, Stage};
+pub use leftovers::{Leftovers, VmEntry};
 pub use outcome::{Next, Outcome, Tries, Verdict, decide, verdict};
 pub use placement::{Ask, Choice, Decision, Pressure, Reason};
 pub use roster::{Beat, Known, Member, Phase, Roster, Work};
--- a/crates/node/tests/relay_process.rs
+++ b/crates/node/tests/relay_process.rs
@@ -65,6 +65,17 @@
     );
 }
 
+#[gtest]
+fn a_vm_that_leaves_takes_its_entry_out_of_the_platform() {
+    let mut fleet = Fleet::start(23, 3);
+    await_that("all VMs are listed", || fleet.store.vms().len() == 3);
+    fleet.signal(1, Signal::TERM);
+    expect_that!(fleet.await_end(1), eq(true));
+    expect_that!(fleet.store.vms().len(), eq(2));
+    fleet.run(1);
+    await_that("it is listed again", || fleet.store.vms().len() == 3);
+}
+
 #[gtest]
 fn a_stream_goes_on_where_its_endpoint_broke_off() {
     let fleet = Fleet::start(13, 1);
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -4,10 +4,10 @@
 //! reads comes out as types of ours.
 
 use bytes::Bytes;
-use core::{fmt, net::Ipv4Addr, net::SocketAddr, time::Duration};
+use core::{fmt, net::SocketAddr, time::Duration};
 use http::{HeaderMap, Method, StatusCode};
 use poplarswitch_entity::{EndpointName, VmName};
-use poplarswitch_ingress::{Call, Declared, Entry, Report};
+use poplarswitch_ingress::{Call, Declared, Entry, Report, VmEntry};
 use poplarswitch_platform::WireRequest;
 
 /// A head that is not a call.
@@ -77,17 +77,6 @@
     },
 }
 
-/// An entry VM in the platform.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct VmEntry {
-    /// Its name.
-    pub name: VmName,
-    /// Its address.
-    pub ip: Ipv4Addr,
-    /// Where it stands.
-    pub data_centre: String,
-}
-
 /// A call to the platform.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum StoreCall {
@@ -113,13 +102,21 @@
         wait: Duration,
     },
     /// List the entry VMs.
-    ListVms,
+    ListVms {
+        /// Begins behind this name.
+        after: Option<String>,
+    },
     /// Create the entry of this VM.
     AddVm(VmEntry),
     /// Replace the entry of this VM.
     PutVm(VmEntry),
-    /// Remove an entry VM.
-    RemoveVm(VmName),
+    /// Remove the entry of a VM, unless it was written since.
+    RemoveVm {
+        /// Its name.
+        name: VmName,
+        /// The revision that the entry must have.
+        revision: u64,
+    },
 }
 
 impl StoreCall {
@@ -138,10 +135,10 @@
             Self::WatchSet { .. } => "watch_set",
             Self::ListEndpoints { .. } => "list_endpoints",
             Self::WatchEndpoints { .. } => "watch_endpoints",
-            Self::ListVms => "list_vms",
+            Self::ListVms { .. } => "list_vms",
             Self::AddVm(_) => "add_vm",
             Self::PutVm(_) => "put_vm",
-            Self::RemoveVm(_) => "remove_vm",
+            Self::RemoveVm { .. } => "remove_vm",
         }
     }
 }
@@ -170,7 +167,12 @@
         revision: u64,
     },
     /// The entry VMs.
-    Vms(Vec<VmEntry>),
+    Vms {
+        /// Those of this page.
+        vms: Vec<VmEntry>,
+        /// The name after which the next page begins.
+        more: Option<String>,
+    },
     /// The history that a watch asked for is gone.
     HistoryGone,
     /// The write was done.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -20,6 +20,7 @@
 mod questions;
 mod reader;
 mod record;
+mod registry;
 mod reply;
 mod run;
 mod seat;
@@ -40,9 +41,7 @@
 mod snapshot_tests;
 
 pub use clock::now;
-pub use dialect::{
-    BadHead, Dialect, Meaning, Order, Question, Sign, StoreCall, StoreReply, VmEntry,
-};
+pub use dialect::{BadHead, Dialect, Meaning, Order, Question, Sign, StoreCall, StoreReply};
 pub use logs::{LogWriter, init_logs};
 pub use run::{StartError, run};
 pub use settings::{Bounds, Listen, RelaySettings};
--- a/crates/relay/src/reader.rs
+++ b/crates/relay/src/reader.rs
@@ -5,11 +5,7 @@
 //! at which a watch was sent is the proof that the configuration is the newest. Endpoints are
 //! watched with longer ones.
 
-use crate::{
-    StoreCall, StoreReply, clock,
-    shared::Shared,
-    store::{StoreClient, StoreError},
-};
+use crate::{StoreCall, StoreReply, clock, shared::Shared, store::StoreClient};
 use core::time::Duration;
 use poplarswitch_entity::{EndpointName, Time};
 use poplarswitch_ingress::{Declared, Entry, Sources, Table};
@@ -87,11 +83,7 @@
 
     /// Whether this VM reads the platform itself.
     fn reads(&self) -> bool {
-        let now = clock::now();
-        let core = self.shared.core();
-        let order = core.news_order(now);
-        core.sources
-            .reads(now, core.roster.me(), &order, core.view_age(now))
+        self.shared.core().reads(clock::now())
     }
 
     /// The longest wait between calls that fail.
@@ -296,53 +288,6 @@
     }
 }
 
-/// Registers this VM, and learns of the others.
-pub(crate) async fn introduce(shared: Arc<Shared>, store: Arc<StoreClient>) {
-    let settings = &shared.settings;
-    let me = crate::VmEntry {
-        name: settings.vm.clone(),
-        ip: shared.core().roster.me(),
-        data_centre: settings.data_centre.to_string(),
-    };
-    let mut backoff = Backoff::new(shared.draw());
-    let mut call = StoreCall::AddVm(me.clone());
-    loop {
-        shared.metrics.platform_calls.inc();
-        match store.call(&call).await {
-            Ok(StoreReply::Done) => break,
-            Ok(StoreReply::Conflict) => call = StoreCall::PutVm(me.clone()),
-            result => {
-                log_write(&call, &result);
-                sleep(backoff.next_wait()).await;
-            }
-        }
-    }
-    loop {
-        shared.metrics.platform_calls.inc();
-        match store.call(&StoreCall::ListVms).await {
-            Ok(StoreReply::Vms(vms)) => {
-                let mut core = shared.core();
-                for vm in vms {
-                    let place = shared.settings.place(&vm.data_centre);
-                    core.roster.introduce(vm.ip, place);
-                }
-                core.sources.note_listed();
-                drop(core);
-                shared.announce();
-                return;
-            }
-            result => {
-                log_write(&StoreCall::ListVms, &result);
-                sleep(backoff.next_wait()).await;
-            }
-        }
-    }
-}
-
-fn log_write(call: &StoreCall, result: &Result<StoreReply, StoreError>) {
-    tracing::warn!(event = "failed", call = call.name(), ?result, "platform");
-}
-
 /// Brings a configuration into force if it is newer, and takes the proof of its freshness.
 pub(crate) fn apply(
     shared: &Shared,
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -1,10 +1,11 @@
 //! The life of the process: start, reload, leave, end.
 
 use crate::{
-    Dialect, RelaySettings, StoreCall, beats,
+    Dialect, RelaySettings, beats,
     callers::{self, ListenError, Port},
     clock, feed,
-    reader::{self, Reader},
+    reader::Reader,
+    registry,
     shared::Shared,
     store::StoreClient,
 };
@@ -125,7 +126,7 @@
     tokio::spawn(reader.follow_endpoints());
     tokio::spawn(feed::follow(Arc::clone(shared)));
     tokio::spawn(beats::run(Arc::clone(shared), beats_socket));
-    tokio::spawn(reader::introduce(Arc::clone(shared), Arc::clone(store)));
+    tokio::spawn(registry::run(Arc::clone(shared), Arc::clone(store)));
     tracing::info!(
         event = "started",
         vm = shared.settings.vm.as_str(),
@@ -161,14 +162,7 @@
     shared.core().leaving.start(started);
     shared.announce();
     tracing::info!(event = "leaving", in_flight = shared.in_flight(), "process");
-    let farewell = StoreCall::RemoveVm(shared.settings.vm.clone());
-    let store = Arc::clone(store);
-    tokio::spawn(async move {
-        // Others notice a VM that can't take its entry away by its silence.
-        if let Err(error) = store.call(&farewell).await {
-            tracing::warn!(event = "failed", call = farewell.name(), %error, "platform");
-        }
-    });
+    tokio::spawn(registry::leave(Arc::clone(shared), Arc::clone(store)));
     while shared.stage(clock::now()) != Stage::Over {
         sleep(LEAVE_LOOK).await;
     }
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -65,6 +65,13 @@
         }
     }
 
+    /// Whether this VM reads the platform itself.
+    pub(crate) fn reads(&self, now: Time) -> bool {
+        let order = self.news_order(now);
+        self.sources
+            .reads(now, self.roster.me(), &order, self.view_age(now))
+    }
+
     /// The age of the older one of the views of configuration and endpoints.
     pub(crate) fn view_age(&self, now: Time) -> Option<Duration> {
         let endpoints = self.endpoints_proved.map(|at| now.since(at))?;
