Keep views of endpoints from bringing back what they have seen go

Found in a read of the code: a VM that reads the platform and asks neighbours at once gets answers that were overtaken. Ruled out: the reader's and the feed's order of calls, which only move the window.

--- a/crates/ingress/src/fleet.rs
+++ b/crates/ingress/src/fleet.rs
@@ -5,7 +5,7 @@
 //! short grace after its return, since an endpoint that lives is back by then.
 
 use crate::{engine::Engine, hash::hash_text, health::Health, placement::Pressure, sides::Side};
-use core::net::SocketAddr;
+use core::{net::SocketAddr, time::Duration};
 use poplarswitch_entity::{DataCentre, EndpointName, ServiceName, Time};
 use serde::{Deserialize, Serialize};
 use slotmap::{SlotMap, new_key_type};
@@ -68,6 +68,40 @@
     pub grace: Option<u32>,
 }
 
+impl Removal {
+    /// The same for a VM that asked at a time.
+    pub fn gone(self, asked: Time) -> Gone {
+        let grace = self.grace.map(u64::from).map(Duration::from_millis);
+        Gone {
+            name: self.name,
+            revision: self.revision,
+            grace: grace.map(|left| asked + left),
+        }
+    }
+}
+
+/// Changes of entries, as of a revision that a view may have passed already.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct News {
+    /// Entries that are new or changed.
+    pub entries: Vec<Entry>,
+    /// Entries that are gone, or may be.
+    pub removed: Vec<Gone>,
+    /// The platform's revision after all of these.
+    pub revision: u64,
+}
+
+/// An entry that is gone, in terms of this VM's clock.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Gone {
+    /// Its name.
+    pub name: EndpointName,
+    /// The platform's revision at which it went.
+    pub revision: u64,
+    /// Until when the endpoint is still used because the entry may only have lapsed.
+    pub grace: Option<Time>,
+}
+
 /// What became of an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Transition {
@@ -209,8 +243,12 @@
 
     /// Takes an entry as it was read or as it changed.
     pub fn upsert(&mut self, entry: Entry) -> Vec<FleetChange> {
-        self.lapsed.remove(&entry.name);
         let mut changes = Vec::new();
+        let lapsed = self.lapsed.get(&entry.name);
+        if lapsed.is_some_and(|(_, at)| entry.revision <= *at) {
+            return changes;
+        }
+        self.lapsed.remove(&entry.name);
         if let Some(&key) = self.names.get(&entry.name) {
             let known = &mut self.endpoints[key];
             if entry.revision < known.entry.revision {
@@ -262,20 +300,47 @@
         revision: u64,
         grace: Option<Time>,
     ) -> Option<FleetChange> {
-        let &key = self.names.get(name)?;
-        if revision < self.endpoints[key].entry.revision {
+        let key = self.names.get(name).copied();
+        let entry = key.map(|key| &self.endpoints[key].entry);
+        // An entry that this view never had is remembered too: others may have seen it.
+        let passed = entry.map_or(revision <= self.revision, |known| revision < known.revision);
+        if passed {
             return None;
         }
         match grace {
-            Some(until) if self.endpoints[key].entry.state == EntryState::Ready => {
-                self.lapsed.entry(name.clone()).or_insert((until, revision));
+            Some(until) if entry.is_none_or(|known| known.state == EntryState::Ready) => {
+                // Seen missing again, it has no more time, but is told again to those who ask.
+                let lapse = self.lapsed.entry(name.clone());
+                let (_, at) = lapse.or_insert((until, revision));
+                *at = revision.max(*at);
                 None
             }
-            _ => {
-                self.bury(name.clone(), revision);
-                self.drop_key(key)
-            }
+            _ => self.end(name, revision),
+        }
+    }
+
+    /// Ends an endpoint, which this view may not have, and remembers it for those who ask.
+    fn end(&mut self, name: &EndpointName, revision: u64) -> Option<FleetChange> {
+        // A removal that was overtaken must not hide from others that the name went again.
+        let lapsed = self.lapsed.remove(name).map_or(0, |(_, at)| at);
+        self.bury(name.clone(), revision.max(lapsed));
+        let &key = self.names.get(name)?;
+        self.drop_key(key)
+    }
+
+    /// Takes changes.
+    pub fn take(&mut self, news: News) -> Vec<FleetChange> {
+        let mut changes = self.upsert_all(news.entries, self.revision);
+        for Gone {
+            name,
+            revision,
+            grace,
+        } in news.removed
+        {
+            changes.extend(self.remove(&name, revision, grace));
         }
+        self.advance(news.revision);
+        changes
     }
 
     /// Takes a complete listing as of a revision.
@@ -288,10 +353,14 @@
         let listed: HashSet<EndpointName> = entries.iter().map(|e| e.name.clone()).collect();
         let mut missing: Vec<EndpointName> = self.names.keys().cloned().collect();
         missing.retain(|name| !listed.contains(name));
-        let mut changes: Vec<FleetChange> = entries
-            .into_iter()
-            .flat_map(|entry| self.upsert(entry))
-            .collect();
+        let covered = if revision < self.revision {
+            self.revision
+        } else {
+            // A listing doesn't tell what came and went since the last view.
+            self.forgotten = revision;
+            0
+        };
+        let mut changes = self.upsert_all(entries, covered);
         changes.extend(
             missing
                 .iter()
@@ -301,6 +370,18 @@
         changes
     }
 
+    /// Takes entries but those that this view has seen go: what it lacks of a revision that it
+    /// covers is gone, and an answer that was overtaken must not bring it back.
+    fn upsert_all(&mut self, entries: Vec<Entry>, covered: u64) -> Vec<FleetChange> {
+        let mut changes = Vec::new();
+        for entry in entries {
+            if entry.revision > covered || self.names.contains_key(&entry.name) {
+                changes.extend(self.upsert(entry));
+            }
+        }
+        changes
+    }
+
     /// Drops the entries whose grace is over.
     pub fn expire(&mut self, now: Time) -> Vec<FleetChange> {
         if self.lapsed.is_empty() {
@@ -315,7 +396,7 @@
         let mut changes = Vec::new();
         for (name, revision) in over {
             self.lapsed.remove(&name);
-            changes.extend(self.remove(&name, revision, None));
+            changes.extend(self.end(&name, revision));
         }
         changes
     }
--- a/crates/ingress/src/fleet_tests.rs
+++ b/crates/ingress/src/fleet_tests.rs
@@ -1,4 +1,4 @@
-use crate::{Entry, EntryState, Fleet, FleetChange, Transition};
+use crate::{Entry, EntryState, Fleet, FleetChange, News, Transition};
 use googletest::prelude::*;
 use poplarswitch_entity::{DataCentre, EndpointName, ServiceName, Time};
 
@@ -43,6 +43,26 @@
     expect_that!(takers(&fleet), eq(1));
 }
 
+/// A VM that reads the platform and asks a neighbour at once may hear from the platform first.
+#[gtest]
+fn an_answer_that_was_overtaken_brings_no_endpoint_back() {
+    let mut fleet = Fleet::default();
+    fleet.upsert(entry("a", 90));
+    fleet.remove(&EndpointName::new("a"), 100, None);
+    fleet.advance(100);
+    fleet.take(News {
+        entries: vec![entry("a", 96)],
+        removed: Vec::new(),
+        revision: 97,
+    });
+    expect_that!(takers(&fleet), eq(0));
+    expect_that!(fleet.revision(), eq(100));
+    fleet.replace(vec![entry("a", 96)], 98, None);
+    expect_that!(takers(&fleet), eq(0));
+    fleet.replace(vec![entry("a", 101)], 102, None);
+    expect_that!(takers(&fleet), eq(1));
+}
+
 #[gtest]
 fn a_new_life_under_an_old_name_gets_a_new_key() {
     let mut fleet = Fleet::default();
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -35,6 +35,8 @@
 #[cfg(test)]
 mod fleet_tests;
 #[cfg(test)]
+mod fleet_views_tests;
+#[cfg(test)]
 mod freshness_tests;
 #[cfg(test)]
 mod health_tests;
@@ -62,7 +64,7 @@
 pub use engine::{Engine, Report, Usual, work};
 pub use feed::{Cursor, FeedAsk, FeedReply, Source, Sources};
 pub use fleet::{
-    Endpoint, EndpointKey, Entry, EntryState, Fleet, FleetChange, Removal, Transition,
+    Endpoint, EndpointKey, Entry, EntryState, Fleet, FleetChange, Gone, News, Removal, Transition,
 };
 pub use freshness::Freshness;
 pub use hash::{hash_pair, hash_text};
--- a/crates/relay/src/feed.rs
+++ b/crates/relay/src/feed.rs
@@ -15,7 +15,7 @@
 use http::{Request, Response};
 use http_body_util::Full;
 use poplarswitch_entity::Time;
-use poplarswitch_ingress::{Cursor, FeedAsk, FeedReply};
+use poplarswitch_ingress::{Cursor, FeedAsk, FeedReply, News};
 use snafu::{ResultExt as _, Snafu};
 use std::sync::Arc;
 use tokio::time::{sleep, timeout};
@@ -200,25 +200,18 @@
     let troubled = reply.troubled;
     let whole = reply.whole.as_deref().map(snapshot::entries).transpose()?;
     let mut core = shared.core();
-    let mut changes = Vec::new();
-    match whole {
-        Some(entries) if reply.cursor.revision >= core.fleet.revision() => {
-            changes = core.fleet.replace(entries, reply.cursor.revision, None);
-        }
-        Some(_older) => {}
-        None => {
-            let entries = reply.entries.into_iter();
-            changes.extend(entries.flat_map(|entry| core.fleet.upsert(entry)));
-        }
-    }
-    for removal in reply.removed {
-        let grace = removal
-            .grace
-            .map(|left| asked + Duration::from_millis(u64::from(left)));
-        changes.extend(core.fleet.remove(&removal.name, removal.revision, grace));
-    }
-    if reply.cursor.revision >= core.fleet.revision() {
-        core.fleet.advance(reply.cursor.revision);
+    let revision = reply.cursor.revision;
+    let overtaken = revision < core.fleet.revision();
+    let mut changes = match whole {
+        Some(entries) => core.fleet.replace(entries, revision, None),
+        None => Vec::new(),
+    };
+    changes.extend(core.fleet.take(News {
+        entries: reply.entries,
+        removed: reply.removed.into_iter().map(|r| r.gone(asked)).collect(),
+        revision,
+    }));
+    if !overtaken {
         let proved = reply
             .endpoints_proof
             .map(|offset| Time(asked.0.saturating_add_signed(offset)));
--- a/crates/relay/src/reader.rs
+++ b/crates/relay/src/reader.rs
@@ -8,7 +8,7 @@
 use crate::{StoreCall, StoreReply, clock, shared::Shared, store::StoreClient};
 use core::time::Duration;
 use poplarswitch_entity::{EndpointName, Time};
-use poplarswitch_ingress::{Declared, Entry, Sources, Table};
+use poplarswitch_ingress::{Declared, Entry, Gone, News, Sources, Table};
 use poplarswitch_platform::Backoff;
 use std::sync::{
     Arc,
@@ -199,15 +199,18 @@
     ) -> bool {
         let quiet = entries.is_empty() && removed.is_empty();
         let grace = self.outage.grace(clock::now());
+        let gone = |(name, revision)| Gone {
+            name,
+            revision,
+            grace,
+        };
+        let news = News {
+            entries,
+            removed: removed.into_iter().map(gone).collect(),
+            revision,
+        };
         let mut core = self.shared.core();
-        let mut changes = Vec::new();
-        for entry in entries {
-            changes.extend(core.fleet.upsert(entry));
-        }
-        for (name, at) in removed {
-            changes.extend(core.fleet.remove(&name, at, grace));
-        }
-        core.fleet.advance(revision);
+        let changes = core.fleet.take(news);
         core.endpoints_proved = core.endpoints_proved.max(Some(sent));
         drop(core);
         self.shared.note_fleet(&changes, "platform");
