Check in the soak that planned work cuts off no call

The soak had no check of graceful ends, and no signal to read settings again, no run of configurations and no loss of all VMs at once. A call that an endpoint began must be answered if only planned work came while it was open and nothing else had happened for 3 s.

--- a/crates/node/tests/relay_soak.rs
+++ b/crates/node/tests/relay_soak.rs
@@ -20,12 +20,12 @@
 use rustix::process::Signal;
 use soak::{
     checks::{Call, History, Runs},
-    plan::{Fault, Span, draw, draw_more, spares_store},
+    plan::{Fault, Span, draw, draw_more, draw_work, only_works, spares_store},
 };
 use std::{env, thread, time::Instant};
 
-/// Seeds that CI runs: two that never failed, the second of which spares the store, and those that
-/// did.
+/// Seeds that CI runs: three that never failed, one of which spares the store and one has planned
+/// work only, and those that did.
 ///
 /// 13: a VM was told to leave before its program had begun, and its end by the signal counted as a
 /// bad end; the soak now waits until a VM that was started listens.
@@ -33,12 +33,17 @@
 /// nobody had told it; the soak now awaits only VMs that were told.
 /// 42: a call waited unread at a stopped VM while its key was useless, and ran after the key had
 /// been given back (version 3 on the call's line); the check now looks at when it ran.
-const SEEDS: &str = "1,5,13,21,42";
+const SEEDS: &str = "1,5,7,13,21,42";
 /// Length of a run of CI, in seconds.
 const SECONDS: u64 = 8;
 /// VMs of a run of CI.
 const VMS: usize = 4;
 const CALLERS: u64 = 4;
+/// Pause between the events of a stream where planned work is tested: some calls are always open.
+const LONG_PAUSE: Duration = Duration::from_millis(150);
+/// Configurations of a storm, and the pause between them.
+const STORM: usize = 5;
+const STORM_PAUSE: Duration = Duration::from_millis(60);
 /// What the endpoints are; the first two are engines.
 const KINDS: [Kind; 4] = [Kind::Engine, Kind::Engine, Kind::Service, Kind::Service];
 const PATHS: [&str; 4] = ["/book/1", "/seats/1", "/chat/1", "/brief/1"];
@@ -82,6 +87,28 @@
                 self.history.revoked.push(Span::from_now());
             }
             Fault::Forget => self.fleet.store.forget(),
+            Fault::Hangup(vm) => self.fleet.signal_if_up(vm, Signal::HUP),
+            Fault::Storm => {
+                for _ in 0..STORM {
+                    self.configure(self.keys());
+                    thread::sleep(STORM_PAUSE);
+                }
+            }
+            Fault::KillAll => {
+                for vm in 0..self.fleet.processes.len() {
+                    self.fleet.kill_if_up(vm);
+                }
+            }
+        }
+    }
+
+    /// The keys that are in force.
+    fn keys(&self) -> &'static [&'static str] {
+        let taken = self.history.revoked.last();
+        if taken.is_some_and(|span| span.to.is_none()) {
+            &KEYS[..1]
+        } else {
+            &KEYS
         }
     }
 
@@ -115,7 +142,12 @@
                 self.history.revoked.iter_mut().for_each(Span::end);
                 self.configure(&KEYS);
             }
-            Fault::Forget => {}
+            Fault::KillAll => {
+                for vm in 0..self.fleet.processes.len() {
+                    self.fleet.run_if_down(vm);
+                }
+            }
+            Fault::Forget | Fault::Hangup(_) | Fault::Storm => {}
         }
         let ended = self
             .history
@@ -155,6 +187,7 @@
         path,
         key,
         sent,
+        ended: Instant::now(),
         told,
     }
 }
@@ -168,6 +201,11 @@
         lives: [1; KINDS.len()],
         history: History::default(),
     };
+    if only_works(seed) {
+        for endpoint in &soak.fleet.endpoints {
+            endpoint.behave(|b| b.pause = LONG_PAUSE);
+        }
+    }
     let addresses: Vec<SocketAddr> = (0..vms).map(|vm| soak.fleet.address(vm)).collect();
     let over = AtomicBool::new(false);
     let names = AtomicU32::new(0);
@@ -230,10 +268,11 @@
         .flat_map(|call| &call.told)
         .filter(|told| told.status == 200);
     eprintln!(
-        "soak: seed {seed}: {} calls, {} answered, {} late in a drain",
+        "soak: seed {seed}: {} calls, {} answered, {} late in a drain, {} during planned work",
         calls.len(),
         answered.count(),
-        soak.history.late_in_a_drain(&calls)
+        soak.history.late_in_a_drain(&calls),
+        soak.history.during_planned_work(&calls)
     );
 }
 
@@ -241,6 +280,7 @@
 fn inject(soak: &mut Soak, seed: u64, length: Duration) {
     let mut draws = Pcg64Mcg::seed_from_u64(seed);
     let mut more = Pcg64Mcg::seed_from_u64(!seed);
+    let mut work = Pcg64Mcg::seed_from_u64(seed.rotate_left(32));
     let vms = soak.fleet.processes.len();
     let start = Instant::now();
     let mut open: Vec<(Instant, Fault)> = Vec::new();
@@ -263,11 +303,16 @@
             let lasts = Duration::from_millis(more.random_range(1_000..8_000));
             faults.push((draw_more(&mut more, vms), lasts));
         }
+        if work.random_ratio(1, 3) {
+            let lasts = Duration::from_millis(work.random_range(200..1_500));
+            faults.push((draw_work(&mut work, vms), lasts));
+        }
         for (fault, lasts) in faults {
             // A second fault of the same kind on the same thing would end with the first.
             let same =
                 |other: &Fault| core::mem::discriminant(other) == core::mem::discriminant(&fault);
-            let spared = spares_store(seed) && fault.is_of_store();
+            let spared =
+                spares_store(seed) && fault.is_of_store() || only_works(seed) && !fault.is_work();
             if spared || open.iter().any(|(_, other)| same(other)) {
                 continue;
             }
--- a/crates/node/tests/soak/checks.rs
+++ b/crates/node/tests/soak/checks.rs
@@ -18,6 +18,11 @@
 const REPEATS_MORE: f64 = 58.0;
 const REPEATS_WINDOW: Duration = Duration::from_secs(10);
 
+/// Time within which a call ends that is cut off; one that ends later may have met its deadline.
+const CUT_WITHIN: Duration = Duration::from_millis(2_500);
+/// Time after a VM was told to leave within which it must still answer the calls that come.
+const TAKEN_WITHIN: Duration = Duration::from_secs(1);
+
 /// All runs of a call, and where.
 pub type Runs<'a> = HashMap<&'a str, Vec<(usize, &'a Run)>>;
 
@@ -29,6 +34,7 @@
     pub path: &'static str,
     pub key: &'static str,
     pub sent: Instant,
+    pub ended: Instant,
     pub told: Option<Told>,
 }
 
@@ -79,6 +85,35 @@
         calls.iter().filter(late).count()
     }
 
+    /// Whether planned work at its VM may not have cut a call off: some went on while it was open,
+    /// and nothing else that could have cut it off had happened for a while.
+    fn must_be_answered(&self, call: &Call) -> bool {
+        let calm_from = call.sent.checked_sub(IN_TOUCH).unwrap_or(call.sent);
+        let cut = |(fault, span): &(Fault, Span)| {
+            fault.may_cut(call.vm) && span.overlaps(calm_from, call.ended)
+        };
+        let open = || {
+            let faults = self.faults.iter();
+            faults.filter(|(_, span)| span.overlaps(call.sent, call.ended))
+        };
+        let late = |(fault, span): &(Fault, Span)| {
+            matches!(fault, Fault::Term(vm) if *vm == call.vm)
+                && call.sent > span.from + TAKEN_WITHIN
+        };
+        call.ended < call.sent + CUT_WITHIN
+            && open().any(|(fault, _)| fault.is_planned(call.vm))
+            && !open().any(late)
+            && !self.faults.iter().any(cut)
+    }
+
+    /// Calls that were open during planned work that may not cut them off.
+    pub fn during_planned_work(&self, calls: &[Call]) -> usize {
+        calls
+            .iter()
+            .filter(|call| self.must_be_answered(call))
+            .count()
+    }
+
     /// Checks the runs beyond the first of each call against the budget of all VMs.
     pub fn check_repeats(calls: &[Call], runs: &Runs<'_>) {
         for service in ["/book/1 /seats/1", "/chat/1 /brief/1"] {
@@ -124,6 +159,8 @@
         );
         assert!(!useless, "{name} ran with a key that was taken away");
         let Some(told) = &call.told else {
+            let cut = runs > 0 && self.must_be_answered(call);
+            assert!(!cut, "{name} on {path} was cut off by planned work");
             return;
         };
         if told.not_run() {
--- a/crates/node/tests/soak/plan.rs
+++ b/crates/node/tests/soak/plan.rs
@@ -24,6 +24,12 @@
     Breaks(usize),
     Revoke,
     Forget,
+    /// A VM reads its settings again.
+    Hangup(usize),
+    /// Configurations follow one another.
+    Storm,
+    /// All VMs are killed at once.
+    KillAll,
 }
 
 impl Fault {
@@ -37,10 +43,39 @@
         match self {
             Self::Stop(at) | Self::Kill(at) | Self::Term(at) | Self::StoreLink(at, _) => at == vm,
             Self::Link(at, _) => at == endpoint,
-            Self::Store(_) | Self::Forget => true,
-            Self::Drain(_) | Self::Refuses(_) | Self::Loses(_) | Self::Breaks(_) | Self::Revoke => {
-                false
-            }
+            Self::Store(_) | Self::Forget | Self::KillAll => true,
+            Self::Drain(_)
+            | Self::Refuses(_)
+            | Self::Loses(_)
+            | Self::Breaks(_)
+            | Self::Revoke
+            | Self::Hangup(_)
+            | Self::Storm => false,
+        }
+    }
+
+    /// Whether it is planned work at a VM, which cuts off no call.
+    pub const fn is_planned(self, vm: usize) -> bool {
+        match self {
+            Self::Term(at) | Self::Hangup(at) => at == vm,
+            Self::Storm | Self::Revoke => true,
+            _ => false,
+        }
+    }
+
+    /// Whether it is planned work anywhere.
+    pub const fn is_work(self) -> bool {
+        matches!(
+            self,
+            Self::Term(_) | Self::Hangup(_) | Self::Storm | Self::Revoke | Self::Drain(_)
+        )
+    }
+
+    /// Whether a call that a VM has taken may be cut off by it.
+    pub const fn may_cut(self, vm: usize) -> bool {
+        match self {
+            Self::Stop(at) | Self::Kill(at) | Self::StoreLink(at, _) => at == vm,
+            other => !other.is_work(),
         }
     }
 }
@@ -76,6 +111,11 @@
     seed % 10 == 5
 }
 
+/// Whether a seed has planned work only, so that what it may not cut off is tested often.
+pub const fn only_works(seed: u64) -> bool {
+    seed % 10 == 7
+}
+
 /// What connections do.
 fn link(draws: &mut Pcg64Mcg, late: Duration) -> Link {
     let links = [
@@ -119,3 +159,12 @@
         Fault::Drain(draws.random_range(0..4))
     }
 }
+
+/// The next fault of a seed's third plan: planned work, and a loss of all VMs.
+pub fn draw_work(draws: &mut Pcg64Mcg, vms: usize) -> Fault {
+    match draws.random_range(0..5) {
+        0 | 1 => Fault::Hangup(draws.random_range(0..vms)),
+        2 | 3 => Fault::Storm,
+        _ => Fault::KillAll,
+    }
+}
