Pass news on through a tree of neighbours

Cause: all VMs of a data centre asked its first one. Ruled out: reading the platform on each VM (60 pages of 50 entries each, 18,000 calls for 300 VMs, three seconds of the platform's rate). Change: each VM asks the one above it in a tree of eight branches over the order that all share, or above that if it fails, or any other that comes before it. Data centres of up to nine VMs are as before. Tests: no_vm_feeds_a_whole_data_centre, a_vm_whose_feeder_fails_asks_the_one_above.

--- a/crates/ingress/src/feed.rs
+++ b/crates/ingress/src/feed.rs
@@ -1,7 +1,8 @@
 //! How configuration and endpoints reach a VM.
 //!
-//! The platform counts every call, so one VM of each data centre reads it for the others. The
-//! others ask that VM; each answer carries the change and how fresh the view is, as an offset
+//! The platform counts every call, so one VM of each data centre reads it for the others. These
+//! form a tree below it, by their places in an order that all share, so that a list of thousands of
+//! endpoints needn't leave one VM a hundred times. Each asks the VM above it; each answer carries the change and how fresh the view is, as an offset
 //! from the moment at which the question arrived, so no clock is compared and a question that
 //! was delayed makes the answer older, never newer. A VM whose view grows old asks others, and
 //! reads the platform itself.
@@ -31,6 +32,8 @@
 const FIRST_WAIT: Duration = Duration::from_millis(700);
 /// The same of any other.
 const LAST_WAIT: Duration = Duration::from_secs(8);
+/// VMs that ask one VM for news: all of a small data centre, and a tree of few levels in a large one.
+const BRANCHES: usize = 8;
 /// Time for which a neighbour that failed is not asked.
 const AVOIDED: Duration = Duration::from_millis(1_500);
 
@@ -142,8 +145,9 @@
         first == Some(&me) || age > OLD + stagger
     }
 
-    /// The VM to ask: the first neighbour in order that didn't fail, or, if this VM's view is
-    /// old, any other. Nobody if this VM is the first and its view is fresh.
+    /// The VM to ask: the one above this VM in the tree, or above that if it failed, or any other
+    /// that comes before this VM. If this VM's view is old, any that didn't fail. Nobody if this VM
+    /// is the first and its view is fresh.
     pub fn peer(
         &self,
         now: Time,
@@ -157,8 +161,15 @@
         if old {
             return order.iter().chain(others).find(willing).copied();
         }
-        let before = order.iter().take_while(|ip| **ip != me);
-        before.filter(|ip| !self.avoids(now, **ip)).copied().next()
+        let rank = order.iter().position(|ip| *ip == me)?;
+        let mut above = rank;
+        while above > 0 {
+            above = (above - 1) / BRANCHES;
+            if !self.avoids(now, order[above]) {
+                return Some(order[above]);
+            }
+        }
+        order[..rank].iter().find(willing).copied()
     }
 
     /// Notes that a neighbour failed, or that its view is old too.
--- a/crates/ingress/src/feed_tests.rs
+++ b/crates/ingress/src/feed_tests.rs
@@ -69,6 +69,38 @@
     );
 }
 
+/// All of 300 VMs lost power. A hundred asked the first of their data centre for the list of 3,000
+/// endpoints at once, which takes its link 24 s.
+#[gtest]
+fn no_vm_feeds_a_whole_data_centre() {
+    let sources = Sources::new(Time::ZERO);
+    let order: Vec<Ipv4Addr> = (1..=100).map(ip).collect();
+    let peer = |me: &Ipv4Addr| sources.peer(Time::ZERO, *me, &order, &[], FRESH);
+    for feeder in &order {
+        let fed = order.iter().filter(|me| peer(me) == Some(*feeder));
+        assert_that!(fed.count(), le(8), "{feeder}");
+    }
+    for me in &order[1..] {
+        let (mut at, mut steps) = (*me, 0);
+        while let Some(above) = peer(&at) {
+            (at, steps) = (above, steps + 1);
+        }
+        assert_that!((at, steps), (eq(order[0]), le(3)), "{me}");
+    }
+}
+
+#[gtest]
+fn a_vm_whose_feeder_fails_asks_the_one_above() {
+    let mut sources = Sources::new(Time::ZERO);
+    let order: Vec<Ipv4Addr> = (1..=30).map(ip).collect();
+    let peer = |sources: &Sources| sources.peer(Time::ZERO, ip(20), &order, &[], FRESH);
+    expect_that!(peer(&sources), some(eq(ip(3))));
+    sources.avoid(Time::ZERO, ip(3));
+    expect_that!(peer(&sources), some(eq(ip(1))));
+    sources.avoid(Time::ZERO, ip(1));
+    expect_that!(peer(&sources), some(eq(ip(2))));
+}
+
 #[gtest]
 fn a_vm_that_failed_is_asked_again_later() {
     let mut sources = Sources::new(Time::ZERO);
