Write the start of its process into a VM's entry

Found in a read of the change: a write that changes nothing keeps the entry's revision, so the next process of a VM kept the entry of the one before, and a removal on condition of the revision could still take it. Test: each_process_of_a_vm_writes_an_entry_of_its_own.

--- a/crates/ingress/src/leftovers.rs
+++ b/crates/ingress/src/leftovers.rs
@@ -21,6 +21,8 @@
     pub ip: Ipv4Addr,
     /// Where it stands.
     pub data_centre: String,
+    /// Unix milliseconds of its process's start: each process writes an entry of its own.
+    pub start: u64,
     /// The platform's revision at the entry's last change; 0 in one that is to be written.
     pub revision: u64,
 }
--- a/crates/ingress/src/leftovers_tests.rs
+++ b/crates/ingress/src/leftovers_tests.rs
@@ -8,6 +8,7 @@
         name: VmName::new(format!("front-{n}")),
         ip: Ipv4Addr::new(10, 0, 0, n),
         data_centre: "bole".to_owned(),
+        start: 1,
         revision: 100 + u64::from(n),
     };
     (1..=count).map(vm).collect()
--- a/crates/node/tests/relay_process.rs
+++ b/crates/node/tests/relay_process.rs
@@ -76,6 +76,20 @@
     await_that("it is listed again", || fleet.store.vms().len() == 3);
 }
 
+/// The platform may carry a removal out late, when the VM's next process has registered.
+#[gtest]
+fn each_process_of_a_vm_writes_an_entry_of_its_own() {
+    let mut fleet = Fleet::start(25, 2);
+    await_that("all VMs are listed", || fleet.store.vms().len() == 2);
+    let name = fleet.store.vms().remove(1);
+    let before = fleet.store.vm_revision(&name);
+    fleet.kill(1);
+    fleet.run(1);
+    await_that("its entry is another", || {
+        fleet.store.vm_revision(&name) > before
+    });
+}
+
 #[gtest]
 fn a_stream_goes_on_where_its_endpoint_broke_off() {
     let fleet = Fleet::start(13, 1);
--- a/crates/relay/src/registry.rs
+++ b/crates/relay/src/registry.rs
@@ -2,8 +2,8 @@
 //!
 //! A VM that starts learns from it where the others are. Each VM writes its entry once and takes
 //! it away when it leaves; those of VMs that died are removed by one VM of each data centre.
-//! Removals name the revision of the entry, so one that the platform carries out late can't take
-//! the entry of the next process of that VM.
+//! Each process writes an entry of its own, and removals name the entry's revision, so one that the
+//! platform carries out late can't take the entry of the next process of that VM.
 
 use crate::{
     StoreCall, StoreReply, clock,
@@ -34,8 +34,16 @@
 
 /// Registers this VM, learns of the others, and looks for entries of dead ones.
 pub(crate) async fn run(shared: Arc<Shared>, store: Arc<StoreClient>) {
+    let settings = &shared.settings;
+    let me = VmEntry {
+        name: settings.vm.clone(),
+        ip: shared.core().roster.me(),
+        data_centre: settings.data_centre.to_string(),
+        start: clock::unix_millis(),
+        revision: 0,
+    };
     let mut backoff = Backoff::new(shared.draw());
-    while let Err(error) = register(&shared, &store).await {
+    while let Err(error) = register(&shared, &store, &me).await {
         tracing::warn!(event = "failed", call = "register", %error, "platform");
         sleep(backoff.next_wait()).await;
     }
@@ -80,18 +88,11 @@
     store.call(call).await.context(StoreSnafu)
 }
 
-async fn register(shared: &Shared, store: &StoreClient) -> Result<(), RegistryError> {
-    let settings = &shared.settings;
-    let me = VmEntry {
-        name: settings.vm.clone(),
-        ip: shared.core().roster.me(),
-        data_centre: settings.data_centre.to_string(),
-        revision: 0,
-    };
+async fn register(shared: &Shared, store: &StoreClient, me: &VmEntry) -> Result<(), RegistryError> {
     let mut write = StoreCall::AddVm(me.clone());
     let mut reply = call(shared, store, &write).await?;
     if reply == StoreReply::Conflict {
-        write = StoreCall::PutVm(me);
+        write = StoreCall::PutVm(me.clone());
         reply = call(shared, store, &write).await?;
     }
     done(&write, reply)
