--- a/crates/ingress/src/feed.rs
+++ b/crates/ingress/src/feed.rs
@@ -2,15 +2,14 @@
 //!
 //! The platform counts every call, so one VM of each data centre reads it for the others. These
 //! form a tree below it, by their places in an order that all share, so that a list of thousands of
-//! endpoints needn't leave one VM a hundred times. Each asks the VM above it; each answer carries
-//! the change and how fresh the view is, as an offset
-//! from the moment at which the question arrived, so no clock is compared and a question that
-//! was delayed makes the answer older, never newer. A VM whose view grows old asks others, and
-//! reads the platform itself.
+//! endpoints needn't leave one VM a hundred times. Each asks the VM above it. An answer carries the
+//! change and how fresh the view is, as an offset from the moment at which the question arrived, so
+//! no clock is compared and a question that was delayed makes the answer older, never newer. A VM
+//! whose view grows old asks others, and reads the platform itself.
 
 use crate::{
     declared::Declared,
-    fleet::{Entry, Removal},
+    entry::{Entry, Removal},
 };
 use bytes::Bytes;
 use core::{net::Ipv4Addr, time::Duration};
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -11,6 +11,7 @@
 mod call;
 mod declared;
 mod engine;
+mod entry;
 mod feed;
 mod fleet;
 mod freshness;
@@ -62,10 +63,9 @@
     Declared, EngineSpec, Limits, RouteKind, RouteSpec, ServiceSpec, Target, WorkspaceSpec,
 };
 pub use engine::{Engine, Report, Usual, work};
+pub use entry::{Entry, EntryState, Gone, News, Removal};
 pub use feed::{Cursor, FeedAsk, FeedReply, Source, Sources};
-pub use fleet::{
-    Endpoint, EndpointKey, Entry, EntryState, Fleet, FleetChange, Gone, News, Removal, Transition,
-};
+pub use fleet::{Endpoint, EndpointKey, Fleet, FleetChange, Transition};
 pub use freshness::Freshness;
 pub use hash::{hash_pair, hash_text};
 pub use health::Health;
