Let only one way into the fleet's view stand open

Since Fleet::take passes over what a view covers, nothing outside the package may add or remove single entries past it, yet upsert, remove and advance were still public. Change: they are visible in their package only. No behaviour changes.

--- a/crates/ingress/src/fleet.rs
+++ b/crates/ingress/src/fleet.rs
@@ -124,7 +124,7 @@
     }
 
     /// Marks everything up to a revision as known.
-    pub fn advance(&mut self, revision: u64) {
+    pub(crate) fn advance(&mut self, revision: u64) {
         self.revision = self.revision.max(revision);
     }
 
@@ -170,7 +170,7 @@
     }
 
     /// Takes an entry as it was read or as it changed.
-    pub fn upsert(&mut self, entry: Entry) -> Vec<FleetChange> {
+    pub(crate) fn upsert(&mut self, entry: Entry) -> Vec<FleetChange> {
         let mut changes = Vec::new();
         let lapsed = self.lapsed.get(&entry.name);
         if lapsed.is_some_and(|(_, at)| entry.revision <= *at) {
@@ -222,7 +222,7 @@
 
     /// Takes the removal of an entry. With a grace, the entry may have lapsed while the platform
     /// was away, and the endpoint is kept until then.
-    pub fn remove(
+    pub(crate) fn remove(
         &mut self,
         name: &EndpointName,
         revision: u64,
