Log how each answer was framed and where it ended

The line now has the framing of the last answer, the bytes received and, for streams, the bytes after the last whole event. No decision changes.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -2,8 +2,8 @@
 
 use crate::{
     ForwardMetadata, ResponseInfo, ResponseKind, call_forwarder::CallForwarder, clock,
-    open_call::OpenCall, placement::reason_name, pool::Connection, reply::millis_since,
-    tcp::Sender,
+    framing::Framing, open_call::OpenCall, placement::reason_name, pool::Connection,
+    reply::millis_since, tcp::Sender,
 };
 use bytes::Bytes;
 use core::{net::SocketAddr, time::Duration};
@@ -275,11 +275,12 @@
 
     /// Reads a short response completely; streams and long responses are left to be forwarded.
     async fn read_response(
-        &self,
+        &mut self,
         unread: UnreadResponse,
         started: Time,
     ) -> Result<EndpointResponse, FailedAttempt> {
         let length = unread.body.size_hint().exact();
+        self.record.framing = Some(Framing::of(&unread.head.headers, &unread.body));
         let is_streaming = self.request.route.kind.is_stream() && unread.head.status.is_success();
         if is_streaming || length.is_none_or(|bytes| bytes > MAX_BUFFERED_BYTES) {
             return Ok(EndpointResponse::Streaming(Box::new(unread)));
@@ -297,7 +298,9 @@
         match timeout(time_left, body.collect()).await {
             Ok(Ok(body)) => {
                 self.shared.return_connection(key, sender, idle_timeout);
-                Ok(EndpointResponse::Buffered(head, body.to_bytes()))
+                let bytes = body.to_bytes();
+                self.record.received = bytes.len() as u64;
+                Ok(EndpointResponse::Buffered(head, bytes))
             }
             Ok(Err(error)) => {
                 self.record_failure(key);
--- a/crates/relay/src/call_record.rs
+++ b/crates/relay/src/call_record.rs
@@ -5,7 +5,7 @@
 //! the attempts, and the outcome. It is written when the record is dropped, so that calls whose
 //! caller closed the connection are logged too.
 
-use crate::{clock, shared::Shared};
+use crate::{clock, framing::Framing, shared::Shared};
 use core::time::Duration;
 use poplarswitch_entity::Time;
 use std::sync::Arc;
@@ -31,6 +31,12 @@
     pub(crate) resumed: u32,
     pub(crate) status: u16,
     pub(crate) first_byte: Option<Time>,
+    /// Framing of the last response from an endpoint.
+    pub(crate) framing: Option<Framing>,
+    /// Bytes of the response's body that were received from endpoints.
+    pub(crate) received: u64,
+    /// Bytes after the last complete event when the last response of a stream ended.
+    pub(crate) partial: Option<usize>,
     pub(crate) outcome: &'static str,
     pub(crate) cause: String,
 }
@@ -54,6 +60,9 @@
             resumed: 0,
             status: 0,
             first_byte: None,
+            framing: None,
+            received: 0,
+            partial: None,
             outcome: "caller_left",
             cause: String::new(),
         }
@@ -104,6 +113,9 @@
                 .first_byte
                 .map(|first_byte| first_byte.since(self.arrived).as_millis() as u64),
             ms = duration.as_millis() as u64,
+            framing = self.framing.map(Framing::as_str),
+            bytes = self.received,
+            partial_bytes = self.partial.map(|bytes| bytes as u64),
             cause = self.cause,
             "call"
         );
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -13,6 +13,7 @@
 mod clock;
 mod events;
 mod feed;
+mod framing;
 mod heartbeats;
 mod listeners;
 mod logs;
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -9,7 +9,7 @@
     attempt::{EndpointResponse, UnreadResponse},
     call_forwarder::CallForwarder,
     clock,
-    events::EventBuffer,
+    events::{EventBuffer, EventScanner},
     reply::{Chunks, IncompleteBody},
     serve::outcome_of,
 };
@@ -47,9 +47,11 @@
         if !resumable {
             forwarder.release_request();
         }
+        let is_stream = forwarder.request.route.kind.is_stream();
         let mut stream = StreamForwarder {
             forwarder,
             sender,
+            scanner: is_stream.then(EventScanner::default),
             events: resumable.then(EventBuffer::default),
         };
         let status = stream.forwarder.record.status;
@@ -87,6 +89,8 @@
 struct StreamForwarder {
     forwarder: CallForwarder,
     sender: mpsc::Sender<Result<Bytes, IncompleteBody>>,
+    /// Set if the route is a stream.
+    scanner: Option<EventScanner>,
     /// Set if the stream is resumable.
     events: Option<EventBuffer>,
 }
@@ -95,7 +99,10 @@
     async fn run(&mut self, mut unread: UnreadResponse) -> StreamEnd {
         loop {
             let key = unread.open_call.key();
-            let cause = match self.forward_segment(&mut unread).await {
+            let end = self.forward_segment(&mut unread).await;
+            let record = &mut self.forwarder.record;
+            record.partial = self.scanner.as_ref().map(EventScanner::partial_len);
+            let cause = match end {
                 SegmentEnd::Complete => {
                     self.forwarder.shared.return_connection(
                         key,
@@ -161,6 +168,10 @@
             };
             unread.open_call.record_first_event();
             self.forwarder.record.record_first_byte(clock::now());
+            self.forwarder.record.received += bytes.len() as u64;
+            if let Some(scanner) = &mut self.scanner {
+                scanner.push(&bytes);
+            }
             let bytes = match &mut self.events {
                 Some(events) => match events.push(&bytes) {
                     Some(complete) => complete,
@@ -188,6 +199,7 @@
     async fn resume(&mut self, key: poplarswitch_ingress::EndpointKey) -> Option<UnreadResponse> {
         let events = self.events.as_mut()?;
         events.discard_partial();
+        self.scanner = Some(EventScanner::default());
         let last = events.last_id().map(str::to_owned);
         let now = clock::now();
         let forwarder = &mut self.forwarder;
