Let stand-in endpoints frame and end answers in any way; a failing test

Stand-in endpoints answer with a length, in chunks or with neither, and end the answer whole, after the head, between or inside events, completed by its framing, by a close or by a reset.

--- /dev/null
+++ b/crates/node/tests/relay_bodies.rs
@@ -0,0 +1,226 @@
+//! Every way in which an answer can end, on every kind of route: what a caller of a relay process
+//! sees, byte by byte.
+
+mod relay;
+
+use core::{net::SocketAddr, time::Duration};
+use googletest::prelude::*;
+use poplarswitch_deployment::{
+    AnswerCut, AnswerEnd, AnswerFraming, AnswerShape, EndpointKind, body_parts,
+};
+use relay::{Fleet, KEYS};
+use std::{
+    io::{ErrorKind, Read as _, Write as _},
+    net::TcpStream,
+};
+
+/// Time limit for a response.
+const READ_TIMEOUT: Duration = Duration::from_secs(10);
+/// Number of events in a whole stream.
+const EVENT_COUNT: u32 = 4;
+const CUTS: [AnswerCut; 6] = [
+    AnswerCut::Whole,
+    AnswerCut::AfterHead,
+    AnswerCut::InsidePart(0),
+    AnswerCut::AfterPart(1),
+    AnswerCut::InsidePart(1),
+    AnswerCut::AfterPart(3),
+];
+
+/// A kind of route, with a path on it.
+#[derive(Clone, Copy, Debug)]
+struct RouteCase {
+    path: &'static str,
+    kind: EndpointKind,
+    resumable: bool,
+}
+
+const ROUTES: [RouteCase; 4] = [
+    RouteCase {
+        path: "/brief/1",
+        kind: EndpointKind::Engine,
+        resumable: true,
+    },
+    RouteCase {
+        path: "/chat/1",
+        kind: EndpointKind::Engine,
+        resumable: false,
+    },
+    RouteCase {
+        path: "/seats/1",
+        kind: EndpointKind::Service,
+        resumable: false,
+    },
+    RouteCase {
+        path: "/book/1",
+        kind: EndpointKind::Service,
+        resumable: false,
+    },
+];
+
+/// All that a caller receives on a connection.
+#[derive(Debug)]
+struct Received {
+    status: u16,
+    head: String,
+    rest: Vec<u8>,
+    reset: bool,
+}
+
+impl Received {
+    fn header(&self, name: &str) -> Option<&str> {
+        self.head.lines().find_map(|line| {
+            let (key, value) = line.split_once(':')?;
+            key.eq_ignore_ascii_case(name).then(|| value.trim())
+        })
+    }
+
+    /// The body, if it looks whole by its framing.
+    fn framed_body(&self) -> Option<Vec<u8>> {
+        if let Some(length) = self.header("content-length") {
+            (self.rest.len() == length.parse::<usize>().unwrap()).then(|| self.rest.clone())
+        } else if self.header("transfer-encoding").is_some() {
+            decode_chunks(&self.rest)
+        } else {
+            (!self.reset).then(|| self.rest.clone())
+        }
+    }
+
+    /// The body, if the answer looks whole: by its framing and, for a stream, by its last event.
+    fn whole_body(&self, is_stream: bool) -> Option<String> {
+        let body = String::from_utf8(self.framed_body()?).unwrap();
+        let is_whole = !is_stream || body.is_empty() || body.ends_with("\n\n");
+        is_whole.then_some(body)
+    }
+
+    fn is_close_framed(&self) -> bool {
+        self.header("content-length").is_none() && self.header("transfer-encoding").is_none()
+    }
+}
+
+fn decode_chunks(mut rest: &[u8]) -> Option<Vec<u8>> {
+    let mut body = Vec::new();
+    loop {
+        let end = rest.windows(2).position(|w| w == b"\r\n")?;
+        let size = core::str::from_utf8(&rest[..end]).unwrap();
+        let size = usize::from_str_radix(size, 16).unwrap();
+        rest = &rest[end + 2..];
+        if size == 0 {
+            return Some(body);
+        }
+        body.extend_from_slice(rest.get(..size)?);
+        rest = rest.get(size + 2..)?;
+    }
+}
+
+/// Makes a call on a new connection and reads until the connection ends.
+fn raw_call(vm: SocketAddr, version: &str, path: &str, id: &str) -> Received {
+    let mut stream = TcpStream::connect(vm).unwrap();
+    stream.set_read_timeout(Some(READ_TIMEOUT)).unwrap();
+    let host = poplarswitch_deployment::Configuration::host();
+    let request = format!(
+        "POST {path} {version}\r\nhost: {host}\r\nx-attempt-id: {id}\r\nx-deadline-ms: 8000\r\n\
+         x-model: m\r\nx-token-count: 1460,80\r\n\
+         x-prompt-prefix: 5c1e07a2:800,91bd3f06:410,e4402b7d:250\r\n\
+         authorization: Bearer {}\r\nconnection: close\r\ncontent-length: 4\r\n\r\nbody",
+        KEYS[0]
+    );
+    stream.write_all(request.as_bytes()).unwrap();
+    let mut bytes = Vec::new();
+    let reset = match stream.read_to_end(&mut bytes) {
+        Ok(_) => false,
+        Err(error) if error.kind() == ErrorKind::ConnectionReset => true,
+        Err(error) => panic!("{id}: {error}"),
+    };
+    let Some(end) = bytes.windows(4).position(|w| w == b"\r\n\r\n") else {
+        assert!(reset, "{id}: {:?}", String::from_utf8_lossy(&bytes));
+        return Received {
+            status: 0,
+            head: String::new(),
+            rest: Vec::new(),
+            reset,
+        };
+    };
+    let head = String::from_utf8(bytes[..end].to_vec()).unwrap();
+    let status = head.split(' ').nth(1).unwrap().parse().unwrap();
+    Received {
+        status,
+        head,
+        rest: bytes[end + 4..].to_vec(),
+        reset,
+    }
+}
+
+fn start_fleet(net: u8) -> Fleet {
+    let fleet = Fleet::start(net, 1);
+    for endpoint in &fleet.endpoints {
+        endpoint.update_behaviour(|behaviour| {
+            behaviour.run_time = Duration::ZERO;
+            behaviour.event_count = EVENT_COUNT;
+            behaviour.event_interval = Duration::from_millis(3);
+        });
+    }
+    fleet
+}
+
+/// What a caller may see of an answer that its first endpoint sent in a shape.
+fn check(route: RouteCase, shape: AnswerShape, id: &str, received: &Received) {
+    let is_stream = route.kind == EndpointKind::Engine;
+    let seen = received.whole_body(is_stream);
+    let endpoint = received.header("x-response-seal").unwrap_or_default();
+    let parts = body_parts(route.kind, id, endpoint, EVENT_COUNT);
+    let sent = shape.sent(&parts).concat();
+    let whole = parts.concat();
+    let case = format!("{route:?} {shape:?} {id}: {received:?}");
+    let framed = match (shape.framing, shape.end) {
+        (AnswerFraming::Length | AnswerFraming::Chunked, AnswerEnd::Framed) => true,
+        (AnswerFraming::Length, _) => sent == whole,
+        _ => false,
+    };
+    let inside_event = is_stream && matches!(shape.cut, AnswerCut::InsidePart(_));
+    let may_be_whole = shape.framing == AnswerFraming::Close
+        && shape.end != AnswerEnd::Reset
+        && shape.cut != AnswerCut::AfterHead;
+    let succeeded = received.status == 200;
+    if framed && !inside_event {
+        expect_that!(seen, some(eq(&sent)), "{case}");
+    } else if may_be_whole && !inside_event {
+        // The caller knows as much as the VM: the end of the connection is the end of the answer.
+        expect_that!(seen, some(eq(&sent)), "{case}");
+        expect_that!(received.is_close_framed(), eq(true), "{case}");
+    } else if route.resumable && sent.contains("\n\n") {
+        expect_that!(seen, some(eq(&whole)), "{case}");
+    } else {
+        expect_that!(succeeded && seen.is_some(), eq(false), "{case}");
+    }
+}
+
+/// An answer without length and chunks that was broken off, or a stream that ended inside an event,
+/// reached its caller framed as complete.
+#[gtest]
+fn broken_answer_never_looks_whole_to_its_caller() {
+    let fleet = start_fleet(21);
+    let mut count = 0;
+    for version in ["HTTP/1.1", "HTTP/1.0"] {
+        for framing in [
+            AnswerFraming::Length,
+            AnswerFraming::Chunked,
+            AnswerFraming::Close,
+        ] {
+            for cut in CUTS {
+                for end in [AnswerEnd::Framed, AnswerEnd::Closed, AnswerEnd::Reset] {
+                    let shape = AnswerShape { framing, cut, end };
+                    for endpoint in &fleet.endpoints {
+                        endpoint.update_behaviour(|behaviour| behaviour.shape = Some(shape));
+                    }
+                    for route in ROUTES {
+                        count += 1;
+                        let id = format!("b{count}");
+                        let received = raw_call(fleet.address(0), version, route.path, &id);
+                        check(route, shape, &id, &received);
+                    }
+                }
+            }
+        }
+    }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -20,5 +20,5 @@
 pub use answer::{answer_text, answer_tokens, token_text};
 pub use body::{Body, json_response, stream_body, text_response};
 pub use engine::{Engine, EngineFaults, EngineSpec, EngineStats, LoadSpan};
-pub use server::{ConnectionCut, Handler, HandlerResult, Server, ServerError};
+pub use server::{ConnectionCut, Handler, HandlerResult, RawResponse, Server, ServerError};
 pub use service::{Service, ServiceFaults, ServiceStats};
--- a/crates/standins/src/server.rs
+++ b/crates/standins/src/server.rs
@@ -1,18 +1,29 @@
 //! An HTTP server that can be stopped at any moment, as by a crash of its process.
 
 use crate::body::Body;
-use core::net::SocketAddr;
+use bytes::Bytes;
+use core::{net::SocketAddr, time::Duration};
 use http::{Request, Response};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
 use snafu::{ResultExt, Snafu};
-use std::{io, sync::Arc, thread};
+use socket2::SockRef;
+use std::{
+    io,
+    sync::{Arc, Mutex, PoisonError},
+    thread,
+};
 use tokio::{
+    io::AsyncWriteExt as _,
     net::{TcpListener, TcpStream},
     runtime::{Builder, Runtime},
     sync::oneshot,
+    time::sleep,
 };
 
+/// Time between the last byte of a response and the reset of its connection.
+const RESET_DELAY: Duration = Duration::from_millis(20);
+
 /// Error in starting the server of a stand-in.
 #[derive(Debug, Snafu)]
 #[snafu(display("{operation} at {bind_address}: {source}"))]
@@ -30,6 +41,16 @@
 /// Result of a request: the response, or a cut of the connection.
 pub type HandlerResult = Result<Response<Body>, ConnectionCut>;
 
+/// A response that is written to the connection byte by byte as given, and then ends the
+/// connection. A handler returns it as an extension of an otherwise empty response.
+#[derive(Clone, Debug)]
+pub struct RawResponse {
+    /// Head and body, with the time to wait before each part.
+    pub parts: Vec<(Duration, Bytes)>,
+    /// Whether the connection ends with a reset instead of an orderly close.
+    pub reset: bool,
+}
+
 /// Handler of the requests to a server.
 pub trait Handler: Send + Sync + 'static {
     /// Handles a request.
@@ -122,12 +143,55 @@
 }
 
 async fn serve<H: Handler>(stream: TcpStream, handler: Arc<H>) {
-    let service = service_fn(move |request| {
+    let raw_slot = Arc::new(Mutex::new(None));
+    // Without a file descriptor for the second handle, the connection is dropped.
+    let Ok((stream, raw_stream)) = share(stream) else {
+        return;
+    };
+    let service = service_fn(|request| {
         let handler = Arc::clone(&handler);
-        async move { handler.handle(request).await }
+        let raw_slot = Arc::clone(&raw_slot);
+        async move {
+            let mut response = handler.handle(request).await?;
+            match response.extensions_mut().remove::<RawResponse>() {
+                None => Ok(response),
+                Some(raw) => {
+                    *raw_slot.lock().unwrap_or_else(PoisonError::into_inner) = Some(raw);
+                    Err(ConnectionCut)
+                }
+            }
+        }
     });
     // Errors are ignored because tests cut connections on purpose.
     let _ = http1::Builder::new()
         .serve_connection(TokioIo::new(stream), service)
         .await;
+    let raw = raw_slot
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner)
+        .take();
+    if let Some(raw) = raw {
+        let _ = write_raw(raw_stream, raw).await;
+    }
+}
+
+/// A second handle of a stream, which stays open when the first one is dropped.
+fn share(stream: TcpStream) -> io::Result<(TcpStream, TcpStream)> {
+    let stream = stream.into_std()?;
+    let second = stream.try_clone()?;
+    Ok((TcpStream::from_std(stream)?, TcpStream::from_std(second)?))
+}
+
+async fn write_raw(mut stream: TcpStream, raw: RawResponse) -> io::Result<()> {
+    for (delay, bytes) in raw.parts {
+        sleep(delay).await;
+        stream.write_all(&bytes).await?;
+    }
+    if raw.reset {
+        // The peer reads what was sent before it sees the reset.
+        sleep(RESET_DELAY).await;
+        SockRef::from(&stream).set_linger(Some(Duration::ZERO))
+    } else {
+        stream.shutdown().await
+    }
 }
