Never frame an answer as complete unless its end is known

Cause: the end of an endpoint's connection was taken for the end of an answer that has neither a length nor chunks, and the answer went on in chunks, with a last chunk that the endpoint never sent. Bytes after the last whole event of a resumable stream were forwarded and the stream counted as complete. The class: one hop's uncertain end turned into a certain one at the next.

An answer without a framed end is now forwarded without one: as HTTP/1.0, which is how hyper sends a body that ends with its connection. While such a body is open its socket is set to reset when it is closed, so that a broken answer, a panic and a killed process end in a reset; the same holds for chunkless callers of HTTP/1.0. A stream that ends inside an event is incomplete whatever its framing; it is resumed where it may be. A connection that ends right after the head is no answer. Streams are sent to callers without a length, since they may be resumed or end inside an event. The forwarding task tells the body explicitly that it is complete; without that the body fails.

The test of the bytes after the last event asserted the old behaviour (that they are forwarded at the end); it now asserts that they are held back and counted. Test: broken_answer_never_looks_whole_to_its_caller (failed before) and its twin for HTTP/1.0. They use one fleet each: on a common one, nine resumptions were denied by the retry budget of 10 s (traced in the relay's log).

--- a/crates/node/tests/relay_bodies.rs
+++ b/crates/node/tests/relay_bodies.rs
@@ -195,32 +195,41 @@
     }
 }
 
-/// An answer without length and chunks that was broken off, or a stream that ended inside an event,
-/// reached its caller framed as complete.
-#[gtest]
-fn broken_answer_never_looks_whole_to_its_caller() {
-    let fleet = start_fleet(21);
+/// Plays all shapes of answers on all routes for callers of one version of the protocol.
+fn check_all_shapes(net: u8, version: &str) {
+    let fleet = start_fleet(net);
     let mut count = 0;
-    for version in ["HTTP/1.1", "HTTP/1.0"] {
-        for framing in [
-            AnswerFraming::Length,
-            AnswerFraming::Chunked,
-            AnswerFraming::Close,
-        ] {
-            for cut in CUTS {
-                for end in [AnswerEnd::Framed, AnswerEnd::Closed, AnswerEnd::Reset] {
-                    let shape = AnswerShape { framing, cut, end };
-                    for endpoint in &fleet.endpoints {
-                        endpoint.update_behaviour(|behaviour| behaviour.shape = Some(shape));
-                    }
-                    for route in ROUTES {
-                        count += 1;
-                        let id = format!("b{count}");
-                        let received = raw_call(fleet.address(0), version, route.path, &id);
-                        check(route, shape, &id, &received);
-                    }
+    for framing in [
+        AnswerFraming::Length,
+        AnswerFraming::Chunked,
+        AnswerFraming::Close,
+    ] {
+        for cut in CUTS {
+            for end in [AnswerEnd::Framed, AnswerEnd::Closed, AnswerEnd::Reset] {
+                let shape = AnswerShape { framing, cut, end };
+                for endpoint in &fleet.endpoints {
+                    endpoint.update_behaviour(|behaviour| behaviour.shape = Some(shape));
+                }
+                for route in ROUTES {
+                    count += 1;
+                    let id = format!("b{count}");
+                    let received = raw_call(fleet.address(0), version, route.path, &id);
+                    check(route, shape, &id, &received);
                 }
             }
         }
     }
 }
+
+/// An answer without length and chunks that was broken off, or a stream that ended inside an event,
+/// reached its caller framed as complete.
+#[gtest]
+fn broken_answer_never_looks_whole_to_its_caller() {
+    check_all_shapes(21, "HTTP/1.1");
+}
+
+/// To a caller of HTTP/1.0, the end of a broken answer's connection was the end of the answer.
+#[gtest]
+fn broken_answer_never_looks_whole_to_a_caller_without_chunks() {
+    check_all_shapes(22, "HTTP/1.0");
+}
--- a/crates/relay/src/activity.rs
+++ b/crates/relay/src/activity.rs
@@ -7,12 +7,13 @@
 use crate::clock;
 use core::{
     pin::Pin,
-    sync::atomic::{AtomicU64, AtomicUsize, Ordering},
+    sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     task::{Context, Poll},
     time::Duration,
 };
 use poplarswitch_entity::Time;
 use poplarswitch_ingress::Limits;
+use socket2::SockRef;
 use std::{io, sync::Arc};
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
@@ -29,6 +30,9 @@
     head_start: AtomicU64,
     /// Number of requests whose response has not ended.
     active_requests: AtomicUsize,
+    /// Whether the connection must end with a reset, because an orderly close would mark the end of
+    /// a response that is not complete.
+    reset_on_close: AtomicBool,
 }
 
 impl Activity {
@@ -94,6 +98,13 @@
 #[derive(Debug)]
 pub(crate) struct ActivityGuard(Arc<Activity>);
 
+impl ActivityGuard {
+    /// Sets whether the connection must end with a reset.
+    pub(crate) fn set_reset_on_close(&self, reset: bool) {
+        self.0.reset_on_close.store(reset, Ordering::Relaxed);
+    }
+}
+
 impl Drop for ActivityGuard {
     fn drop(&mut self) {
         self.0.last_active.store(clock::now().0, Ordering::Relaxed);
@@ -102,15 +113,34 @@
 }
 
 /// A TCP stream that records when bytes arrive.
+///
+/// While [`Activity`] says that the connection must end with a reset, the socket is set so that the
+/// kernel resets it when it is closed, also if this process is killed.
 #[derive(Debug)]
 pub(crate) struct MonitoredStream {
     stream: TcpStream,
     activity: Arc<Activity>,
+    resets: bool,
 }
 
 impl MonitoredStream {
     pub(crate) const fn new(stream: TcpStream, activity: Arc<Activity>) -> Self {
-        Self { stream, activity }
+        Self {
+            stream,
+            activity,
+            resets: false,
+        }
+    }
+
+    fn update_close_mode(&mut self) {
+        let reset = self.activity.reset_on_close.load(Ordering::Relaxed);
+        if reset != self.resets {
+            let linger = reset.then_some(Duration::ZERO);
+            match SockRef::from(&self.stream).set_linger(linger) {
+                Ok(()) => self.resets = reset,
+                Err(error) => tracing::debug!(%error, reset, "set how the connection is closed"),
+            }
+        }
     }
 }
 
@@ -135,6 +165,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.update_close_mode();
         Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
@@ -143,6 +174,7 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.update_close_mode();
         Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 
@@ -151,6 +183,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.update_close_mode();
         Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
     }
 
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -31,6 +31,7 @@
     pub(crate) open_call: OpenCall,
     pub(crate) sender: Sender,
     pub(crate) idle_timeout: Option<Duration>,
+    pub(crate) framing: Framing,
 }
 
 /// Response of an endpoint.
@@ -136,12 +137,15 @@
             }
             return Err(failed);
         }
+        let framing = Framing::of(&head.headers, &body);
+        self.record.framing = Some(framing);
         let unread = UnreadResponse {
             head,
             body,
             open_call,
             sender,
             idle_timeout: info.idle_timeout,
+            framing,
         };
         let server_error = unread.head.status.is_server_error();
         let response = self.read_response(unread, started).await?;
@@ -280,7 +284,6 @@
         started: Time,
     ) -> Result<EndpointResponse, FailedAttempt> {
         let length = unread.body.size_hint().exact();
-        self.record.framing = Some(Framing::of(&unread.head.headers, &unread.body));
         let is_streaming = self.request.route.kind.is_stream() && unread.head.status.is_success();
         if is_streaming || length.is_none_or(|bytes| bytes > MAX_BUFFERED_BYTES) {
             return Ok(EndpointResponse::Streaming(Box::new(unread)));
@@ -291,6 +294,7 @@
             open_call,
             sender,
             idle_timeout,
+            ..
         } = unread;
         let attempt_timeout = self.attempt_timeout(self.request.deadline.since(started));
         let time_left = attempt_timeout.saturating_sub(clock::now().since(started));
--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -1,13 +1,49 @@
-//! Splitting of a stream's body into complete events.
+//! Recognition of the events in a stream's body.
 //!
-//! Of a stream that may continue on another endpoint, only complete events are forwarded: an
-//! endpoint may fail in the middle of an event, and the next endpoint sends that event again.
+//! A stream whose body ends inside an event is incomplete, however its end is framed. Of a stream
+//! that may continue on another endpoint, only complete events are forwarded: an endpoint may fail in
+//! the middle of an event, and the next endpoint sends that event again.
 
 use bytes::{Bytes, BytesMut};
 
+/// Content of a response's body.
+#[derive(Debug)]
+pub(crate) enum BodyContent {
+    /// Any bytes.
+    Opaque,
+    /// Events that can't be resumed; bytes are forwarded as they arrive.
+    Events(EventScanner),
+    /// Events that another endpoint may resume; only complete ones are forwarded.
+    Resumable(EventBuffer),
+}
+
+impl BodyContent {
+    /// Takes the next bytes from an endpoint; returns those that can be forwarded now.
+    pub(crate) fn push(&mut self, bytes: Bytes) -> Option<Bytes> {
+        match self {
+            Self::Opaque => Some(bytes),
+            Self::Events(scanner) => {
+                scanner.push(&bytes);
+                Some(bytes)
+            }
+            Self::Resumable(buffer) => buffer.push(&bytes),
+        }
+    }
+
+    /// Number of bytes after the last complete event; none if the body has no events.
+    pub(crate) const fn partial_len(&self) -> Option<usize> {
+        match self {
+            Self::Opaque => None,
+            Self::Events(scanner) => Some(scanner.partial_len()),
+            Self::Resumable(buffer) => Some(buffer.scanner.partial_len()),
+        }
+    }
+}
+
 /// Buffers bytes until an event is complete.
 #[derive(Debug, Default)]
 pub(crate) struct EventBuffer {
+    scanner: EventScanner,
     partial: BytesMut,
     last_id: Option<String>,
 }
@@ -15,10 +51,9 @@
 impl EventBuffer {
     /// Appends bytes; returns all events that are complete now.
     pub(crate) fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
-        // The separator after an event may be split between the buffered and the new bytes.
-        let start = self.partial.len().saturating_sub(3);
+        let start = self.partial.len();
         self.partial.extend_from_slice(bytes);
-        let end = start + complete_len(&self.partial[start..])?;
+        let end = start + self.scanner.push(bytes)?;
         let complete = self.partial.split_to(end).freeze();
         if let Some(id) = last_id(&complete) {
             self.last_id = Some(id);
@@ -29,12 +64,7 @@
     /// Discards the incomplete event.
     pub(crate) fn discard_partial(&mut self) {
         self.partial.clear();
-    }
-
-    /// Takes the bytes after the last complete event.
-    pub(crate) fn take_partial(&mut self) -> Option<Bytes> {
-        let partial = self.partial.split().freeze();
-        (!partial.is_empty()).then_some(partial)
+        self.scanner = EventScanner::default();
     }
 
     /// Identifier of the last complete event.
@@ -43,21 +73,8 @@
     }
 }
 
-/// Length of the bytes up to and including the last blank line.
-fn complete_len(bytes: &[u8]) -> Option<usize> {
-    let lf = bytes
-        .windows(2)
-        .rposition(|w| w == b"\n\n")
-        .map(|at| at + 2);
-    let crlf = bytes
-        .windows(4)
-        .rposition(|w| w == b"\r\n\r\n")
-        .map(|at| at + 4);
-    lf.max(crlf)
-}
-
 fn last_id(events: &[u8]) -> Option<String> {
-    let mut lines = events.split(|byte| *byte == b'\n').rev();
+    let mut lines = events.split(|byte| matches!(byte, b'\n' | b'\r')).rev();
     let id = lines.find_map(|line| line.strip_prefix(b"id:"))?;
     let text = core::str::from_utf8(id).ok()?;
     Some(text.trim().to_owned())
--- a/crates/relay/src/events_tests.rs
+++ b/crates/relay/src/events_tests.rs
@@ -1,4 +1,5 @@
-use crate::events::{EventBuffer, EventScanner};
+use crate::events::{BodyContent, EventBuffer, EventScanner};
+use bytes::Bytes;
 use googletest::prelude::*;
 
 const STREAM: &[u8] = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\r\ndata: c\r\n\r\nid: 4\ndata: d";
@@ -29,12 +30,17 @@
     expect_that!(events.last_id(), some(eq("2")));
 }
 
+/// Guards against a stream that ends inside an event and counts as complete.
 #[gtest]
-fn bytes_after_last_event_are_returned_at_end_of_body() {
-    let mut events = EventBuffer::default();
-    events.push(b"id: 1\ndata: a\n\ndata: b");
-    expect_that!(events.take_partial().as_deref(), some(eq(&b"data: b"[..])));
-    expect_that!(events.take_partial(), none());
+fn bytes_after_last_event_are_held_back_and_counted() {
+    let mut content = BodyContent::Resumable(EventBuffer::default());
+    let complete = content.push(Bytes::from_static(b"id: 1\ndata: a\n\ndata: b"));
+    expect_that!(complete.as_deref(), some(eq(&b"id: 1\ndata: a\n\n"[..])));
+    expect_that!(content.partial_len(), some(eq(7)));
+    let mut content = BodyContent::Events(EventScanner::default());
+    let all = content.push(Bytes::from_static(b"id: 1\ndata: a\n\ndata: b"));
+    expect_that!(all.as_deref(), some(eq(&b"id: 1\ndata: a\n\ndata: b"[..])));
+    expect_that!(content.partial_len(), some(eq(7)));
 }
 
 /// An event ends with an empty line, whichever line endings are used and however the body is split.
--- a/crates/relay/src/reply.rs
+++ b/crates/relay/src/reply.rs
@@ -26,19 +26,28 @@
 
 impl core::error::Error for IncompleteBody {}
 
-/// Chunks of a response body that is still being received.
-pub(crate) type Chunks = mpsc::Receiver<Result<Bytes, IncompleteBody>>;
+/// Part of a response body that is still being received.
+#[derive(Debug)]
+pub(crate) enum BodyPart {
+    /// The next bytes.
+    Data(Bytes),
+    /// The body is complete. It is incomplete if the sender is dropped before.
+    End,
+}
+
+/// Parts of a response body that is still being received.
+pub(crate) type BodyParts = mpsc::Receiver<BodyPart>;
 
 #[derive(Debug)]
 enum BodySource {
     Buffered(Option<Bytes>),
-    Chunks(Chunks),
+    Parts(BodyParts),
 }
 
 /// Guards that are held until the response has been sent.
 #[derive(Debug)]
 pub(crate) struct Guards {
-    pub(crate) _activity: ActivityGuard,
+    pub(crate) activity: ActivityGuard,
     pub(crate) _in_flight: InFlight,
 }
 
@@ -47,7 +56,10 @@
 pub(crate) struct ReplyBody {
     source: BodySource,
     length: Option<u64>,
-    _guards: Guards,
+    /// Whether the end of the connection ends the body, so that only a reset shows that the body is
+    /// incomplete.
+    close_framed: bool,
+    guards: Guards,
 }
 
 impl ReplyBody {
@@ -56,15 +68,25 @@
         Self {
             source: BodySource::Buffered(Some(bytes)),
             length,
-            _guards: guards,
+            close_framed: false,
+            guards,
         }
     }
 
-    pub(crate) const fn chunks(chunks: Chunks, length: Option<u64>, guards: Guards) -> Self {
+    pub(crate) fn parts(
+        parts: BodyParts,
+        length: Option<u64>,
+        close_framed: bool,
+        guards: Guards,
+    ) -> Self {
+        if close_framed {
+            guards.activity.set_reset_on_close(true);
+        }
         Self {
-            source: BodySource::Chunks(chunks),
+            source: BodySource::Parts(parts),
             length,
-            _guards: guards,
+            close_framed,
+            guards,
         }
     }
 }
@@ -79,17 +101,24 @@
     ) -> Poll<Option<Result<Frame<Bytes>, IncompleteBody>>> {
         match &mut self.source {
             BodySource::Buffered(bytes) => Poll::Ready(bytes.take().map(Frame::data).map(Ok)),
-            BodySource::Chunks(chunks) => {
-                let chunk = ready!(chunks.poll_recv(cx));
-                Poll::Ready(chunk.map(|chunk| chunk.map(Frame::data)))
-            }
+            BodySource::Parts(parts) => match ready!(parts.poll_recv(cx)) {
+                Some(BodyPart::Data(bytes)) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
+                Some(BodyPart::End) => {
+                    self.source = BodySource::Buffered(None);
+                    if self.close_framed {
+                        self.guards.activity.set_reset_on_close(false);
+                    }
+                    Poll::Ready(None)
+                }
+                None => Poll::Ready(Some(Err(IncompleteBody))),
+            },
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match &self.source {
             BodySource::Buffered(bytes) => bytes.as_ref().is_none_or(Bytes::is_empty),
-            BodySource::Chunks(_) => false,
+            BodySource::Parts(_) => false,
         }
     }
 
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -6,13 +6,14 @@
     call_forwarder::{CallForwarder, CallRequest},
     call_record::CallRecord,
     clock,
+    framing::Framing,
     reply::{Failure, Guards, ReplyBody},
     shared::Shared,
     stream,
 };
 use bytes::Bytes;
 use core::time::Duration;
-use http::{HeaderValue, Request, Response, StatusCode, header, request, response};
+use http::{HeaderValue, Request, Response, StatusCode, Version, header, request, response};
 use http_body_util::{BodyExt as _, Limited};
 use hyper::body::{Body as _, Incoming};
 use poplarswitch_entity::Time;
@@ -48,9 +49,10 @@
     let shutting_down = shared.core().shutdown.has_started();
     let mut record = CallRecord::new(Arc::clone(&shared), arrived);
     let guards = Guards {
-        _activity: guard,
+        activity: guard,
         _in_flight: in_flight,
     };
+    let caller_version = request.version();
     let mut response = match accept_call(&shared, request, arrived, &mut record).await {
         Ok(request) => {
             let mut forwarder = CallForwarder {
@@ -61,7 +63,7 @@
                 record,
             };
             match forwarder.run(None).await {
-                Ok(response) => into_response(forwarder, response, guards),
+                Ok(response) => into_response(forwarder, response, caller_version, guards),
                 Err(failure) => failure_response(&failure, &mut forwarder.record, guards),
             }
         }
@@ -300,6 +302,7 @@
 fn into_response(
     mut forwarder: CallForwarder,
     response: EndpointResponse,
+    caller_version: Version,
     guards: Guards,
 ) -> Response<ReplyBody> {
     match response {
@@ -318,9 +321,25 @@
             response
         }
         EndpointResponse::Streaming(unread) => {
-            let length = unread.body.size_hint().exact();
-            let (head, chunks) = stream::start(forwarder, *unread);
-            build_response(head, ReplyBody::chunks(chunks, length, guards))
+            let framing = unread.framing;
+            // A stream may end inside an event or be resumed, so its length is not known.
+            let has_events = stream::has_events(forwarder.request.route.kind, &unread.head);
+            let length = unread.body.size_hint().exact().filter(|_| !has_events);
+            let close_framed = framing == Framing::Close || caller_version < Version::HTTP_11;
+            let (mut head, parts) = stream::start(forwarder, *unread);
+            if has_events {
+                head.headers.remove(header::CONTENT_LENGTH);
+            }
+            let guarded = length.is_none() && close_framed;
+            let body = ReplyBody::parts(parts, length, guarded, guards);
+            let mut response = build_response(head, body);
+            if framing == Framing::Close {
+                // `hyper` adds chunks to a response of a later version.
+                *response.version_mut() = Version::HTTP_10;
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(header::CONNECTION, close);
+            }
+            response
         }
     }
 }
@@ -336,6 +355,6 @@
 
 fn build_response(mut head: response::Parts, body: ReplyBody) -> Response<ReplyBody> {
     strip_hop_by_hop(&mut head.headers);
-    head.version = http::Version::HTTP_11;
+    head.version = Version::HTTP_11;
     Response::from_parts(head, body)
 }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -1,21 +1,27 @@
 //! Forwarding of a response as it arrives, and resumption on another endpoint after a failure.
 //!
 //! The queue of data for the caller is short, so that a caller that reads slowly slows down its
-//! endpoint. Of a resumable stream, only complete events are forwarded; if its endpoint closes the
-//! connection early or sends nothing for too long, another endpoint continues after the last
-//! forwarded event. If any other response is incomplete, the caller's connection is closed.
+//! endpoint. A response is incomplete if its framing is, if it is a stream and ends inside an event,
+//! or if it has neither a length nor chunks and its connection ends right after the head. Of a
+//! resumable stream, only complete events are forwarded; if it is incomplete or nothing arrives for
+//! too long, another endpoint continues after the last forwarded event. If any other response is
+//! incomplete, the caller's connection ends without the end of the response.
+//!
+//! The end of a response with neither a length nor chunks is only as certain as the end of its
+//! connection. It is forwarded with the same framing, so that it looks no more complete to the caller
+//! than to this VM.
 
 use crate::{
     attempt::{EndpointResponse, UnreadResponse},
     call_forwarder::CallForwarder,
     clock,
-    events::{EventBuffer, EventScanner},
-    reply::{Chunks, IncompleteBody},
+    events::{BodyContent, EventBuffer, EventScanner},
+    framing::Framing,
+    reply::{BodyPart, BodyParts},
     serve::outcome_of,
 };
-use bytes::Bytes;
 use core::time::Duration;
-use http::response;
+use http::{header, response};
 use http_body_util::BodyExt as _;
 use poplarswitch_ingress::RouteKind;
 use tokio::{
@@ -23,7 +29,9 @@
     time::{Instant, sleep_until},
 };
 
-/// Maximum number of chunks that wait until the caller reads them.
+/// Media type of a stream of events.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+/// Maximum number of parts of a body that wait until the caller reads them.
 const QUEUE_LEN: usize = 4;
 /// Multiple of the route's maximum gap after which a resumable stream continues on another
 /// endpoint.
@@ -32,40 +40,59 @@
 /// no maximum gap.
 const DEFAULT_MAX_SILENCE: Duration = Duration::from_secs(2);
 
-/// Starts to forward a response; returns its head and the chunks of its body.
+/// Starts to forward a response; returns its head and the parts of its body.
 pub(crate) fn start(
     mut forwarder: CallForwarder,
     mut unread: UnreadResponse,
-) -> (response::Parts, Chunks) {
-    let (sender, chunks) = mpsc::channel(QUEUE_LEN);
+) -> (response::Parts, BodyParts) {
+    let (sender, parts) = mpsc::channel(QUEUE_LEN);
     let (mut head, ()) = http::Response::new(()).into_parts();
     core::mem::swap(&mut head, &mut unread.head);
     forwarder.record.status = head.status.as_u16();
     let outcome = outcome_of(head.status);
+    let content = content_of(forwarder.request.route.kind, &head);
+    let framing = unread.framing;
     tokio::spawn(async move {
-        let resumable = forwarder.request.route.kind == RouteKind::Stream { resumable: true };
-        if !resumable {
+        if !matches!(content, BodyContent::Resumable(_)) {
             forwarder.release_request();
         }
-        let is_stream = forwarder.request.route.kind.is_stream();
         let mut stream = StreamForwarder {
             forwarder,
             sender,
-            scanner: is_stream.then(EventScanner::default),
-            events: resumable.then(EventBuffer::default),
+            content,
+            framing,
         };
         let status = stream.forwarder.record.status;
         match stream.run(unread).await {
-            StreamEnd::Complete => stream.forwarder.record.set_outcome(outcome, status),
-            StreamEnd::CallerLeft => {}
-            StreamEnd::Broken => {
-                stream.forwarder.record.set_outcome("broken_off", status);
+            StreamEnd::Complete => {
+                stream.forwarder.record.set_outcome(outcome, status);
                 // Fails if the caller has closed its connection.
-                let _closed = stream.sender.send(Err(IncompleteBody)).await;
+                let _closed = stream.sender.send(BodyPart::End).await;
             }
+            StreamEnd::CallerLeft => {}
+            StreamEnd::Broken => stream.forwarder.record.set_outcome("broken_off", status),
         }
     });
-    (head, chunks)
+    (head, parts)
+}
+
+/// Whether the body of a response consists of events.
+pub(crate) fn has_events(kind: RouteKind, head: &response::Parts) -> bool {
+    let other_type = head
+        .headers
+        .get(header::CONTENT_TYPE)
+        .is_some_and(|value| !value.as_bytes().starts_with(EVENT_STREAM));
+    kind.is_stream() && head.status.is_success() && !other_type
+}
+
+fn content_of(kind: RouteKind, head: &response::Parts) -> BodyContent {
+    if !has_events(kind, head) {
+        BodyContent::Opaque
+    } else if kind == (RouteKind::Stream { resumable: true }) {
+        BodyContent::Resumable(EventBuffer::default())
+    } else {
+        BodyContent::Events(EventScanner::default())
+    }
 }
 
 /// How the forwarding of a response ended.
@@ -88,11 +115,10 @@
 #[derive(Debug)]
 struct StreamForwarder {
     forwarder: CallForwarder,
-    sender: mpsc::Sender<Result<Bytes, IncompleteBody>>,
-    /// Set if the route is a stream.
-    scanner: Option<EventScanner>,
-    /// Set if the stream is resumable.
-    events: Option<EventBuffer>,
+    sender: mpsc::Sender<BodyPart>,
+    content: BodyContent,
+    /// Framing of the response to the caller.
+    framing: Framing,
 }
 
 impl StreamForwarder {
@@ -101,7 +127,7 @@
             let key = unread.open_call.key();
             let end = self.forward_segment(&mut unread).await;
             let record = &mut self.forwarder.record;
-            record.partial = self.scanner.as_ref().map(EventScanner::partial_len);
+            record.partial = self.content.partial_len();
             let cause = match end {
                 SegmentEnd::Complete => {
                     self.forwarder.shared.return_connection(
@@ -139,10 +165,11 @@
             .route
             .max_gap
             .map_or(DEFAULT_MAX_SILENCE, |max_gap| max_gap * MAX_GAP_FACTOR);
+        let mut received = 0;
         loop {
-            let silent_at = match &self.events {
-                Some(_) => Instant::now() + max_silence,
-                None => deadline,
+            let silent_at = match &self.content {
+                BodyContent::Resumable(_) => Instant::now() + max_silence,
+                BodyContent::Opaque | BodyContent::Events(_) => deadline,
             };
             let frame = tokio::select! {
                 biased;
@@ -156,7 +183,7 @@
                 }
             };
             let bytes = match frame {
-                None => return self.finish().await,
+                None => return self.check_end(unread.framing, received),
                 Some(Err(error)) => {
                     return SegmentEnd::Broken(format!("the response is incomplete: {error}"));
                 }
@@ -169,37 +196,43 @@
             unread.open_call.record_first_event();
             self.forwarder.record.record_first_byte(clock::now());
             self.forwarder.record.received += bytes.len() as u64;
-            if let Some(scanner) = &mut self.scanner {
-                scanner.push(&bytes);
-            }
-            let bytes = match &mut self.events {
-                Some(events) => match events.push(&bytes) {
-                    Some(complete) => complete,
-                    None => continue,
-                },
-                None => bytes,
+            received += bytes.len();
+            let Some(bytes) = self.content.push(bytes) else {
+                continue;
             };
-            if self.sender.send(Ok(bytes)).await.is_err() {
+            if self.sender.send(BodyPart::Data(bytes)).await.is_err() {
                 return SegmentEnd::CallerLeft;
             }
         }
     }
 
-    /// Forwards the data after the last complete event.
-    async fn finish(&mut self) -> SegmentEnd {
-        if let Some(partial) = self.events.as_mut().and_then(EventBuffer::take_partial)
-            && self.sender.send(Ok(partial)).await.is_err()
+    /// Decides whether a body that has ended by its framing is complete.
+    fn check_end(&self, framing: Framing, received: usize) -> SegmentEnd {
+        let problem = if self
+            .content
+            .partial_len()
+            .is_some_and(|partial| partial > 0)
         {
-            return SegmentEnd::CallerLeft;
-        }
-        SegmentEnd::Complete
+            "the stream ended inside an event"
+        } else if framing != Framing::Close {
+            return SegmentEnd::Complete;
+        } else if received == 0 {
+            "the connection ended after the head"
+        } else if self.framing != Framing::Close {
+            // The caller would see a certain end of a response whose end is not certain.
+            "the resumed response has neither a length nor chunks"
+        } else {
+            return SegmentEnd::Complete;
+        };
+        SegmentEnd::Broken(problem.to_owned())
     }
 
     /// Resumes the stream on another endpoint, if the route and the retry budget allow it.
     async fn resume(&mut self, key: poplarswitch_ingress::EndpointKey) -> Option<UnreadResponse> {
-        let events = self.events.as_mut()?;
+        let BodyContent::Resumable(events) = &mut self.content else {
+            return None;
+        };
         events.discard_partial();
-        self.scanner = Some(EventScanner::default());
         let last = events.last_id().map(str::to_owned);
         let now = clock::now();
         let forwarder = &mut self.forwarder;
