Don't pass on a service's answer whose end is not known as complete

An answer with neither a length nor chunks was taken as complete at the end of its connection, so one that was broken off reached its caller with a matching length.

Such an answer now counts as complete only if it is a complete JSON object or array, which every answer of an engine is; any other counts as a lost connection, so the call is in doubt. Streams have their own last event and were not affected.

Test: answer_without_known_end_is_not_whole, fails without the check.

--- a/crates/node/src/run/chat.rs
+++ b/crates/node/src/run/chat.rs
@@ -10,8 +10,15 @@
 use core::time::Duration;
 use poplarswitch_scheduler::{End, Fault, Mode};
 use poplarswitch_wire::{TokenUsage, headers};
+use serde::de::IgnoredAny;
 use std::io::Read;
-use ureq::{Body, http::Response};
+use ureq::{
+    Body,
+    http::{
+        Response,
+        header::{CONTENT_LENGTH, TRANSFER_ENCODING},
+    },
+};
 
 /// Maximum time for an engine to respond to a cancellation.
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(2);
@@ -82,7 +89,7 @@
         if chat.stream && head.status < 400 {
             self.send_stream(connection, head, response.into_body())
         } else {
-            self.send_whole(connection, head, response.into_body())
+            self.send_whole(connection, head, response)
         }
     }
 
@@ -90,9 +97,9 @@
         &self,
         connection: &Connection,
         head: ResponseHead,
-        body: Body,
+        response: Response<Body>,
     ) -> Result<u32, RunError> {
-        let body = read_whole(body, u64::from(self.limits().answer_bytes))
+        let body = read_whole(response, u64::from(self.limits().answer_bytes))
             .map_err(|error| connection_error(connection, &error))?;
         let tokens = TokenUsage::from_answer(&body).completion_tokens;
         self.report_progress(tokens);
@@ -201,12 +208,32 @@
     RunError::Fault(connection.fault())
 }
 
-/// Reads a complete body of at most `limit` bytes; fails if it is larger.
-pub(super) fn read_whole(body: Body, limit: u64) -> Result<Bytes, std::io::Error> {
+/// Reads a complete body of at most `limit` bytes; fails if it is larger or if its end is not known.
+///
+/// The end of a body with neither a length nor chunks is the end of its connection, which may also
+/// have failed. Such a body is complete only if it is a JSON object or array that is.
+pub(super) fn read_whole(response: Response<Body>, limit: u64) -> Result<Bytes, std::io::Error> {
+    let headers = response.headers();
+    let is_framed = headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
+    let has_body = !matches!(response.status().as_u16(), 204 | 304);
     let mut bytes = Vec::new();
-    let read = body.into_reader().take(limit + 1).read_to_end(&mut bytes)?;
+    let reader = response.into_body().into_reader();
+    let read = reader.take(limit + 1).read_to_end(&mut bytes)?;
     if read as u64 > limit {
         return Err(std::io::Error::other("response body exceeds the limit"));
     }
+    if has_body && !is_framed && !is_complete_json(&bytes) {
+        return Err(std::io::Error::other(
+            "response has neither a length nor chunks, so its end is not known",
+        ));
+    }
     Ok(Bytes::from(bytes))
 }
+
+fn is_complete_json(bytes: &[u8]) -> bool {
+    let starts_nested = bytes
+        .iter()
+        .find(|byte| !byte.is_ascii_whitespace())
+        .is_some_and(|byte| matches!(byte, b'{' | b'['));
+    starts_nested && serde_json::from_slice::<IgnoredAny>(bytes).is_ok()
+}
--- a/crates/node/src/run/mod.rs
+++ b/crates/node/src/run/mod.rs
@@ -11,6 +11,8 @@
 mod sse;
 mod stop;
 
+#[cfg(test)]
+mod chat_tests;
 #[cfg(test)]
 mod sse_fuzz_tests;
 #[cfg(test)]
--- a/crates/node/src/run/service.rs
+++ b/crates/node/src/run/service.rs
@@ -46,7 +46,7 @@
         if head.status >= 500 && self.job.call.repeatable {
             return Err(RunError::Fault(Fault::Errored));
         }
-        let body = read_whole(response.into_body(), u64::from(self.limits().answer_bytes))
+        let body = read_whole(response, u64::from(self.limits().answer_bytes))
             .map_err(|error| connection_error(connection, &error))?;
         self.report_progress(1);
         self.send_part(ResponsePart::Whole(head, body))
