Count an answer over the client's limit as lost

It reads one byte more now and reports the call as lost.

Test: answer_over_the_limit_is_lost, fails with the old bound.

--- a/crates/client/src/client.rs
+++ b/crates/client/src/client.rs
@@ -18,8 +18,8 @@
 const MAX_ATTEMPTS: u32 = 4;
 /// Longest time to open a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Length at which the answer to a service call is cut off, in bytes.
-const MAX_ANSWER_BYTES: u64 = 16 << 20;
+/// Maximum size of the answer to a service call, in bytes; a longer one is lost.
+pub(crate) const MAX_ANSWER_BYTES: u64 = 16 << 20;
 
 /// A chat call.
 #[derive(Clone, Debug)]
@@ -264,13 +264,13 @@
     report
 }
 
-fn read_body(response: Response<Body>, started: Instant) -> CallReport {
+pub(crate) fn read_body(response: Response<Body>, started: Instant) -> CallReport {
     let mut text = String::new();
     let reader = response.into_body().into_reader();
-    let read = reader.take(MAX_ANSWER_BYTES).read_to_string(&mut text);
+    let read = reader.take(MAX_ANSWER_BYTES + 1).read_to_string(&mut text);
     let outcome = match read {
-        Ok(_) => Outcome::Answered,
-        Err(_) => Outcome::Lost,
+        Ok(length) if length as u64 <= MAX_ANSWER_BYTES => Outcome::Answered,
+        Ok(_) | Err(_) => Outcome::Lost,
     };
     let mut report = CallReport::new(outcome, started);
     report.first_output = Some(report.total);
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -9,6 +9,8 @@
 mod directory;
 mod stream;
 
+#[cfg(test)]
+mod client_tests;
 #[cfg(test)]
 mod directory_tests;
 #[cfg(test)]
