Decide in ingress whether a body is complete, with a test over chains of hops

The answer after any hops looks complete exactly if the endpoint's own answer did, and its end is as certain as the endpoint's.

No change of behaviour.

--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -6,6 +6,7 @@
 //! Sockets, timers and wire names belong to the `relay` package and to the deployment's adapter.
 
 mod admission;
+mod body_end;
 mod budget;
 mod call;
 mod config;
@@ -27,6 +28,8 @@
 #[cfg(test)]
 mod admission_tests;
 #[cfg(test)]
+mod body_end_tests;
+#[cfg(test)]
 mod budget_tests;
 #[cfg(test)]
 mod endpoint_views_tests;
@@ -56,6 +59,7 @@
 mod table_tests;
 
 pub use admission::{Admission, AdmissionControl};
+pub use body_end::{EndedBody, EventScanner, Framing};
 pub use budget::{RetryBudget, RetryLimit};
 pub use call::{Call, Prompt, PromptSection};
 pub use config::{
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     ForwardMetadata, ResponseInfo, ResponseKind, call_forwarder::CallForwarder, clock,
-    framing::Framing, open_call::OpenCall, placement::reason_name, pool::Connection,
+    framing::framing_of, open_call::OpenCall, placement::reason_name, pool::Connection,
     reply::millis_since, tcp::Sender,
 };
 use bytes::Bytes;
@@ -11,7 +11,7 @@
 use http_body_util::{BodyExt as _, Full};
 use hyper::body::{Body as _, Incoming};
 use poplarswitch_entity::{EndpointName, Time};
-use poplarswitch_ingress::{EndpointKey, Health, Outcome, Placement};
+use poplarswitch_ingress::{EndpointKey, Framing, Health, Outcome, Placement};
 use tokio::time::timeout;
 
 /// Multiple of the latency objective after which an idempotent call is retried on another endpoint.
@@ -137,7 +137,7 @@
             }
             return Err(failed);
         }
-        let framing = Framing::of(&head.headers, &body);
+        let framing = framing_of(&head.headers, &body);
         self.record.framing = Some(framing);
         let unread = UnreadResponse {
             head,
--- a/crates/relay/src/call_record.rs
+++ b/crates/relay/src/call_record.rs
@@ -5,9 +5,10 @@
 //! the attempts, and the outcome. It is written when the record is dropped, so that calls whose
 //! caller closed the connection are logged too.
 
-use crate::{clock, framing::Framing, shared::Shared};
+use crate::{clock, shared::Shared};
 use core::time::Duration;
 use poplarswitch_entity::Time;
+use poplarswitch_ingress::Framing;
 use std::sync::Arc;
 
 /// Data about a call for its log line and its metrics.
--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -5,6 +5,7 @@
 //! the middle of an event, and the next endpoint sends that event again.
 
 use bytes::{Bytes, BytesMut};
+use poplarswitch_ingress::EventScanner;
 
 /// Content of a response's body.
 #[derive(Debug)]
@@ -79,51 +80,3 @@
     let text = core::str::from_utf8(id).ok()?;
     Some(text.trim().to_owned())
 }
-
-/// Finds the ends of events in a stream's body.
-#[derive(Debug)]
-pub(crate) struct EventScanner {
-    line_is_empty: bool,
-    after_cr: bool,
-    partial: usize,
-}
-
-impl Default for EventScanner {
-    fn default() -> Self {
-        Self {
-            line_is_empty: true,
-            after_cr: false,
-            partial: 0,
-        }
-    }
-}
-
-impl EventScanner {
-    /// Scans the next bytes; returns the index after the last event that ends in them.
-    pub(crate) fn push(&mut self, bytes: &[u8]) -> Option<usize> {
-        let mut end = None;
-        for (index, byte) in bytes.iter().enumerate() {
-            let completes_crlf = self.after_cr && *byte == b'\n';
-            self.after_cr = *byte == b'\r';
-            let is_line_end = matches!(byte, b'\r' | b'\n');
-            let ends_event = if completes_crlf {
-                self.partial == 0
-            } else {
-                is_line_end && self.line_is_empty
-            };
-            self.line_is_empty = is_line_end;
-            if ends_event {
-                self.partial = 0;
-                end = Some(index + 1);
-            } else {
-                self.partial += 1;
-            }
-        }
-        end
-    }
-
-    /// Number of bytes after the last event that ended.
-    pub(crate) const fn partial_len(&self) -> usize {
-        self.partial
-    }
-}
--- a/crates/relay/src/events_tests.rs
+++ b/crates/relay/src/events_tests.rs
@@ -1,6 +1,7 @@
-use crate::events::{BodyContent, EventBuffer, EventScanner};
+use crate::events::{BodyContent, EventBuffer};
 use bytes::Bytes;
 use googletest::prelude::*;
+use poplarswitch_ingress::EventScanner;
 
 const STREAM: &[u8] = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\r\ndata: c\r\n\r\nid: 4\ndata: d";
 
@@ -42,30 +43,3 @@
     expect_that!(all.as_deref(), some(eq(&b"id: 1\ndata: a\n\ndata: b"[..])));
     expect_that!(content.partial_len(), some(eq(7)));
 }
-
-/// An event ends with an empty line, whichever line endings are used and however the body is split.
-#[gtest]
-fn scanner_finds_end_of_events_with_any_line_ending() {
-    for separator in ["\n\n", "\r\n\r\n", "\r\r", "\n\r\n"] {
-        let whole = format!("id: 1{separator}id: 2{separator}");
-        for cut in 0..whole.len() {
-            for size in 1..=whole.len() {
-                let mut scanner = EventScanner::default();
-                for chunk in whole.as_bytes()[..cut].chunks(size) {
-                    scanner.push(chunk);
-                }
-                let rest = &whole[..cut];
-                let boundary = rest.rfind(separator).map_or(0, |at| at + separator.len());
-                // A separator is complete without the line feed of its last line ending.
-                let ends_early = separator.ends_with("\r\n")
-                    && rest.ends_with(&separator[..separator.len() - 1]);
-                let partial = if ends_early { 0 } else { cut - boundary };
-                assert_that!(
-                    scanner.partial_len(),
-                    eq(partial),
-                    "{rest:?} in chunks of {size}"
-                );
-            }
-        }
-    }
-}
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -6,7 +6,6 @@
     call_forwarder::{CallForwarder, CallRequest},
     call_record::CallRecord,
     clock,
-    framing::Framing,
     reply::{Failure, Guards, ReplyBody},
     shared::Shared,
     stream,
@@ -18,8 +17,8 @@
 use hyper::body::{Body as _, Incoming};
 use poplarswitch_entity::Time;
 use poplarswitch_ingress::{
-    Access, Admission, AttemptCounts, Call, EndpointGroup, Route, RoutingTable, ShutdownStage,
-    engine_work_ms,
+    Access, Admission, AttemptCounts, Call, EndpointGroup, Framing, Route, RoutingTable,
+    ShutdownStage, engine_work_ms,
 };
 use poplarswitch_wire::ErrorCode;
 use std::sync::Arc;
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -15,15 +15,14 @@
     attempt::{EndpointResponse, UnreadResponse},
     call_forwarder::CallForwarder,
     clock,
-    events::{BodyContent, EventBuffer, EventScanner},
-    framing::Framing,
+    events::{BodyContent, EventBuffer},
     reply::{BodyPart, BodyParts},
     serve::outcome_of,
 };
 use core::time::Duration;
 use http::{header, response};
 use http_body_util::BodyExt as _;
-use poplarswitch_ingress::RouteKind;
+use poplarswitch_ingress::{EndedBody, EventScanner, Framing, RouteKind};
 use tokio::{
     sync::mpsc,
     time::{Instant, sleep_until},
@@ -208,23 +207,16 @@
 
     /// Decides whether a body that has ended by its framing is complete.
     fn check_end(&self, framing: Framing, received: usize) -> SegmentEnd {
-        let problem = if self
-            .content
-            .partial_len()
-            .is_some_and(|partial| partial > 0)
-        {
-            "the stream ended inside an event"
-        } else if framing != Framing::Close {
-            return SegmentEnd::Complete;
-        } else if received == 0 {
-            "the connection ended after the head"
-        } else if self.framing != Framing::Close {
-            // The caller would see a certain end of a response whose end is not certain.
-            "the resumed response has neither a length nor chunks"
-        } else {
-            return SegmentEnd::Complete;
+        let ended = EndedBody {
+            framing,
+            received,
+            partial: self.content.partial_len(),
         };
-        SegmentEnd::Broken(problem.to_owned())
+        ended
+            .problem(self.framing)
+            .map_or(SegmentEnd::Complete, |problem| {
+                SegmentEnd::Broken(problem.to_owned())
+            })
     }
 
     /// Resumes the stream on another endpoint, if the route and the retry budget allow it.
