Log the shared sections of each call's prompt

No line names the sections of a prompt, so the logs can't tell a section that crashes engines from load that moves from one to the next.

The `call` line now has the identifiers of the sections that other calls may share; together with `endpoint`, `first_ms` and `ms` it says which sections had just begun when an engine ended, and which were answered well. No decision changes.

--- a/crates/ingress/src/call.rs
+++ b/crates/ingress/src/call.rs
@@ -37,6 +37,12 @@
         }
     }
 
+    /// The sections that other calls may share: all but the last one.
+    pub fn shared_sections(&self) -> impl Iterator<Item = &PromptSection> {
+        let own = self.sections.len().saturating_sub(1);
+        self.sections.iter().take(own)
+    }
+
     /// Expected number of tokens that an engine has to prefill: those of the call's own section if
     /// the engine's cache holds the session, otherwise all of them.
     pub fn uncached_tokens(&self, session_cached: bool) -> u64 {
--- a/crates/relay/src/call_record.rs
+++ b/crates/relay/src/call_record.rs
@@ -19,6 +19,8 @@
     pub(crate) call_id: Box<str>,
     pub(crate) route: Box<str>,
     pub(crate) version: u64,
+    /// Identifiers of the shared sections of the prompt.
+    pub(crate) sections: String,
     pub(crate) endpoint: Box<str>,
     pub(crate) reason: &'static str,
     /// Predicted time to the first event, if there is a prediction.
@@ -51,6 +53,7 @@
             call_id: "".into(),
             route: "".into(),
             version,
+            sections: String::new(),
             endpoint: "".into(),
             reason: "",
             expected: None,
@@ -116,6 +119,7 @@
             ms = duration.as_millis() as u64,
             framing = self.framing.map(Framing::as_str),
             bytes = self.received,
+            sections = self.sections,
             partial_bytes = self.partial.map(|bytes| bytes as u64),
             cause = self.cause,
             "call"
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -17,7 +17,7 @@
 use hyper::body::{Body as _, Incoming};
 use poplarswitch_entity::Time;
 use poplarswitch_ingress::{
-    Access, Admission, AttemptCounts, Call, EndpointGroup, Framing, Route, RoutingTable,
+    Access, Admission, AttemptCounts, Call, EndpointGroup, Framing, Prompt, Route, RoutingTable,
     ShutdownStage, engine_work_ms,
 };
 use poplarswitch_wire::ErrorCode;
@@ -37,6 +37,9 @@
 /// started.
 const STARTUP_WAIT_DIVISOR: u32 = 4;
 
+/// Maximum number of sections of a prompt that the log line of a call names.
+const MAX_LOGGED_SECTIONS: usize = 8;
+
 /// Serves one call.
 pub(crate) async fn serve(
     shared: Arc<Shared>,
@@ -101,6 +104,7 @@
     if let Ok(call) = &call {
         record.call_id.clone_from(&call.id);
         record.deadline = call.deadline;
+        record.sections = call.prompt.as_ref().map(format_shared).unwrap_or_default();
     }
     wait_for_config(shared, call.as_ref().ok().and_then(|call| call.deadline)).await;
     let table = shared.table.load_full();
@@ -155,6 +159,13 @@
     })
 }
 
+/// Identifiers of the shared sections of a prompt, as in the caller's request.
+fn format_shared(prompt: &Prompt) -> String {
+    let shared = prompt.shared_sections().take(MAX_LOGGED_SECTIONS);
+    let ids: Vec<String> = shared.map(|section| format!("{:x}", section.id)).collect();
+    ids.join(",")
+}
+
 /// Waits a limited time until this VM can serve. A VM that has just started can serve within a
 /// fraction of a second, and its callers make only a few attempts.
 async fn wait_for_config(shared: &Shared, deadline: Option<Duration>) {
