Let stand-in engines crash on sections of prompts; a failing test

A stand-in engine crashes shortly after it begins an answer to a prompt with one of the given sections (never the last), cuts all its connections and resets new ones for some seconds. Calls of the stand-in caller carry any prompt.

section_that_crashes_engines_is_stopped_and_sound_calls_are_served runs three VMs and ten engines, with calls on one bad section at all VMs beside sound calls of the same routes, caller and first section.

--- a/crates/node/tests/relay/mod.rs
+++ b/crates/node/tests/relay/mod.rs
@@ -8,8 +8,8 @@
     time::Duration,
 };
 use poplarswitch_deployment::{
-    CallError, CallRequest, CallResponse, Caller, Configuration, Deployment, Endpoint,
-    EndpointKind, Proxy, Run, Store, Vm,
+    CallError, CallRequest, CallResponse, Caller, Configuration, DEFAULT_PROMPT, Deployment,
+    Endpoint, EndpointKind, Proxy, Run, Store, Vm,
 };
 use rustix::process::{Pid, Signal, kill_process};
 use std::{
@@ -275,17 +275,41 @@
         path: &str,
         key: &str,
     ) -> (String, Result<CallResponse, CallError>) {
-        let id = format!("c{}", self.call_count.fetch_add(1, Ordering::Relaxed));
+        let id = self.next_id();
         let request = CallRequest {
             id: &id,
             path,
             key,
             deadline: Duration::from_secs(8),
+            prompt: DEFAULT_PROMPT,
         };
         let response = self.caller.call(self.address(index), &request);
         (id, response)
     }
 
+    /// Makes a call with the given sections of a prompt; returns its new identifier and its result.
+    pub fn call_with_prompt(
+        &self,
+        index: usize,
+        path: &str,
+        prompt: &str,
+    ) -> (String, Result<CallResponse, CallError>) {
+        let id = self.next_id();
+        let request = CallRequest {
+            id: &id,
+            path,
+            key: KEYS[0],
+            deadline: Duration::from_secs(3),
+            prompt,
+        };
+        let response = self.caller.call(self.address(index), &request);
+        (id, response)
+    }
+
+    fn next_id(&self) -> String {
+        format!("c{}", self.call_count.fetch_add(1, Ordering::Relaxed))
+    }
+
     /// Number of runs of a call at all endpoints.
     pub fn run_count(&self, id: &str) -> usize {
         self.runs_of(id).count()
--- /dev/null
+++ b/crates/node/tests/relay_crashes.rs
@@ -0,0 +1,139 @@
+//! Prompts with a section that crashes each engine that begins an answer on it, beside sound calls of
+//! the same route, caller and first section.
+
+mod relay;
+
+use core::{
+    sync::atomic::{AtomicBool, Ordering},
+    time::Duration,
+};
+use googletest::prelude::*;
+use poplarswitch_deployment::{Endpoint, EndpointKind};
+use relay::Fleet;
+use std::{thread, time::Instant};
+
+/// Number of VMs.
+const VM_COUNT: u8 = 3;
+/// Number of engines, including those that each fleet has.
+const ENGINE_COUNT: usize = 10;
+/// Time for which an engine is down after a crash.
+const DOWN_TIME: Duration = Duration::from_secs(2);
+/// Time within which VMs in touch must know what one of them has learned; from the operators'
+/// specification.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+/// Number of crashes after which that time begins; from the operators' specification.
+const KNOWN_CRASHES: usize = 5;
+/// Number of calls that may still reach engines after that time; from the operators' specification.
+const MAX_LATE_CALLS: usize = 3;
+/// Section that all calls share.
+const FIRST_SECTION: u64 = 0xf1;
+/// Section that crashes engines.
+const BAD_SECTION: u64 = 0xbad;
+
+/// A sound call.
+struct SoundCall {
+    sent: Instant,
+    served: bool,
+}
+
+fn start_fleet(net: u8) -> Fleet {
+    let mut fleet = Fleet::start(net, VM_COUNT);
+    for index in 2..ENGINE_COUNT {
+        fleet.add_endpoint(&format!("engine-{}", index + 1), EndpointKind::Engine);
+    }
+    for endpoint in &fleet.endpoints {
+        endpoint.update_behaviour(|behaviour| {
+            behaviour.event_interval = Duration::from_millis(30);
+        });
+    }
+    fleet
+}
+
+/// Makes sound calls on all VMs until `stop`; each session is one of a few.
+fn make_sound_calls(fleet: &Fleet, stop: &AtomicBool, caller: u32) -> Vec<SoundCall> {
+    let mut calls = Vec::new();
+    for count in 0.. {
+        if stop.load(Ordering::Relaxed) {
+            break;
+        }
+        let session = 0x5000 + (caller * 7 + count) % 20;
+        let prompt = format!("{FIRST_SECTION:x}:100,{session:x}:50,{count:x}{caller:x}:10");
+        let path = ["/chat/1", "/brief/1"][count as usize % 2];
+        let sent = Instant::now();
+        let vm = count as usize % usize::from(VM_COUNT);
+        let (_, response) = fleet.call_with_prompt(vm, path, &prompt);
+        let served = response.is_ok_and(|response| response.status == 200);
+        calls.push(SoundCall { sent, served });
+        thread::sleep(Duration::from_millis(20));
+    }
+    calls
+}
+
+fn served_share(calls: &[SoundCall], from: Instant, to: Instant) -> f64 {
+    let counted = calls.iter().filter(|call| (from..to).contains(&call.sent));
+    let (served, all) = counted.fold((0_u32, 0_u32), |(served, all), call| {
+        (served + u32::from(call.served), all + 1)
+    });
+    f64::from(served) / f64::from(all.max(1))
+}
+
+/// Starts of the runs that crashed an engine, in order.
+fn crash_times(fleet: &Fleet) -> Vec<Instant> {
+    let runs = fleet.endpoints.iter().flat_map(Endpoint::runs);
+    let crashed = runs.filter(|run| run.crashed);
+    let mut times: Vec<Instant> = crashed.map(|run| run.started).collect();
+    times.sort_unstable();
+    times
+}
+
+/// Makes calls with the bad section for a while, no two alike, in turn at all VMs.
+fn make_bad_calls(fleet: &Fleet, length: Duration) {
+    let start = Instant::now();
+    thread::scope(|scope| {
+        let mut count = 0_u32;
+        while start.elapsed() < length {
+            count += 1;
+            scope.spawn(move || {
+                let prompt = format!("{FIRST_SECTION:x}:100,{BAD_SECTION:x}:50,{count:x}0:10");
+                let path = ["/chat/1", "/brief/1"][count as usize % 2];
+                fleet.call_with_prompt(count as usize % usize::from(VM_COUNT), path, &prompt)
+            });
+            thread::sleep(Duration::from_millis(150));
+        }
+    });
+}
+
+/// Engines crashed one after the other under calls with one section in common.
+#[gtest]
+fn section_that_crashes_engines_is_stopped_and_sound_calls_are_served() {
+    let fleet = start_fleet(31);
+    for endpoint in &fleet.endpoints {
+        endpoint.crash_on(&[BAD_SECTION], DOWN_TIME);
+    }
+    let stop = AtomicBool::new(false);
+    let (calls, began, ended) = thread::scope(|scope| {
+        let callers: Vec<_> = (0..4)
+            .map(|caller| {
+                let (fleet, stop) = (&fleet, &stop);
+                scope.spawn(move || make_sound_calls(fleet, stop, caller))
+            })
+            .collect();
+        thread::sleep(Duration::from_secs(2));
+        let began = Instant::now();
+        make_bad_calls(&fleet, Duration::from_secs(12));
+        let ended = Instant::now();
+        stop.store(true, Ordering::Relaxed);
+        let calls = callers
+            .into_iter()
+            .flat_map(|caller| caller.join().unwrap());
+        (calls.collect::<Vec<_>>(), began, ended)
+    });
+    let crashes = crash_times(&fleet);
+    let known = crashes.get(KNOWN_CRASHES - 1).copied().unwrap_or(began) + CONTACT_TIME;
+    let late = crashes.iter().filter(|at| **at > known).count();
+    expect_that!(late, le(MAX_LATE_CALLS), "{} crashes", crashes.len());
+    let before = served_share(&calls, began - Duration::from_secs(2), began);
+    let after = served_share(&calls, known + CONTACT_TIME, ended);
+    expect_that!(before, gt(0.9));
+    expect_that!(after, gt(before / 2.0));
+}
--- a/crates/node/tests/relay_measure.rs
+++ b/crates/node/tests/relay_measure.rs
@@ -16,7 +16,7 @@
 };
 use googletest::prelude::*;
 use hdrhistogram::Histogram;
-use poplarswitch_deployment::{CallRequest, Caller, Configuration};
+use poplarswitch_deployment::{CallRequest, Caller, Configuration, DEFAULT_PROMPT};
 use relay::{Fleet, KEYS};
 use std::{thread, time::Instant};
 use usage::{cpu_seconds, resident_mb};
@@ -38,6 +38,7 @@
     for number in 0..WARM_UP_CALLS + LATENCY_CALLS {
         let id = format!("m{}", ids.fetch_add(1, Ordering::Relaxed));
         let request = CallRequest {
+            prompt: DEFAULT_PROMPT,
             id: &id,
             path: "/seats/1",
             key: KEYS[0],
--- a/crates/node/tests/relay_soak.rs
+++ b/crates/node/tests/relay_soak.rs
@@ -14,7 +14,8 @@
 };
 use googletest::prelude::*;
 use poplarswitch_deployment::{
-    CallRequest, Caller, Configuration, Endpoint, EndpointKind, LinkMode, Run, StoreFault,
+    CallRequest, Caller, Configuration, DEFAULT_PROMPT, Endpoint, EndpointKind, LinkMode, Run,
+    StoreFault,
 };
 use rand::{RngExt as _, SeedableRng as _, seq::IndexedRandom as _};
 use rand_pcg::Pcg64Mcg;
@@ -208,6 +209,7 @@
         path,
         key,
         deadline: Duration::from_secs(3),
+        prompt: DEFAULT_PROMPT,
     };
     let sent = Instant::now();
     let response = caller.call(address, &request).ok();
--- a/crates/standins/src/server.rs
+++ b/crates/standins/src/server.rs
@@ -17,7 +17,7 @@
     io::AsyncWriteExt as _,
     net::{TcpListener, TcpStream},
     runtime::{Builder, Runtime},
-    sync::oneshot,
+    sync::{oneshot, watch},
     time::sleep,
 };
 
@@ -58,6 +58,16 @@
         self: Arc<Self>,
         request: Request<Incoming>,
     ) -> impl Future<Output = HandlerResult> + Send;
+
+    /// Receiver of crashes, each of which cuts all connections; none if the server never crashes.
+    fn crashes(&self) -> Option<watch::Receiver<u32>> {
+        None
+    }
+
+    /// Whether the server is down after a crash, so that new connections are reset.
+    fn is_down(&self) -> bool {
+        false
+    }
 }
 
 /// A running server; dropping it closes its listener and all connections at once.
@@ -137,11 +147,32 @@
     loop {
         if let Ok((stream, _)) = listener.accept().await {
             let _ = stream.set_nodelay(true);
-            tokio::spawn(serve(stream, Arc::clone(&handler)));
+            if handler.is_down() {
+                let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+                continue;
+            }
+            let crashes = handler.crashes();
+            let connection = serve(stream, Arc::clone(&handler));
+            tokio::spawn(async move {
+                tokio::select! {
+                    () = connection => {}
+                    () = await_crash(crashes) => {}
+                }
+            });
         }
     }
 }
 
+async fn await_crash(crashes: Option<watch::Receiver<u32>>) {
+    let ended = match crashes {
+        Some(mut crashes) => crashes.changed().await.is_ok(),
+        None => false,
+    };
+    if !ended {
+        core::future::pending::<()>().await;
+    }
+}
+
 async fn serve<H: Handler>(stream: TcpStream, handler: Arc<H>) {
     let raw_slot = Arc::new(Mutex::new(None));
     // Without a file descriptor for the second handle, the connection is dropped.
