Hold sections of prompts that crash engines

Cause: a crash counted against its endpoint only. Nothing related the crashes of different endpoints to what the calls on them had in common, so each further call with the section, and each resumption of it, went to the next healthy engine.

The failing test reproduces it.

Each VM now collects the shared sections of calls that were cut by a crash shortly after their answer began (or, with less weight, before); a report on a new connection tells a crash from a broken connection. An answer that began later on a section clears it. Evidence in both directions and held sections go to all VMs by datagram, at once and repeated. A section without answers is held after four crashes over a second; one with recent answers needs twice as much over three seconds; crashes within 0.1 s count once, and crashes that a held section explains count less against others. Calls with a held section are refused before they have run (503, prompt_held). A trial after 30 s, 2 min, 8 min, by one VM, releases a section that is answered. All state is bounded and expires.

--- a/crates/ingress/src/endpoints.rs
+++ b/crates/ingress/src/endpoints.rs
@@ -82,6 +82,8 @@
     pub open_calls: u32,
     /// Open calls of other VMs, as reported in their heartbeats.
     pub remote_calls: u32,
+    /// Whether it has crashed and has not begun an answer since.
+    pub has_crashed: bool,
 }
 
 impl Endpoint {
@@ -214,6 +216,7 @@
             engine_load: EngineLoad::default(),
             open_calls: 0,
             remote_calls: 0,
+            has_crashed: false,
             entry,
         });
         self.by_name
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -21,6 +21,7 @@
 mod membership;
 mod outcome;
 mod placement;
+mod quarantine;
 mod shutdown;
 mod stale_vms;
 mod table;
@@ -52,6 +53,8 @@
 #[cfg(test)]
 mod placement_tests;
 #[cfg(test)]
+mod quarantine_tests;
+#[cfg(test)]
 mod shutdown_tests;
 #[cfg(test)]
 mod stale_vms_tests;
@@ -76,6 +79,10 @@
 pub use membership::{EngineWork, Heartbeat, Member, MemberRecord, Membership, Phase};
 pub use outcome::{AttemptCounts, NextStep, Outcome, Verdict, next_step, verdict};
 pub use placement::{GroupLoad, Placement, PlacementDecision, PlacementReason, PlacementRequest};
+pub use quarantine::{
+    AnswerRecord, CrashRecord, CutCall, HoldChange, HoldRecord, Passage, Quarantine,
+    QuarantineDigest, SURVIVAL_TIME,
+};
 pub use shutdown::{Shutdown, ShutdownStage};
 pub use stale_vms::{StaleVmDetector, VmEntry};
 pub use table::{Access, Route, RoutingTable, Workspace};
--- /dev/null
+++ b/crates/ingress/src/quarantine_tests.rs
@@ -0,0 +1,561 @@
+//! Single rules of the quarantine, and a simulation of VMs, engines and calls in virtual time that
+//! counts both errors: crashes after a section should be known, and sound calls that are refused.
+
+use crate::quarantine::{
+    CutCall, HoldChange, HoldRecord, Passage, Quarantine, QuarantineDigest, SURVIVAL_TIME,
+};
+use googletest::prelude::*;
+use poplarswitch_entity::Time;
+use rand::{Rng as _, RngExt as _, SeedableRng as _, seq::IndexedRandom as _};
+use rand_pcg::Pcg64Mcg;
+
+const BAD: u64 = 0xbad;
+
+fn crash(quarantine: &mut Quarantine, millis: u64, endpoint: u32, sections: &[u64]) -> bool {
+    let now = Time::from_millis(millis);
+    let cut = CutCall {
+        endpoint,
+        at: now,
+        begun: true,
+        sections: sections.to_vec(),
+    };
+    let changes = quarantine.record_crash(now, &cut);
+    !changes.is_empty()
+}
+
+fn is_free(quarantine: &mut Quarantine, millis: u64, section: u64) -> bool {
+    let now = Time::from_millis(millis);
+    quarantine.check(now, [section].into_iter(), |_| false) == Passage::Free
+}
+
+#[gtest]
+fn section_without_answers_is_held_after_four_crashes() {
+    let mut quarantine = Quarantine::default();
+    for n in 0..3 {
+        assert_that!(
+            crash(&mut quarantine, n * 500, n as u32, &[1, BAD]),
+            eq(false)
+        );
+    }
+    quarantine.record_answer(
+        Time::from_millis(1_400),
+        Time::from_millis(1_300),
+        [1].into_iter(),
+    );
+    assert_that!(crash(&mut quarantine, 1_500, 3, &[1, BAD]), eq(true));
+    expect_that!(is_free(&mut quarantine, 1_500, BAD), eq(false));
+    expect_that!(is_free(&mut quarantine, 1_500, 1), eq(true));
+}
+
+/// Guards against a popular section that is held because many engines crash of a common cause.
+#[gtest]
+fn crashes_at_the_same_time_count_once() {
+    let mut quarantine = Quarantine::default();
+    for endpoint in 0..18 {
+        crash(
+            &mut quarantine,
+            1_000 + u64::from(endpoint),
+            endpoint,
+            &[1, 2],
+        );
+    }
+    expect_that!(quarantine.held_count(), eq(0));
+}
+
+#[gtest]
+fn answer_that_began_after_crashes_clears_them() {
+    let mut quarantine = Quarantine::default();
+    for n in 0..30_u32 {
+        let millis = u64::from(n) * 500;
+        crash(&mut quarantine, millis, n, &[1]);
+        if n % 3 == 2 {
+            let began = Time::from_millis(millis + 100);
+            quarantine.record_answer(began + SURVIVAL_TIME, began, [1].into_iter());
+        }
+    }
+    expect_that!(quarantine.held_count(), eq(0));
+}
+
+#[gtest]
+fn crashes_that_a_held_section_explains_count_less_against_others() {
+    let mut quarantine = Quarantine::default();
+    for n in 0..7_u32 {
+        crash(&mut quarantine, u64::from(n) * 500, n, &[1, BAD]);
+    }
+    expect_that!(quarantine.held_count(), eq(1));
+    expect_that!(is_free(&mut quarantine, 4_000, BAD), eq(false));
+    expect_that!(is_free(&mut quarantine, 4_000, 1), eq(true));
+}
+
+/// Only one VM sends a trial, and each trial without an answer delays the next one.
+#[gtest]
+fn trials_of_a_held_section_become_rarer() {
+    let mut quarantine = Quarantine::default();
+    for n in 0..6_u32 {
+        crash(&mut quarantine, u64::from(n) * 500, n, &[BAD]);
+    }
+    let mut trials = Vec::new();
+    for second in 3..600 {
+        let now = Time::from_millis(second * 1_000);
+        match quarantine.check(now, [BAD].into_iter(), |_| true) {
+            Passage::Trial(_) => trials.push(second),
+            Passage::Held { .. } => {}
+            Passage::Free => panic!("released at {second} s"),
+        }
+    }
+    expect_that!(trials.len(), le(3), "{trials:?}");
+    let began = Time::from_millis(600_000);
+    let changes = quarantine.record_answer(began, began, [BAD].into_iter());
+    expect_that!(
+        changes,
+        elements_are![eq(&HoldChange::Released { section: BAD })]
+    );
+    expect_that!(is_free(&mut quarantine, 600_000, BAD), eq(true));
+}
+
+#[gtest]
+fn all_state_is_bounded_and_expires() {
+    let mut quarantine = Quarantine::default();
+    for n in 0..20_000_u64 {
+        let sections = [n * 3, n * 3 + 1, n * 3 + 2];
+        crash(&mut quarantine, n, n as u32, &sections);
+        let now = Time::from_millis(n);
+        quarantine.record_answer(now, now, [n * 5 + 100_000].into_iter());
+    }
+    let digest = quarantine.digest(Time::from_millis(20_000));
+    let mut bytes = Vec::new();
+    ciborium::into_writer(&digest, &mut bytes).unwrap();
+    expect_that!(bytes.len(), le(1_400));
+    expect_that!(format!("{quarantine:?}").len(), le(1_000_000));
+    quarantine.expire(Time::from_millis(10_000_000));
+    let digest = quarantine.digest(Time::from_millis(10_000_000));
+    expect_that!(digest, eq(&QuarantineDigest::default()));
+}
+
+/// A VM that restarts learns held sections from any other VM.
+#[gtest]
+fn held_sections_reach_a_vm_that_starts() {
+    let mut old = Quarantine::default();
+    for n in 0..6_u32 {
+        crash(&mut old, u64::from(n) * 500, n, &[BAD]);
+    }
+    let digest = old.digest(Time::from_millis(20_000));
+    let mut new = Quarantine::default();
+    let (is_new, _) = new.merge(Time::from_millis(500_000), &digest);
+    expect_that!(is_new, eq(true));
+    expect_that!(is_free(&mut new, 500_000, BAD), eq(false));
+}
+
+/// A VM that knows nothing of earlier answers must not make the others hold a sound section.
+#[gtest]
+fn hold_of_another_vm_is_not_taken_over_for_an_answered_section() {
+    let mut quarantine = Quarantine::default();
+    let now = Time::from_millis(10_000);
+    quarantine.record_answer(now, Time::from_millis(8_000), [1].into_iter());
+    let digest = QuarantineDigest {
+        holds: vec![HoldRecord(1, 100, 0, 0)],
+        ..QuarantineDigest::default()
+    };
+    quarantine.merge(now, &digest);
+    expect_that!(is_free(&mut quarantine, 10_000, 1), eq(true));
+    expect_that!(quarantine.digest(now).answers, len(eq(1)));
+}
+
+// Simulation.
+
+/// Step of the simulation.
+const STEP_MS: u64 = 10;
+/// Interval between the digests of a VM.
+const DIGEST_MS: u64 = 300;
+/// Time from the beginning of an answer to the crash of its engine.
+const CRASH_DELAY_MS: u64 = 50;
+/// Time within which all VMs in touch know; from the operators' specification.
+const CONTACT_MS: u64 = 3_000;
+const KNOWN_CRASHES: usize = 5;
+const MAX_LATE_CALLS: usize = 3;
+/// At most one sound call in this many may be refused.
+const MIN_SOUND_PER_REFUSED: usize = 100;
+
+#[derive(Clone, Copy, Debug)]
+struct Scenario {
+    vms: usize,
+    engines: usize,
+    bad_sections: u64,
+    /// Calls a second with each bad section.
+    bad_rate: f64,
+    /// Calls a second, with one of a few first sections and one of many sessions.
+    sound_rate: f64,
+    /// Range of the time from the beginning of an answer to its end, in milliseconds.
+    answer_ms: (u64, u64),
+    /// Engines that crash of a common cause, and the interval between their crashes.
+    common_crashes: (usize, u64),
+    /// Interval between restarts of a random VM, in milliseconds; 0 for none.
+    restart_ms: u64,
+    /// Interval at which another VM is cut off from the others for 4 s; 0 for none.
+    cut_ms: u64,
+    /// Share of datagrams that are lost.
+    loss: f64,
+}
+
+impl Default for Scenario {
+    fn default() -> Self {
+        Self {
+            vms: 6,
+            engines: 18,
+            bad_sections: 1,
+            bad_rate: 4.0,
+            sound_rate: 100.0,
+            answer_ms: (100, 2_000),
+            common_crashes: (0, 0),
+            restart_ms: 0,
+            cut_ms: 0,
+            loss: 0.02,
+        }
+    }
+}
+
+struct OpenCall {
+    vm: usize,
+    engine: usize,
+    began: u64,
+    ends: u64,
+    bad: Option<u64>,
+    sections: Vec<u64>,
+    survived: bool,
+}
+
+#[derive(Default)]
+struct Figures {
+    /// Calls with each bad section that were sent: when, and whether their VM was in touch.
+    sent: Vec<Vec<(u64, bool)>>,
+    /// Crashes that each bad section caused.
+    crashes: Vec<Vec<u64>>,
+    sound: usize,
+    refused: usize,
+}
+
+struct Simulation {
+    scenario: Scenario,
+    rng: Pcg64Mcg,
+    vms: Vec<Quarantine>,
+    /// Times at which each VM was last restarted or cut off.
+    touched: Vec<u64>,
+    cut_until: Vec<u64>,
+    down_until: Vec<u64>,
+    calls: Vec<OpenCall>,
+    /// Digests in flight: arrival, receiver, digest.
+    digests: Vec<(u64, usize, QuarantineDigest)>,
+    figures: Figures,
+}
+
+impl Simulation {
+    fn run(seed: u64, scenario: Scenario, length_ms: u64) -> Figures {
+        let mut simulation = Self {
+            scenario,
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            vms: vec![Quarantine::default(); scenario.vms],
+            touched: vec![0; scenario.vms],
+            cut_until: vec![0; scenario.vms],
+            down_until: vec![0; scenario.engines],
+            calls: Vec::new(),
+            digests: Vec::new(),
+            figures: Figures {
+                sent: vec![Vec::new(); scenario.bad_sections as usize],
+                crashes: vec![Vec::new(); scenario.bad_sections as usize],
+                ..Figures::default()
+            },
+        };
+        for step in 0..length_ms / STEP_MS {
+            simulation.step(step * STEP_MS);
+        }
+        simulation.figures
+    }
+
+    fn step(&mut self, now: u64) {
+        self.disturb(now);
+        self.deliver(now);
+        let step_s = STEP_MS as f64 / 1e3;
+        if self
+            .rng
+            .random_bool((self.scenario.sound_rate * step_s).min(1.0))
+        {
+            self.send(now, None);
+        }
+        for bad in 0..self.scenario.bad_sections {
+            let rate = self.scenario.bad_rate * step_s;
+            if now > 5_000 && self.rng.random_bool(rate.min(1.0)) {
+                self.send(now, Some(bad));
+            }
+        }
+        self.end_calls(now);
+        for vm in 0..self.vms.len() {
+            if (now + vm as u64 * 50).is_multiple_of(DIGEST_MS) {
+                self.tell(now, vm);
+            }
+        }
+    }
+
+    fn disturb(&mut self, now: u64) {
+        let Scenario {
+            common_crashes: (count, interval),
+            restart_ms,
+            cut_ms,
+            engines,
+            ..
+        } = self.scenario;
+        let first = 4_000;
+        if count > 0 && now >= first && interval > 0 && (now - first).is_multiple_of(interval) {
+            let index = ((now - first) / interval) as usize;
+            if index < count {
+                self.crash_engine(now, index % engines);
+            }
+        } else if count > 0 && interval == 0 && now == first {
+            for engine in 0..count {
+                self.crash_engine(now, engine);
+            }
+        }
+        if restart_ms > 0 && now > 0 && now.is_multiple_of(restart_ms) {
+            let vm = self.rng.random_range(0..self.vms.len());
+            self.vms[vm] = Quarantine::default();
+            self.touched[vm] = now;
+            self.calls.retain(|call| call.vm != vm);
+            // Its first heartbeat is answered at once.
+            for other in 0..self.vms.len() {
+                let digest = self.vms[other].digest(Time::from_millis(now));
+                if other != vm {
+                    self.digests.push((now + STEP_MS, vm, digest));
+                }
+            }
+        }
+        if cut_ms > 0 && now > 0 && now.is_multiple_of(cut_ms) {
+            let vm = self.rng.random_range(0..self.vms.len());
+            self.cut_until[vm] = now + 4_000;
+            self.touched[vm] = now + 4_000;
+        }
+    }
+
+    fn tell(&mut self, now: u64, vm: usize) {
+        self.vms[vm].expire(Time::from_millis(now));
+        let digest = self.vms[vm].digest(Time::from_millis(now));
+        if digest.is_empty() || now < self.cut_until[vm] {
+            return;
+        }
+        let receivers: Vec<usize> = if self.vms.len() <= 12 {
+            (0..self.vms.len()).collect()
+        } else {
+            let all: Vec<usize> = (0..self.vms.len()).collect();
+            all.sample(&mut self.rng, 5).copied().collect()
+        };
+        for receiver in receivers {
+            if receiver != vm && !self.rng.random_bool(self.scenario.loss) {
+                let arrival = now + STEP_MS;
+                self.digests.push((arrival, receiver, digest.clone()));
+            }
+        }
+    }
+
+    fn deliver(&mut self, now: u64) {
+        let digests = core::mem::take(&mut self.digests);
+        let mut news = Vec::new();
+        for (arrival, receiver, digest) in digests {
+            if arrival > now {
+                self.digests.push((arrival, receiver, digest));
+            } else if now >= self.cut_until[receiver] {
+                let (is_new, _) = self.vms[receiver].merge(Time::from_millis(now), &digest);
+                if is_new && !news.contains(&receiver) {
+                    news.push(receiver);
+                }
+            }
+        }
+        if self.vms.len() > 12 {
+            for vm in news {
+                self.tell(now, vm);
+            }
+        }
+    }
+
+    fn send(&mut self, now: u64, bad: Option<u64>) {
+        let vm = self.rng.random_range(0..self.vms.len());
+        let first = self.rng.random_range(1..4);
+        let session = 1_000 + self.rng.random_range(0..200);
+        let sections = match bad {
+            Some(bad) => vec![first, BAD + bad],
+            None => vec![first, session],
+        };
+        let home = |section: u64| (section % self.scenario.vms as u64) as usize == vm;
+        let time = Time::from_millis(now);
+        let passage = self.vms[vm].check(time, sections.iter().copied(), home);
+        let counts = bad.is_none() && now > 5_000;
+        self.figures.sound += usize::from(counts);
+        if let Passage::Held { .. } = passage {
+            self.figures.refused += usize::from(counts);
+            return;
+        }
+        let up: Vec<usize> = (0..self.scenario.engines)
+            .filter(|engine| self.down_until[*engine] <= now)
+            .collect();
+        // Sessions stay at an engine while it is up.
+        let engine = match bad {
+            None => up.get(session as usize % up.len().max(1)).copied(),
+            Some(_) => up.choose(&mut self.rng).copied(),
+        };
+        let Some(engine) = engine else {
+            return;
+        };
+        let (least, most) = self.scenario.answer_ms;
+        let began = now + self.rng.random_range(20..300);
+        if let Some(bad) = bad {
+            let in_touch = now > self.touched[vm] + CONTACT_MS;
+            self.figures.sent[bad as usize].push((now, in_touch));
+        }
+        self.calls.push(OpenCall {
+            vm,
+            engine,
+            began,
+            ends: began + self.rng.random_range(least..most),
+            bad,
+            sections,
+            survived: false,
+        });
+    }
+
+    fn end_calls(&mut self, now: u64) {
+        let crashing: Vec<(usize, u64)> = self
+            .calls
+            .iter()
+            .filter(|call| call.began + CRASH_DELAY_MS <= now)
+            .filter_map(|call| Some((call.engine, call.bad?)))
+            .collect();
+        for (engine, bad) in crashing {
+            self.figures.crashes[bad as usize].push(now);
+            self.crash_engine(now, engine);
+        }
+        let time = Time::from_millis(now);
+        for call in &mut self.calls {
+            let survives = now.saturating_sub(call.began) >= SURVIVAL_TIME.as_millis() as u64;
+            if call.bad.is_none() && !call.survived && (call.ends <= now || survives) {
+                call.survived = true;
+                let began = Time::from_millis(call.began);
+                self.vms[call.vm].record_answer(time, began, call.sections.iter().copied());
+            }
+        }
+        self.calls.retain(|call| call.ends > now);
+    }
+
+    fn crash_engine(&mut self, now: u64, engine: usize) {
+        self.down_until[engine] = now + 2_000 + self.rng.next_u64() % 3_000;
+        let calls = core::mem::take(&mut self.calls);
+        let (cut, open): (Vec<_>, Vec<_>) =
+            calls.into_iter().partition(|call| call.engine == engine);
+        self.calls = open;
+        for call in cut {
+            if call.survived {
+                continue;
+            }
+            let cut = CutCall {
+                endpoint: engine as u32,
+                at: Time::from_millis(now),
+                begun: call.began <= now,
+                sections: call.sections,
+            };
+            self.vms[call.vm].record_crash(Time::from_millis(now), &cut);
+        }
+    }
+}
+
+/// Checks both errors over several seeds.
+fn check(scenario: Scenario, seeds: u64) {
+    let mut all_sent: usize = 0;
+    let mut sections = 0;
+    let (mut sound, mut refused) = (0, 0);
+    for seed in 0..seeds {
+        let figures = Simulation::run(seed, scenario, 25_000);
+        for (crashes, sent) in figures.crashes.iter().zip(&figures.sent) {
+            let known = crashes.get(KNOWN_CRASHES - 1);
+            let late = sent.iter().filter(|(at, in_touch)| {
+                *in_touch && known.is_some_and(|known| *at > known + CONTACT_MS)
+            });
+            assert_that!(
+                late.count(),
+                le(MAX_LATE_CALLS),
+                "seed {seed}, {scenario:?}: crashes {crashes:?}, sent {sent:?}"
+            );
+            all_sent += sent.len();
+            sections += 1;
+        }
+        sound += figures.sound;
+        refused += figures.refused;
+        assert_that!(
+            figures.refused * MIN_SOUND_PER_REFUSED,
+            le(figures.sound),
+            "seed {seed}, {scenario:?}"
+        );
+    }
+    let mean = all_sent as f64 / f64::from(sections.max(1));
+    eprintln!(
+        "{mean:.1} calls a bad section, {refused} of {sound} sound calls refused: {scenario:?}"
+    );
+}
+
+/// Engines crashed one after the other under calls with one section in common.
+#[gtest]
+fn bad_section_is_stopped_at_any_rate_and_sound_calls_are_served() {
+    for bad_rate in [0.5, 2.0, 4.0, 10.0, 30.0] {
+        let scenario = Scenario {
+            bad_rate,
+            ..Scenario::default()
+        };
+        check(scenario, 10);
+    }
+}
+
+#[gtest]
+fn several_bad_sections_are_stopped_under_restarts_and_cuts() {
+    let scenario = Scenario {
+        bad_sections: 4,
+        bad_rate: 2.0,
+        restart_ms: 2_500,
+        cut_ms: 7_000,
+        loss: 0.2,
+        ..Scenario::default()
+    };
+    check(scenario, 20);
+}
+
+#[gtest]
+fn bad_section_is_stopped_with_many_vms() {
+    let scenario = Scenario {
+        vms: 60,
+        engines: 60,
+        bad_rate: 10.0,
+        ..Scenario::default()
+    };
+    check(scenario, 2);
+}
+
+/// Guards against popular or rare sound sections that are held when many engines crash of a common
+/// cause, at once or one after the other.
+#[gtest]
+fn common_cause_of_many_crashes_holds_no_section() {
+    for (count, interval) in [
+        (18, 0),
+        (12, 0),
+        (18, 50),
+        (18, 300),
+        (40, 400),
+        (30, 1_000),
+    ] {
+        for answer_ms in [(100, 300), (1_000, 4_000)] {
+            for sound_rate in [20.0, 100.0] {
+                let scenario = Scenario {
+                    bad_sections: 0,
+                    common_crashes: (count, interval),
+                    answer_ms,
+                    sound_rate,
+                    ..Scenario::default()
+                };
+                check(scenario, 6);
+            }
+        }
+    }
+}
--- a/crates/node/tests/relay_bodies.rs
+++ b/crates/node/tests/relay_bodies.rs
@@ -6,7 +6,8 @@
 use core::{net::SocketAddr, time::Duration};
 use googletest::prelude::*;
 use poplarswitch_deployment::{
-    AnswerCut, AnswerEnd, AnswerFraming, AnswerShape, EndpointKind, body_parts,
+    AnswerCut, AnswerEnd, AnswerFraming, AnswerShape, CallRequest, Configuration, DEFAULT_PROMPT,
+    EndpointKind, SIGNATURE_HEADER, body_parts,
 };
 use relay::{Fleet, KEYS};
 use std::{
@@ -117,15 +118,15 @@
 fn raw_call(vm: SocketAddr, version: &str, path: &str, id: &str) -> Received {
     let mut stream = TcpStream::connect(vm).unwrap();
     stream.set_read_timeout(Some(READ_TIMEOUT)).unwrap();
-    let host = poplarswitch_deployment::Configuration::host();
-    let request = format!(
-        "POST {path} {version}\r\nhost: {host}\r\nx-attempt-id: {id}\r\nx-deadline-ms: 8000\r\n\
-         x-model: m\r\nx-token-count: 1460,80\r\n\
-         x-prompt-prefix: 5c1e07a2:800,91bd3f06:410,e4402b7d:250\r\n\
-         authorization: Bearer {}\r\nconnection: close\r\ncontent-length: 4\r\n\r\nbody",
-        KEYS[0]
-    );
-    stream.write_all(request.as_bytes()).unwrap();
+    let request = CallRequest {
+        id,
+        path,
+        key: KEYS[0],
+        deadline: Duration::from_secs(8),
+        prompt: DEFAULT_PROMPT,
+    };
+    let bytes = request.to_bytes(Configuration::host(), version);
+    stream.write_all(&bytes).unwrap();
     let mut bytes = Vec::new();
     let reset = match stream.read_to_end(&mut bytes) {
         Ok(_) => false,
@@ -167,7 +168,7 @@
 fn check(route: RouteCase, shape: AnswerShape, id: &str, received: &Received) {
     let is_stream = route.kind == EndpointKind::Engine;
     let seen = received.whole_body(is_stream);
-    let endpoint = received.header("x-response-seal").unwrap_or_default();
+    let endpoint = received.header(SIGNATURE_HEADER).unwrap_or_default();
     let parts = body_parts(route.kind, id, endpoint, EVENT_COUNT);
     let sent = shape.sent(&parts).concat();
     let whole = parts.concat();
--- a/crates/node/tests/relay_crashes.rs
+++ b/crates/node/tests/relay_crashes.rs
@@ -138,3 +138,41 @@
     expect_that!(before, gt(0.9));
     expect_that!(after, gt(before / 2.0));
 }
+
+/// Whether the logs of the VMs say that a section was held.
+fn is_any_held(fleet: &Fleet) -> bool {
+    (0..usize::from(VM_COUNT)).any(|vm| fleet.log(vm).contains(r#""event":"held""#))
+}
+
+/// A popular section must not be held because all engines crashed of a common cause.
+#[gtest]
+fn common_cause_of_crashes_holds_no_section() {
+    let fleet = start_fleet(32);
+    let stop = AtomicBool::new(false);
+    let (calls, last_second, end) = thread::scope(|scope| {
+        let callers: Vec<_> = (0..4)
+            .map(|caller| {
+                let (fleet, stop) = (&fleet, &stop);
+                scope.spawn(move || make_sound_calls(fleet, stop, caller))
+            })
+            .collect();
+        for pause in [Duration::ZERO, Duration::from_millis(250)] {
+            thread::sleep(Duration::from_secs(1));
+            for endpoint in &fleet.endpoints {
+                endpoint.crash(Duration::from_millis(800));
+                thread::sleep(pause);
+            }
+        }
+        thread::sleep(Duration::from_secs(1));
+        let last_second = Instant::now();
+        thread::sleep(Duration::from_secs(1));
+        let end = Instant::now();
+        stop.store(true, Ordering::Relaxed);
+        let calls = callers
+            .into_iter()
+            .flat_map(|caller| caller.join().unwrap());
+        (calls.collect::<Vec<_>>(), last_second, end)
+    });
+    expect_that!(is_any_held(&fleet), eq(false));
+    expect_that!(served_share(&calls, last_second, end), gt(0.9));
+}
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -32,6 +32,8 @@
     pub(crate) sender: Sender,
     pub(crate) idle_timeout: Option<Duration>,
     pub(crate) framing: Framing,
+    /// When the head arrived.
+    pub(crate) began: Time,
 }
 
 /// Response of an endpoint.
@@ -137,6 +139,7 @@
             }
             return Err(failed);
         }
+        self.record_begin(key);
         let framing = framing_of(&head.headers, &body);
         self.record.framing = Some(framing);
         let unread = UnreadResponse {
@@ -146,6 +149,7 @@
             sender,
             idle_timeout: info.idle_timeout,
             framing,
+            began: clock::now(),
         };
         let server_error = unread.head.status.is_server_error();
         let response = self.read_response(unread, started).await?;
@@ -220,6 +224,7 @@
                 let outcome = if unsent {
                     Outcome::NotSent
                 } else {
+                    self.record_cut(key, None);
                     Outcome::Doubtful
                 };
                 Err(FailedAttempt::new(outcome, cause))
@@ -294,6 +299,7 @@
             open_call,
             sender,
             idle_timeout,
+            began,
             ..
         } = unread;
         let attempt_timeout = self.attempt_timeout(self.request.deadline.since(started));
@@ -304,10 +310,14 @@
                 self.shared.return_connection(key, sender, idle_timeout);
                 let bytes = body.to_bytes();
                 self.record.received = bytes.len() as u64;
+                if head.status.is_success() {
+                    self.record_answer(began);
+                }
                 Ok(EndpointResponse::Buffered(head, bytes))
             }
             Ok(Err(error)) => {
                 self.record_failure(key);
+                self.record_cut(key, Some(began));
                 Err(FailedAttempt::new(
                     Outcome::Doubtful,
                     format!("the response is incomplete: {error}"),
--- a/crates/relay/src/call_forwarder.rs
+++ b/crates/relay/src/call_forwarder.rs
@@ -34,6 +34,8 @@
     pub(crate) priority: u8,
     /// Time at which the time limit of the caller or that of the route ends, whichever is earlier.
     pub(crate) deadline: Time,
+    /// Whether the call is the trial of a held section of its prompt.
+    pub(crate) is_trial: bool,
 }
 
 /// Forwards one call.
@@ -61,6 +63,7 @@
                 return Err(self.deadline_failure());
             }
             self.recheck(now)?;
+            self.recheck_sections()?;
             let placement = self.choose().await?;
             let failed = match self
                 .attempt(placement, last_event_id, stale_connection)
--- a/crates/relay/src/heartbeats.rs
+++ b/crates/relay/src/heartbeats.rs
@@ -1,12 +1,12 @@
 //! Heartbeats between VMs, and the periodic work that is done at the same interval.
 
-use crate::{clock, shared::Shared};
+use crate::{clock, quarantine, shared::Shared};
 use core::{
     net::{IpAddr, Ipv4Addr, SocketAddr},
     time::Duration,
 };
 use poplarswitch_entity::Time;
-use poplarswitch_ingress::{Heartbeat, MemberRecord, Phase};
+use poplarswitch_ingress::{Heartbeat, MemberRecord, Phase, QuarantineDigest};
 use rand::Rng as _;
 use std::{collections::HashMap, sync::Arc};
 use tokio::{net::UdpSocket, time::sleep};
@@ -25,6 +25,7 @@
 pub(crate) async fn run(shared: Arc<Shared>, socket: UdpSocket) {
     let socket = Arc::new(socket);
     let listener = tokio::spawn(listen(Arc::clone(&shared), Arc::clone(&socket)));
+    tokio::spawn(quarantine::tell(Arc::clone(&shared), Arc::clone(&socket)));
     let mut last_phase = None;
     loop {
         let now = clock::now();
@@ -186,11 +187,17 @@
                 continue;
             }
         };
-        let heartbeat: Heartbeat = match ciborium::from_reader(&buffer[..length]) {
+        let datagram = &buffer[..length];
+        let heartbeat: Heartbeat = match ciborium::from_reader(datagram) {
             Ok(heartbeat) => heartbeat,
             Err(error) => {
-                shared.metrics.bad_datagrams.inc();
-                tracing::debug!(%from, %error, "read a beat");
+                // Digests are rare, so heartbeats are tried first.
+                if let Ok(digest) = ciborium::from_reader::<QuarantineDigest, _>(datagram) {
+                    quarantine::receive(&shared, &digest);
+                } else {
+                    shared.metrics.bad_datagrams.inc();
+                    tracing::debug!(%from, %error, "read a beat");
+                }
                 continue;
             }
         };
@@ -199,22 +206,31 @@
             shared.metrics.bad_datagrams.inc();
             continue;
         }
-        let now = clock::now();
-        let mut core = shared.core();
-        let before = core
-            .membership
-            .alive(now)
-            .find(|m| m.ip == ip)
-            .map(|m| m.phase);
-        core.membership.receive(now, &heartbeat);
-        core.remote_calls.insert(ip, (now, heartbeat.open_calls));
-        drop(core);
+        let before = receive(&shared, ip, heartbeat);
         if before != Some(phase) {
             tracing::info!(event = "heard", %ip, ?phase, ?before, "member");
         }
+        // A VM that has just started knows nothing; one that was cut off may have missed news.
+        if before.is_none() || phase == Phase::Starting {
+            quarantine::tell_one(&shared, &socket, from).await;
+        }
     }
 }
 
+/// Takes in the heartbeat of a VM; returns the phase that it announced before, if it was alive.
+fn receive(shared: &Shared, ip: Ipv4Addr, heartbeat: Heartbeat) -> Option<Phase> {
+    let now = clock::now();
+    let mut core = shared.core();
+    let mut alive = core.membership.alive(now);
+    let before = alive
+        .find(|member| member.ip == ip)
+        .map(|member| member.phase);
+    drop(alive);
+    core.membership.receive(now, &heartbeat);
+    core.remote_calls.insert(ip, (now, heartbeat.open_calls));
+    before
+}
+
 /// Upper half of an endpoint's name hash, which identifies the endpoint in heartbeats.
 const fn short_hash(name_hash: u64) -> u32 {
     (name_hash >> 32) as u32
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -24,6 +24,7 @@
 mod platform_reader;
 mod pool;
 mod protocol;
+mod quarantine;
 mod queries;
 mod registry;
 mod reply;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -42,6 +42,9 @@
     pub(crate) platform_calls: Counter,
     pub(crate) platform_failures: Counter,
     pub(crate) bad_datagrams: Counter,
+    pub(crate) crashes: Counter,
+    pub(crate) sections_held: Counter,
+    pub(crate) calls_held: Counter,
 }
 
 impl fmt::Debug for Metrics {
@@ -64,6 +67,9 @@
             platform_calls: Counter::default(),
             platform_failures: Counter::default(),
             bad_datagrams: Counter::default(),
+            crashes: Counter::default(),
+            sections_held: Counter::default(),
+            calls_held: Counter::default(),
         };
         metrics.register();
         metrics
@@ -107,6 +113,21 @@
                 "Datagrams that aren't beats",
                 &self.bad_datagrams,
             ),
+            (
+                "endpoint_crashes",
+                "Crashes of engines under calls of this VM",
+                &self.crashes,
+            ),
+            (
+                "sections_held",
+                "Sections of prompts that were held",
+                &self.sections_held,
+            ),
+            (
+                "calls_held",
+                "Calls refused for a held section",
+                &self.calls_held,
+            ),
         ] {
             registry.register(name, help, counter.clone());
         }
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -2,8 +2,13 @@
 //! on their load.
 
 use crate::{
-    call_forwarder::CallForwarder, clock, open_call::CallLoad, pool::Connection, reply::Failure,
-    tcp,
+    call_forwarder::CallForwarder,
+    clock,
+    open_call::CallLoad,
+    pool::Connection,
+    reply::Failure,
+    shared::Shared,
+    tcp::{self, Sender},
 };
 use bytes::Bytes;
 use core::{net::SocketAddr, time::Duration};
@@ -97,19 +102,13 @@
         address: SocketAddr,
     ) -> Result<EngineReport, String> {
         let connection = self.shared.pool.acquire(key, address, false).await;
-        let Connection { mut sender, reused } = connection.map_err(|error| error.to_string())?;
-        if !reused {
+        let connection = connection.map_err(|error| error.to_string())?;
+        if !connection.reused {
             self.shared.metrics.connections.inc();
         }
-        let request = Request::get(self.shared.protocol.report_path())
-            .header(http::header::HOST, address.to_string())
-            .body(Full::new(Bytes::new()))
-            .map_err(|error| error.to_string())?;
-        let (_status, body) = tcp::exchange(&mut sender, request, MAX_REPORT_BYTES)
-            .await
-            .map_err(|error| error.to_string())?;
+        let (report, sender) = fetch_report(&self.shared, connection, address).await?;
         self.shared.return_connection(key, sender, None);
-        self.shared.protocol.parse_report(&body)
+        Ok(report)
     }
 
     /// Endpoint group of a call to a model.
@@ -131,6 +130,24 @@
     }
 }
 
+/// Requests the report of an engine on a connection; returns the connection too.
+pub(crate) async fn fetch_report(
+    shared: &Shared,
+    connection: Connection,
+    address: SocketAddr,
+) -> Result<(EngineReport, Sender), String> {
+    let Connection { mut sender, .. } = connection;
+    let request = Request::get(shared.protocol.report_path())
+        .header(http::header::HOST, address.to_string())
+        .body(Full::new(Bytes::new()))
+        .map_err(|error| error.to_string())?;
+    let (_status, body) = tcp::exchange(&mut sender, request, MAX_REPORT_BYTES)
+        .await
+        .map_err(|error| error.to_string())?;
+    let report = shared.protocol.parse_report(&body)?;
+    Ok((report, sender))
+}
+
 /// Name of a placement reason in logs.
 pub(crate) const fn reason_name(reason: PlacementReason) -> &'static str {
     match reason {
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -5,7 +5,7 @@
     attempt::EndpointResponse,
     call_forwarder::{CallForwarder, CallRequest},
     call_record::CallRecord,
-    clock,
+    clock, quarantine,
     reply::{Failure, Guards, ReplyBody},
     shared::Shared,
     stream,
@@ -129,6 +129,7 @@
     let body = read_body(body, limits.body_bytes, limits.idle_timeout, vm).await?;
     let service = table.select_target(route, &call.id).cloned();
     let service = service.ok_or_else(|| Failure::new(ErrorCode::NoEndpoint, vm))?;
+    let is_trial = quarantine::admit_sections(shared, &call)?;
     let engine = table.service(&service).and_then(|service| service.engine);
     admit(
         shared,
@@ -155,6 +156,7 @@
         workspace: workspace.map(|w| w.name.as_str().into()),
         priority: record.priority,
         deadline: arrived + wait,
+        is_trial,
         call,
     })
 }
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -4,16 +4,16 @@
 //! is behind one lock, which is held for single decisions only and never across an await point.
 
 use crate::{
-    Protocol, clock, metrics::Metrics, pool::Pool, settings::RelaySettings, snapshot::Snapshot,
-    tcp::Sender,
+    Protocol, clock, metrics::Metrics, pool::Pool, quarantine::PendingCuts,
+    settings::RelaySettings, snapshot::Snapshot, tcp::Sender,
 };
 use arc_swap::ArcSwap;
 use core::{net::Ipv4Addr, time::Duration};
 use poplarswitch_entity::Time;
 use poplarswitch_ingress::{
     AdmissionControl, Cursor, Demand, EndpointChange, EndpointKey, EndpointTable, Freshness,
-    GroupSplit, Membership, Phase, RetryBudget, RetryLimit, RoutingTable, Shutdown, ShutdownStage,
-    SourceSelector, Transition,
+    GroupSplit, Membership, Phase, Quarantine, RetryBudget, RetryLimit, RoutingTable, Shutdown,
+    ShutdownStage, SourceSelector, Transition,
 };
 use rand::{Rng as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
@@ -24,7 +24,7 @@
         atomic::{AtomicUsize, Ordering},
     },
 };
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 /// Multiple of [`ADDRESS_TTL`] for which callers may use an address.
 const ADDRESS_TTL_FACTOR: u32 = 3;
@@ -57,6 +57,10 @@
     /// For each other VM, the time of its last heartbeat, and the open calls in it: short hash of
     /// the endpoint's name, number of calls.
     pub(crate) remote_calls: HashMap<Ipv4Addr, (Time, Vec<(u32, u16)>)>,
+    /// Sections of prompts that crash engines.
+    pub(crate) quarantine: Quarantine,
+    /// Broken calls of engines that are being checked.
+    pub(crate) pending_cuts: PendingCuts,
 }
 
 impl Core {
@@ -93,6 +97,8 @@
     pub(crate) pool: Pool,
     pub(crate) metrics: Metrics,
     pub(crate) snapshot: Snapshot,
+    /// Notified when other VMs must be told of evidence on sections of prompts.
+    pub(crate) quarantine_news: Notify,
     in_flight: AtomicUsize,
     core: Mutex<Core>,
     changes: watch::Sender<u64>,
@@ -133,6 +139,8 @@
             sources: SourceSelector::new(clock::now()),
             rng: Pcg64Mcg::seed_from_u64(start_ms ^ u64::from(local_ip.to_bits())),
             remote_calls: HashMap::new(),
+            quarantine: Quarantine::default(),
+            pending_cuts: PendingCuts::new(),
         };
         Self {
             settings,
@@ -141,6 +149,7 @@
             pool: Pool::default(),
             metrics: Metrics::default(),
             snapshot: Snapshot::default(),
+            quarantine_news: Notify::new(),
             in_flight: AtomicUsize::new(0),
             core: Mutex::new(core),
             changes: watch::Sender::new(0),
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -22,7 +22,7 @@
 use core::time::Duration;
 use http::{header, response};
 use http_body_util::BodyExt as _;
-use poplarswitch_ingress::{EndedBody, EventScanner, Framing, RouteKind};
+use poplarswitch_ingress::{EndedBody, EventScanner, Framing, RouteKind, SURVIVAL_TIME};
 use tokio::{
     sync::mpsc,
     time::{Instant, sleep_until},
@@ -108,6 +108,8 @@
     Complete,
     CallerLeft,
     DeadlineExceeded,
+    /// Nothing arrived for too long.
+    Silent(String),
     Broken(String),
 }
 
@@ -129,6 +131,9 @@
             record.partial = self.content.partial_len();
             let cause = match end {
                 SegmentEnd::Complete => {
+                    if self.forwarder.record.status < 300 {
+                        self.forwarder.record_answer(unread.began);
+                    }
                     self.forwarder.shared.return_connection(
                         key,
                         unread.sender,
@@ -142,7 +147,11 @@
                         .clone_into(&mut self.forwarder.record.cause);
                     return StreamEnd::Broken;
                 }
-                SegmentEnd::Broken(cause) => cause,
+                SegmentEnd::Silent(cause) => cause,
+                SegmentEnd::Broken(cause) => {
+                    self.forwarder.record_cut(key, Some(unread.began));
+                    cause
+                }
             };
             // Closes the connection, so that the endpoint stops before another one continues.
             drop(unread);
@@ -165,6 +174,7 @@
             .max_gap
             .map_or(DEFAULT_MAX_SILENCE, |max_gap| max_gap * MAX_GAP_FACTOR);
         let mut received = 0;
+        let mut survived = false;
         loop {
             let silent_at = match &self.content {
                 BodyContent::Resumable(_) => Instant::now() + max_silence,
@@ -178,7 +188,7 @@
                     if self.forwarder.request.deadline <= clock::now() {
                         return SegmentEnd::DeadlineExceeded;
                     }
-                    return SegmentEnd::Broken(format!("no data for {} ms", max_silence.as_millis()));
+                    return SegmentEnd::Silent(format!("no data for {} ms", max_silence.as_millis()));
                 }
             };
             let bytes = match frame {
@@ -196,6 +206,10 @@
             self.forwarder.record.record_first_byte(clock::now());
             self.forwarder.record.received += bytes.len() as u64;
             received += bytes.len();
+            if !survived && clock::now().since(unread.began) >= SURVIVAL_TIME {
+                survived = true;
+                self.forwarder.record_answer(unread.began);
+            }
             let Some(bytes) = self.content.push(bytes) else {
                 continue;
             };
--- a/crates/wire/src/error.rs
+++ b/crates/wire/src/error.rs
@@ -89,6 +89,8 @@
     NoSet,
     /// The VM can't confirm that its set is the newest.
     StaleSet,
+    /// Calls with a section of the prompt have crashed engines.
+    PromptHeld,
     /// The endpoint ran the call and failed.
     Failed,
     /// The call may have run.
@@ -122,6 +124,7 @@
             Self::Busy => "busy",
             Self::NoSet => "no_set",
             Self::StaleSet => "stale_set",
+            Self::PromptHeld => "prompt_held",
             Self::Failed => "failed",
             Self::InDoubt => "in_doubt",
         }
@@ -146,6 +149,7 @@
             | Self::Busy
             | Self::NoSet
             | Self::StaleSet
+            | Self::PromptHeld
             | Self::HomeUnreached => 503,
             Self::Failed => 502,
             Self::InDoubt => 504,
@@ -183,7 +187,8 @@
             | Self::Leaving
             | Self::Busy
             | Self::NoSet
-            | Self::StaleSet => Step::Admit,
+            | Self::StaleSet
+            | Self::PromptHeld => Step::Admit,
             Self::WaitExpired | Self::NoEndpoint => Step::Queue,
             Self::Failed | Self::InDoubt => Step::Run,
         }
@@ -217,6 +222,7 @@
             Self::Busy => "this VM holds as many calls as it may",
             Self::NoSet => "this VM has no configuration yet",
             Self::StaleSet => "this VM can't prove that its configuration is the newest",
+            Self::PromptHeld => "engines crashed on calls with a section of this prompt",
             Self::Failed => "the endpoint ran the call and failed",
             Self::InDoubt => "the call may or may not have run",
         }
