Keep held sections of prompts over restarts of VMs

A VM that restarted was ready 10 ms later and sent a call with a held section to an engine before it had heard of it (seen in its log: ready at 54.372 s, held at 54.431 s); after all VMs were killed, none knew anything.

A VM that starts reads the entries before it writes its own, and is ready once it has read them, or 0.3 s after its start if the platform doesn't answer.

The simulation also plays crashes of a common cause at 30 and 120 ms.

--- a/crates/ingress/src/feed.rs
+++ b/crates/ingress/src/feed.rs
@@ -137,6 +137,11 @@
         self.listed = true;
     }
 
+    /// Whether the list of VMs has been read from the platform.
+    pub const fn is_listed(&self) -> bool {
+        self.listed
+    }
+
     /// Whether this VM reads the platform itself. It does if it is the first VM of `order` that
     /// isn't known to fail, or if its view of this `age` has become stale. During the start it
     /// reads at once if it is among the first of the listed VMs.
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -80,7 +80,7 @@
 pub use outcome::{AttemptCounts, NextStep, Outcome, Verdict, next_step, verdict};
 pub use placement::{GroupLoad, Placement, PlacementDecision, PlacementReason, PlacementRequest};
 pub use quarantine::{
-    AnswerRecord, CrashRecord, CutCall, HoldChange, HoldRecord, Passage, Quarantine,
+    AnswerRecord, CrashRecord, CutCall, HeldSection, HoldChange, HoldRecord, Passage, Quarantine,
     QuarantineDigest, SURVIVAL_TIME,
 };
 pub use shutdown::{Shutdown, ShutdownStage};
--- a/crates/ingress/src/quarantine.rs
+++ b/crates/ingress/src/quarantine.rs
@@ -105,6 +105,19 @@
     pub u8,
 );
 
+/// A held section in the platform, with times that outlive a process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HeldSection {
+    /// Section.
+    pub section: u64,
+    /// Last crash before it was held, in Unix milliseconds.
+    pub since_ms: u64,
+    /// When a call last asked for it, in Unix milliseconds.
+    pub asked_ms: u64,
+    /// Number of trials.
+    pub trials: u8,
+}
+
 /// What a VM tells others about sections.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct QuarantineDigest {
@@ -484,15 +497,38 @@
             .retain(|_, hold| now.since(hold.asked) < HOLD_IDLE_TTL);
     }
 
-    /// Held sections, for the platform.
-    pub fn holds(&self, now: Time) -> Vec<HoldRecord> {
-        let age = |at: Time| now.since(at).as_millis().min(u128::from(u32::MAX)) as u32;
-        let records = self.held.iter().map(|(section, hold)| {
-            HoldRecord(*section, age(hold.since), age(hold.asked), hold.trials)
+    /// Held sections for the platform, in the order of their identifiers; `unix_ms` is the current
+    /// Unix time in milliseconds.
+    pub fn held_sections(&self, now: Time, unix_ms: u64) -> Vec<HeldSection> {
+        let at = |time: Time| unix_ms.saturating_sub(now.since(time).as_millis() as u64);
+        let sections = self.held.iter().map(|(section, hold)| HeldSection {
+            section: *section,
+            since_ms: at(hold.since),
+            asked_ms: at(hold.asked),
+            trials: hold.trials,
+        });
+        let mut sections: Vec<HeldSection> = sections.collect();
+        sections.sort_unstable_by_key(|held| held.section);
+        sections
+    }
+
+    /// Takes in held sections that were read from the platform.
+    pub fn restore(
+        &mut self,
+        now: Time,
+        unix_ms: u64,
+        sections: &[HeldSection],
+    ) -> Vec<HoldChange> {
+        let at = |millis: u64| now - Duration::from_millis(unix_ms.saturating_sub(millis));
+        let holds = sections.iter().filter_map(|held| {
+            let hold = Hold {
+                since: at(held.since_ms),
+                asked: at(held.asked_ms),
+                trials: held.trials,
+            };
+            self.add_hold(now, held.section, hold)
         });
-        let mut records: Vec<HoldRecord> = records.collect();
-        records.sort_unstable_by_key(|record| record.0);
-        records
+        holds.collect()
     }
 
     /// Number of held sections.
--- a/crates/ingress/src/quarantine_tests.rs
+++ b/crates/ingress/src/quarantine_tests.rs
@@ -540,7 +540,8 @@
     for (count, interval) in [
         (18, 0),
         (12, 0),
-        (18, 50),
+        (18, 30),
+        (18, 120),
         (18, 300),
         (40, 400),
         (30, 1_000),
--- a/crates/ingress/src/stale_vms_tests.rs
+++ b/crates/ingress/src/stale_vms_tests.rs
@@ -10,6 +10,7 @@
         data_centre: "bole".to_owned(),
         start_ms: 1,
         revision: 100 + u64::from(n),
+        held: Vec::new(),
     };
     (1..=count).map(vm).collect()
 }
--- a/crates/node/tests/relay_crashes.rs
+++ b/crates/node/tests/relay_crashes.rs
@@ -9,7 +9,7 @@
 };
 use googletest::prelude::*;
 use poplarswitch_deployment::{Endpoint, EndpointKind};
-use relay::Fleet;
+use relay::{Fleet, wait_until};
 use std::{thread, time::Instant};
 
 /// Number of VMs.
@@ -176,3 +176,51 @@
     expect_that!(is_any_held(&fleet), eq(false));
     expect_that!(served_share(&calls, last_second, end), gt(0.9));
 }
+
+/// A VM that restarts must learn held sections before it sends calls with them.
+#[gtest]
+fn restarted_vm_refuses_calls_with_a_held_section() {
+    let mut fleet = start_fleet(33);
+    for endpoint in &fleet.endpoints {
+        endpoint.crash_on(&[BAD_SECTION], DOWN_TIME);
+    }
+    make_bad_calls(&fleet, Duration::from_secs(3));
+    wait_until("the section is held", || is_any_held(&fleet));
+    thread::sleep(Duration::from_millis(500));
+    for vm in 0..usize::from(VM_COUNT) {
+        fleet.kill(vm);
+        fleet.start_process(vm);
+        fleet.await_ready();
+        let before = crash_times(&fleet).len();
+        let prompt = format!("{FIRST_SECTION:x}:100,{BAD_SECTION:x}:50,7{vm}0:10");
+        let (_, response) = fleet.call_with_prompt(vm, "/chat/1", &prompt);
+        expect_that!(response.unwrap().not_run(), eq(true), "VM {vm}");
+        expect_that!(crash_times(&fleet).len(), eq(before), "VM {vm}");
+    }
+}
+
+/// Held sections must not be forgotten when all VMs are killed at once.
+#[gtest]
+fn held_section_outlives_all_vms() {
+    let mut fleet = start_fleet(34);
+    for endpoint in &fleet.endpoints {
+        endpoint.crash_on(&[BAD_SECTION], DOWN_TIME);
+    }
+    make_bad_calls(&fleet, Duration::from_secs(3));
+    wait_until("the section is held", || is_any_held(&fleet));
+    thread::sleep(Duration::from_millis(500));
+    for vm in 0..usize::from(VM_COUNT) {
+        fleet.kill(vm);
+    }
+    for vm in 0..usize::from(VM_COUNT) {
+        fleet.start_process(vm);
+    }
+    fleet.await_ready();
+    let before = crash_times(&fleet).len();
+    for vm in 0..usize::from(VM_COUNT) {
+        let prompt = format!("{FIRST_SECTION:x}:100,{BAD_SECTION:x}:50,8{vm}0:10");
+        let (_, response) = fleet.call_with_prompt(vm, "/chat/1", &prompt);
+        expect_that!(response.unwrap().not_run(), eq(true), "VM {vm}");
+    }
+    expect_that!(crash_times(&fleet).len(), eq(before));
+}
--- a/crates/relay/src/clock.rs
+++ b/crates/relay/src/clock.rs
@@ -15,8 +15,8 @@
     Time(at.tv_sec as u64 * 1_000_000 + at.tv_nsec as u64 / 1_000)
 }
 
-/// Unix time in milliseconds by the wall clock; only for numbers that should differ between
-/// incarnations.
+/// Unix time in milliseconds by the wall clock, which may jump; only for numbers that should differ
+/// between incarnations, and for times in the platform that outlive a process.
 pub(crate) fn unix_millis() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
     since.unwrap_or(Duration::ZERO).as_millis() as u64
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -228,7 +228,7 @@
 }
 
 /// Logs changes of held sections, and tells other VMs of them.
-fn log_changes(shared: &Shared, changes: &[HoldChange]) {
+pub(crate) fn log_changes(shared: &Shared, changes: &[HoldChange]) {
     for change in changes {
         match change {
             HoldChange::Held {
@@ -247,6 +247,7 @@
     }
     if !changes.is_empty() {
         shared.quarantine_news.notify_one();
+        shared.holds_changed.notify_one();
     }
 }
 
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -32,6 +32,9 @@
 /// has failed.
 const ADDRESS_TTL: Duration = Duration::from_millis(1_500);
 
+/// Maximum time for which a VM that starts waits for the held sections in the platform.
+const HOLDS_WAIT: Duration = Duration::from_millis(300);
+
 /// Maximum number of endpoint names in a log line; a first listing of thousands of endpoints must
 /// stay within the rate limit of the log.
 const MAX_NAMES_PER_LINE: usize = 32;
@@ -99,6 +102,9 @@
     pub(crate) snapshot: Snapshot,
     /// Notified when other VMs must be told of evidence on sections of prompts.
     pub(crate) quarantine_news: Notify,
+    /// Notified when the set of held sections has changed.
+    pub(crate) holds_changed: Notify,
+    started: Time,
     in_flight: AtomicUsize,
     core: Mutex<Core>,
     changes: watch::Sender<u64>,
@@ -150,6 +156,8 @@
             metrics: Metrics::default(),
             snapshot: Snapshot::default(),
             quarantine_news: Notify::new(),
+            holds_changed: Notify::new(),
+            started: clock::now(),
             in_flight: AtomicUsize::new(0),
             core: Mutex::new(core),
             changes: watch::Sender::new(0),
@@ -201,10 +209,11 @@
     }
 
     /// Whether this VM has a view of the endpoints and a configuration whose confirmation is recent
-    /// enough.
+    /// enough, and knows the held sections if they could be read.
     fn has_usable_view(&self, core: &Core, now: Time) -> bool {
         let has_view = self.table.load().version() > 0 && core.endpoints_confirmed.is_some();
-        has_view && core.freshness.is_usable(now)
+        let has_holds = core.sources.is_listed() || now.since(self.started) > HOLDS_WAIT;
+        has_view && has_holds && core.freshness.is_usable(now)
     }
 
     /// Whether calls can be served.
