Let engines crash on a section of prompts in the soak

The soak's fourth plan makes both engines crash, for a while, when they begin an answer on one section; every sixth call has it, at any VM and on any route. At the end of a seed the logs of all VMs must not say that any other section was held.

--- a/crates/node/tests/relay_soak.rs
+++ b/crates/node/tests/relay_soak.rs
@@ -24,8 +24,8 @@
 use soak::{
     checks::{Call, History, Runs},
     plan::{
-        Fault, Span, draw_first, draw_fourth, draw_second, draw_third, excludes_store,
-        is_planned_only,
+        CRASHING_SECTION, Fault, Span, draw_first, draw_fourth, draw_second, draw_third,
+        excludes_store, is_planned_only,
     },
 };
 use std::{env, thread, time::Instant};
@@ -47,6 +47,10 @@
 const DEFAULT_SECONDS: u64 = 8;
 /// Default number of VMs.
 const DEFAULT_VMS: usize = 4;
+/// One in this many calls has the section that may crash engines.
+const CRASHING_INTERVAL: u32 = 6;
+/// Time for which an engine is down after a crash.
+const ENGINE_DOWN_TIME: Duration = Duration::from_millis(600);
 /// Number of concurrent callers.
 const CALLER_COUNT: u64 = 4;
 /// Interval between the events of a stream for seeds with planned operations only; it keeps some
@@ -106,6 +110,7 @@
             Fault::Shapes(n, shape) => {
                 self.fleet.endpoints[n].update_behaviour(|b| b.shape = Some(shape));
             }
+            Fault::Crashes => self.crash_engines_on(&[CRASHING_SECTION]),
             Fault::Revoke => {
                 self.configure(&KEYS[..1]);
                 self.history.revoked.push(Span::from_now());
@@ -167,6 +172,7 @@
             Fault::Loses(n) => self.fleet.endpoints[n].update_behaviour(|b| b.lose_answers = false),
             Fault::Breaks(n) => self.fleet.endpoints[n].update_behaviour(|b| b.cut_after = None),
             Fault::Shapes(n, _) => self.fleet.endpoints[n].update_behaviour(|b| b.shape = None),
+            Fault::Crashes => self.crash_engines_on(&[]),
             Fault::Revoke => {
                 self.history.revoked.iter_mut().for_each(Span::end);
                 self.configure(&KEYS);
@@ -186,6 +192,28 @@
         ended.for_each(|(_, span)| span.end());
     }
 
+    fn crash_engines_on(&self, sections: &[u64]) {
+        for (endpoint, kind) in self.fleet.endpoints.iter().zip(ENDPOINT_KINDS) {
+            if kind == EndpointKind::Engine {
+                endpoint.crash_on(sections, ENGINE_DOWN_TIME);
+            }
+        }
+    }
+
+    /// Checks that no other section of prompts was ever held than that which crashed engines.
+    fn check_held_sections(&self) {
+        let crashing = format!(r#""section":"{CRASHING_SECTION:x}""#);
+        for vm in 0..self.fleet.processes.len() {
+            let log = self.fleet.log(vm);
+            let held = log
+                .lines()
+                .filter(|line| line.contains(r#""event":"held""#));
+            for line in held {
+                assert!(line.contains(&crashing), "a sound section was held: {line}");
+            }
+        }
+    }
+
     /// Writes a new version of the configuration with the given keys.
     fn configure(&mut self, keys: &[&str]) {
         self.version += 1;
@@ -203,13 +231,14 @@
     id: String,
     path: &'static str,
     key: &'static str,
+    prompt: &str,
 ) -> Call {
     let request = CallRequest {
         id: &id,
         path,
         key,
         deadline: Duration::from_secs(3),
-        prompt: DEFAULT_PROMPT,
+        prompt,
     };
     let sent = Instant::now();
     let response = caller.call(address, &request).ok();
@@ -251,11 +280,18 @@
                     let caller = Caller::new(Configuration::host());
                     let mut calls = Vec::new();
                     while !stop.load(Ordering::Relaxed) {
-                        let id = format!("s{}", next_id.fetch_add(1, Ordering::Relaxed));
+                        let number = next_id.fetch_add(1, Ordering::Relaxed);
+                        let id = format!("s{number}");
+                        let prompt = if number.is_multiple_of(CRASHING_INTERVAL) {
+                            &format!("5c1e07a2:800,{CRASHING_SECTION:x}:410,{number:x}0:250")
+                        } else {
+                            DEFAULT_PROMPT
+                        };
                         let vm = rng.random_range(0..addresses.len());
                         let path = PATHS.choose(&mut rng).unwrap();
                         let key = KEYS.choose(&mut rng).unwrap();
-                        calls.push(make_call(&caller, vm, addresses[vm], id, path, key));
+                        let address = addresses[vm];
+                        calls.push(make_call(&caller, vm, address, id, path, key, prompt));
                         thread::sleep(Duration::from_millis(rng.random_range(0..20)));
                     }
                     calls
@@ -290,6 +326,7 @@
             runs.entry(&run.call_id).or_default().push((endpoint, run));
         }
     }
+    soak.check_held_sections();
     for call in &calls {
         soak.history
             .check(call, runs.get(call.id.as_str()).map_or(&[], Vec::as_slice));
--- a/crates/node/tests/soak/plan.rs
+++ b/crates/node/tests/soak/plan.rs
@@ -10,6 +10,9 @@
 use rand_pcg::Pcg64Mcg;
 use std::time::Instant;
 
+/// Section of the prompts that may crash engines.
+pub const CRASHING_SECTION: u64 = 0xbad;
+
 /// A fault or a planned operation, with the VM or endpoint that it affects.
 ///
 /// `Forget`, `Hangup` and `Storm` take effect at once; the others last until a planned time.
@@ -37,6 +40,8 @@
     Breaks(usize),
     /// An endpoint frames and ends its answers in a shape.
     Shapes(usize, AnswerShape),
+    /// Engines crash when they begin an answer on [`CRASHING_SECTION`].
+    Crashes,
     /// The second API key is revoked, and later restored.
     Revoke,
     /// The store clears its history of changes.
@@ -66,6 +71,7 @@
             | Self::Loses(_)
             | Self::Breaks(_)
             | Self::Shapes(..)
+            | Self::Crashes
             | Self::Revoke
             | Self::Hangup(_)
             | Self::Storm => false,
@@ -189,9 +195,12 @@
     }
 }
 
-/// The next fault of a seed's fourth plan: an endpoint that frames its answers in another way or
-/// breaks them off. An answer whose framing is complete is whole, unless it ends inside an event.
+/// The next fault of a seed's fourth plan: engines that crash on a section of prompts, or an endpoint
+/// that frames its answers in another way or breaks them off. An answer whose framing is complete is whole, unless it ends inside an event.
 pub fn draw_fourth(rng: &mut Pcg64Mcg) -> Fault {
+    if rng.random_ratio(1, 4) {
+        return Fault::Crashes;
+    }
     let framings = [
         AnswerFraming::Length,
         AnswerFraming::Chunked,
