--- a/crates/node/tests/relay_crashes.rs
+++ b/crates/node/tests/relay_crashes.rs
@@ -144,6 +144,19 @@
     (0..usize::from(VM_COUNT)).any(|vm| fleet.log(vm).contains(r#""event":"held""#))
 }
 
+/// Starts a fleet whose VMs hold the bad section.
+fn start_fleet_with_held_section(net: u8) -> Fleet {
+    let fleet = start_fleet(net);
+    for endpoint in &fleet.endpoints {
+        endpoint.crash_on(&[BAD_SECTION], DOWN_TIME);
+    }
+    make_bad_calls(&fleet, Duration::from_secs(3));
+    wait_until("the section is held", || is_any_held(&fleet));
+    // All VMs and the platform have learned of it by then.
+    thread::sleep(Duration::from_millis(500));
+    fleet
+}
+
 /// A popular section must not be held because all engines crashed of a common cause.
 #[gtest]
 fn common_cause_of_crashes_holds_no_section() {
@@ -180,13 +193,7 @@
 /// A VM that restarts must learn held sections before it sends calls with them.
 #[gtest]
 fn restarted_vm_refuses_calls_with_a_held_section() {
-    let mut fleet = start_fleet(33);
-    for endpoint in &fleet.endpoints {
-        endpoint.crash_on(&[BAD_SECTION], DOWN_TIME);
-    }
-    make_bad_calls(&fleet, Duration::from_secs(3));
-    wait_until("the section is held", || is_any_held(&fleet));
-    thread::sleep(Duration::from_millis(500));
+    let mut fleet = start_fleet_with_held_section(33);
     for vm in 0..usize::from(VM_COUNT) {
         fleet.kill(vm);
         fleet.start_process(vm);
@@ -202,13 +209,7 @@
 /// Held sections must not be forgotten when all VMs are killed at once.
 #[gtest]
 fn held_section_outlives_all_vms() {
-    let mut fleet = start_fleet(34);
-    for endpoint in &fleet.endpoints {
-        endpoint.crash_on(&[BAD_SECTION], DOWN_TIME);
-    }
-    make_bad_calls(&fleet, Duration::from_secs(3));
-    wait_until("the section is held", || is_any_held(&fleet));
-    thread::sleep(Duration::from_millis(500));
+    let mut fleet = start_fleet_with_held_section(34);
     for vm in 0..usize::from(VM_COUNT) {
         fleet.kill(vm);
     }
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -337,13 +337,13 @@
             // A stream may end inside an event or be resumed, so its length is not known.
             let has_events = stream::has_events(forwarder.request.route.kind, &unread.head);
             let length = unread.body.size_hint().exact().filter(|_| !has_events);
-            let close_framed = framing == Framing::Close || caller_version < Version::HTTP_11;
+            let has_chunks = framing != Framing::Close && caller_version >= Version::HTTP_11;
+            let close_framed = length.is_none() && !has_chunks;
             let (mut head, parts) = stream::start(forwarder, *unread);
             if has_events {
                 head.headers.remove(header::CONTENT_LENGTH);
             }
-            let guarded = length.is_none() && close_framed;
-            let body = ReplyBody::parts(parts, length, guarded, guards);
+            let body = ReplyBody::parts(parts, length, close_framed, guards);
             let mut response = build_response(head, body);
             if framing == Framing::Close {
                 // `hyper` adds chunks to a response of a later version.
