Make room for new sections with crashes

Each crash brings those of all bystanders, so after some dozens of crashes the section that causes the next ones found no room and was never held. The section with the least evidence is removed now, the oldest first.

Test: bad_section_is_held_though_many_others_have_crashes (2,000 bystanders before four crashes of the bad one).

--- a/crates/ingress/src/quarantine.rs
+++ b/crates/ingress/src/quarantine.rs
@@ -552,7 +552,7 @@
         let is_held = self.held.contains_key(&section);
         crash.explained = !is_held && self.is_explained(crash);
         if !self.suspects.contains_key(&section) && self.suspects.len() >= MAX_SUSPECTS {
-            return false;
+            self.remove_weakest();
         }
         let suspect = self.suspects.entry(section).or_default();
         suspect.depth = suspect.depth.max(depth);
@@ -563,6 +563,23 @@
         added
     }
 
+    /// Removes the section with the least evidence, the oldest one first.
+    fn remove_weakest(&mut self) {
+        let strength = |suspect: &Suspect| {
+            let last = suspect.crashes.last().map(|crash| crash.at);
+            (suspect.weight(), last)
+        };
+        let weakest = self
+            .suspects
+            .iter()
+            .filter(|(section, _)| !self.held.contains_key(section))
+            .min_by_key(|(section, suspect)| (strength(suspect), **section))
+            .map(|(section, _)| *section);
+        if let Some(section) = weakest {
+            self.suspects.remove(&section);
+        }
+    }
+
     /// Whether a held section was on the endpoint that crashed.
     fn is_explained(&self, crash: Crash) -> bool {
         let mut held = self.held.keys().filter_map(|held| self.suspects.get(held));
--- a/crates/ingress/src/quarantine_tests.rs
+++ b/crates/ingress/src/quarantine_tests.rs
@@ -546,6 +546,20 @@
     check(scenario, 10);
 }
 
+/// Guards against bystanders of many crashes that leave no room for the section that caused them.
+#[gtest]
+fn bad_section_is_held_though_many_others_have_crashes() {
+    let mut quarantine = Quarantine::default();
+    for n in 0..2_000_u64 {
+        crash(&mut quarantine, n * 7, n as u32, &[10_000 + n]);
+    }
+    for n in 0..4_u32 {
+        crash(&mut quarantine, 20_000 + u64::from(n) * 500, n, &[BAD]);
+    }
+    expect_that!(is_free(&mut quarantine, 22_000, BAD), eq(false));
+    expect_that!(quarantine.held_count(), eq(1));
+}
+
 #[gtest]
 fn several_bad_sections_are_stopped_under_restarts_and_cuts() {
     let scenario = Scenario {
