Read the list of VMs again after this VM's entry is written

Cause: since, a VM reads the list before it writes its entry, and only then. VMs that start together all read an empty list.

The first read stays, for held sections before readiness. A second one follows the write: of two VMs, the later writer finds the other, which learns of it from its heartbeats. `ListingSchedule` adds reads: three within 15 s of the start while listed VMs are silent, every 30 s at the VM that reads the platform for its data centre (as before, but it now adds members), and every 1 to 30 s at a VM that hears nobody. A VM whose entry is missing writes it again. Calls: one more read at each start; in the steady state one read per data centre and 30 s, as before. New: gauges vms_alive and vms_unheard, line `listed`.

Test VMs no longer have a seed. On the code before, 2 of the 6 tests in relay_members failed (answers lost, platform slow); all 6 pass now.

--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -18,6 +18,7 @@
 mod groups;
 mod hash;
 mod health;
+mod listing;
 mod membership;
 mod outcome;
 mod placement;
@@ -47,6 +48,8 @@
 #[cfg(test)]
 mod health_tests;
 #[cfg(test)]
+mod listing_tests;
+#[cfg(test)]
 mod membership_tests;
 #[cfg(test)]
 mod outcome_tests;
@@ -76,6 +79,7 @@
 pub use groups::{Demand, EndpointGroup, GroupSplit};
 pub use hash::{hash_pair, hash_text};
 pub use health::Health;
+pub use listing::{ListingSchedule, ListingView};
 pub use membership::{EngineWork, Heartbeat, Member, MemberRecord, Membership, Phase};
 pub use outcome::{AttemptCounts, NextStep, Outcome, Verdict, next_step, verdict};
 pub use placement::{GroupLoad, Placement, PlacementDecision, PlacementReason, PlacementRequest};
--- /dev/null
+++ b/crates/ingress/src/listing.rs
@@ -0,0 +1,72 @@
+//! When a VM reads the list of VMs in the platform again.
+//!
+//! A VM that starts reads the list after it has written its own entry. Of two VMs that start
+//! together, the one that writes later therefore finds the other, which learns of it from its
+//! heartbeats. The list may still be incomplete, or a datagram lost, so further reads follow: a few
+//! while listed VMs haven't been heard of, regular ones by the VM that reads the platform for its
+//! data centre, and regular ones by a VM that hears nobody. What one VM finds reaches the others in
+//! heartbeats.
+
+use core::time::Duration;
+use poplarswitch_entity::Time;
+
+/// Interval between the first two reads; each further one is twice as long.
+const MIN_INTERVAL: Duration = Duration::from_secs(1);
+/// Maximum interval between reads; much longer than a restart.
+const MAX_INTERVAL: Duration = Duration::from_secs(30);
+/// Number of reads after the start while listed VMs haven't been heard of.
+const STARTUP_READS: u32 = 3;
+
+/// What a VM knows of the other VMs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ListingView {
+    /// Whether this VM reads the platform for its data centre.
+    pub is_reader: bool,
+    /// Number of other VMs that are alive.
+    pub alive: usize,
+    /// Number of other VMs that are listed or were alive, and are silent.
+    pub silent: usize,
+}
+
+/// Schedule of reads of the list of VMs.
+#[derive(Clone, Debug)]
+pub struct ListingSchedule {
+    due: Time,
+    interval: Duration,
+    reads: u32,
+}
+
+impl ListingSchedule {
+    /// Creates the schedule of a VM that has just read the list after writing its entry.
+    pub fn new(now: Time) -> Self {
+        Self {
+            due: now + MIN_INTERVAL,
+            interval: MIN_INTERVAL,
+            reads: 0,
+        }
+    }
+
+    /// Time of the next decision.
+    pub const fn due(&self) -> Time {
+        self.due
+    }
+
+    /// Decides at the due time whether to read the list, and schedules the next decision.
+    pub fn decide(&mut self, now: Time, view: ListingView) -> bool {
+        if now < self.due {
+            return false;
+        }
+        self.interval = (self.interval * 2).min(MAX_INTERVAL);
+        self.due = now + self.interval;
+        let is_starting = self.reads < STARTUP_READS;
+        self.reads = self.reads.saturating_add(1);
+        view.is_reader || view.alive == 0 || is_starting && view.silent > 0
+    }
+
+    /// Schedules a decision within the minimum interval, for a failed read or after a time in which
+    /// this VM heard nobody.
+    pub fn hurry(&mut self, now: Time) {
+        self.interval = MIN_INTERVAL;
+        self.due = self.due.min(now + MIN_INTERVAL);
+    }
+}
--- a/crates/ingress/src/membership.rs
+++ b/crates/ingress/src/membership.rs
@@ -245,6 +245,18 @@
             .filter(move |m| !self.is_silent(now, m))
     }
 
+    /// Number of other VMs that are known, alive or not.
+    pub fn known_count(&self) -> usize {
+        self.members.len()
+    }
+
+    /// Number of other VMs that are known and silent: listed ones that haven't been heard of, and
+    /// ones that have fallen silent a short time ago.
+    pub fn silent_count(&self, now: Time) -> usize {
+        let members = self.members.values();
+        members.filter(|m| self.is_silent(now, m)).count()
+    }
+
     /// Number of VMs that are alive, including this one.
     pub fn alive_count(&self, now: Time) -> usize {
         self.alive(now).count() + 1
--- a/crates/node/tests/relay/mod.rs
+++ b/crates/node/tests/relay/mod.rs
@@ -58,13 +58,23 @@
     /// Starts VMs in the network `127.0.NET.0`, two engines and two endpoints of the service
     /// `booking`, and waits until the VMs are ready.
     pub fn start(net: u8, vms: u8) -> Self {
+        let mut fleet = Self::new(net, vms);
+        fleet.start_all();
+        fleet.await_ready();
+        fleet
+    }
+
+    /// Like [`Self::start`], but starts no VM.
+    ///
+    /// The settings of the VMs name no seeds, so that VMs can find each other in the platform only.
+    pub fn new(net: u8, vms: u8) -> Self {
         let store = Store::start("127.0.0.1:0".parse().unwrap()).unwrap();
         store.configure(&Configuration::sample(1, &KEYS));
         let deployment = Deployment {
             store: store.address(),
             first_port: 8_400,
             data_centres: vec!["bole".to_owned(), "kality".to_owned()],
-            seeds: vec![Ipv4Addr::new(127, 0, net, 1)],
+            seeds: Vec::new(),
         };
         let vms = (1..=vms).map(|n| Vm {
             name: format!("front-{n}"),
@@ -96,13 +106,16 @@
         fleet.add_endpoint("engine-2", EndpointKind::Engine);
         fleet.add_endpoint("booking-1", EndpointKind::Service);
         fleet.add_endpoint("booking-2", EndpointKind::Service);
-        for index in 0..fleet.processes.len() {
-            fleet.start_process(index);
-        }
-        fleet.await_ready();
         fleet
     }
 
+    /// Starts the processes of all VMs at once; does not wait until they are ready.
+    pub fn start_all(&mut self) {
+        for index in 0..self.processes.len() {
+            self.start_process(index);
+        }
+    }
+
     fn service_name(kind: EndpointKind) -> &'static str {
         match kind {
             EndpointKind::Engine => "engines",
--- a/crates/relay/src/heartbeats.rs
+++ b/crates/relay/src/heartbeats.rs
@@ -71,6 +71,10 @@
     let mut core = shared.core();
     let expired = core.endpoints.expire_grace(now);
     core.membership.prune(now);
+    let alive = core.membership.alive(now).count();
+    let unheard = core.membership.silent_count(now);
+    shared.metrics.vms_alive.set(alive.cast_signed() as i64);
+    shared.metrics.vms_unheard.set(unheard.cast_signed() as i64);
     core.remote_calls
         .retain(|_, (at, _)| now.since(*at) < REMOTE_CALLS_TTL);
     let mut remote_calls: HashMap<u32, u32> = HashMap::new();
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -6,7 +6,7 @@
 use http_body_util::Full;
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
-    metrics::{counter::Counter, family::Family, histogram::Histogram},
+    metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
     registry::Registry,
 };
 
@@ -45,6 +45,8 @@
     pub(crate) crashes: Counter,
     pub(crate) sections_held: Counter,
     pub(crate) calls_held: Counter,
+    pub(crate) vms_alive: Gauge,
+    pub(crate) vms_unheard: Gauge,
 }
 
 impl fmt::Debug for Metrics {
@@ -70,6 +72,8 @@
             crashes: Counter::default(),
             sections_held: Counter::default(),
             calls_held: Counter::default(),
+            vms_alive: Gauge::default(),
+            vms_unheard: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -131,6 +135,16 @@
         ] {
             registry.register(name, help, counter.clone());
         }
+        for (name, help, gauge) in [
+            ("vms_alive", "Other VMs that are alive", &self.vms_alive),
+            (
+                "vms_unheard",
+                "Other VMs that are listed or known, and silent",
+                &self.vms_unheard,
+            ),
+        ] {
+            registry.register(name, help, gauge.clone());
+        }
     }
 
     /// Records the time to the first byte of a response.
--- a/crates/relay/src/registry.rs
+++ b/crates/relay/src/registry.rs
@@ -1,11 +1,12 @@
 //! Registration of entry VMs in the platform.
 //!
-//! A VM that starts reads the entries to find the other VMs, and the sections of prompts that they
-//! hold, also if all VMs were killed. Each VM writes its entry when it starts and removes it when it
-//! shuts down; the first VMs of each data centre write theirs again when held sections change. In
-//! each data centre, one VM removes the entries of dead VMs. Each process writes its own entry, and a
-//! removal contains the revision of the entry, so that a delayed removal can't delete the entry of
-//! the next process of that VM.
+//! A VM that starts reads the entries to learn the sections of prompts that other VMs hold, also if
+//! all VMs were killed. It then writes its own entry and reads the list again, because VMs that start
+//! together find each other's entries only after they have written theirs; [`ListingSchedule`] tells
+//! when further reads follow. A VM removes its entry when it shuts down; the first VMs of each data
+//! centre write theirs again when held sections change. In each data centre, one VM removes the
+//! entries of dead VMs. Each process writes its own entry, and a removal contains the revision of the
+//! entry, so that a delayed removal can't delete the entry of the next process of that VM.
 
 use crate::{
     PlatformCall, PlatformReply, clock,
@@ -14,14 +15,14 @@
     shared::Shared,
 };
 use core::time::Duration;
-use poplarswitch_ingress::{HeldSection, HoldChange, StaleVmDetector, VmEntry};
+use poplarswitch_entity::Time;
+use poplarswitch_ingress::{
+    HeldSection, HoldChange, ListingSchedule, ListingView, StaleVmDetector, VmEntry,
+};
 use poplarswitch_platform::Backoff;
 use snafu::{ResultExt as _, Snafu};
 use std::{collections::HashSet, sync::Arc};
-use tokio::time::{Instant, sleep, sleep_until};
-
-/// Interval between scans for entries of dead VMs; much longer than a restart.
-const SCAN_INTERVAL: Duration = Duration::from_secs(30);
+use tokio::time::sleep;
 
 /// Delay before held sections are written, so that one write has several that change together.
 const HELD_WRITE_DELAY: Duration = Duration::from_millis(100);
@@ -43,8 +44,8 @@
     },
 }
 
-/// Reads the list of VMs, registers this VM, keeps its entry up to date, and regularly removes the
-/// entries of dead VMs.
+/// Registers this VM, learns of the other VMs, keeps this VM's entry up to date, and regularly
+/// removes the entries of dead VMs.
 pub(crate) async fn run(shared: Arc<Shared>, client: Arc<PlatformClient>) {
     let mut backoff = Backoff::new(shared.random_number());
     loop {
@@ -61,42 +62,110 @@
         }
     }
     backoff.reset();
-    let settings = &shared.settings;
-    let ip = shared.core().membership.local_ip();
-    let mut local_vm = VmEntry {
-        name: settings.vm.clone(),
-        ip,
-        data_centre: settings.data_centre.to_string(),
-        start_ms: clock::unix_millis(),
-        revision: 0,
-        held: held_sections(&shared),
-    };
+    let mut local_vm = local_entry(&shared);
     while let Err(error) = register(&shared, &client, &local_vm).await {
         tracing::warn!(event = "failed", call = "register", %error, "platform");
         sleep(backoff.next_wait()).await;
     }
+    backoff.reset();
+    loop {
+        match list(&shared, &client).await {
+            Ok(vms) => {
+                add_members(&shared, &vms);
+                shared.core().sources.mark_listed();
+                shared.notify_change();
+                break;
+            }
+            Err(error) => {
+                tracing::warn!(event = "failed", call = "list_vms", %error, "platform");
+                sleep(backoff.next_wait()).await;
+            }
+        }
+    }
+    maintain(&shared, &client, &mut local_vm).await;
+}
+
+/// Keeps this VM's entry and the list of members up to date until the process exits.
+async fn maintain(shared: &Shared, client: &PlatformClient, local_vm: &mut VmEntry) {
     let mut detector = StaleVmDetector::default();
-    let mut scan_at = Instant::now() + SCAN_INTERVAL;
+    let mut schedule = ListingSchedule::new(clock::now());
+    let mut was_isolated = false;
+    let mut held_failed = false;
     loop {
+        let now = clock::now();
+        let wait = schedule.due().since(now).min(if held_failed {
+            HELD_RETRY_DELAY
+        } else {
+            Duration::MAX
+        });
         tokio::select! {
-            () = sleep_until(scan_at) => {
-                scan_at = Instant::now() + SCAN_INTERVAL;
-                if shared.core().should_read_platform(clock::now())
-                    && let Err(error) = remove_stale(&shared, &client, &mut detector).await
-                {
-                    tracing::warn!(event = "failed", call = "sweep", %error, "platform");
-                }
-            }
+            () = sleep(wait) => {}
             () = shared.holds_changed.notified() => sleep(HELD_WRITE_DELAY).await,
         }
-        if let Err(error) = update_held(&shared, &client, &mut local_vm).await {
+        let now = clock::now();
+        let view = listing_view(shared, now);
+        if schedule.decide(now, view)
+            && let Err(error) = relist(shared, client, &mut detector, local_vm, view).await
+        {
+            tracing::warn!(event = "failed", call = "sweep", %error, "platform");
+            schedule.hurry(clock::now());
+        }
+        let is_isolated = view.alive == 0 && view.silent > 0;
+        if is_isolated && !was_isolated {
+            schedule.hurry(now);
+        }
+        was_isolated = is_isolated;
+        let written = update_held(shared, client, local_vm).await;
+        held_failed = written.is_err();
+        if let Err(error) = written {
             tracing::warn!(event = "failed", call = "put_vm", %error, "platform");
-            // Tries again, also if nothing changes.
-            scan_at = scan_at.min(Instant::now() + HELD_RETRY_DELAY);
         }
     }
 }
 
+fn local_entry(shared: &Shared) -> VmEntry {
+    let settings = &shared.settings;
+    let ip = shared.core().membership.local_ip();
+    VmEntry {
+        name: settings.vm.clone(),
+        ip,
+        data_centre: settings.data_centre.to_string(),
+        start_ms: clock::unix_millis(),
+        revision: 0,
+        held: held_sections(shared),
+    }
+}
+
+fn listing_view(shared: &Shared, now: Time) -> ListingView {
+    let core = shared.core();
+    ListingView {
+        is_reader: core.should_read_platform(now),
+        alive: core.membership.alive(now).count(),
+        silent: core.membership.silent_count(now),
+    }
+}
+
+/// Reads the list, adds VMs that this VM doesn't know, and writes this VM's entry again if it is
+/// missing. The VM that reads the platform also removes the entries of dead VMs.
+async fn relist(
+    shared: &Shared,
+    client: &PlatformClient,
+    detector: &mut StaleVmDetector,
+    local_vm: &VmEntry,
+    view: ListingView,
+) -> Result<(), RegistryError> {
+    let listed = list(shared, client).await?;
+    add_members(shared, &listed);
+    if !listed.iter().any(|vm| vm.name == local_vm.name) {
+        tracing::info!(event = "entry_missing", "member");
+        register(shared, client, local_vm).await?;
+    }
+    if view.is_reader {
+        remove_stale(shared, client, detector, &listed).await?;
+    }
+    Ok(())
+}
+
 /// Writes this VM's entry again if its held sections have changed and it is among the first VMs of
 /// its data centre.
 async fn update_held(
@@ -206,14 +275,27 @@
     }
 }
 
+/// Adds listed VMs to the members, and logs how many of them haven't been heard of.
 fn add_members(shared: &Shared, vms: &[VmEntry]) {
+    let now = clock::now();
     let mut core = shared.core();
+    let known = core.membership.known_count();
     for vm in vms {
         let dc_index = shared.settings.data_centre_index(&vm.data_centre);
         core.membership.add_member(vm.ip, dc_index);
     }
-    core.sources.mark_listed();
+    let added = core.membership.known_count() - known;
+    let silent = core.membership.silent_count(now);
     drop(core);
+    if added > 0 || silent > 0 {
+        tracing::info!(
+            event = "listed",
+            listed = vms.len(),
+            added,
+            unheard = silent,
+            "member"
+        );
+    }
     shared.notify_change();
 }
 
@@ -221,14 +303,14 @@
     shared: &Shared,
     client: &PlatformClient,
     detector: &mut StaleVmDetector,
+    listed: &[VmEntry],
 ) -> Result<(), RegistryError> {
-    let listed = list(shared, client).await?;
     let alive: HashSet<_> = {
         let core = shared.core();
         let others = core.membership.alive(clock::now()).map(|member| member.ip);
         others.chain([core.membership.local_ip()]).collect()
     };
-    for vm in detector.scan(&listed, |ip| alive.contains(&ip)) {
+    for vm in detector.scan(listed, |ip| alive.contains(&ip)) {
         remove(shared, client, &vm).await?;
         tracing::info!(
             event = "removed",
