--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -18,6 +18,7 @@
 mod groups;
 mod hash;
 mod health;
+mod limits;
 mod listing;
 mod membership;
 mod outcome;
@@ -48,6 +49,8 @@
 #[cfg(test)]
 mod health_tests;
 #[cfg(test)]
+mod limits_tests;
+#[cfg(test)]
 mod listing_tests;
 #[cfg(test)]
 mod membership_tests;
@@ -79,6 +82,7 @@
 pub use groups::{Demand, EndpointGroup, GroupSplit};
 pub use hash::{hash_pair, hash_text};
 pub use health::Health;
+pub use limits::{LimitChange, LimitId, NamedLimit, RateLimits};
 pub use listing::{ListingSchedule, ListingView};
 pub use membership::{EngineWork, Heartbeat, Member, MemberRecord, Membership, Phase};
 pub use outcome::{AttemptCounts, NextStep, Outcome, Verdict, next_step, verdict};
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -133,6 +133,7 @@
             &head.headers,
             &self.request.call.id,
         );
+        self.observe_limit(key, started, &info);
         if let Err(failed) = self.check_head(key, &head, &info) {
             if failed.outcome == Outcome::Refused {
                 open_call.record_refusal();
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -15,6 +15,7 @@
 mod feed;
 mod framing;
 mod heartbeats;
+mod limits;
 mod listeners;
 mod logs;
 mod metrics;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -45,6 +45,7 @@
     pub(crate) crashes: Counter,
     pub(crate) sections_held: Counter,
     pub(crate) calls_held: Counter,
+    pub(crate) limited_sends: Counter,
     pub(crate) vms_alive: Gauge,
     pub(crate) vms_unheard: Gauge,
 }
@@ -72,6 +73,7 @@
             crashes: Counter::default(),
             sections_held: Counter::default(),
             calls_held: Counter::default(),
+            limited_sends: Counter::default(),
             vms_alive: Gauge::default(),
             vms_unheard: Gauge::default(),
         };
@@ -122,6 +124,11 @@
                 "Crashes of engines under calls of this VM",
                 &self.crashes,
             ),
+            (
+                "limited_sends",
+                "Requests to endpoints that name a limit",
+                &self.limited_sends,
+            ),
             (
                 "sections_held",
                 "Sections of prompts that were held",
--- a/crates/relay/src/protocol.rs
+++ b/crates/relay/src/protocol.rs
@@ -7,7 +7,7 @@
 use core::{fmt, net::SocketAddr, time::Duration};
 use http::{HeaderMap, Method, StatusCode};
 use poplarswitch_entity::{EndpointName, VmName};
-use poplarswitch_ingress::{Call, Config, EndpointEntry, EngineReport, VmEntry};
+use poplarswitch_ingress::{Call, Config, EndpointEntry, EngineReport, NamedLimit, VmEntry};
 use poplarswitch_platform::WireRequest;
 
 /// Error of a head that is not a valid call.
@@ -55,7 +55,7 @@
 }
 
 /// Information from the head of an endpoint's response.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ResponseInfo {
     /// Meaning of the response.
     pub kind: ResponseKind,
@@ -63,6 +63,8 @@
     pub signed: bool,
     /// Idle time after which the endpoint closes the connection, if it announces one.
     pub idle_timeout: Option<Duration>,
+    /// What the response says of the endpoint's limit on the rate of requests.
+    pub limit: NamedLimit,
 }
 
 /// A request to this VM itself.
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -12,8 +12,8 @@
 use poplarswitch_entity::Time;
 use poplarswitch_ingress::{
     AdmissionControl, Cursor, Demand, EndpointChange, EndpointKey, EndpointTable, Freshness,
-    GroupSplit, Membership, Phase, Quarantine, RetryBudget, RetryLimit, RoutingTable, Shutdown,
-    ShutdownStage, SourceSelector, Transition,
+    GroupSplit, Membership, Phase, Quarantine, RateLimits, RetryBudget, RetryLimit, RoutingTable,
+    Shutdown, ShutdownStage, SourceSelector, Transition,
 };
 use rand::{Rng as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
@@ -60,6 +60,8 @@
     /// For each other VM, the time of its last heartbeat, and the open calls in it: short hash of
     /// the endpoint's name, number of calls.
     pub(crate) remote_calls: HashMap<Ipv4Addr, (Time, Vec<(u32, u16)>)>,
+    /// Limits that endpoints name in their answers.
+    pub(crate) limits: RateLimits,
     /// Sections of prompts that crash engines.
     pub(crate) quarantine: Quarantine,
     /// Broken calls of engines that are being checked.
@@ -145,6 +147,7 @@
             sources: SourceSelector::new(clock::now()),
             rng: Pcg64Mcg::seed_from_u64(start_ms ^ u64::from(local_ip.to_bits())),
             remote_calls: HashMap::new(),
+            limits: RateLimits::default(),
             quarantine: Quarantine::default(),
             pending_cuts: PendingCuts::new(),
         };
