Share the limits that endpoints name between all VMs

Endpoints that named a limit on the rate of requests got as many as before: nothing listened to it. Cause: a statement of an endpoint about all VMs reached one VM, as a header that was passed on. The class: a bound on a sum that no VM knows.

Each limited endpoint has an owner, selected by rendezvous hashing among the VMs that are alive. It keeps a token bucket; every request takes a token before it is sent, whether it is a first attempt, a retry, a resumption or a trial, because all of them pass CallForwarder::choose. Other VMs ask the owner in one datagram. A VM that is denied uses other endpoints at once; if all are limited, the call is refused with the time at which the first may be asked again.

--- a/crates/ingress/src/endpoints.rs
+++ b/crates/ingress/src/endpoints.rs
@@ -11,6 +11,7 @@
     groups::EndpointGroup,
     hash::hash_text,
     health::Health,
+    limits::Denial,
     placement::GroupLoad,
 };
 use poplarswitch_entity::{EndpointName, ServiceName, Time};
@@ -82,6 +83,8 @@
     pub open_calls: u32,
     /// Open calls of other VMs, as reported in their heartbeats.
     pub remote_calls: u32,
+    /// Calls that its limit on the rate of requests keeps back.
+    pub denial: Denial,
     /// Whether it has crashed and has not begun an answer since.
     pub has_crashed: bool,
 }
@@ -216,6 +219,7 @@
             engine_load: EngineLoad::default(),
             open_calls: 0,
             remote_calls: 0,
+            denial: Denial::default(),
             has_crashed: false,
             entry,
         });
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -82,7 +82,10 @@
 pub use groups::{Demand, EndpointGroup, GroupSplit};
 pub use hash::{hash_pair, hash_text};
 pub use health::Health;
-pub use limits::{LimitChange, LimitId, NamedLimit, RateLimits};
+pub use limits::{
+    Denial, LimitChange, LimitId, LimitMessage, LimitRecord, LimitShare, NamedLimit, Permit,
+    RateLimits, TokenReply, TokenRequest,
+};
 pub use listing::{ListingSchedule, ListingView};
 pub use membership::{EngineWork, Heartbeat, Member, MemberRecord, Membership, Phase};
 pub use outcome::{AttemptCounts, NextStep, Outcome, Verdict, next_step, verdict};
--- a/crates/ingress/src/placement.rs
+++ b/crates/ingress/src/placement.rs
@@ -58,6 +58,8 @@
     pub time_left: Duration,
     /// Whether the call has the highest priority, at which it is never refused for lack of slots.
     pub top_priority: bool,
+    /// Rank of the call among all calls, 0 first.
+    pub rank: u8,
     /// Endpoints that have been tried.
     pub tried: &'a [EndpointKey],
     /// Data centre of this VM.
@@ -146,8 +148,12 @@
     ) -> PlacementDecision {
         let available = self.available(request.service);
         let usable = |key: &EndpointKey| {
-            let health = &self.endpoint(*key).health;
-            !request.tried.contains(key) && !health.is_ejected(now) && !health.is_full(now)
+            let endpoint = self.endpoint(*key);
+            let health = &endpoint.health;
+            !request.tried.contains(key)
+                && !endpoint.denial.holds(now, request.rank)
+                && !health.is_ejected(now)
+                && !health.is_full(now)
         };
         let session = request
             .prompt
@@ -169,11 +175,20 @@
             self.least_loaded(&usable, request.data_centre)
         };
         match decision {
-            PlacementDecision::NoEndpoint => self.least_failing(available, request),
+            PlacementDecision::NoEndpoint => self.least_failing(now, available, request),
             decision => decision,
         }
     }
 
+    /// When the first of the endpoints of a service whose limits keep calls of a rank back may be
+    /// asked again; none if there are none.
+    pub fn denied_until(&self, now: Time, service: &ServiceName, rank: u8) -> Option<Time> {
+        let endpoints = self.available(service).iter();
+        let denials = endpoints.map(|key| self.endpoint(*key).denial);
+        let denials = denials.filter(|denial| denial.holds(now, rank));
+        denials.map(|denial| denial.until).min()
+    }
+
     /// Counts a call, so that some calls request the load of engines at a low load level too.
     pub fn count_call(&mut self, group: EndpointGroup) {
         self.group_load_mut(group).calls += 1;
@@ -312,10 +327,13 @@
     /// the call is tried at all.
     fn least_failing(
         &self,
+        now: Time,
         available: &[EndpointKey],
         request: PlacementRequest<'_>,
     ) -> PlacementDecision {
-        let untried = available.iter().filter(|key| !request.tried.contains(key));
+        let untried = available.iter().filter(|key| {
+            !request.tried.contains(key) && !self.endpoint(**key).denial.holds(now, request.rank)
+        });
         let endpoint = untried.min_by(|a, b| {
             let (a, b) = (self.endpoint(**a), self.endpoint(**b));
             a.health.failure_rate().total_cmp(&b.health.failure_rate())
--- a/crates/ingress/src/placement_tests.rs
+++ b/crates/ingress/src/placement_tests.rs
@@ -46,6 +46,7 @@
         objective: Some(Duration::from_millis(500)),
         time_left: Duration::from_millis(1_500),
         top_priority,
+        rank: 0,
         tried,
         data_centre: &data_centre,
     };
@@ -254,6 +255,7 @@
         objective: Some(Duration::from_secs(2)),
         time_left: Duration::from_secs(12),
         top_priority: false,
+        rank: 0,
         tried: &[],
         data_centre: &data_centre,
     };
--- a/crates/relay/src/heartbeats.rs
+++ b/crates/relay/src/heartbeats.rs
@@ -1,12 +1,12 @@
 //! Heartbeats between VMs, and the periodic work that is done at the same interval.
 
-use crate::{clock, quarantine, shared::Shared};
+use crate::{clock, limits, quarantine, shared::Shared};
 use core::{
     net::{IpAddr, Ipv4Addr, SocketAddr},
     time::Duration,
 };
 use poplarswitch_entity::Time;
-use poplarswitch_ingress::{Heartbeat, MemberRecord, Phase, QuarantineDigest};
+use poplarswitch_ingress::{Heartbeat, LimitMessage, MemberRecord, Phase, QuarantineDigest};
 use rand::Rng as _;
 use std::{collections::HashMap, sync::Arc};
 use tokio::{net::UdpSocket, time::sleep};
@@ -24,8 +24,11 @@
 /// Sends and receives heartbeats until the process exits.
 pub(crate) async fn run(shared: Arc<Shared>, socket: UdpSocket) {
     let socket = Arc::new(socket);
+    // The socket is set only here.
+    let _unset = shared.peer_socket.set(Arc::clone(&socket));
     let listener = tokio::spawn(listen(Arc::clone(&shared), Arc::clone(&socket)));
     tokio::spawn(quarantine::tell(Arc::clone(&shared), Arc::clone(&socket)));
+    tokio::spawn(limits::tell(Arc::clone(&shared), Arc::clone(&socket)));
     let mut last_phase = None;
     loop {
         let now = clock::now();
@@ -91,6 +94,7 @@
             .copied()
             .unwrap_or(0);
     }
+    core.refresh_limits(now, shared.started);
     drop(core);
     shared.handle_endpoint_changes(&expired, "lapse");
     shared.pool.evict_idle();
@@ -195,8 +199,10 @@
         let heartbeat: Heartbeat = match ciborium::from_reader(datagram) {
             Ok(heartbeat) => heartbeat,
             Err(error) => {
-                // Digests are rare, so heartbeats are tried first.
-                if let Ok(digest) = ciborium::from_reader::<QuarantineDigest, _>(datagram) {
+                // Other messages are rarer, so heartbeats are tried first.
+                if let Ok(message) = ciborium::from_reader::<LimitMessage, _>(datagram) {
+                    limits::receive(&shared, &socket, from, message).await;
+                } else if let Ok(digest) = ciborium::from_reader::<QuarantineDigest, _>(datagram) {
                     quarantine::receive(&shared, &digest);
                 } else {
                     shared.metrics.bad_datagrams.inc();
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -46,6 +46,7 @@
     pub(crate) sections_held: Counter,
     pub(crate) calls_held: Counter,
     pub(crate) limited_sends: Counter,
+    pub(crate) tokens_denied: Counter,
     pub(crate) vms_alive: Gauge,
     pub(crate) vms_unheard: Gauge,
 }
@@ -74,6 +75,7 @@
             sections_held: Counter::default(),
             calls_held: Counter::default(),
             limited_sends: Counter::default(),
+            tokens_denied: Counter::default(),
             vms_alive: Gauge::default(),
             vms_unheard: Gauge::default(),
         };
@@ -129,6 +131,11 @@
                 "Requests to endpoints that name a limit",
                 &self.limited_sends,
             ),
+            (
+                "tokens_denied",
+                "Requests that a limit kept from an endpoint",
+                &self.tokens_denied,
+            ),
             (
                 "sections_held",
                 "Sections of prompts that were held",
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -26,18 +26,32 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
 /// Maximum number of reports that are requested for one attempt.
 const MAX_PROBES: usize = 5;
+/// Maximum number of decisions for one attempt, some of which end at a limited endpoint.
+const MAX_DECISIONS: usize = 40;
 /// Maximum size of a report.
 const MAX_REPORT_BYTES: usize = 64 << 10;
 
 impl CallForwarder {
-    /// Selects an endpoint; requests reports from engines if the decision depends on their load.
+    /// Selects an endpoint whose limit on the rate of requests allows the call; requests reports
+    /// from engines if the decision depends on their load.
     pub(crate) async fn choose(&mut self) -> Result<Placement, Failure> {
-        for _ in 0..MAX_PROBES {
+        let mut probes = 0;
+        for _ in 0..MAX_DECISIONS {
             let now = clock::now();
             let decision = self.place(now);
             match decision {
-                PlacementDecision::Send(placement) => return Ok(placement),
-                PlacementDecision::Probe(key) => self.probe(key).await,
+                PlacementDecision::Send(placement) => {
+                    if self.take_permit(placement.endpoint).await {
+                        return Ok(placement);
+                    }
+                }
+                PlacementDecision::Probe(key) => {
+                    probes += 1;
+                    if probes > MAX_PROBES {
+                        break;
+                    }
+                    self.probe(key).await;
+                }
                 PlacementDecision::Refuse { expected } => {
                     self.record.expected = Some(expected);
                     return Err(self.refusal(now, ErrorCode::Overload));
@@ -58,6 +72,7 @@
             objective: self.request.route.objective,
             time_left: self.request.deadline.since(now),
             top_priority: self.request.route.priority == 0,
+            rank: self.request.priority,
             tried: &self.tried,
             data_centre: &self.shared.settings.data_centre,
         };
@@ -65,7 +80,15 @@
     }
 
     fn refusal(&self, now: Time, code: ErrorCode) -> Failure {
-        let retry_after = self.retry_after(now);
+        let service = &self.request.service;
+        let rank = self.request.priority;
+        let denied_until = self
+            .shared
+            .core()
+            .endpoints
+            .denied_until(now, service, rank);
+        let limited = denied_until.map_or(Duration::ZERO, |until| until.since(now));
+        let retry_after = self.retry_after(now).max(limited);
         self.not_run_failure(code, self.request.service.as_str())
             .with_retry_after(retry_after)
     }
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -4,7 +4,7 @@
 //! is behind one lock, which is held for single decisions only and never across an await point.
 
 use crate::{
-    Protocol, clock, metrics::Metrics, pool::Pool, quarantine::PendingCuts,
+    Protocol, clock, limits::TokenRequests, metrics::Metrics, pool::Pool, quarantine::PendingCuts,
     settings::RelaySettings, snapshot::Snapshot, tcp::Sender,
 };
 use arc_swap::ArcSwap;
@@ -20,11 +20,14 @@
 use std::{
     collections::HashMap,
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
+        Arc, Mutex, MutexGuard, OnceLock, PoisonError,
         atomic::{AtomicUsize, Ordering},
     },
 };
-use tokio::sync::{Notify, watch};
+use tokio::{
+    net::UdpSocket,
+    sync::{Notify, watch},
+};
 
 /// Multiple of [`ADDRESS_TTL`] for which callers may use an address.
 const ADDRESS_TTL_FACTOR: u32 = 3;
@@ -62,6 +65,8 @@
     pub(crate) remote_calls: HashMap<Ipv4Addr, (Time, Vec<(u32, u16)>)>,
     /// Limits that endpoints name in their answers.
     pub(crate) limits: RateLimits,
+    /// Requests for tokens whose replies are awaited.
+    pub(crate) token_requests: TokenRequests,
     /// Sections of prompts that crash engines.
     pub(crate) quarantine: Quarantine,
     /// Broken calls of engines that are being checked.
@@ -102,11 +107,15 @@
     pub(crate) pool: Pool,
     pub(crate) metrics: Metrics,
     pub(crate) snapshot: Snapshot,
+    /// Notified when other VMs must be told of limits of endpoints.
+    pub(crate) limit_news: Notify,
+    /// Socket for datagrams to other VMs, once it is open.
+    pub(crate) peer_socket: OnceLock<Arc<UdpSocket>>,
     /// Notified when other VMs must be told of evidence on sections of prompts.
     pub(crate) quarantine_news: Notify,
     /// Notified when the set of held sections has changed.
     pub(crate) holds_changed: Notify,
-    started: Time,
+    pub(crate) started: Time,
     in_flight: AtomicUsize,
     core: Mutex<Core>,
     changes: watch::Sender<u64>,
@@ -148,6 +157,7 @@
             rng: Pcg64Mcg::seed_from_u64(start_ms ^ u64::from(local_ip.to_bits())),
             remote_calls: HashMap::new(),
             limits: RateLimits::default(),
+            token_requests: TokenRequests::new(),
             quarantine: Quarantine::default(),
             pending_cuts: PendingCuts::new(),
         };
@@ -158,6 +168,8 @@
             pool: Pool::default(),
             metrics: Metrics::default(),
             snapshot: Snapshot::default(),
+            limit_news: Notify::new(),
+            peer_socket: OnceLock::new(),
             quarantine_news: Notify::new(),
             holds_changed: Notify::new(),
             started: clock::now(),
