--- a/crates/ingress/src/call.rs
+++ b/crates/ingress/src/call.rs
@@ -65,6 +65,15 @@
     }
 }
 
+/// A stream of which the caller has received some events and requests the rest.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Continuation {
+    /// Identifier of the caller's attempt that brought the first event, if the caller names it.
+    pub first_attempt: Option<Box<str>>,
+    /// Identifier of the last event that the caller has received.
+    pub last_event: Box<str>,
+}
+
 /// Metadata of a call.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Call {
@@ -76,4 +85,6 @@
     pub key: Option<Box<str>>,
     /// The prompt, for calls to models.
     pub prompt: Option<Prompt>,
+    /// The stream that the call continues, if any.
+    pub continues: Option<Continuation>,
 }
--- a/crates/ingress/src/endpoints_tests.rs
+++ b/crates/ingress/src/endpoints_tests.rs
@@ -13,6 +13,7 @@
         slots: 4,
         state: EndpointState::Ready,
         start_ms: 1,
+        software: None,
         revision,
     }
 }
@@ -41,6 +42,7 @@
     expect_that!(available_count(&endpoints), eq(0));
     endpoints.upsert(EndpointEntry {
         start_ms: 2,
+        software: None,
         ..entry("a", 4)
     });
     expect_that!(available_count(&endpoints), eq(1));
@@ -73,6 +75,7 @@
     let first = endpoints.upsert(entry("a", 1));
     let second = endpoints.upsert(EndpointEntry {
         start_ms: 9,
+        software: None,
         ..entry("a", 2)
     });
     expect_that!(second.len(), eq(2));
--- a/crates/ingress/src/entry.rs
+++ b/crates/ingress/src/entry.rs
@@ -17,6 +17,28 @@
     Draining,
 }
 
+/// Version of the software of an endpoint. What two versions write to a stream doesn't fit together.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct SoftwareVersion(Box<str>);
+
+impl SoftwareVersion {
+    /// Maximum length in bytes.
+    pub const MAX_LEN: usize = 64;
+
+    /// Creates a version; none if the text is empty or too long.
+    pub fn new(text: &str) -> Option<Self> {
+        (1..=Self::MAX_LEN)
+            .contains(&text.len())
+            .then(|| Self(text.into()))
+    }
+
+    /// The text.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
 /// Entry of an endpoint in the platform.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndpointEntry {
@@ -35,6 +57,9 @@
     /// Start time in Unix milliseconds; distinguishes incarnations that have the same name.
     #[serde(rename = "born")]
     pub start_ms: u64,
+    /// Version of its software, if it is known. VMs of earlier versions don't send it.
+    #[serde(default)]
+    pub software: Option<SoftwareVersion>,
     /// Platform revision of the entry.
     pub revision: u64,
 }
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -70,13 +70,15 @@
 pub use admission::{Admission, AdmissionControl};
 pub use body_end::{EndedBody, EventScanner, Framing};
 pub use budget::{RetryBudget, RetryLimit};
-pub use call::{Call, Prompt, PromptSection};
+pub use call::{Call, Continuation, Prompt, PromptSection};
 pub use config::{
     Config, EngineSpec, Limits, RouteKind, RouteSpec, ServiceSpec, Target, WorkspaceSpec,
 };
 pub use endpoints::{Endpoint, EndpointChange, EndpointKey, EndpointTable, Transition};
 pub use engine::{CallAverages, EngineLoad, EngineReport, engine_work_ms};
-pub use entry::{EndpointEntry, EndpointState, EntryChanges, LocalRemoval, Removal};
+pub use entry::{
+    EndpointEntry, EndpointState, EntryChanges, LocalRemoval, Removal, SoftwareVersion,
+};
 pub use feed::{Cursor, FeedReply, FeedRequest, Source, SourceSelector};
 pub use freshness::Freshness;
 pub use groups::{Demand, EndpointGroup, GroupSplit};
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -11,7 +11,7 @@
 use http_body_util::{BodyExt as _, Full};
 use hyper::body::{Body as _, Incoming};
 use poplarswitch_entity::{EndpointName, Time};
-use poplarswitch_ingress::{EndpointKey, Framing, Health, Outcome, Placement};
+use poplarswitch_ingress::{EndpointKey, Framing, Health, Outcome, Placement, SoftwareVersion};
 use tokio::time::timeout;
 
 /// Multiple of the latency objective after which an idempotent call is retried on another endpoint.
@@ -98,6 +98,7 @@
             ));
         };
         self.record.endpoint = name.as_str().into();
+        self.record.software = self.software_of(key);
         self.record.reason = reason_name(placement.reason);
         self.record.expected = placement.expected;
         self.record.attempts += 1;
@@ -166,6 +167,12 @@
         })
     }
 
+    /// Software version of an endpoint, if it is known.
+    fn software_of(&self, key: EndpointKey) -> Option<SoftwareVersion> {
+        let core = self.shared.core();
+        core.endpoints.get(key)?.entry.software.clone()
+    }
+
     /// Name and address of an endpoint, if it accepts calls.
     pub(crate) fn endpoint_address(&self, key: EndpointKey) -> Option<(EndpointName, SocketAddr)> {
         let core = self.shared.core();
--- a/crates/relay/src/call_record.rs
+++ b/crates/relay/src/call_record.rs
@@ -8,7 +8,7 @@
 use crate::{clock, shared::Shared};
 use core::time::Duration;
 use poplarswitch_entity::Time;
-use poplarswitch_ingress::Framing;
+use poplarswitch_ingress::{Continuation, Framing, SoftwareVersion};
 use std::sync::Arc;
 
 /// Data about a call for its log line and its metrics.
@@ -23,6 +23,10 @@
     pub(crate) sections: String,
     pub(crate) endpoint: Box<str>,
     pub(crate) reason: &'static str,
+    /// Software version of the endpoint.
+    pub(crate) software: Option<SoftwareVersion>,
+    /// The stream that the call continues.
+    pub(crate) continues: Option<Continuation>,
     /// Predicted time to the first event, if there is a prediction.
     pub(crate) expected: Option<Duration>,
     pub(crate) priority: u8,
@@ -56,6 +60,8 @@
             sections: String::new(),
             endpoint: "".into(),
             reason: "",
+            software: None,
+            continues: None,
             expected: None,
             priority: 0,
             deadline: None,
@@ -96,6 +102,7 @@
             .metrics
             .record_call(&self.route, self.outcome, duration.as_secs_f64());
         let config_age = self.shared.core().freshness.age(now);
+        let continues = self.continues.as_ref();
         tracing::info!(
             event = self.outcome,
             id = &*self.call_id,
@@ -105,6 +112,9 @@
             proof_ms = config_age.map(|age| age.as_millis() as u64),
             endpoint = &*self.endpoint,
             reason = self.reason,
+            software = self.software.as_ref().map(SoftwareVersion::as_str),
+            continues = continues.and_then(|stream| stream.first_attempt.as_deref()),
+            after_event = continues.map(|stream| &*stream.last_event),
             expected_ms = self.expected.map(|expected| expected.as_millis() as u64),
             priority = self.priority,
             deadline_ms = self.deadline.map(|deadline| deadline.as_millis() as u64),
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -104,6 +104,7 @@
     if let Ok(call) = &call {
         record.call_id.clone_from(&call.id);
         record.deadline = call.deadline;
+        record.continues.clone_from(&call.continues);
         record.sections = call.prompt.as_ref().map(format_shared).unwrap_or_default();
     }
     wait_for_config(shared, call.as_ref().ok().and_then(|call| call.deadline)).await;
--- a/crates/relay/src/snapshot_tests.rs
+++ b/crates/relay/src/snapshot_tests.rs
@@ -13,6 +13,7 @@
         slots: 16,
         state: EndpointState::Ready,
         start_ms: n,
+        software: None,
         revision: n,
     };
     (0..count).map(entry).collect()
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -22,7 +22,9 @@
 use core::time::Duration;
 use http::{header, response};
 use http_body_util::BodyExt as _;
-use poplarswitch_ingress::{EndedBody, EventScanner, Framing, RouteKind, SURVIVAL_TIME};
+use poplarswitch_ingress::{
+    EndedBody, EventScanner, Framing, RouteKind, SURVIVAL_TIME, SoftwareVersion,
+};
 use tokio::{
     sync::mpsc,
     time::{Instant, sleep_until},
@@ -257,6 +259,11 @@
             event = "resumes",
             id = &*forwarder.request.call.id,
             last,
+            software = forwarder
+                .record
+                .software
+                .as_ref()
+                .map(SoftwareVersion::as_str),
             cause = forwarder.record.cause,
             left_ms = time_left.as_millis() as u64,
             "stream"
