--- a/crates/node/tests/relay/mod.rs
+++ b/crates/node/tests/relay/mod.rs
@@ -9,7 +9,7 @@
 };
 use poplarswitch_deployment::{
     CallError, CallRequest, CallResponse, Caller, Configuration, DEFAULT_PROMPT, Deployment,
-    Endpoint, EndpointKind, Proxy, Run, Store, Vm,
+    Endpoint, EndpointKind, Proxy, Run, Store, TakenUp, Vm,
 };
 use rustix::process::{Pid, Signal, kill_process};
 use std::{
@@ -294,6 +294,7 @@
             path,
             key,
             deadline: Duration::from_secs(8),
+            continues: None,
             prompt: DEFAULT_PROMPT,
         };
         let response = self.caller.call(self.address(index), &request);
@@ -313,12 +314,33 @@
             path,
             key: KEYS[0],
             deadline: Duration::from_secs(3),
+            continues: None,
             prompt,
         };
         let response = self.caller.call(self.address(index), &request);
         (id, response)
     }
 
+    /// Makes a call that takes a stream up again; returns its new identifier and its result.
+    pub fn take_up(
+        &self,
+        index: usize,
+        path: &str,
+        stream: TakenUp<'_>,
+    ) -> (String, Result<CallResponse, CallError>) {
+        let id = self.next_id();
+        let request = CallRequest {
+            id: &id,
+            path,
+            key: KEYS[0],
+            deadline: Duration::from_secs(8),
+            continues: Some(stream),
+            prompt: DEFAULT_PROMPT,
+        };
+        let response = self.caller.call(self.address(index), &request);
+        (id, response)
+    }
+
     fn next_id(&self) -> String {
         format!("c{}", self.call_count.fetch_add(1, Ordering::Relaxed))
     }
--- a/crates/node/tests/relay_bodies.rs
+++ b/crates/node/tests/relay_bodies.rs
@@ -123,6 +123,7 @@
         path,
         key: KEYS[0],
         deadline: Duration::from_secs(8),
+        continues: None,
         prompt: DEFAULT_PROMPT,
     };
     let bytes = request.to_bytes(Configuration::host(), version);
--- a/crates/node/tests/relay_measure.rs
+++ b/crates/node/tests/relay_measure.rs
@@ -38,6 +38,7 @@
     for number in 0..WARM_UP_CALLS + LATENCY_CALLS {
         let id = format!("m{}", ids.fetch_add(1, Ordering::Relaxed));
         let request = CallRequest {
+            continues: None,
             prompt: DEFAULT_PROMPT,
             id: &id,
             path: "/seats/1",
--- a/crates/node/tests/relay_soak.rs
+++ b/crates/node/tests/relay_soak.rs
@@ -238,6 +238,7 @@
         path,
         key,
         deadline: Duration::from_secs(3),
+        continues: None,
         prompt,
     };
     let sent = Instant::now();
--- /dev/null
+++ b/crates/node/tests/relay_versions.rs
@@ -0,0 +1,292 @@
+//! Streams that go on at another endpoint or VM while endpoints of two software versions serve.
+
+mod relay;
+
+use core::time::Duration;
+use googletest::prelude::*;
+use poplarswitch_deployment::{CallError, CallResponse, EndpointKind, StoreFault, TakenUp};
+use relay::Fleet;
+use std::{collections::HashMap, thread};
+
+/// Path of a stream that may be resumed.
+const BRIEF: &str = "/brief/1";
+/// Number of VMs.
+const VM_COUNT: u8 = 4;
+/// Number of events of a whole stream.
+const EVENT_COUNT: u32 = 12;
+/// Indices and versions of the engines.
+const ENGINES: [(usize, &str); 6] = [
+    (0, "v1"),
+    (1, "v1"),
+    (4, "v1"),
+    (5, "v2"),
+    (6, "v2"),
+    (7, "v2"),
+];
+/// Indices of the engines with both versions.
+const START_MS: u64 = 2;
+
+/// Starts VMs, and engines of two versions.
+fn start_fleet(net: u8) -> Fleet {
+    let mut fleet = Fleet::start(net, VM_COUNT);
+    for name in ["engine-3", "engine-4", "engine-5", "engine-6"] {
+        fleet.add_endpoint(name, EndpointKind::Engine);
+    }
+    for (index, software) in ENGINES {
+        fleet.endpoints[index].set_software(software.into());
+        fleet.endpoints[index].update_behaviour(|b| {
+            b.event_count = EVENT_COUNT;
+            b.event_interval = Duration::from_millis(60);
+        });
+        fleet.register(index, EndpointKind::Engine, START_MS, false);
+    }
+    thread::sleep(Duration::from_secs(1));
+    fleet
+}
+
+/// The last event that a caller has received.
+fn last_event(body: &str) -> Option<String> {
+    let complete = &body[..body.rfind("\n\n")?];
+    let id = complete.lines().rfind(|line| line.starts_with("id: "))?;
+    Some(id["id: ".len()..].to_owned())
+}
+
+/// Versions of the engines at which the attempts of each stream ran, by the first attempt; only
+/// runs that brought events, which all do.
+fn versions_by_stream(
+    fleet: &Fleet,
+    attempts: &HashMap<String, String>,
+) -> HashMap<String, Vec<&'static str>> {
+    let mut versions: HashMap<String, Vec<&str>> = HashMap::new();
+    for (index, software) in ENGINES {
+        for run in fleet.endpoints[index].runs() {
+            let first = attempts.get(&run.call_id).unwrap_or(&run.call_id).clone();
+            versions.entry(first).or_default().push(software);
+        }
+    }
+    versions
+}
+
+/// Number of streams whose runs are of two versions.
+fn count_mixed(fleet: &Fleet, attempts: &HashMap<String, String>) -> usize {
+    let versions = versions_by_stream(fleet, attempts);
+    let mixed = versions
+        .values()
+        .filter(|versions| versions.iter().any(|version| *version != versions[0]));
+    mixed.count()
+}
+
+/// Makes calls at a VM at the same time and returns their results.
+fn make_streams(
+    fleet: &Fleet,
+    vm: usize,
+    count: usize,
+) -> Vec<(String, Result<CallResponse, CallError>)> {
+    thread::scope(|scope| {
+        let calls: Vec<_> = (0..count)
+            .map(|n| {
+                let prompt = format!("f1:100,{:x}:50,{n:x}0:10", 0x700 + n);
+                scope.spawn(move || fleet.call_with_prompt(vm, BRIEF, &prompt))
+            })
+            .collect();
+        calls.into_iter().map(|call| call.join().unwrap()).collect()
+    })
+}
+
+/// Takes up all broken streams at a VM; returns the attempts, and how many streams were completed.
+fn take_up_all(
+    fleet: &Fleet,
+    vm: usize,
+    broken: &[(String, String)],
+) -> (HashMap<String, String>, usize) {
+    thread::scope(|scope| {
+        let calls: Vec<_> = broken
+            .iter()
+            .map(|(first, last)| {
+                scope.spawn(move || {
+                    let stream = TakenUp {
+                        first_attempt: Some(first),
+                        last_event: last,
+                    };
+                    let (id, response) = fleet.take_up(vm, BRIEF, stream);
+                    (id, first.clone(), response)
+                })
+            })
+            .collect();
+        let mut attempts = HashMap::new();
+        let mut complete = 0;
+        for call in calls {
+            let (id, first, response) = call.join().unwrap();
+            let last = format!("id: {EVENT_COUNT}\n");
+            let is_complete = response.is_ok_and(|r| r.status == 200 && r.body.contains(&last));
+            complete += usize::from(is_complete);
+            attempts.insert(id, first);
+        }
+        (attempts, complete)
+    })
+}
+
+/// Streams that broke off after some events, with the last event.
+fn broken_streams(
+    results: Vec<(String, Result<CallResponse, CallError>)>,
+) -> Vec<(String, String)> {
+    let broken = results.into_iter().filter_map(|(id, result)| {
+        let error = result.err()?;
+        Some((id, last_event(error.partial_body())?))
+    });
+    broken.collect()
+}
+
+/// A VM resumed streams within their answers at engines of another version.
+#[gtest]
+fn stream_is_resumed_within_its_answer_at_its_own_version_only() {
+    let fleet = start_fleet(51);
+    for (index, _) in ENGINES {
+        fleet.endpoints[index].update_behaviour(|b| b.cut_after = Some(4));
+    }
+    let mut resumed = 0;
+    for vm in 0..3 {
+        for (id, response) in make_streams(&fleet, vm, 8) {
+            let runs = fleet.runs_of(&id).filter(|run| run.after_event > 0);
+            resumed += usize::from(runs.count() > 0);
+            drop(response);
+        }
+    }
+    expect_that!(resumed, ge(12));
+    expect_that!(count_mixed(&fleet, &HashMap::new()), eq(0));
+}
+
+/// Callers took streams up at other VMs after theirs had been killed, and they went on at engines of
+/// another version.
+#[gtest]
+fn stream_of_a_killed_vm_is_taken_up_at_its_own_version_only() {
+    let mut fleet = start_fleet(52);
+    let (results, fleet) = {
+        let (sender, receiver) = std::sync::mpsc::channel();
+        thread::scope(|scope| {
+            let shared = &fleet;
+            scope.spawn(move || sender.send(make_streams(shared, 1, 24)).unwrap());
+            thread::sleep(Duration::from_millis(450));
+            fleet.signal(1, rustix::process::Signal::KILL);
+        });
+        fleet.kill(1);
+        (receiver.recv().unwrap(), fleet)
+    };
+    let broken = broken_streams(results);
+    expect_that!(broken.len(), ge(12));
+    let (attempts, complete) = take_up_all(&fleet, 2, &broken);
+    expect_that!(count_mixed(&fleet, &attempts), eq(0));
+    expect_that!(complete, ge(broken.len() * 9 / 10));
+}
+
+/// The same after a second break: the caller still names the attempt that brought the first event.
+#[gtest]
+fn stream_is_taken_up_several_times_at_its_own_version_only() {
+    let mut fleet = start_fleet(53);
+    for (index, _) in ENGINES {
+        fleet.endpoints[index].update_behaviour(|b| b.cut_after = Some(3));
+    }
+    let mut broken = broken_streams(make_streams(&fleet, 0, 16));
+    expect_that!(broken.len(), ge(12));
+    let mut attempts = HashMap::new();
+    for vm in [1, 2] {
+        let (more, _) = take_up_all(&fleet, vm, &broken);
+        attempts.extend(more);
+        for (_, last) in &mut broken {
+            *last = (last.parse::<u32>().unwrap() + 1).to_string();
+        }
+    }
+    // A VM that has been started again knows nothing itself.
+    fleet.kill(0);
+    fleet.start_process(0);
+    fleet.await_ready();
+    for (index, _) in ENGINES {
+        fleet.endpoints[index].update_behaviour(|b| b.cut_after = None);
+    }
+    let (more, complete) = take_up_all(&fleet, 0, &broken);
+    attempts.extend(more);
+    expect_that!(count_mixed(&fleet, &attempts), eq(0));
+    expect_that!(complete, ge(broken.len() * 9 / 10));
+}
+
+/// A stream of which nobody knows the version goes on nowhere.
+#[gtest]
+fn stream_of_unknown_version_is_refused() {
+    let fleet = start_fleet(54);
+    for first_attempt in [None, Some("never-sent"), Some("\u{fffd}")] {
+        let stream = TakenUp {
+            first_attempt,
+            last_event: "3",
+        };
+        let (id, response) = fleet.take_up(1, BRIEF, stream);
+        expect_that!(fleet.run_count(&id), eq(0));
+        expect_that!(response.map(|r| r.status), ok(eq(&503)));
+    }
+}
+
+/// With endpoints of one version only, every stream is of that version.
+#[gtest]
+fn stream_without_a_known_attempt_goes_on_while_there_is_one_version() {
+    let fleet = Fleet::start(55, 2);
+    thread::sleep(Duration::from_secs(1));
+    let stream = TakenUp {
+        first_attempt: Some("never-sent"),
+        last_event: "3",
+    };
+    let (_, response) = fleet.take_up(1, BRIEF, stream);
+    expect_that!(response.map(|r| r.status), ok(eq(&200)));
+}
+
+/// An engine that was started again with another version under its name got streams of the version
+/// before, from VMs that had its old entry.
+#[gtest]
+fn stream_does_not_go_on_at_a_new_incarnation_behind_an_old_entry() {
+    let fleet = start_fleet(56);
+    let broken = {
+        for (index, _) in ENGINES {
+            fleet.endpoints[index].update_behaviour(|b| b.cut_after = Some(3));
+        }
+        broken_streams(make_streams(&fleet, 0, 16))
+    };
+    fleet.store.set_fault(StoreFault::Silent);
+    // All engines are other processes now, of other versions, which no VM can know.
+    for (index, _) in ENGINES {
+        fleet.endpoints[index].update_behaviour(|b| {
+            b.cut_after = None;
+            b.reported_start = Some(START_MS + 1);
+        });
+    }
+    let (attempts, complete) = take_up_all(&fleet, 0, &broken);
+    expect_that!(complete, eq(0));
+    let ran = attempts.keys().filter(|id| fleet.run_count(id) > 0).count();
+    expect_that!(ran, eq(0));
+}
+
+/// A missing or malformed version joins nothing.
+#[gtest]
+fn stream_of_an_engine_without_a_version_goes_on_nowhere() {
+    let fleet = start_fleet(57);
+    for (index, _) in ENGINES {
+        let version = if index % 2 == 0 {
+            serde_json::Value::Null
+        } else {
+            serde_json::json!(3)
+        };
+        fleet.endpoints[index].set_software(version);
+        fleet.endpoints[index].update_behaviour(|b| b.cut_after = Some(3));
+        fleet.register(index, EndpointKind::Engine, START_MS + 1, false);
+    }
+    thread::sleep(Duration::from_secs(1));
+    let results = make_streams(&fleet, 0, 8);
+    for (id, _) in &results {
+        expect_that!(
+            fleet.runs_of(id).filter(|run| run.after_event > 0).count(),
+            eq(0)
+        );
+    }
+    let broken = broken_streams(results);
+    expect_that!(broken.len(), ge(6));
+    let (attempts, _) = take_up_all(&fleet, 1, &broken);
+    let ran = attempts.keys().filter(|id| fleet.run_count(id) > 0).count();
+    expect_that!(ran, eq(0));
+}
