Continue streams only at the software version that began them

A VM that resumed a stream, and one at which a caller took one up, selected among all endpoints of the service; entries dropped the version, and nothing told which version had begun a stream. The class: a property of one part of a conversation that the next part needs, and that was kept nowhere.

The VM that forwards the first event binds the stream to the version of that endpoint's incarnation, and records its origin under the caller's attempt at itself and at two other VMs. A taken-up stream is looked up there: by the attempt that `Resumes` names, at up to 11 VMs, or 4 in larger clusters. Placement takes only endpoints of that version, and the connection's report must name the incarnation that the entry tells of. While the view of the endpoints is old, the endpoint that begins a stream is checked too. Without a record, the stream goes on if its service has had one version for 30 s; otherwise it is refused with 503 and has not run. Bounded: 50,000 records a VM, a minute each, two datagrams for each stream that begins, no write to the platform.

Alternatives weighed: telling all VMs of each stream (bytes grow with the number of VMs), asking all VMs (so do messages, and a killed VM has forgotten), a write to the platform for each stream (over its rate).

--- a/crates/ingress/src/endpoints.rs
+++ b/crates/ingress/src/endpoints.rs
@@ -85,6 +85,8 @@
     pub remote_calls: u32,
     /// Calls that its limit on the rate of requests keeps back.
     pub denial: Denial,
+    /// When it was last checked that this incarnation serves at its address.
+    pub checked: Time,
     /// Whether it has crashed and has not begun an answer since.
     pub has_crashed: bool,
 }
@@ -174,6 +176,12 @@
         }
     }
 
+    /// Whether the software version of an endpoint has not been read from the platform.
+    pub fn lacks_versions(&self) -> bool {
+        let mut endpoints = self.endpoints.values();
+        endpoints.any(|endpoint| endpoint.entry.software.is_none())
+    }
+
     /// The endpoints of a service that accept calls, in an order that is the same on all VMs.
     pub fn available(&self, service: &ServiceName) -> &[EndpointKey] {
         self.by_service.get(service).map_or(&[], Vec::as_slice)
@@ -200,7 +208,13 @@
                 } else {
                     known.entry.state
                 };
-                known.entry = EndpointEntry { state, ..entry };
+                // An incarnation has one version, which some VMs don't send.
+                let software = known.entry.software.take().or(entry.software);
+                known.entry = EndpointEntry {
+                    state,
+                    software,
+                    ..entry
+                };
                 self.change_count += 1;
                 if newly_draining {
                     self.remove_available(key);
@@ -220,6 +234,7 @@
             open_calls: 0,
             remote_calls: 0,
             denial: Denial::default(),
+            checked: Time::ZERO,
             has_crashed: false,
             entry,
         });
--- a/crates/ingress/src/engine.rs
+++ b/crates/ingress/src/engine.rs
@@ -40,6 +40,8 @@
     pub waiting: u32,
     /// Calls that are producing tokens.
     pub running: u32,
+    /// Start of the engine's process in Unix milliseconds, if it reports that.
+    pub start_ms: Option<u64>,
 }
 
 /// Load of an engine as known to this VM.
--- a/crates/ingress/src/engine_tests.rs
+++ b/crates/ingress/src/engine_tests.rs
@@ -15,7 +15,14 @@
 
 fn engine(waiting: u32, running: u32) -> EngineLoad {
     let mut engine = EngineLoad::default();
-    engine.record_report(Time::ZERO, EngineReport { waiting, running });
+    engine.record_report(
+        Time::ZERO,
+        EngineReport {
+            waiting,
+            running,
+            start_ms: None,
+        },
+    );
     engine
 }
 
--- a/crates/ingress/src/entry.rs
+++ b/crates/ingress/src/entry.rs
@@ -18,7 +18,7 @@
 }
 
 /// Version of the software of an endpoint. What two versions write to a stream doesn't fit together.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct SoftwareVersion(Box<str>);
 
@@ -26,11 +26,15 @@
     /// Maximum length in bytes.
     pub const MAX_LEN: usize = 64;
 
-    /// Creates a version; none if the text is empty or too long.
-    pub fn new(text: &str) -> Option<Self> {
-        (1..=Self::MAX_LEN)
-            .contains(&text.len())
-            .then(|| Self(text.into()))
+    /// Creates a version; it is unknown if the text is empty or too long.
+    pub fn new(text: &str) -> Self {
+        let is_usable = text.len() <= Self::MAX_LEN;
+        Self(if is_usable { text } else { "" }.into())
+    }
+
+    /// Whether the version is known.
+    pub fn is_known(&self) -> bool {
+        !self.0.is_empty()
     }
 
     /// The text.
@@ -57,7 +61,8 @@
     /// Start time in Unix milliseconds; distinguishes incarnations that have the same name.
     #[serde(rename = "born")]
     pub start_ms: u64,
-    /// Version of its software, if it is known. VMs of earlier versions don't send it.
+    /// Version of its software; none if it comes from a VM of an earlier version, which doesn't send
+    /// it.
     #[serde(default)]
     pub software: Option<SoftwareVersion>,
     /// Platform revision of the entry.
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -26,6 +26,7 @@
 mod quarantine;
 mod shutdown;
 mod stale_vms;
+mod streams;
 mod table;
 
 #[cfg(test)]
@@ -37,7 +38,7 @@
 #[cfg(test)]
 mod endpoint_views_tests;
 #[cfg(test)]
-mod endpoints_tests;
+pub(crate) mod endpoints_tests;
 #[cfg(test)]
 mod engine_tests;
 #[cfg(test)]
@@ -65,6 +66,8 @@
 #[cfg(test)]
 mod stale_vms_tests;
 #[cfg(test)]
+mod streams_tests;
+#[cfg(test)]
 mod table_tests;
 
 pub use admission::{Admission, AdmissionControl};
@@ -98,4 +101,7 @@
 };
 pub use shutdown::{Shutdown, ShutdownStage};
 pub use stale_vms::{StaleVmDetector, VmEntry};
+pub use streams::{
+    StreamId, StreamMessage, StreamOrigin, StreamOrigins, VersionPin, asked_vms, copy_holders,
+};
 pub use table::{Access, Route, RoutingTable, Workspace};
--- a/crates/ingress/src/placement.rs
+++ b/crates/ingress/src/placement.rs
@@ -13,6 +13,7 @@
     call::Prompt,
     endpoints::{Endpoint, EndpointKey, EndpointTable},
     engine::{CallAverages, EngineReport},
+    entry::SoftwareVersion,
     groups::{EndpointGroup, GroupSplit},
     hash::hash_pair,
 };
@@ -60,12 +61,20 @@
     pub top_priority: bool,
     /// Rank of the call among all calls, 0 first.
     pub rank: u8,
+    /// Software version that the endpoint must have; none for a call that continues nothing.
+    pub software: Option<&'a SoftwareVersion>,
     /// Endpoints that have been tried.
     pub tried: &'a [EndpointKey],
     /// Data centre of this VM.
     pub data_centre: &'a DataCentre,
 }
 
+impl PlacementRequest<'_> {
+    fn accepts(&self, endpoint: &Endpoint) -> bool {
+        self.software.is_none() || endpoint.entry.software.as_ref() == self.software
+    }
+}
+
 /// Reason for the choice of an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PlacementReason {
@@ -151,6 +160,7 @@
             let endpoint = self.endpoint(*key);
             let health = &endpoint.health;
             !request.tried.contains(key)
+                && request.accepts(endpoint)
                 && !endpoint.denial.holds(now, request.rank)
                 && !health.is_ejected(now)
                 && !health.is_full(now)
@@ -332,7 +342,10 @@
         request: PlacementRequest<'_>,
     ) -> PlacementDecision {
         let untried = available.iter().filter(|key| {
-            !request.tried.contains(key) && !self.endpoint(**key).denial.holds(now, request.rank)
+            let endpoint = self.endpoint(**key);
+            !request.tried.contains(key)
+                && request.accepts(endpoint)
+                && !endpoint.denial.holds(now, request.rank)
         });
         let endpoint = untried.min_by(|a, b| {
             let (a, b) = (self.endpoint(**a), self.endpoint(**b));
--- a/crates/ingress/src/placement_tests.rs
+++ b/crates/ingress/src/placement_tests.rs
@@ -47,6 +47,7 @@
         time_left: Duration::from_millis(1_500),
         top_priority,
         rank: 0,
+        software: None,
         tried,
         data_centre: &data_centre,
     };
@@ -190,6 +191,7 @@
     let loaded = EngineReport {
         waiting: 30,
         running: 4,
+        start_ms: None,
     };
     let (decision, probes) = decide_with(&mut endpoints(9), loaded, false);
     expect_that!(decision, matches_pattern!(PlacementDecision::Refuse { .. }));
@@ -201,6 +203,7 @@
     let loaded = EngineReport {
         waiting: 30,
         running: 4,
+        start_ms: None,
     };
     let (decision, _) = decide_with(&mut endpoints(9), loaded, true);
     expect_that!(decision, matches_pattern!(PlacementDecision::Send(_)));
@@ -212,6 +215,7 @@
     let loaded = EngineReport {
         waiting: 30,
         running: 4,
+        start_ms: None,
     };
     endpoints
         .group_load_mut(EndpointGroup::Strict)
@@ -256,6 +260,7 @@
         time_left: Duration::from_secs(12),
         top_priority: false,
         rank: 0,
+        software: None,
         tried: &[],
         data_centre: &data_centre,
     };
@@ -266,6 +271,7 @@
                 let report = EngineReport {
                     waiting: *waiting.next().expect("more probes than engines"),
                     running: 0,
+                    start_ms: None,
                 };
                 endpoints.record_report(NOW, key, EndpointGroup::Relaxed, report);
             }
--- /dev/null
+++ b/crates/ingress/src/streams.rs
@@ -0,0 +1,239 @@
+//! The software version to which each stream belongs.
+//!
+//! A stream may go on only at endpoints of the version that began it. The VM that forwards the first
+//! event of a stream records its origin, and tells two other VMs, which rendezvous hashing selects by
+//! the caller's attempt. A VM that is asked to continue a stream looks among its own records, then asks
+//! other VMs. Records are kept for longer than callers wait, and their number is limited.
+//!
+//! Without a record, the stream is known to be of the only version that its service has had for as
+//! long; otherwise it goes on nowhere.
+
+use crate::{
+    endpoints::EndpointTable,
+    entry::SoftwareVersion,
+    hash::{hash_pair, hash_text},
+};
+use core::{net::Ipv4Addr, time::Duration};
+use poplarswitch_entity::{ServiceName, Time};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, HashMap, VecDeque};
+
+/// Time for which the origin of a stream is kept after its last event that began an answer.
+const RECORD_TTL: Duration = Duration::from_mins(1);
+/// Maximum number of origins that are kept; the oldest are dropped first.
+const MAX_RECORDS: usize = 50_000;
+/// Time for which a service must have had one version for a stream without a record to be of it.
+const HISTORY_TIME: Duration = Duration::from_secs(30);
+/// Number of other VMs that are told of an origin.
+const COPY_COUNT: usize = 2;
+/// Number of VMs up to which all of them are asked for an origin.
+const SMALL_CLUSTER: usize = 12;
+/// Number of VMs that are asked in larger clusters; one of them may have started after the record.
+const ASKED_COUNT: usize = COPY_COUNT + 2;
+
+/// Identifier of a stream: a hash of the caller's attempt that brought its first event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct StreamId(pub u64);
+
+impl StreamId {
+    /// Identifier of the stream whose first event this attempt brought.
+    pub fn new(first_attempt: &str) -> Self {
+        Self(hash_text(first_attempt))
+    }
+}
+
+/// Service and version to which a stream belongs.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamOrigin {
+    /// The service.
+    pub service: ServiceName,
+    /// The version of the software that began the stream.
+    pub software: SoftwareVersion,
+}
+
+/// A datagram between VMs about the origins of streams.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum StreamMessage {
+    /// Origins to keep: each with its streams.
+    #[serde(rename = "origins")]
+    Origins(Vec<(StreamOrigin, Vec<StreamId>)>),
+    /// Request for the origin of a stream.
+    #[serde(rename = "find")]
+    Find {
+        /// Number of the request, which the reply repeats.
+        serial: u32,
+        /// The stream.
+        stream: StreamId,
+    },
+    /// Reply to a request.
+    #[serde(rename = "found")]
+    Found {
+        /// Number of the request.
+        serial: u32,
+        /// The origin, if it is known.
+        origin: Option<StreamOrigin>,
+    },
+}
+
+/// Versions at which a stream may go on.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum VersionPin {
+    /// Any: the caller has received nothing yet.
+    #[default]
+    Any,
+    /// Only this version.
+    Only(SoftwareVersion),
+    /// None: the version that began the stream is unknown.
+    Nowhere,
+}
+
+impl VersionPin {
+    /// Whether the stream has begun.
+    pub const fn is_begun(&self) -> bool {
+        !matches!(self, Self::Any)
+    }
+
+    /// The version that endpoints must have, if the stream has begun.
+    pub const fn required(&self) -> Option<&SoftwareVersion> {
+        match self {
+            Self::Only(software) => Some(software),
+            Self::Any | Self::Nowhere => None,
+        }
+    }
+}
+
+/// Origins of streams that are known to this VM.
+#[derive(Clone, Debug, Default)]
+pub struct StreamOrigins {
+    origins: HashMap<StreamId, (StreamOrigin, Time)>,
+    /// Streams in the order of their records, with the time of each record.
+    order: VecDeque<(StreamId, Time)>,
+    /// When each version of a service was last seen.
+    versions: BTreeMap<ServiceName, Vec<(Option<SoftwareVersion>, Time)>>,
+}
+
+impl StreamOrigins {
+    /// Records the origin of a stream.
+    pub fn record(&mut self, now: Time, stream: StreamId, origin: &StreamOrigin) {
+        self.origins.insert(stream, (origin.clone(), now));
+        self.order.push_back((stream, now));
+        self.expire(now);
+    }
+
+    /// Records origins that another VM has told.
+    pub fn merge(&mut self, now: Time, origins: &[(StreamOrigin, Vec<StreamId>)]) {
+        for (origin, streams) in origins {
+            for stream in streams {
+                self.record(now, *stream, origin);
+            }
+        }
+    }
+
+    /// Origin of a stream.
+    pub fn get(&self, now: Time, stream: StreamId) -> Option<&StreamOrigin> {
+        let (origin, at) = self.origins.get(&stream)?;
+        (now.since(*at) < RECORD_TTL).then_some(origin)
+    }
+
+    /// Number of records.
+    pub fn len(&self) -> usize {
+        self.origins.len()
+    }
+
+    /// Whether there are no records.
+    pub fn is_empty(&self) -> bool {
+        self.origins.is_empty()
+    }
+
+    fn expire(&mut self, now: Time) {
+        while let Some((stream, at)) = self.order.front().copied() {
+            let is_old = now.since(at) >= RECORD_TTL;
+            if !is_old && self.order.len() <= MAX_RECORDS {
+                return;
+            }
+            self.order.pop_front();
+            // The stream may have been recorded again.
+            if self
+                .origins
+                .get(&stream)
+                .is_some_and(|(_, last)| *last == at)
+            {
+                self.origins.remove(&stream);
+            }
+        }
+    }
+
+    /// Notes which versions serve now.
+    pub fn note_versions(&mut self, now: Time, endpoints: &EndpointTable) {
+        for (_, endpoint) in endpoints.iter() {
+            let entry = &endpoint.entry;
+            if !self.versions.contains_key(&entry.service) {
+                self.versions.insert(entry.service.clone(), Vec::new());
+            }
+            let Some(versions) = self.versions.get_mut(&entry.service) else {
+                continue;
+            };
+            match versions
+                .iter_mut()
+                .find(|(known, _)| *known == entry.software)
+            {
+                Some((_, last)) => *last = now,
+                None => versions.push((entry.software.clone(), now)),
+            }
+        }
+        for versions in self.versions.values_mut() {
+            versions.retain(|(_, last)| now.since(*last) < HISTORY_TIME);
+        }
+        self.versions.retain(|_, versions| !versions.is_empty());
+        self.expire(now);
+    }
+
+    /// The only version that a service has had for longer than a stream lasts, if there is one. A
+    /// process that started at `started` hasn't seen what was before; then `unix_ms`, the time of
+    /// day, must show that all endpoints are older than that.
+    pub fn only_version(
+        &self,
+        now: Time,
+        started: Time,
+        unix_ms: u64,
+        service: &ServiceName,
+        endpoints: &EndpointTable,
+    ) -> Option<SoftwareVersion> {
+        let [(Some(only), _)] = self.versions.get(service)?.as_slice() else {
+            return None;
+        };
+        if !only.is_known() {
+            return None;
+        }
+        let of_service = endpoints.iter().map(|(_, endpoint)| &endpoint.entry);
+        let mut of_service = of_service.filter(|entry| entry.service == *service);
+        let oldest_ms = unix_ms.saturating_sub(HISTORY_TIME.as_millis() as u64);
+        let is_settled = now.since(started) >= HISTORY_TIME;
+        let all_match = of_service.all(|entry| {
+            entry.software.as_ref() == Some(only) && (is_settled || entry.start_ms <= oldest_ms)
+        });
+        all_match.then(|| only.clone())
+    }
+}
+
+/// The VMs among `others` that are told of the origin of a stream.
+pub fn copy_holders(stream: StreamId, others: &[Ipv4Addr]) -> Vec<Ipv4Addr> {
+    nearest(stream, others, COPY_COUNT)
+}
+
+/// The VMs among `others` that are asked for the origin of a stream.
+pub fn asked_vms(stream: StreamId, others: &[Ipv4Addr]) -> Vec<Ipv4Addr> {
+    if others.len() < SMALL_CLUSTER {
+        return others.to_vec();
+    }
+    nearest(stream, others, ASKED_COUNT)
+}
+
+fn nearest(StreamId(stream): StreamId, others: &[Ipv4Addr], count: usize) -> Vec<Ipv4Addr> {
+    let mut others = others.to_vec();
+    let weight = |ip: &Ipv4Addr| hash_pair(u64::from(ip.to_bits()), stream);
+    others.sort_unstable_by_key(|ip| core::cmp::Reverse(weight(ip)));
+    others.truncate(count);
+    others
+}
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -113,6 +113,12 @@
         if !connection.reused {
             self.shared.metrics.connections.inc();
         }
+        let connection = if self.request.pin.is_begun() {
+            let checked = self.check_incarnation(key, address, connection).await;
+            checked.map_err(|cause| FailedAttempt::new(Outcome::NotSent, cause))?
+        } else {
+            connection
+        };
         let started = clock::now();
         // The process may have been suspended while the connection was opened.
         if self.recheck(started).is_err() || self.endpoint_address(key).is_none() {
--- a/crates/relay/src/call_forwarder.rs
+++ b/crates/relay/src/call_forwarder.rs
@@ -13,7 +13,8 @@
 use http::{HeaderMap, Method, Uri};
 use poplarswitch_entity::{ServiceName, Time};
 use poplarswitch_ingress::{
-    Access, AttemptCounts, Call, EndpointKey, NextStep, Outcome, Route, Verdict, next_step, verdict,
+    Access, AttemptCounts, Call, EndpointKey, NextStep, Outcome, Route, Verdict, VersionPin,
+    next_step, verdict,
 };
 use poplarswitch_wire::ErrorCode;
 use std::sync::Arc;
@@ -34,6 +35,8 @@
     pub(crate) priority: u8,
     /// Time at which the time limit of the caller or that of the route ends, whichever is earlier.
     pub(crate) deadline: Time,
+    /// Software versions at which the call may run.
+    pub(crate) pin: VersionPin,
     /// Whether the call is the trial of a held section of its prompt.
     pub(crate) is_trial: bool,
 }
--- a/crates/relay/src/heartbeats.rs
+++ b/crates/relay/src/heartbeats.rs
@@ -1,12 +1,17 @@
 //! Heartbeats between VMs, and the periodic work that is done at the same interval.
 
-use crate::{clock, limits, quarantine, shared::Shared};
+use crate::{
+    clock, limits, origins, quarantine,
+    shared::{Core, Shared},
+};
 use core::{
     net::{IpAddr, Ipv4Addr, SocketAddr},
     time::Duration,
 };
 use poplarswitch_entity::Time;
-use poplarswitch_ingress::{Heartbeat, LimitMessage, MemberRecord, Phase, QuarantineDigest};
+use poplarswitch_ingress::{
+    Heartbeat, LimitMessage, MemberRecord, Phase, QuarantineDigest, StreamMessage,
+};
 use rand::Rng as _;
 use std::{collections::HashMap, sync::Arc};
 use tokio::{net::UdpSocket, time::sleep};
@@ -28,6 +33,7 @@
     let _unset = shared.peer_socket.set(Arc::clone(&socket));
     let listener = tokio::spawn(listen(Arc::clone(&shared), Arc::clone(&socket)));
     tokio::spawn(quarantine::tell(Arc::clone(&shared), Arc::clone(&socket)));
+    tokio::spawn(origins::tell(Arc::clone(&shared), Arc::clone(&socket)));
     tokio::spawn(limits::tell(Arc::clone(&shared), Arc::clone(&socket)));
     let mut last_phase = None;
     loop {
@@ -95,6 +101,10 @@
             .unwrap_or(0);
     }
     core.refresh_limits(now, shared.started);
+    let Core {
+        origins, endpoints, ..
+    } = &mut *core;
+    origins.note_versions(now, endpoints);
     drop(core);
     shared.handle_endpoint_changes(&expired, "lapse");
     shared.pool.evict_idle();
@@ -202,6 +212,10 @@
                 // Other messages are rarer, so heartbeats are tried first.
                 if let Ok(message) = ciborium::from_reader::<LimitMessage, _>(datagram) {
                     limits::receive(&shared, &socket, from, message).await;
+                } else if let Ok(message) = ciborium::from_reader::<StreamMessage, _>(datagram) {
+                    if let IpAddr::V4(ip) = from.ip() {
+                        origins::receive(&shared, &socket, ip, message).await;
+                    }
                 } else if let Ok(digest) = ciborium::from_reader::<QuarantineDigest, _>(datagram) {
                     quarantine::receive(&shared, &digest);
                 } else {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -20,6 +20,7 @@
 mod logs;
 mod metrics;
 mod open_call;
+mod origins;
 mod placement;
 mod platform_client;
 mod platform_reader;
--- /dev/null
+++ b/crates/relay/src/origins.rs
@@ -0,0 +1,322 @@
+//! The software version to which a stream belongs: records of streams that begin, and their exchange
+//! with other VMs; see [`poplarswitch_ingress::StreamOrigins`].
+
+use crate::{
+    call_forwarder::CallForwarder,
+    clock,
+    placement::fetch_report,
+    pool::Connection,
+    shared::{Core, Shared},
+    tcp::{self, Sender},
+};
+use core::{
+    net::{Ipv4Addr, SocketAddr},
+    time::Duration,
+};
+use poplarswitch_entity::Time;
+use poplarswitch_ingress::{
+    Continuation, EndpointKey, EngineReport, Route, SoftwareVersion, StreamId, StreamMessage,
+    StreamOrigin, VersionPin, asked_vms, copy_holders,
+};
+use std::{collections::HashMap, sync::Arc};
+use tokio::{
+    net::UdpSocket,
+    sync::mpsc,
+    time::{Instant, sleep, timeout, timeout_at},
+};
+
+/// Time limit for the replies of other VMs to a request for an origin.
+const REPLY_TIMEOUT: Duration = Duration::from_millis(80);
+/// Time limit for the report that shows which incarnation of an endpoint serves.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(150);
+/// Age of the view of the endpoints above which an endpoint may have been started again without an
+/// entry that tells of it.
+const MAX_TRUSTED_AGE: Duration = Duration::from_millis(1_500);
+/// Time for which a check of an endpoint's incarnation holds while the view is old.
+const CHECK_TTL: Duration = Duration::from_secs(1);
+/// Time in which origins are gathered into one datagram.
+const GATHER_TIME: Duration = Duration::from_millis(5);
+/// Maximum number of streams in a datagram.
+const MAX_STREAMS: usize = 100;
+
+/// Requests for origins whose replies are awaited, by their numbers.
+pub(crate) type OriginRequests = HashMap<u32, mpsc::Sender<Option<StreamOrigin>>>;
+
+/// An origin that other VMs have to be told of.
+#[derive(Clone, Debug)]
+pub(crate) struct UntoldOrigin {
+    stream: StreamId,
+    origin: StreamOrigin,
+}
+
+impl Core {
+    fn other_vms(&self, now: Time) -> Vec<Ipv4Addr> {
+        self.membership.alive(now).map(|member| member.ip).collect()
+    }
+
+    /// Whether another incarnation of an endpoint, of another version, has taken its name.
+    fn is_replaced(&self, key: EndpointKey, name: &str, software: &SoftwareVersion) -> bool {
+        if self.endpoints.get(key).is_some() {
+            return false;
+        }
+        let same_name = self.endpoints.iter();
+        let mut same_name = same_name.filter(|(_, other)| other.entry.name.as_str() == name);
+        same_name.any(|(_, other)| other.entry.software.as_ref() != Some(software))
+    }
+}
+
+/// Finds the origin of a stream that a caller takes up: among the records of this VM, those of
+/// others, or as the only version of one of the route's services.
+pub(crate) async fn find_origin(
+    shared: &Shared,
+    route: &Route,
+    continues: &Continuation,
+) -> Option<StreamOrigin> {
+    let stream = continues.first_attempt.as_deref().map(StreamId::new);
+    let origin = match stream {
+        Some(stream) => {
+            let known = shared.core().origins.get(clock::now(), stream).cloned();
+            match known {
+                Some(origin) => Some(origin),
+                None => ask(shared, stream).await,
+            }
+        }
+        None => None,
+    };
+    let origin = origin.or_else(|| only_origin(shared, route));
+    origin.filter(|origin| route.targets.iter().any(|t| t.service == origin.service))
+}
+
+/// The only service and version of a route.
+fn only_origin(shared: &Shared, route: &Route) -> Option<StreamOrigin> {
+    let [target] = &*route.targets else {
+        return None;
+    };
+    let core = shared.core();
+    let software = core.origins.only_version(
+        clock::now(),
+        shared.started,
+        clock::unix_millis(),
+        &target.service,
+        &core.endpoints,
+    )?;
+    Some(StreamOrigin {
+        service: target.service.clone(),
+        software,
+    })
+}
+
+/// Asks other VMs for the origin of a stream.
+async fn ask(shared: &Shared, stream: StreamId) -> Option<StreamOrigin> {
+    let socket = shared.peer_socket.get()?;
+    let (peers, serial, mut replies) = {
+        let mut core = shared.core();
+        let peers = asked_vms(stream, &core.other_vms(clock::now()));
+        let (sender, replies) = mpsc::channel(peers.len().max(1));
+        core.origin_serial = core.origin_serial.wrapping_add(1);
+        let serial = core.origin_serial;
+        core.origin_requests.insert(serial, sender);
+        (peers, serial, replies)
+    };
+    let message = StreamMessage::Find { serial, stream };
+    for ip in &peers {
+        send(shared, socket, &message, *ip).await;
+    }
+    let deadline = Instant::now() + REPLY_TIMEOUT;
+    let mut origin = None;
+    for _ in &peers {
+        match timeout_at(deadline, replies.recv()).await {
+            Ok(Some(None)) => {}
+            Ok(Some(found)) => {
+                origin = found;
+                break;
+            }
+            Ok(None) | Err(_) => break,
+        }
+    }
+    shared.core().origin_requests.remove(&serial);
+    tracing::info!(
+        event = "asked",
+        asked = peers.len(),
+        found = origin.is_some(),
+        "stream"
+    );
+    origin
+}
+
+async fn send(shared: &Shared, socket: &UdpSocket, message: &StreamMessage, ip: Ipv4Addr) {
+    let mut bytes = Vec::with_capacity(64);
+    if let Err(error) = ciborium::into_writer(message, &mut bytes) {
+        tracing::warn!(event = "unwritable", %error, "stream");
+        return;
+    }
+    let peer = SocketAddr::new(ip.into(), shared.settings.listen.peers.port());
+    // A failed send has the same effect as a lost datagram; another VM holds a copy.
+    if let Err(error) = socket.send_to(&bytes, peer).await {
+        tracing::debug!(%peer, %error, "send a stream message");
+    }
+}
+
+/// Processes a datagram of another VM.
+pub(crate) async fn receive(
+    shared: &Shared,
+    socket: &UdpSocket,
+    from: Ipv4Addr,
+    message: StreamMessage,
+) {
+    let now = clock::now();
+    match message {
+        StreamMessage::Origins(origins) => shared.core().origins.merge(now, &origins),
+        StreamMessage::Find { serial, stream } => {
+            let origin = shared.core().origins.get(now, stream).cloned();
+            let reply = StreamMessage::Found { serial, origin };
+            send(shared, socket, &reply, from).await;
+        }
+        StreamMessage::Found { serial, origin } => {
+            let waiter = shared.core().origin_requests.get(&serial).cloned();
+            if let Some(waiter) = waiter {
+                // The request may have ended.
+                let _ended = waiter.try_send(origin);
+            }
+        }
+    }
+}
+
+/// Tells other VMs of the origins of streams until the process exits.
+pub(crate) async fn tell(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
+    loop {
+        shared.origin_news.notified().await;
+        sleep(GATHER_TIME).await;
+        let by_peer = {
+            let mut core = shared.core();
+            let untold = core::mem::take(&mut core.untold_origins);
+            let others = core.other_vms(clock::now());
+            let mut by_peer: HashMap<Ipv4Addr, Vec<UntoldOrigin>> = HashMap::new();
+            for origin in untold {
+                for ip in copy_holders(origin.stream, &others) {
+                    by_peer.entry(ip).or_default().push(origin.clone());
+                }
+            }
+            by_peer
+        };
+        for (ip, untold) in by_peer {
+            for untold in untold.chunks(MAX_STREAMS) {
+                send(&shared, &socket, &group(untold), ip).await;
+            }
+        }
+    }
+}
+
+/// Groups streams by their origins.
+fn group(untold: &[UntoldOrigin]) -> StreamMessage {
+    let mut groups: Vec<(StreamOrigin, Vec<StreamId>)> = Vec::new();
+    for UntoldOrigin { stream, origin } in untold {
+        match groups.iter_mut().find(|(known, _)| known == origin) {
+            Some((_, streams)) => streams.push(*stream),
+            None => groups.push((origin.clone(), vec![*stream])),
+        }
+    }
+    StreamMessage::Origins(groups)
+}
+
+impl CallForwarder {
+    /// Binds the stream to the version of the endpoint that sends its first event, and records its
+    /// origin.
+    pub(crate) async fn pin_version(&mut self, key: EndpointKey) {
+        if !self.request.pin.is_begun() {
+            let software = self.record.software.clone();
+            self.request.pin = match software.filter(SoftwareVersion::is_known) {
+                Some(software) if self.is_current(key, &software).await => {
+                    VersionPin::Only(software)
+                }
+                _ => VersionPin::Nowhere,
+            };
+        }
+        let VersionPin::Only(software) = &self.request.pin else {
+            return;
+        };
+        let continues = self.request.call.continues.as_ref();
+        let first_attempt = continues.and_then(|stream| stream.first_attempt.as_deref());
+        let stream = StreamId::new(first_attempt.unwrap_or(&self.request.call.id));
+        let origin = StreamOrigin {
+            service: self.request.service.clone(),
+            software: software.clone(),
+        };
+        let mut core = self.shared.core();
+        core.origins.record(clock::now(), stream, &origin);
+        core.untold_origins.push(UntoldOrigin { stream, origin });
+        drop(core);
+        self.shared.origin_news.notify_one();
+    }
+
+    /// Whether the endpoint that has just answered is the incarnation that this VM knows.
+    async fn is_current(&self, key: EndpointKey, software: &SoftwareVersion) -> bool {
+        let now = clock::now();
+        let (age, endpoint) = {
+            let core = self.shared.core();
+            if core.is_replaced(key, &self.record.endpoint, software) {
+                return false;
+            }
+            let age = core.endpoints_confirmed.map(|at| now.since(at));
+            (age, core.endpoints.get(key).cloned())
+        };
+        let Some(endpoint) = endpoint else {
+            return true;
+        };
+        let is_fresh = age.is_some_and(|age| age < MAX_TRUSTED_AGE);
+        if is_fresh || now.since(endpoint.checked) < CHECK_TTL {
+            return true;
+        }
+        let address = endpoint.entry.address;
+        self.shared.metrics.probes.inc();
+        self.shared.metrics.connections.inc();
+        let check = async {
+            let sender = tcp::open(address, CHECK_TIMEOUT).await.ok()?;
+            let connection = Connection {
+                sender,
+                reused: false,
+            };
+            fetch_report(&self.shared, connection, address).await.ok()
+        };
+        let report = timeout(CHECK_TIMEOUT, check).await.ok().flatten();
+        let is_current =
+            report.is_some_and(|(report, _)| matches(&report, endpoint.entry.start_ms));
+        if is_current && let Some(endpoint) = self.shared.core().endpoints.get_mut(key) {
+            endpoint.checked = clock::now();
+        }
+        is_current
+    }
+
+    /// Checks on a connection that its endpoint is the incarnation that this VM knows; returns the
+    /// connection if so.
+    pub(crate) async fn check_incarnation(
+        &self,
+        key: EndpointKey,
+        address: SocketAddr,
+        connection: Connection,
+    ) -> Result<Connection, String> {
+        let start_ms = {
+            let core = self.shared.core();
+            let endpoint = core.endpoints.get(key);
+            endpoint.map(|endpoint| endpoint.entry.start_ms)
+        };
+        let start_ms = start_ms.ok_or("the endpoint was removed")?;
+        let reused = connection.reused;
+        self.shared.metrics.probes.inc();
+        let report = fetch_report(&self.shared, connection, address);
+        let report = timeout(CHECK_TIMEOUT, report).await;
+        let (report, sender): (EngineReport, Sender) =
+            report.map_err(|_elapsed| "no report in time".to_owned())??;
+        if matches(&report, start_ms) {
+            Ok(Connection { sender, reused })
+        } else {
+            Err("another incarnation serves under the endpoint's name".to_owned())
+        }
+    }
+}
+
+/// Whether a report is of the incarnation that started at `start_ms`. Endpoints that don't report
+/// their start are taken for what their entries say.
+fn matches(report: &EngineReport, start_ms: u64) -> bool {
+    report.start_ms.is_none_or(|reported| reported == start_ms)
+}
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -71,8 +71,10 @@
             prompt: self.request.call.prompt.as_ref(),
             objective: self.request.route.objective,
             time_left: self.request.deadline.since(now),
-            top_priority: self.request.route.priority == 0,
+            // The caller already has a part of the answer.
+            top_priority: self.request.route.priority == 0 || self.request.pin.is_begun(),
             rank: self.request.priority,
+            software: self.request.pin.required(),
             tried: &self.tried,
             data_centre: &self.shared.settings.data_centre,
         };
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -5,7 +5,7 @@
     attempt::EndpointResponse,
     call_forwarder::{CallForwarder, CallRequest},
     call_record::CallRecord,
-    clock, quarantine,
+    clock, origins, quarantine,
     reply::{Failure, Guards, ReplyBody},
     shared::Shared,
     stream,
@@ -18,7 +18,7 @@
 use poplarswitch_entity::Time;
 use poplarswitch_ingress::{
     Access, Admission, AttemptCounts, Call, EndpointGroup, Framing, Prompt, Route, RoutingTable,
-    ShutdownStage, engine_work_ms,
+    ShutdownStage, VersionPin, engine_work_ms,
 };
 use poplarswitch_wire::ErrorCode;
 use std::sync::Arc;
@@ -31,6 +31,9 @@
 /// no usable configuration.
 const OTHER_VM_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Time after which the caller should try again to continue a stream whose version isn't known here.
+const UNKNOWN_STREAM_DELAY: Duration = Duration::from_millis(300);
+
 /// Maximum time for which a call waits until a VM that has just started can serve.
 const STARTUP_WAIT: Duration = Duration::from_millis(500);
 /// Divisor of the caller's deadline; the quotient also limits the wait for a VM that has just
@@ -128,8 +131,21 @@
     check_stage(shared, route, arrived)?;
     let limits = table.limits();
     let body = read_body(body, limits.body_bytes, limits.idle_timeout, vm).await?;
-    let service = table.select_target(route, &call.id).cloned();
-    let service = service.ok_or_else(|| Failure::new(ErrorCode::NoEndpoint, vm))?;
+    let origin = match &call.continues {
+        Some(continues) if route.kind.is_stream() => {
+            let origin = origins::find_origin(shared, route, continues).await;
+            let unknown = || Failure::new(ErrorCode::NoEndpoint, "a stream of unknown version");
+            Some(origin.ok_or_else(|| unknown().with_retry_after(UNKNOWN_STREAM_DELAY))?)
+        }
+        _ => None,
+    };
+    let service = match &origin {
+        Some(origin) => Some(&origin.service),
+        None => table.select_target(route, &call.id),
+    };
+    let service = service
+        .cloned()
+        .ok_or_else(|| Failure::new(ErrorCode::NoEndpoint, vm))?;
     let is_trial = quarantine::admit_sections(shared, &call)?;
     let engine = table.service(&service).and_then(|service| service.engine);
     admit(
@@ -158,6 +174,7 @@
         priority: record.priority,
         deadline: arrived + wait,
         is_trial,
+        pin: origin.map_or(VersionPin::Any, |origin| VersionPin::Only(origin.software)),
         call,
     })
 }
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -4,8 +4,15 @@
 //! is behind one lock, which is held for single decisions only and never across an await point.
 
 use crate::{
-    Protocol, clock, limits::TokenRequests, metrics::Metrics, pool::Pool, quarantine::PendingCuts,
-    settings::RelaySettings, snapshot::Snapshot, tcp::Sender,
+    Protocol, clock,
+    limits::TokenRequests,
+    metrics::Metrics,
+    origins::{OriginRequests, UntoldOrigin},
+    pool::Pool,
+    quarantine::PendingCuts,
+    settings::RelaySettings,
+    snapshot::Snapshot,
+    tcp::Sender,
 };
 use arc_swap::ArcSwap;
 use core::{net::Ipv4Addr, time::Duration};
@@ -13,7 +20,7 @@
 use poplarswitch_ingress::{
     AdmissionControl, Cursor, Demand, EndpointChange, EndpointKey, EndpointTable, Freshness,
     GroupSplit, Membership, Phase, Quarantine, RateLimits, RetryBudget, RetryLimit, RoutingTable,
-    Shutdown, ShutdownStage, SourceSelector, Transition,
+    Shutdown, ShutdownStage, SourceSelector, StreamOrigins, Transition,
 };
 use rand::{Rng as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
@@ -67,6 +74,14 @@
     pub(crate) limits: RateLimits,
     /// Requests for tokens whose replies are awaited.
     pub(crate) token_requests: TokenRequests,
+    /// Software versions to which streams belong.
+    pub(crate) origins: StreamOrigins,
+    /// Origins that other VMs have to be told of.
+    pub(crate) untold_origins: Vec<UntoldOrigin>,
+    /// Requests for origins whose replies are awaited.
+    pub(crate) origin_requests: OriginRequests,
+    /// Number of the last request for an origin.
+    pub(crate) origin_serial: u32,
     /// Sections of prompts that crash engines.
     pub(crate) quarantine: Quarantine,
     /// Broken calls of engines that are being checked.
@@ -86,6 +101,10 @@
 
     /// Whether this VM should read the platform itself.
     pub(crate) fn should_read_platform(&self, now: Time) -> bool {
+        // Streams can't go on without versions, which VMs of an earlier version don't send.
+        if self.endpoints.lacks_versions() {
+            return true;
+        }
         let order = self.source_order(now);
         self.sources
             .should_read(now, self.membership.local_ip(), &order, self.view_age(now))
@@ -109,6 +128,8 @@
     pub(crate) snapshot: Snapshot,
     /// Notified when other VMs must be told of limits of endpoints.
     pub(crate) limit_news: Notify,
+    /// Notified when other VMs must be told of the origins of streams.
+    pub(crate) origin_news: Notify,
     /// Socket for datagrams to other VMs, once it is open.
     pub(crate) peer_socket: OnceLock<Arc<UdpSocket>>,
     /// Notified when other VMs must be told of evidence on sections of prompts.
@@ -158,6 +179,10 @@
             remote_calls: HashMap::new(),
             limits: RateLimits::default(),
             token_requests: TokenRequests::new(),
+            origins: StreamOrigins::default(),
+            untold_origins: Vec::new(),
+            origin_requests: OriginRequests::new(),
+            origin_serial: 0,
             quarantine: Quarantine::default(),
             pending_cuts: PendingCuts::new(),
         };
@@ -169,6 +194,7 @@
             metrics: Metrics::default(),
             snapshot: Snapshot::default(),
             limit_news: Notify::new(),
+            origin_news: Notify::new(),
             peer_socket: OnceLock::new(),
             quarantine_news: Notify::new(),
             holds_changed: Notify::new(),
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -23,7 +23,7 @@
 use http::{header, response};
 use http_body_util::BodyExt as _;
 use poplarswitch_ingress::{
-    EndedBody, EventScanner, Framing, RouteKind, SURVIVAL_TIME, SoftwareVersion,
+    EndedBody, EventScanner, Framing, RouteKind, SURVIVAL_TIME, SoftwareVersion, VersionPin,
 };
 use tokio::{
     sync::mpsc,
@@ -177,6 +177,7 @@
             .map_or(DEFAULT_MAX_SILENCE, |max_gap| max_gap * MAX_GAP_FACTOR);
         let mut received = 0;
         let mut survived = false;
+        let mut pinned = false;
         loop {
             let silent_at = match &self.content {
                 BodyContent::Resumable(_) => Instant::now() + max_silence,
@@ -215,6 +216,10 @@
             let Some(bytes) = self.content.push(bytes) else {
                 continue;
             };
+            if !pinned && matches!(self.content, BodyContent::Resumable(_)) {
+                pinned = true;
+                self.forwarder.pin_version(unread.open_call.key()).await;
+            }
             if self.sender.send(BodyPart::Data(bytes)).await.is_err() {
                 return SegmentEnd::CallerLeft;
             }
@@ -248,6 +253,13 @@
         forwarder.attempts.total += 1;
         forwarder.tried.push(key);
         let time_left = forwarder.request.deadline.since(now);
+        if forwarder.request.pin == VersionPin::Nowhere {
+            forwarder
+                .record
+                .cause
+                .push_str("; the software version of the stream is unknown");
+            return None;
+        }
         if forwarder.attempts.maybe_run >= forwarder.request.route.max_attempts
             || time_left.is_zero()
             || !forwarder.charge_retry(now)
