Ask other VMs for the versions of a service that this VM has not run long enough to know

It now asks other VMs, whose histories count together; if none has run for 30 s either, it still refuses, since a version that has just gone may have begun the stream. What remains: after a loss of all VMs, streams are refused for up to 30 s while a release goes on.

--- a/crates/ingress/src/streams.rs
+++ b/crates/ingress/src/streams.rs
@@ -63,8 +63,10 @@
     Find {
         /// Number of the request, which the reply repeats.
         serial: u32,
-        /// The stream.
-        stream: StreamId,
+        /// The stream, if its first attempt is known.
+        stream: Option<StreamId>,
+        /// Service of the route.
+        service: ServiceName,
     },
     /// Reply to a request.
     #[serde(rename = "found")]
@@ -73,6 +75,9 @@
         serial: u32,
         /// The origin, if it is known.
         origin: Option<StreamOrigin>,
+        /// The versions that the service has had for longer than a stream lasts, if the VM has run
+        /// for as long.
+        versions: Option<Vec<SoftwareVersion>>,
     },
 }
 
@@ -189,9 +194,27 @@
         self.expire(now);
     }
 
-    /// The only version that a service has had for longer than a stream lasts, if there is one. A
-    /// process that started at `started` hasn't seen what was before; then `unix_ms`, the time of
-    /// day, must show that all endpoints are older than that.
+    /// The versions that a service has had for longer than a stream lasts; none if this process
+    /// started later than that. An unknown version is among them as an unknown one.
+    pub fn history(
+        &self,
+        now: Time,
+        started: Time,
+        service: &ServiceName,
+    ) -> Option<Vec<SoftwareVersion>> {
+        if now.since(started) < HISTORY_TIME {
+            return None;
+        }
+        let versions = self.versions.get(service)?.iter();
+        let versions = versions.map(|(software, _)| software.clone().unwrap_or_default());
+        Some(versions.collect())
+    }
+
+    /// The only version that a service has had for longer than a stream lasts, if there is one.
+    ///
+    /// A process that started at `started` hasn't seen what was before. Then either `told`, the
+    /// histories of other VMs, or `unix_ms`, the time of day, must show it: all endpoints must be
+    /// older than that.
     pub fn only_version(
         &self,
         now: Time,
@@ -199,6 +222,7 @@
         unix_ms: u64,
         service: &ServiceName,
         endpoints: &EndpointTable,
+        told: &[Vec<SoftwareVersion>],
     ) -> Option<SoftwareVersion> {
         let [(Some(only), _)] = self.versions.get(service)?.as_slice() else {
             return None;
@@ -209,7 +233,10 @@
         let of_service = endpoints.iter().map(|(_, endpoint)| &endpoint.entry);
         let mut of_service = of_service.filter(|entry| entry.service == *service);
         let oldest_ms = unix_ms.saturating_sub(HISTORY_TIME.as_millis() as u64);
-        let is_settled = now.since(started) >= HISTORY_TIME;
+        if told.iter().flatten().any(|version| version != only) {
+            return None;
+        }
+        let is_settled = now.since(started) >= HISTORY_TIME || !told.is_empty();
         let all_match = of_service.all(|entry| {
             entry.software.as_ref() == Some(only) && (is_settled || entry.start_ms <= oldest_ms)
         });
--- a/crates/ingress/src/streams_tests.rs
+++ b/crates/ingress/src/streams_tests.rs
@@ -35,6 +35,15 @@
 
 /// The only version of the service `chat` after `noted` tables were seen, one each second.
 fn only_version(noted: &[&EndpointTable], uptime: Duration) -> Option<SoftwareVersion> {
+    only_version_told(noted, uptime, &[])
+}
+
+/// The same with the histories of other VMs.
+fn only_version_told(
+    noted: &[&EndpointTable],
+    uptime: Duration,
+    told: &[Vec<SoftwareVersion>],
+) -> Option<SoftwareVersion> {
     let mut origins = StreamOrigins::default();
     let mut now = START;
     for table in noted {
@@ -43,7 +52,8 @@
     }
     let started = now - uptime;
     let last = noted.last()?;
-    origins.only_version(now, started, UNIX_MS, &ServiceName::new("chat"), last)
+    let service = ServiceName::new("chat");
+    origins.only_version(now, started, UNIX_MS, &service, last, told)
 }
 
 #[gtest]
@@ -112,6 +122,15 @@
     // A release may have ended before this VM started.
     expect_that!(only_version(&[&recent], short), none());
     expect_that!(only_version(&[&recent], long), eq(&v1));
+    // Other VMs have seen what was before.
+    let told = |versions: &[&str]| {
+        let versions = versions.iter().map(|version| SoftwareVersion::new(version));
+        vec![versions.collect::<Vec<_>>()]
+    };
+    let told_version = |versions: &[&str]| only_version_told(&[&recent], short, &told(versions));
+    expect_that!(told_version(&["v1"]), eq(&v1));
+    expect_that!(told_version(&["v1", "v0"]), none());
+    expect_that!(told_version(&["v1", ""]), none());
     // A version that has just gone may have begun the stream.
     expect_that!(only_version(&[&two, &one], long), none());
 }
--- a/crates/relay/src/origins.rs
+++ b/crates/relay/src/origins.rs
@@ -40,7 +40,14 @@
 const MAX_STREAMS: usize = 100;
 
 /// Requests for origins whose replies are awaited, by their numbers.
-pub(crate) type OriginRequests = HashMap<u32, mpsc::Sender<Option<StreamOrigin>>>;
+pub(crate) type OriginRequests = HashMap<u32, mpsc::Sender<OriginReply>>;
+
+/// What another VM knows of a stream.
+#[derive(Debug)]
+pub(crate) struct OriginReply {
+    origin: Option<StreamOrigin>,
+    versions: Option<Vec<SoftwareVersion>>,
+}
 
 /// An origin that other VMs have to be told of.
 #[derive(Clone, Debug)]
@@ -73,22 +80,23 @@
     continues: &Continuation,
 ) -> Option<StreamOrigin> {
     let stream = continues.first_attempt.as_deref().map(StreamId::new);
-    let origin = match stream {
-        Some(stream) => {
-            let known = shared.core().origins.get(clock::now(), stream).cloned();
-            match known {
-                Some(origin) => Some(origin),
-                None => ask(shared, stream).await,
-            }
-        }
-        None => None,
+    let recorded = stream.and_then(|stream| {
+        let core = shared.core();
+        core.origins.get(clock::now(), stream).cloned()
+    });
+    let origin = match recorded {
+        Some(origin) => Some(origin),
+        None => ask(shared, route, stream).await,
     };
-    let origin = origin.or_else(|| only_origin(shared, route));
     origin.filter(|origin| route.targets.iter().any(|t| t.service == origin.service))
 }
 
 /// The only service and version of a route.
-fn only_origin(shared: &Shared, route: &Route) -> Option<StreamOrigin> {
+fn only_origin(
+    shared: &Shared,
+    route: &Route,
+    told: &[Vec<SoftwareVersion>],
+) -> Option<StreamOrigin> {
     let [target] = &*route.targets else {
         return None;
     };
@@ -99,6 +107,7 @@
         clock::unix_millis(),
         &target.service,
         &core.endpoints,
+        told,
     )?;
     Some(StreamOrigin {
         service: target.service.clone(),
@@ -106,38 +115,54 @@
     })
 }
 
-/// Asks other VMs for the origin of a stream.
-async fn ask(shared: &Shared, stream: StreamId) -> Option<StreamOrigin> {
+/// Asks other VMs for the origin of a stream, or for the versions that its service has had.
+async fn ask(shared: &Shared, route: &Route, stream: Option<StreamId>) -> Option<StreamOrigin> {
+    if stream.is_none()
+        && let Some(origin) = only_origin(shared, route, &[])
+    {
+        return Some(origin);
+    }
     let socket = shared.peer_socket.get()?;
+    let service = route.targets.first()?.service.clone();
     let (peers, serial, mut replies) = {
         let mut core = shared.core();
-        let peers = asked_vms(stream, &core.other_vms(clock::now()));
+        let asked = stream.unwrap_or(StreamId(0));
+        let peers = asked_vms(asked, &core.other_vms(clock::now()));
         let (sender, replies) = mpsc::channel(peers.len().max(1));
         core.origin_serial = core.origin_serial.wrapping_add(1);
         let serial = core.origin_serial;
         core.origin_requests.insert(serial, sender);
         (peers, serial, replies)
     };
-    let message = StreamMessage::Find { serial, stream };
+    let message = StreamMessage::Find {
+        serial,
+        stream,
+        service,
+    };
     for ip in &peers {
         send(shared, socket, &message, *ip).await;
     }
     let deadline = Instant::now() + REPLY_TIMEOUT;
-    let mut origin = None;
+    let mut recorded = None;
+    let mut told = Vec::new();
     for _ in &peers {
-        match timeout_at(deadline, replies.recv()).await {
-            Ok(Some(None)) => {}
-            Ok(Some(found)) => {
-                origin = found;
-                break;
-            }
-            Ok(None) | Err(_) => break,
+        let Ok(Some(reply)) = timeout_at(deadline, replies.recv()).await else {
+            break;
+        };
+        told.extend(reply.versions);
+        if reply.origin.is_some() {
+            recorded = reply.origin;
+            break;
         }
     }
     shared.core().origin_requests.remove(&serial);
+    let is_recorded = recorded.is_some();
+    let origin = recorded.or_else(|| only_origin(shared, route, &told));
     tracing::info!(
         event = "asked",
         asked = peers.len(),
+        histories = told.len(),
+        recorded = is_recorded,
         found = origin.is_some(),
         "stream"
     );
@@ -167,16 +192,31 @@
     let now = clock::now();
     match message {
         StreamMessage::Origins(origins) => shared.core().origins.merge(now, &origins),
-        StreamMessage::Find { serial, stream } => {
-            let origin = shared.core().origins.get(now, stream).cloned();
-            let reply = StreamMessage::Found { serial, origin };
+        StreamMessage::Find {
+            serial,
+            stream,
+            service,
+        } => {
+            let reply = {
+                let core = shared.core();
+                let origin = stream.and_then(|stream| core.origins.get(now, stream));
+                StreamMessage::Found {
+                    serial,
+                    origin: origin.cloned(),
+                    versions: core.origins.history(now, shared.started, &service),
+                }
+            };
             send(shared, socket, &reply, from).await;
         }
-        StreamMessage::Found { serial, origin } => {
+        StreamMessage::Found {
+            serial,
+            origin,
+            versions,
+        } => {
             let waiter = shared.core().origin_requests.get(&serial).cloned();
             if let Some(waiter) = waiter {
                 // The request may have ended.
-                let _ended = waiter.try_send(origin);
+                let _ended = waiter.try_send(OriginReply { origin, versions });
             }
         }
     }
