Cut off endpoints that send bytes without end

The memory of a VM grew by 50 MB in 1.5 s, until it would have been killed, while an engine sent bytes without the end of an event on a route whose streams may be resumed: the buffer for the incomplete event had no limit. A body that never paused kept its call past the deadline, because data was looked at before the timer; interim heads kept an attempt 0.9 s over the time of its route.

An event may have 256 KiB, a response 16 interim heads; more breaks the answer, closes the connection and counts against the endpoint. The timer comes before the data. Heads of 32 KiB and more, garbage and chunk extensions were bounded before.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -6,13 +6,18 @@
     reply::millis_since, tcp::Sender,
 };
 use bytes::Bytes;
-use core::{net::SocketAddr, time::Duration};
+use core::{
+    net::SocketAddr,
+    sync::atomic::{AtomicU32, Ordering},
+    time::Duration,
+};
 use http::{Request, Response, response};
 use http_body_util::{BodyExt as _, Full};
 use hyper::body::{Body as _, Incoming};
 use poplarswitch_entity::{EndpointName, Time};
 use poplarswitch_ingress::{EndpointKey, Framing, Health, Outcome, Placement, SoftwareVersion};
-use tokio::time::timeout;
+use std::sync::Arc;
+use tokio::{sync::Notify, time::timeout};
 
 /// Multiple of the latency objective after which an idempotent call is retried on another endpoint.
 const ATTEMPT_TIMEOUT_FACTOR: u32 = 2;
@@ -23,6 +28,9 @@
 /// retried if the response is incomplete.
 const MAX_BUFFERED_BYTES: u64 = 128 << 10;
 
+/// Maximum number of interim responses (status 1xx) to a request.
+const MAX_INTERIM: u32 = 16;
+
 /// A response whose body has not been read yet.
 #[derive(Debug)]
 pub(crate) struct UnreadResponse {
@@ -64,6 +72,19 @@
     }
 }
 
+/// Counts the interim responses to a request; the second value is notified if there are too many.
+fn limit_interim(mut request: Request<Full<Bytes>>) -> (Request<Full<Bytes>>, Arc<Notify>) {
+    let too_many = Arc::new(Notify::new());
+    let notify = Arc::clone(&too_many);
+    let count = AtomicU32::new(0);
+    hyper::ext::on_informational(&mut request, move |_| {
+        if count.fetch_add(1, Ordering::Relaxed) == MAX_INTERIM {
+            notify.notify_one();
+        }
+    });
+    (request, too_many)
+}
+
 impl CallForwarder {
     /// Time to wait for a response before another endpoint is tried.
     fn attempt_timeout(&self, time_left: Duration) -> Duration {
@@ -226,9 +247,22 @@
         let Connection { mut sender, reused } = connection;
         let attempt_timeout = self.attempt_timeout(time_left);
         let sent = clock::now();
-        match timeout(attempt_timeout, sender.try_send_request(request)).await {
-            Ok(Ok(response)) => Ok((response, sender)),
-            Ok(Err(mut error)) => {
+        let (request, too_many) = limit_interim(request);
+        let response = async {
+            tokio::select! {
+                biased;
+                () = too_many.notified() => None,
+                response = sender.try_send_request(request) => Some(response),
+            }
+        };
+        match timeout(attempt_timeout, response).await {
+            Ok(None) => {
+                self.record_failure(key);
+                let cause = format!("more than {MAX_INTERIM} interim responses");
+                Err(FailedAttempt::new(Outcome::Doubtful, cause))
+            }
+            Ok(Some(Ok(response))) => Ok((response, sender)),
+            Ok(Some(Err(mut error))) => {
                 let unsent = error.take_message().is_some();
                 let cause = format!("after {} ms: {}", millis_since(sent), error.into_error());
                 if unsent && reused {
--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -5,8 +5,22 @@
 //! the middle of an event, and the next endpoint sends that event again.
 
 use bytes::{Bytes, BytesMut};
+use core::fmt;
 use poplarswitch_ingress::EventScanner;
 
+/// Maximum size of an event that is buffered until it is complete.
+const MAX_EVENT_BYTES: usize = 256 << 10;
+
+/// Error of an event that exceeds [`MAX_EVENT_BYTES`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct EventTooLarge;
+
+impl fmt::Display for EventTooLarge {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "an event is larger than {MAX_EVENT_BYTES} bytes")
+    }
+}
+
 /// Content of a response's body.
 #[derive(Debug)]
 pub(crate) enum BodyContent {
@@ -20,12 +34,12 @@
 
 impl BodyContent {
     /// Takes the next bytes from an endpoint; returns those that can be forwarded now.
-    pub(crate) fn push(&mut self, bytes: Bytes) -> Option<Bytes> {
+    pub(crate) fn push(&mut self, bytes: Bytes) -> Result<Option<Bytes>, EventTooLarge> {
         match self {
-            Self::Opaque => Some(bytes),
+            Self::Opaque => Ok(Some(bytes)),
             Self::Events(scanner) => {
                 scanner.push(&bytes);
-                Some(bytes)
+                Ok(Some(bytes))
             }
             Self::Resumable(buffer) => buffer.push(&bytes),
         }
@@ -51,15 +65,21 @@
 
 impl EventBuffer {
     /// Appends bytes; returns all events that are complete now.
-    pub(crate) fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
+    pub(crate) fn push(&mut self, bytes: &[u8]) -> Result<Option<Bytes>, EventTooLarge> {
         let start = self.partial.len();
         self.partial.extend_from_slice(bytes);
-        let end = start + self.scanner.push(bytes)?;
+        let end = self.scanner.push(bytes);
+        if self.scanner.partial_len() > MAX_EVENT_BYTES {
+            return Err(EventTooLarge);
+        }
+        let Some(end) = end.map(|end| start + end) else {
+            return Ok(None);
+        };
         let complete = self.partial.split_to(end).freeze();
         if let Some(id) = last_id(&complete) {
             self.last_id = Some(id);
         }
-        Some(complete)
+        Ok(Some(complete))
     }
 
     /// Discards the incomplete event.
--- a/crates/relay/src/events_tests.rs
+++ b/crates/relay/src/events_tests.rs
@@ -1,4 +1,4 @@
-use crate::events::{BodyContent, EventBuffer};
+use crate::events::{BodyContent, EventBuffer, EventTooLarge};
 use bytes::Bytes;
 use googletest::prelude::*;
 use poplarswitch_ingress::EventScanner;
@@ -13,7 +13,7 @@
         let mut events = EventBuffer::default();
         let mut out = Vec::new();
         for chunk in STREAM.chunks(size) {
-            out.extend(events.push(chunk).into_iter().flatten());
+            out.extend(events.push(chunk).unwrap().into_iter().flatten());
         }
         let end = STREAM.len() - b"id: 4\ndata: d".len();
         assert_that!(&*out, eq(&STREAM[..end]), "chunks of {size}");
@@ -24,9 +24,9 @@
 #[gtest]
 fn incomplete_event_is_discarded() {
     let mut events = EventBuffer::default();
-    events.push(b"id: 1\ndata: a\n\nid: 2\nda");
+    events.push(b"id: 1\ndata: a\n\nid: 2\nda").unwrap();
     events.discard_partial();
-    let next = events.push(b"id: 2\ndata: b\n\n").unwrap();
+    let next = events.push(b"id: 2\ndata: b\n\n").unwrap().unwrap();
     expect_that!(&*next, eq(b"id: 2\ndata: b\n\n"));
     expect_that!(events.last_id(), some(eq("2")));
 }
@@ -35,11 +35,28 @@
 #[gtest]
 fn bytes_after_last_event_are_held_back_and_counted() {
     let mut content = BodyContent::Resumable(EventBuffer::default());
-    let complete = content.push(Bytes::from_static(b"id: 1\ndata: a\n\ndata: b"));
+    let complete = content
+        .push(Bytes::from_static(b"id: 1\ndata: a\n\ndata: b"))
+        .unwrap();
     expect_that!(complete.as_deref(), some(eq(&b"id: 1\ndata: a\n\n"[..])));
     expect_that!(content.partial_len(), some(eq(7)));
     let mut content = BodyContent::Events(EventScanner::default());
-    let all = content.push(Bytes::from_static(b"id: 1\ndata: a\n\ndata: b"));
+    let all = content
+        .push(Bytes::from_static(b"id: 1\ndata: a\n\ndata: b"))
+        .unwrap();
     expect_that!(all.as_deref(), some(eq(&b"id: 1\ndata: a\n\ndata: b"[..])));
     expect_that!(content.partial_len(), some(eq(7)));
 }
+
+/// Guards against a buffer that grows as long as no event ends.
+#[gtest]
+fn event_without_end_is_an_error() {
+    let mut events = EventBuffer::default();
+    let pushed = (0..200).map(|_| events.push(&[b'x'; 4_096]));
+    expect_that!(pushed.last(), some(eq(&Err(EventTooLarge))));
+    let mut events = EventBuffer::default();
+    for _ in 0..200 {
+        let event = [&b"data: "[..], &[b'x'; 4_096], b"\n\n"].concat();
+        expect_that!(events.push(&event), ok(some(anything())));
+    }
+}
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -186,13 +186,14 @@
             let frame = tokio::select! {
                 biased;
                 () = self.sender.closed() => return SegmentEnd::CallerLeft,
-                frame = unread.body.frame() => frame,
+                // Before the data, which may come without a pause until after the deadline.
                 () = sleep_until(deadline.min(silent_at)) => {
                     if self.forwarder.request.deadline <= clock::now() {
                         return SegmentEnd::DeadlineExceeded;
                     }
                     return SegmentEnd::Silent(format!("no data for {} ms", max_silence.as_millis()));
                 }
+                frame = unread.body.frame() => frame,
             };
             let bytes = match frame {
                 None => return self.check_end(unread.framing, received),
@@ -213,8 +214,10 @@
                 survived = true;
                 self.forwarder.record_answer(unread.began);
             }
-            let Some(bytes) = self.content.push(bytes) else {
-                continue;
+            let bytes = match self.content.push(bytes) {
+                Ok(Some(bytes)) => bytes,
+                Ok(None) => continue,
+                Err(error) => return SegmentEnd::Broken(error.to_string()),
             };
             if !pinned && matches!(self.content, BodyContent::Resumable(_)) {
                 pinned = true;
--- a/crates/standins/src/server.rs
+++ b/crates/standins/src/server.rs
@@ -47,6 +47,8 @@
 pub struct RawResponse {
     /// Head and body, with the time to wait before each part.
     pub parts: Vec<(Duration, Bytes)>,
+    /// Bytes that are repeated after the parts until the peer closes the connection.
+    pub repeated: Option<Bytes>,
     /// Whether the connection ends with a reset instead of an orderly close.
     pub reset: bool,
 }
@@ -218,6 +220,13 @@
         sleep(delay).await;
         stream.write_all(&bytes).await?;
     }
+    if let Some(bytes) = raw.repeated {
+        loop {
+            stream.write_all(&bytes).await?;
+            // Lets other connections of the stand-in proceed.
+            tokio::task::yield_now().await;
+        }
+    }
     if raw.reset {
         // The peer reads what was sent before it sees the reset.
         sleep(RESET_DELAY).await;
