Teach the soak limits, new versions, taken-up streams and bytes without end

A fifth plan draws endpoints that name a limit, engines that become another version under their name, and endpoints that send bytes without end; callers take broken streams up at any VM. New checks: arrivals in 4 s at an endpoint that names a limit, from 3 s after and while no VM was stopped, killed or told to leave, and the version at which streams go on.

--- a/crates/node/tests/relay_soak.rs
+++ b/crates/node/tests/relay_soak.rs
@@ -15,7 +15,7 @@
 use googletest::prelude::*;
 use poplarswitch_deployment::{
     CallRequest, Caller, Configuration, DEFAULT_PROMPT, Endpoint, EndpointKind, LinkMode, Run,
-    StoreFault,
+    StoreFault, TakenUp,
 };
 use rand::{RngExt as _, SeedableRng as _, seq::IndexedRandom as _};
 use rand_pcg::Pcg64Mcg;
@@ -24,8 +24,8 @@
 use soak::{
     checks::{Call, History, Runs},
     plan::{
-        CRASHING_SECTION, Fault, Span, draw_first, draw_fourth, draw_second, draw_third,
-        excludes_store, is_planned_only,
+        CRASHING_SECTION, Fault, Span, draw_fifth, draw_first, draw_fourth, draw_second,
+        draw_third, excludes_store, is_planned_only,
     },
 };
 use std::{env, thread, time::Instant};
@@ -86,6 +86,8 @@
     version: u64,
     /// Current incarnation of each endpoint.
     incarnations: [u64; ENDPOINT_KINDS.len()],
+    /// Whether each endpoint has the second software version.
+    versions: [bool; ENDPOINT_KINDS.len()],
     history: History,
 }
 
@@ -110,6 +112,19 @@
             Fault::Shapes(n, shape) => {
                 self.fleet.endpoints[n].update_behaviour(|b| b.shape = Some(shape));
             }
+            Fault::Limits(n, tenths) => {
+                let rate = f64::from(tenths) / 10.0;
+                self.fleet.endpoints[n].update_behaviour(|b| b.limit = Some(rate));
+            }
+            Fault::Upgrades(n) => {
+                self.versions[n] = !self.versions[n];
+                let software = if self.versions[n] { "v2" } else { "v1" };
+                self.fleet.endpoints[n].set_software(software.into());
+                self.renew(n);
+            }
+            Fault::Endless(n, endless) => {
+                self.fleet.endpoints[n].update_behaviour(|b| b.endless = Some(endless));
+            }
             Fault::Crashes => self.crash_engines_on(&[CRASHING_SECTION]),
             Fault::Revoke => {
                 self.configure(&KEYS[..1]);
@@ -164,10 +179,10 @@
                     .iter_mut()
                     .filter(|(endpoint, _)| *endpoint == n)
                     .for_each(|(_, span)| span.end());
-                self.incarnations[n] += 1;
-                self.fleet
-                    .register(n, ENDPOINT_KINDS[n], self.incarnations[n], false);
+                self.renew(n);
             }
+            Fault::Limits(n, _) => self.fleet.endpoints[n].update_behaviour(|b| b.limit = None),
+            Fault::Endless(n, _) => self.fleet.endpoints[n].update_behaviour(|b| b.endless = None),
             Fault::Refuses(n) => self.fleet.endpoints[n].update_behaviour(|b| b.decline = false),
             Fault::Loses(n) => self.fleet.endpoints[n].update_behaviour(|b| b.lose_answers = false),
             Fault::Breaks(n) => self.fleet.endpoints[n].update_behaviour(|b| b.cut_after = None),
@@ -182,7 +197,7 @@
                     self.fleet.start_if_down(vm);
                 }
             }
-            Fault::Forget | Fault::Hangup(_) | Fault::Storm => {}
+            Fault::Forget | Fault::Hangup(_) | Fault::Storm | Fault::Upgrades(_) => {}
         }
         let ended = self
             .history
@@ -192,6 +207,15 @@
         ended.for_each(|(_, span)| span.end());
     }
 
+    /// Makes an endpoint a new incarnation.
+    fn renew(&mut self, n: usize) {
+        self.incarnations[n] += 1;
+        let incarnation = self.incarnations[n];
+        self.fleet.endpoints[n].update_behaviour(|b| b.reported_start = Some(incarnation));
+        self.fleet
+            .register(n, ENDPOINT_KINDS[n], incarnation, false);
+    }
+
     fn crash_engines_on(&self, sections: &[u64]) {
         for (endpoint, kind) in self.fleet.endpoints.iter().zip(ENDPOINT_KINDS) {
             if kind == EndpointKind::Engine {
@@ -214,6 +238,48 @@
         }
     }
 
+    /// Checks the guarantees against the results of all calls.
+    fn check(&self, seed: u64, calls: &[Call]) {
+        let runs_by_endpoint: Vec<Vec<Run>> =
+            self.fleet.endpoints.iter().map(Endpoint::runs).collect();
+        let mut runs = Runs::new();
+        for (endpoint, endpoint_runs) in runs_by_endpoint.iter().enumerate() {
+            for run in endpoint_runs {
+                runs.entry(&run.call_id).or_default().push((endpoint, run));
+            }
+        }
+        self.check_held_sections();
+        for call in calls {
+            self.history
+                .check(call, runs.get(call.id.as_str()).map_or(&[], Vec::as_slice));
+        }
+        History::check_retries(calls, &runs);
+        History::check_versions(calls, &runs);
+        let windows: usize = (0..self.fleet.endpoints.len())
+            .map(|n| {
+                self.history
+                    .check_limits(n, &self.fleet.endpoints[n].arrivals())
+            })
+            .sum();
+        let taken_up = calls.iter().filter(|call| call.continues.is_some());
+        let (taken_up, gone_on) = taken_up.fold((0, 0), |(all, gone_on), call| {
+            let is_served = call.response.as_ref().is_some_and(|r| r.status == 200);
+            (all + 1, gone_on + u32::from(is_served))
+        });
+        let answered = calls
+            .iter()
+            .flat_map(|call| &call.response)
+            .filter(|response| response.status == 200);
+        eprintln!(
+            "soak: seed {seed}: {} calls, {} answered, {} late in a drain, {} during planned operations, \
+             {taken_up} taken up, {gone_on} of them served, {windows} windows of limits",
+            calls.len(),
+            answered.count(),
+            self.history.count_late_in_drain(calls),
+            self.history.count_during_planned(calls)
+        );
+    }
+
     /// Writes a new version of the configuration with the given keys.
     fn configure(&mut self, keys: &[&str]) {
         self.version += 1;
@@ -224,6 +290,10 @@
 }
 
 /// Makes a call and records its result.
+#[expect(
+    clippy::too_many_arguments,
+    reason = "a single caller names all parts of a call"
+)]
 fn make_call(
     caller: &Caller,
     vm: usize,
@@ -232,18 +302,28 @@
     path: &'static str,
     key: &'static str,
     prompt: &str,
+    continues: Option<(String, String)>,
 ) -> Call {
+    let taken_up = continues.as_ref().map(|(first, last)| TakenUp {
+        first_attempt: Some(first),
+        last_event: last,
+    });
     let request = CallRequest {
         id: &id,
         path,
         key,
         deadline: Duration::from_secs(3),
-        continues: None,
+        continues: taken_up,
         prompt,
     };
     let sent = Instant::now();
-    let response = caller.call(address, &request).ok();
+    let (response, partial) = match caller.call(address, &request) {
+        Ok(response) => (Some(response), None),
+        Err(error) => (None, last_event(error.partial_body())),
+    };
     Call {
+        continues,
+        partial,
         vm,
         id,
         path,
@@ -254,6 +334,13 @@
     }
 }
 
+/// The last event in a part of a stream.
+fn last_event(body: &str) -> Option<String> {
+    let complete = &body[..body.rfind("\n\n")?];
+    let id = complete.lines().rfind(|line| line.starts_with("id: "))?;
+    Some(id["id: ".len()..].to_owned())
+}
+
 /// Runs the soak with one seed and checks the guarantees.
 fn run_soak(seed: u64, length: Duration, vms: usize) {
     eprintln!("soak: seed {seed}, {vms} VMs");
@@ -262,6 +349,7 @@
         fleet: Fleet::start(net, vms as u8),
         version: 1,
         incarnations: [1; ENDPOINT_KINDS.len()],
+        versions: [false; ENDPOINT_KINDS.len()],
         history: History::default(),
     };
     if is_planned_only(seed) {
@@ -279,7 +367,7 @@
                 scope.spawn(move || {
                     let mut rng = Pcg64Mcg::seed_from_u64(seed * 100 + caller);
                     let caller = Caller::new(Configuration::host());
-                    let mut calls = Vec::new();
+                    let mut calls: Vec<Call> = Vec::new();
                     while !stop.load(Ordering::Relaxed) {
                         let number = next_id.fetch_add(1, Ordering::Relaxed);
                         let id = format!("s{number}");
@@ -291,8 +379,17 @@
                         let vm = rng.random_range(0..addresses.len());
                         let path = PATHS.choose(&mut rng).unwrap();
                         let key = KEYS.choose(&mut rng).unwrap();
+                        // A broken stream is taken up at any VM.
+                        let continues = calls.last().and_then(Call::rest);
+                        let path = if continues.is_some() {
+                            "/brief/1"
+                        } else {
+                            path
+                        };
                         let address = addresses[vm];
-                        calls.push(make_call(&caller, vm, address, id, path, key, prompt));
+                        calls.push(make_call(
+                            &caller, vm, address, id, path, key, prompt, continues,
+                        ));
                         thread::sleep(Duration::from_millis(rng.random_range(0..20)));
                     }
                     calls
@@ -320,30 +417,7 @@
             });
         }
     }
-    let runs_by_endpoint: Vec<Vec<Run>> = soak.fleet.endpoints.iter().map(Endpoint::runs).collect();
-    let mut runs = Runs::new();
-    for (endpoint, endpoint_runs) in runs_by_endpoint.iter().enumerate() {
-        for run in endpoint_runs {
-            runs.entry(&run.call_id).or_default().push((endpoint, run));
-        }
-    }
-    soak.check_held_sections();
-    for call in &calls {
-        soak.history
-            .check(call, runs.get(call.id.as_str()).map_or(&[], Vec::as_slice));
-    }
-    History::check_retries(&calls, &runs);
-    let answered = calls
-        .iter()
-        .flat_map(|call| &call.response)
-        .filter(|response| response.status == 200);
-    eprintln!(
-        "soak: seed {seed}: {} calls, {} answered, {} late in a drain, {} during planned operations",
-        calls.len(),
-        answered.count(),
-        soak.history.count_late_in_drain(&calls),
-        soak.history.count_during_planned(&calls)
-    );
+    soak.check(seed, &calls);
 }
 
 /// Starts and ends random faults for a period of the given length.
@@ -351,6 +425,7 @@
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
     let mut second_rng = Pcg64Mcg::seed_from_u64(!seed);
     let mut third_rng = Pcg64Mcg::seed_from_u64(seed.rotate_left(32));
+    let mut fifth_rng = Pcg64Mcg::seed_from_u64(seed.rotate_left(16));
     let mut fourth_rng = Pcg64Mcg::seed_from_u64(!seed.rotate_left(32));
     let vms = soak.fleet.processes.len();
     let start = Instant::now();
@@ -382,6 +457,9 @@
             let duration = Duration::from_millis(fourth_rng.random_range(300..2_000));
             faults.push((draw_fourth(&mut fourth_rng), duration));
         }
+        if fifth_rng.random_ratio(1, 2) {
+            faults.push(draw_fifth(&mut fifth_rng));
+        }
         for (fault, duration) in faults {
             // The end of one fault would also end another one of the same kind at the same VM or
             // endpoint, so only one fault of each kind is open at a time.
--- a/crates/node/tests/soak/checks.rs
+++ b/crates/node/tests/soak/checks.rs
@@ -19,6 +19,13 @@
 /// Window of the retry budget: `budget_window_s`.
 const RETRY_WINDOW: Duration = Duration::from_secs(10);
 
+/// Window in which arrivals at an endpoint that names a limit are counted.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+/// Multiple of what a limit allows that may arrive.
+const LIMIT_RATIO: f64 = 1.5;
+/// Further arrivals in a window.
+const LIMIT_EXTRA: f64 = 5.0;
+
 /// Duration up to which a call without a response counts as cut off; a longer one may have reached
 /// its deadline.
 const MAX_CHECKED_DURATION: Duration = Duration::from_millis(2_500);
@@ -37,10 +44,26 @@
     pub key: &'static str,
     pub sent: Instant,
     pub ended: Instant,
+    /// First attempt and last received event of the stream that the call takes up.
+    pub continues: Option<(String, String)>,
+    /// Last event of a stream that broke off.
+    pub partial: Option<String>,
     /// Response, or `None` if it did not arrive in full.
     pub response: Option<CallResponse>,
 }
 
+impl Call {
+    /// First attempt and last event of a stream that broke off and may be taken up.
+    pub fn rest(&self) -> Option<(String, String)> {
+        let last = self.partial.clone()?;
+        let first = match &self.continues {
+            Some((first, _)) => first,
+            None => &self.id,
+        };
+        (self.path == "/brief/1" && last != "5").then(|| (first.clone(), last))
+    }
+}
+
 /// Faults and operations during a soak, on which the guarantees depend.
 #[derive(Debug, Default)]
 pub struct History {
@@ -150,6 +173,72 @@
         }
     }
 
+    /// Checks that streams went on at the software version that began them; two may not, as a VM
+    /// learns of a new incarnation a moment after it serves.
+    pub fn check_versions(calls: &[Call], runs: &Runs<'_>) {
+        let mut streams: HashMap<&str, Vec<&Run>> = HashMap::new();
+        for call in calls.iter().filter(|call| call.path == "/brief/1") {
+            let first = call
+                .continues
+                .as_ref()
+                .map_or(&*call.id, |(first, _)| first);
+            let runs = runs.get(call.id.as_str()).into_iter().flatten();
+            let runs = runs.map(|(_, run)| *run);
+            streams.entry(first).or_default().extend(runs);
+        }
+        let mixed = streams.iter_mut().filter_map(|(first, runs)| {
+            runs.sort_unstable_by_key(|run| run.started);
+            let mut begun = None;
+            let is_mixed = runs.iter().any(|run| {
+                if run.after_event == 0 {
+                    begun = Some(&run.software);
+                }
+                run.after_event > 0 && begun.is_some_and(|begun| *begun != run.software)
+            });
+            is_mixed.then_some(*first)
+        });
+        let mixed: Vec<&str> = mixed.collect();
+        assert!(mixed.len() <= 2, "streams of two versions: {mixed:?}");
+    }
+
+    /// Checks that an endpoint got no more requests than the limits that it named allow; returns the
+    /// number of windows that were checked.
+    pub fn check_limits(&self, endpoint: usize, arrivals: &[Instant]) -> usize {
+        let limits = self.faults.iter().filter_map(|(fault, span)| match fault {
+            Fault::Limits(n, tenths) if *n == endpoint => Some((f64::from(*tenths) / 10.0, *span)),
+            _ => None,
+        });
+        let mut windows = 0;
+        for (rate, span) in limits {
+            let end = span.to.unwrap_or_else(Instant::now);
+            let bound = (rate * LIMIT_RATIO * LIMIT_WINDOW.as_secs_f64() + LIMIT_EXTRA) as usize;
+            let binding = arrivals
+                .iter()
+                .filter(|at| **at >= span.from + QUIET_TIME && **at + LIMIT_WINDOW <= end);
+            for from in binding {
+                let to = *from + LIMIT_WINDOW;
+                let quiet_from = from.checked_sub(QUIET_TIME).unwrap_or(*from);
+                let is_disturbed = self
+                    .faults
+                    .iter()
+                    .any(|(fault, other)| fault.disturbs_vms() && other.overlaps(quiet_from, to));
+                if is_disturbed {
+                    continue;
+                }
+                let count = arrivals
+                    .iter()
+                    .filter(|at| (*from..to).contains(at))
+                    .count();
+                assert!(
+                    count <= bound,
+                    "{count} requests in a window at an endpoint that names {rate} a second"
+                );
+                windows += 1;
+            }
+        }
+        windows
+    }
+
     /// Whether an endpoint sent answers with neither a length nor chunks while a call was open.
     fn had_close_framing(&self, call: &Call) -> bool {
         let shapes = self.faults.iter().filter(|(fault, _)| {
@@ -196,7 +285,9 @@
             let body = &response.body;
             let is_stream = matches!(*path, "/chat/1" | "/brief/1");
             let whole = if is_stream {
-                stream_body(id, 5)
+                let last = call.continues.as_ref().map_or("0", |(_, last)| last);
+                let received = stream_body(id, last.parse().unwrap_or(0)).len();
+                stream_body(id, 5)[received..].to_owned()
             } else {
                 let endpoint = response.endpoint.as_deref().unwrap_or_default();
                 format!("{id} answered by {endpoint}")
--- a/crates/node/tests/soak/plan.rs
+++ b/crates/node/tests/soak/plan.rs
@@ -4,7 +4,7 @@
 
 use core::time::Duration;
 use poplarswitch_deployment::{
-    AnswerCut, AnswerEnd, AnswerFraming, AnswerShape, LinkMode, StoreFault,
+    AnswerCut, AnswerEnd, AnswerFraming, AnswerShape, EndlessAnswer, LinkMode, StoreFault,
 };
 use rand::{RngExt as _, seq::IndexedRandom as _};
 use rand_pcg::Pcg64Mcg;
@@ -15,7 +15,7 @@
 
 /// A fault or a planned operation, with the VM or endpoint that it affects.
 ///
-/// `Forget`, `Hangup` and `Storm` take effect at once; the others last until a planned time.
+/// `Forget`, `Hangup`, `Storm` and `Upgrades` take effect at once; the others last until a planned time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
     /// The process of a VM is suspended by SIGSTOP.
@@ -42,6 +42,12 @@
     Shapes(usize, AnswerShape),
     /// Engines crash when they begin an answer on [`CRASHING_SECTION`].
     Crashes,
+    /// An endpoint names a limit, in tenths of requests per second.
+    Limits(usize, u16),
+    /// An engine becomes a new incarnation under its name, of the other software version.
+    Upgrades(usize),
+    /// An endpoint sends bytes without end.
+    Endless(usize, EndlessAnswer),
     /// The second API key is revoked, and later restored.
     Revoke,
     /// The store clears its history of changes.
@@ -60,6 +66,14 @@
         matches!(self, Self::Store(_) | Self::Forget)
     }
 
+    /// Whether the fault may keep VMs from sharing a limit.
+    pub const fn disturbs_vms(self) -> bool {
+        matches!(
+            self,
+            Self::Stop(_) | Self::Kill(_) | Self::Term(_) | Self::KillAll
+        )
+    }
+
     /// Whether the fault or operation may make a VM learn too late that an endpoint drains.
     pub const fn may_delay_updates(self, vm: usize, endpoint: usize) -> bool {
         match self {
@@ -72,6 +86,9 @@
             | Self::Breaks(_)
             | Self::Shapes(..)
             | Self::Crashes
+            | Self::Limits(..)
+            | Self::Upgrades(_)
+            | Self::Endless(..)
             | Self::Revoke
             | Self::Hangup(_)
             | Self::Storm => false,
@@ -222,3 +239,28 @@
     };
     Fault::Shapes(endpoint, AnswerShape { framing, cut, end })
 }
+
+/// The next fault of a seed's fifth plan: an endpoint that names a limit, an engine that is replaced by
+/// one of another version under its name, or an endpoint that sends bytes without end.
+pub fn draw_fifth(rng: &mut Pcg64Mcg) -> (Fault, Duration) {
+    let endpoint = rng.random_range(0..4);
+    let millis = rng.random_range(200..1_500);
+    match rng.random_range(0..4) {
+        0 | 1 => {
+            let tenths = *[4, 10, 14, 65].choose(rng).unwrap();
+            let millis = rng.random_range(5_000..12_000);
+            (
+                Fault::Limits(endpoint, tenths),
+                Duration::from_millis(millis),
+            )
+        }
+        2 => (Fault::Upgrades(endpoint % 2), Duration::from_millis(millis)),
+        _ => {
+            let endless = *EndlessAnswer::ALL.choose(rng).unwrap();
+            (
+                Fault::Endless(endpoint, endless),
+                Duration::from_millis(millis),
+            )
+        }
+    }
+}
