--- a/crates/node/tests/relay_soak.rs
+++ b/crates/node/tests/relay_soak.rs
@@ -174,11 +174,6 @@
             Fault::StoreLink(vm, _) => self.fleet.store_proxies[vm].set_mode(LinkMode::Passes),
             Fault::Link(endpoint, _) => self.fleet.proxies[endpoint].set_mode(LinkMode::Passes),
             Fault::Drain(n) => {
-                self.history
-                    .drains
-                    .iter_mut()
-                    .filter(|(endpoint, _)| *endpoint == n)
-                    .for_each(|(_, span)| span.end());
                 self.renew(n);
             }
             Fault::Limits(n, _) => self.fleet.endpoints[n].update_behaviour(|b| b.limit = None),
@@ -207,8 +202,12 @@
         ended.for_each(|(_, span)| span.end());
     }
 
-    /// Makes an endpoint a new incarnation.
+    /// Makes an endpoint a new incarnation, which doesn't drain.
     fn renew(&mut self, n: usize) {
+        let drains = self.history.drains.iter_mut();
+        drains
+            .filter(|(endpoint, _)| *endpoint == n)
+            .for_each(|(_, span)| span.end());
         self.incarnations[n] += 1;
         let incarnation = self.incarnations[n];
         self.fleet.endpoints[n].update_behaviour(|b| b.reported_start = Some(incarnation));
