Check an endpoint's incarnation again after each new connection

A check of the engine's incarnation counted for a second, and the engine started again in that second. It now counts until a connection to the engine is opened, which a process that starts has none of.

The soak closes an engine's connections when it becomes another one, as the end of a process does.

--- a/crates/node/tests/relay_soak.rs
+++ b/crates/node/tests/relay_soak.rs
@@ -42,7 +42,11 @@
 /// - 42: a suspended VM did not read a call while the call's key was revoked, and ran it after the
 ///   key had been restored; the log line of the call shows version 3 of the configuration. The
 ///   check now considers the time of the run.
-const DEFAULT_SEEDS: &str = "1,5,7,13,21,42";
+/// - 205: an upgrade registered an endpoint as ready that a drain had taken out, and the check still
+///   took it for draining. It now ends the drain.
+/// - 206: streams began at an engine that had become another version behind an old entry, and were
+///   resumed at the version of that entry: a check of the engine from before still counted.
+const DEFAULT_SEEDS: &str = "1,5,7,13,21,42,205,206";
 /// Default length of the run of a seed, in seconds.
 const DEFAULT_SECONDS: u64 = 8;
 /// Default number of VMs.
@@ -119,6 +123,7 @@
             Fault::Upgrades(n) => {
                 self.versions[n] = !self.versions[n];
                 let software = if self.versions[n] { "v2" } else { "v1" };
+                self.fleet.proxies[n].close_connections();
                 self.fleet.endpoints[n].set_software(software.into());
                 self.renew(n);
             }
--- a/crates/node/tests/relay_versions.rs
+++ b/crates/node/tests/relay_versions.rs
@@ -262,6 +262,45 @@
     expect_that!(ran, eq(0));
 }
 
+/// The same where streams begin at the new incarnations: a check of the one before counted for them.
+#[gtest]
+fn stream_that_begins_at_a_new_incarnation_behind_an_old_entry_goes_on_nowhere() {
+    let fleet = start_fleet(62);
+    fleet.store.set_fault(StoreFault::Silent);
+    for (index, _) in ENGINES {
+        fleet.endpoints[index].update_behaviour(|b| b.reported_start = Some(START_MS));
+    }
+    // Until the views of the VMs are old, but not their configuration.
+    thread::sleep(Duration::from_millis(1_800));
+    for (index, _) in ENGINES {
+        fleet.endpoints[index].update_behaviour(|b| b.event_interval = Duration::from_millis(5));
+    }
+    make_streams(&fleet, 0, 16);
+    for (index, _) in ENGINES {
+        fleet.endpoints[index].update_behaviour(|b| b.cut_after = Some(3));
+    }
+    let replaced = [0, 5];
+    for index in replaced {
+        fleet.proxies[index].close_connections();
+        fleet.endpoints[index].update_behaviour(|b| b.reported_start = Some(START_MS + 1));
+    }
+    thread::sleep(Duration::from_millis(100));
+    let results = make_streams(&fleet, 0, 24);
+    let mut begun = 0;
+    for (id, _) in &results {
+        let runs = replaced
+            .iter()
+            .flat_map(|index| fleet.endpoints[*index].runs());
+        if runs.filter(|run| run.call_id == *id).count() == 0 {
+            continue;
+        }
+        begun += 1;
+        let joined = fleet.runs_of(id).filter(|run| run.after_event > 0);
+        expect_that!(joined.count(), eq(0));
+    }
+    expect_that!(begun, ge(4));
+}
+
 /// A missing or malformed version joins nothing.
 #[gtest]
 fn stream_of_an_engine_without_a_version_goes_on_nowhere() {
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -126,14 +126,11 @@
         let open_call = OpenCall::start(&self.shared, key, self.call_load(placement));
         let new_connection = new_connection
             || !self.request.route.kind.is_idempotent() && !self.request.route.kind.is_stream();
-        let connection = self.shared.pool.acquire(key, address, new_connection).await;
+        let connection = self.shared.acquire(key, address, new_connection).await;
         let connection = connection.map_err(|error| {
             self.record_health(key, Health::record_unreachable);
             FailedAttempt::new(Outcome::NotSent, error.to_string())
         })?;
-        if !connection.reused {
-            self.shared.metrics.connections.inc();
-        }
         let connection = if self.request.pin.is_begun() {
             let checked = self.check_incarnation(key, address, connection).await;
             checked.map_err(|cause| FailedAttempt::new(Outcome::NotSent, cause))?
--- a/crates/relay/src/origins.rs
+++ b/crates/relay/src/origins.rs
@@ -32,8 +32,6 @@
 /// Age of the view of the endpoints above which an endpoint may have been started again without an
 /// entry that tells of it.
 const MAX_TRUSTED_AGE: Duration = Duration::from_millis(1_500);
-/// Time for which a check of an endpoint's incarnation holds while the view is old.
-const CHECK_TTL: Duration = Duration::from_secs(1);
 /// Time in which origins are gathered into one datagram.
 const GATHER_TIME: Duration = Duration::from_millis(5);
 /// Maximum number of streams in a datagram.
@@ -304,7 +302,8 @@
             return true;
         };
         let is_fresh = age.is_some_and(|age| age < MAX_TRUSTED_AGE);
-        if is_fresh || now.since(endpoint.checked) < CHECK_TTL {
+        // A process that starts has no connections, so the check holds until one is opened.
+        if is_fresh || endpoint.is_checked {
             return true;
         }
         let address = endpoint.entry.address;
@@ -322,7 +321,7 @@
         let is_current =
             report.is_some_and(|(report, _)| matches(&report, endpoint.entry.start_ms));
         if is_current && let Some(endpoint) = self.shared.core().endpoints.get_mut(key) {
-            endpoint.checked = clock::now();
+            endpoint.is_checked = true;
         }
         is_current
     }
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -126,11 +126,8 @@
         key: EndpointKey,
         address: SocketAddr,
     ) -> Result<EngineReport, String> {
-        let connection = self.shared.pool.acquire(key, address, false).await;
+        let connection = self.shared.acquire(key, address, false).await;
         let connection = connection.map_err(|error| error.to_string())?;
-        if !connection.reused {
-            self.shared.metrics.connections.inc();
-        }
         let (report, sender) = fetch_report(&self.shared, connection, address).await?;
         self.shared.return_connection(key, sender, None);
         Ok(report)
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -8,14 +8,17 @@
     limits::TokenRequests,
     metrics::Metrics,
     origins::{OriginRequests, UntoldOrigin},
-    pool::Pool,
+    pool::{Connection, Pool},
     quarantine::PendingCuts,
     settings::RelaySettings,
     snapshot::Snapshot,
-    tcp::Sender,
+    tcp::{ConnectError, Sender},
 };
 use arc_swap::ArcSwap;
-use core::{net::Ipv4Addr, time::Duration};
+use core::{
+    net::{Ipv4Addr, SocketAddr},
+    time::Duration,
+};
 use poplarswitch_entity::Time;
 use poplarswitch_ingress::{
     AdmissionControl, Cursor, Demand, EndpointChange, EndpointKey, EndpointTable, Freshness,
@@ -316,6 +319,23 @@
         self.notify_change();
     }
 
+    /// Takes an idle connection to an endpoint, or opens one; see [`Pool::acquire`].
+    pub(crate) async fn acquire(
+        &self,
+        key: EndpointKey,
+        address: SocketAddr,
+        new_connection: bool,
+    ) -> Result<Connection, ConnectError> {
+        let connection = self.pool.acquire(key, address, new_connection).await?;
+        if !connection.reused {
+            self.metrics.connections.inc();
+            if let Some(endpoint) = self.core().endpoints.get_mut(key) {
+                endpoint.is_checked = false;
+            }
+        }
+        Ok(connection)
+    }
+
     /// Returns a connection to the pool after a complete response.
     pub(crate) fn return_connection(
         &self,
