Don't write the entry of a VM that shuts down again

The test failed before: the list named front-1 after its exit. Also: one copy of the loop that reads the list, and of the last event of a stream in tests; `call` lines tell how many endpoints' limits kept a call back.

--- a/crates/node/tests/relay/mod.rs
+++ b/crates/node/tests/relay/mod.rs
@@ -405,3 +405,10 @@
         .collect();
     events.concat()
 }
+
+/// The last complete event in a part of a stream.
+pub fn last_event(body: &str) -> Option<String> {
+    let complete = &body[..body.rfind("\n\n")?];
+    let id = complete.lines().rfind(|line| line.starts_with("id: "))?;
+    Some(id["id: ".len()..].to_owned())
+}
--- a/crates/node/tests/relay_members.rs
+++ b/crates/node/tests/relay_members.rs
@@ -75,3 +75,12 @@
 fn vms_of_a_list_of_several_pages_list_each_other() {
     Fleet::start(46, LARGE_VM_COUNT);
 }
+
+/// A VM that shut down wrote its entry again, because it missed it in the list.
+#[gtest]
+fn vm_that_shuts_down_leaves_no_entry() {
+    let mut fleet = Fleet::start(63, 1);
+    fleet.terminate_if_up(0);
+    expect_that!(fleet.await_exit(0), eq(true));
+    expect_that!(fleet.store.vm_names(), is_empty());
+}
--- a/crates/node/tests/relay_soak.rs
+++ b/crates/node/tests/relay_soak.rs
@@ -19,7 +19,7 @@
 };
 use rand::{RngExt as _, SeedableRng as _, seq::IndexedRandom as _};
 use rand_pcg::Pcg64Mcg;
-use relay::{Fleet, KEYS, wait_until};
+use relay::{Fleet, KEYS, last_event, wait_until};
 use rustix::process::Signal;
 use soak::{
     checks::{Call, History, Runs},
@@ -338,13 +338,6 @@
     }
 }
 
-/// The last event in a part of a stream.
-fn last_event(body: &str) -> Option<String> {
-    let complete = &body[..body.rfind("\n\n")?];
-    let id = complete.lines().rfind(|line| line.starts_with("id: "))?;
-    Some(id["id: ".len()..].to_owned())
-}
-
 /// Runs the soak with one seed and checks the guarantees.
 fn run_soak(seed: u64, length: Duration, vms: usize) {
     eprintln!("soak: seed {seed}, {vms} VMs");
--- a/crates/node/tests/relay_versions.rs
+++ b/crates/node/tests/relay_versions.rs
@@ -5,7 +5,7 @@
 use core::time::Duration;
 use googletest::prelude::*;
 use poplarswitch_deployment::{CallError, CallResponse, EndpointKind, StoreFault, TakenUp};
-use relay::Fleet;
+use relay::{Fleet, last_event};
 use std::{collections::HashMap, thread};
 
 /// Path of a stream that may be resumed.
@@ -44,13 +44,6 @@
     fleet
 }
 
-/// The last event that a caller has received.
-fn last_event(body: &str) -> Option<String> {
-    let complete = &body[..body.rfind("\n\n")?];
-    let id = complete.lines().rfind(|line| line.starts_with("id: "))?;
-    Some(id["id: ".len()..].to_owned())
-}
-
 /// Versions of the engines at which the attempts of each stream ran, by the first attempt; only
 /// runs that brought events, which all do.
 fn versions_by_stream(
--- a/crates/relay/src/call_record.rs
+++ b/crates/relay/src/call_record.rs
@@ -35,6 +35,8 @@
     /// Time after which a refused caller should retry.
     pub(crate) retry_after: Option<Duration>,
     pub(crate) attempts: u32,
+    /// Number of endpoints whose limits kept the call back.
+    pub(crate) denied: u32,
     pub(crate) resumed: u32,
     pub(crate) status: u16,
     pub(crate) first_byte: Option<Time>,
@@ -67,6 +69,7 @@
             deadline: None,
             retry_after: None,
             attempts: 0,
+            denied: 0,
             resumed: 0,
             status: 0,
             first_byte: None,
@@ -122,6 +125,7 @@
                 .retry_after
                 .map(|retry_after| retry_after.as_millis() as u64),
             attempts = self.attempts,
+            denied = self.denied,
             resumed = self.resumed,
             first_ms = self
                 .first_byte
--- a/crates/relay/src/limits.rs
+++ b/crates/relay/src/limits.rs
@@ -111,7 +111,7 @@
 
     /// Takes a token for a request to an endpoint, if the endpoint has a limit; returns whether the
     /// request may be sent. If not, the endpoint counts as limited for a while.
-    pub(crate) async fn take_permit(&self, key: EndpointKey) -> bool {
+    pub(crate) async fn take_permit(&mut self, key: EndpointKey) -> bool {
         let now = clock::now();
         let rank = self.request.priority;
         let (id, permit, owner) = {
@@ -140,6 +140,7 @@
         let Permit::Denied(denial) = permit else {
             return true;
         };
+        self.record.denied += 1;
         self.shared.metrics.tokens_denied.inc();
         if let Some(endpoint) = self.shared.core().endpoints.get_mut(key) {
             endpoint.denial = denial;
--- a/crates/relay/src/registry.rs
+++ b/crates/relay/src/registry.rs
@@ -48,33 +48,33 @@
 /// removes the entries of dead VMs.
 pub(crate) async fn run(shared: Arc<Shared>, client: Arc<PlatformClient>) {
     let mut backoff = Backoff::new(shared.random_number());
-    loop {
-        match list(&shared, &client).await {
-            Ok(vms) => {
-                restore_held(&shared, &vms);
-                add_members(&shared, &vms);
-                break;
-            }
-            Err(error) => {
-                tracing::warn!(event = "failed", call = "list_vms", %error, "platform");
-                sleep(backoff.next_wait()).await;
-            }
-        }
-    }
-    backoff.reset();
+    let listed = list_until_read(&shared, &client, &mut backoff).await;
+    restore_held(&shared, &listed);
+    add_members(&shared, &listed);
     let mut local_vm = local_entry(&shared);
     while let Err(error) = register(&shared, &client, &local_vm).await {
         tracing::warn!(event = "failed", call = "register", %error, "platform");
         sleep(backoff.next_wait()).await;
     }
     backoff.reset();
+    let listed = list_until_read(&shared, &client, &mut backoff).await;
+    add_members(&shared, &listed);
+    shared.core().sources.mark_listed();
+    shared.notify_change();
+    maintain(&shared, &client, &mut local_vm).await;
+}
+
+/// Reads the list of VMs, as often as it takes.
+async fn list_until_read(
+    shared: &Shared,
+    client: &PlatformClient,
+    backoff: &mut Backoff,
+) -> Vec<VmEntry> {
     loop {
-        match list(&shared, &client).await {
+        match list(shared, client).await {
             Ok(vms) => {
-                add_members(&shared, &vms);
-                shared.core().sources.mark_listed();
-                shared.notify_change();
-                break;
+                backoff.reset();
+                return vms;
             }
             Err(error) => {
                 tracing::warn!(event = "failed", call = "list_vms", %error, "platform");
@@ -82,7 +82,6 @@
             }
         }
     }
-    maintain(&shared, &client, &mut local_vm).await;
 }
 
 /// Keeps this VM's entry and the list of members up to date until the process exits.
@@ -156,7 +155,9 @@
 ) -> Result<(), RegistryError> {
     let listed = list(shared, client).await?;
     add_members(shared, &listed);
-    if !listed.iter().any(|vm| vm.name == local_vm.name) {
+    // A VM that shuts down has removed its entry itself.
+    let is_leaving = shared.core().shutdown.has_started();
+    if !is_leaving && !listed.iter().any(|vm| vm.name == local_vm.name) {
         tracing::info!(event = "entry_missing", "member");
         register(shared, client, local_vm).await?;
     }
