--- a/crates/ingress/src/endpoints.rs
+++ b/crates/ingress/src/endpoints.rs
@@ -85,8 +85,8 @@
     pub remote_calls: u32,
     /// Calls that its limit on the rate of requests keeps back.
     pub denial: Denial,
-    /// Whether it was checked, since a connection was last opened, that this incarnation serves.
-    pub is_checked: bool,
+    /// Whether its process may have ended since it was last known to be this incarnation.
+    pub in_doubt: bool,
     /// Whether it has crashed and has not begun an answer since.
     pub has_crashed: bool,
 }
@@ -234,7 +234,7 @@
             open_calls: 0,
             remote_calls: 0,
             denial: Denial::default(),
-            is_checked: false,
+            in_doubt: false,
             has_crashed: false,
             entry,
         });
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -129,6 +129,7 @@
         let connection = self.shared.acquire(key, address, new_connection).await;
         let connection = connection.map_err(|error| {
             self.record_health(key, Health::record_unreachable);
+            self.shared.mark_in_doubt(key);
             FailedAttempt::new(Outcome::NotSent, error.to_string())
         })?;
         let connection = if self.request.pin.is_begun() {
@@ -263,6 +264,7 @@
                 let unsent = error.take_message().is_some();
                 let cause = format!("after {} ms: {}", millis_since(sent), error.into_error());
                 if unsent && reused {
+                    self.shared.mark_in_doubt(key);
                     return Err(FailedAttempt::new(Outcome::NotSent, cause));
                 }
                 self.record_failure(key);
@@ -380,6 +382,7 @@
 
     /// Records that an endpoint failed a call.
     pub(crate) fn record_failure(&self, key: EndpointKey) {
+        self.shared.mark_in_doubt(key);
         self.record_health(key, |health, now| {
             health.record_failure(now);
         });
--- a/crates/relay/src/heartbeats.rs
+++ b/crates/relay/src/heartbeats.rs
@@ -107,7 +107,9 @@
     origins.note_versions(now, endpoints);
     drop(core);
     shared.handle_endpoint_changes(&expired, "lapse");
-    shared.pool.evict_idle();
+    for key in shared.pool.evict_idle() {
+        shared.mark_in_doubt(key);
+    }
     update_groups(shared, now);
     phase
 }
--- a/crates/relay/src/origins.rs
+++ b/crates/relay/src/origins.rs
@@ -257,6 +257,28 @@
     StreamMessage::Origins(groups)
 }
 
+impl Shared {
+    /// Records that the process of an endpoint may have ended: a connection to it has.
+    pub(crate) fn mark_in_doubt(&self, key: EndpointKey) {
+        if let Some(endpoint) = self.core().endpoints.get_mut(key) {
+            endpoint.in_doubt = true;
+        }
+    }
+
+    /// Records that a connection to an endpoint was opened. While the view of the endpoints is old,
+    /// another process than the entry tells of may have accepted it.
+    pub(crate) fn record_connection(&self, key: EndpointKey) {
+        self.metrics.connections.inc();
+        let now = clock::now();
+        let mut core = self.core();
+        let confirmed = core.endpoints_confirmed;
+        let is_fresh = confirmed.is_some_and(|at| now.since(at) < MAX_TRUSTED_AGE);
+        if !is_fresh && let Some(endpoint) = core.endpoints.get_mut(key) {
+            endpoint.in_doubt = true;
+        }
+    }
+}
+
 impl CallForwarder {
     /// Binds the stream to the version of the endpoint that sends its first event, and records its
     /// origin.
@@ -289,21 +311,17 @@
 
     /// Whether the endpoint that has just answered is the incarnation that this VM knows.
     async fn is_current(&self, key: EndpointKey, software: &SoftwareVersion) -> bool {
-        let now = clock::now();
-        let (age, endpoint) = {
+        let endpoint = {
             let core = self.shared.core();
             if core.is_replaced(key, &self.record.endpoint, software) {
                 return false;
             }
-            let age = core.endpoints_confirmed.map(|at| now.since(at));
-            (age, core.endpoints.get(key).cloned())
+            core.endpoints.get(key).cloned()
         };
         let Some(endpoint) = endpoint else {
             return true;
         };
-        let is_fresh = age.is_some_and(|age| age < MAX_TRUSTED_AGE);
-        // A process that starts has no connections, so the check holds until one is opened.
-        if is_fresh || endpoint.is_checked {
+        if !endpoint.in_doubt {
             return true;
         }
         let address = endpoint.entry.address;
@@ -321,7 +339,7 @@
         let is_current =
             report.is_some_and(|(report, _)| matches(&report, endpoint.entry.start_ms));
         if is_current && let Some(endpoint) = self.shared.core().endpoints.get_mut(key) {
-            endpoint.is_checked = true;
+            endpoint.in_doubt = false;
         }
         is_current
     }
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -94,14 +94,27 @@
         self.lock().remove(&key);
     }
 
-    /// Drops connections that are closed or have exceeded their maximum idle time.
-    pub(crate) fn evict_idle(&self) {
+    /// Drops connections that are closed or have exceeded their maximum idle time; returns the
+    /// endpoints that have closed some before that time.
+    pub(crate) fn evict_idle(&self) -> Vec<EndpointKey> {
         let now = clock::now();
-        self.lock().retain(|_, connections| {
-            connections
-                .retain(|connection| connection.expires > now && !connection.sender.is_closed());
-            !connections.is_empty()
+        let mut idle = self.lock();
+        let closed = idle.iter_mut().filter_map(|(key, connections)| {
+            let has_closed = remove_closed(connections, now);
+            has_closed.then_some(*key)
         });
+        let closed = closed.collect();
+        idle.retain(|_, connections| !connections.is_empty());
+        closed
+    }
+
+    /// Drops the connections to an endpoint that are closed or have exceeded their maximum idle time;
+    /// returns whether the endpoint has closed some before that time.
+    pub(crate) fn remove_closed(&self, key: EndpointKey) -> bool {
+        let now = clock::now();
+        let mut idle = self.lock();
+        idle.get_mut(&key)
+            .is_some_and(|connections| remove_closed(connections, now))
     }
 
     fn take_idle(&self, key: EndpointKey) -> Option<Sender> {
@@ -119,3 +132,12 @@
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Drops connections that are closed or have exceeded their maximum idle time; returns whether some
+/// were closed before that time.
+fn remove_closed(connections: &mut Vec<IdleConnection>, now: Time) -> bool {
+    connections.retain(|connection| connection.expires > now);
+    let open = connections.len();
+    connections.retain(|connection| !connection.sender.is_closed());
+    connections.len() < open
+}
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -326,12 +326,12 @@
         address: SocketAddr,
         new_connection: bool,
     ) -> Result<Connection, ConnectError> {
+        if self.pool.remove_closed(key) {
+            self.mark_in_doubt(key);
+        }
         let connection = self.pool.acquire(key, address, new_connection).await?;
         if !connection.reused {
-            self.metrics.connections.inc();
-            if let Some(endpoint) = self.core().endpoints.get_mut(key) {
-                endpoint.is_checked = false;
-            }
+            self.record_connection(key);
         }
         Ok(connection)
     }
