Record streams that begin at an unknown version as such

They are now recorded with an unknown version at the same VMs as others, which refuses them, and the only version of a service counts only while the view of its endpoints is fresh.

--- a/crates/relay/src/origins.rs
+++ b/crates/relay/src/origins.rs
@@ -86,7 +86,11 @@
         Some(origin) => Some(origin),
         None => ask(shared, route, stream).await,
     };
-    origin.filter(|origin| route.targets.iter().any(|t| t.service == origin.service))
+    let is_target = |origin: &StreamOrigin| {
+        let mut targets = route.targets.iter();
+        targets.any(|target| target.service == origin.service)
+    };
+    origin.filter(|origin| origin.software.is_known() && is_target(origin))
 }
 
 /// The only service and version of a route.
@@ -98,9 +102,15 @@
     let [target] = &*route.targets else {
         return None;
     };
+    let now = clock::now();
     let core = shared.core();
+    // An old view may lack a version that has come since.
+    let confirmed = core.endpoints_confirmed?;
+    if now.since(confirmed) >= MAX_TRUSTED_AGE {
+        return None;
+    }
     let software = core.origins.only_version(
-        clock::now(),
+        now,
         shared.started,
         clock::unix_millis(),
         &target.service,
@@ -292,15 +302,15 @@
                 _ => VersionPin::Nowhere,
             };
         }
-        let VersionPin::Only(software) = &self.request.pin else {
-            return;
-        };
+        // A stream of an unknown version is recorded too: it must not pass for one of the only
+        // version that is known.
+        let software = self.request.pin.required().cloned().unwrap_or_default();
         let continues = self.request.call.continues.as_ref();
         let first_attempt = continues.and_then(|stream| stream.first_attempt.as_deref());
         let stream = StreamId::new(first_attempt.unwrap_or(&self.request.call.id));
         let origin = StreamOrigin {
             service: self.request.service.clone(),
-            software: software.clone(),
+            software,
         };
         let mut core = self.shared.core();
         core.origins.record(clock::now(), stream, &origin);
