Log why a silent stream isn't continued elsewhere

Operators saw `broken_off` with the cause "no data for 1000 ms", which looks the same whether the attempts of the route were used up, the retry budget was used, or the next endpoint failed. The reason is now part of `cause`, also for calls that aren't retried for lack of budget.

--- a/crates/relay/src/call_forwarder.rs
+++ b/crates/relay/src/call_forwarder.rs
@@ -112,7 +112,10 @@
             let verdict = match next {
                 NextStep::Repeat { paid: false } => continue,
                 NextStep::Repeat { paid: true } if self.charge_retry(now) => continue,
-                NextStep::Repeat { .. } => verdict(self.attempts, outcome),
+                NextStep::Repeat { .. } => {
+                    self.record.add_cause("the retry budget is used");
+                    verdict(self.attempts, outcome)
+                }
                 NextStep::Tell(verdict) => verdict,
             };
             if let (Verdict::Endpoint, Some(response)) = (verdict, response) {
--- a/crates/relay/src/call_record.rs
+++ b/crates/relay/src/call_record.rs
@@ -90,6 +90,14 @@
         }
     }
 
+    /// Adds why nothing else was tried to the cause of a failure.
+    pub(crate) fn add_cause(&mut self, obstacle: &str) {
+        if !self.cause.is_empty() {
+            self.cause.push_str("; ");
+        }
+        self.cause.push_str(obstacle);
+    }
+
     /// Records the result of the call.
     pub(crate) fn set_outcome(&mut self, outcome: &'static str, status: u16) {
         self.outcome = outcome;
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -256,17 +256,19 @@
         forwarder.attempts.total += 1;
         forwarder.tried.push(key);
         let time_left = forwarder.request.deadline.since(now);
-        if forwarder.request.pin == VersionPin::Nowhere {
-            forwarder
-                .record
-                .cause
-                .push_str("; the software version of the stream is unknown");
-            return None;
-        }
-        if forwarder.attempts.maybe_run >= forwarder.request.route.max_attempts
-            || time_left.is_zero()
-            || !forwarder.charge_retry(now)
-        {
+        let obstacle = if forwarder.request.pin == VersionPin::Nowhere {
+            Some("the software version of the stream is unknown")
+        } else if forwarder.attempts.maybe_run >= forwarder.request.route.max_attempts {
+            Some("all attempts of the route are used")
+        } else if time_left.is_zero() {
+            Some("no time is left")
+        } else if !forwarder.charge_retry(now) {
+            Some("the retry budget is used")
+        } else {
+            None
+        };
+        if let Some(obstacle) = obstacle {
+            forwarder.record.add_cause(obstacle);
             return None;
         }
         forwarder.record.resumed += 1;
@@ -288,12 +290,14 @@
             Ok(EndpointResponse::Streaming(unread)) if unread.head.status.is_success() => {
                 Some(*unread)
             }
-            Ok(_) => None,
+            Ok(_) => {
+                forwarder
+                    .record
+                    .add_cause("the endpoint that should continue failed");
+                None
+            }
             Err(failure) => {
-                failure
-                    .code
-                    .as_str()
-                    .clone_into(&mut forwarder.record.cause);
+                forwarder.record.add_cause(failure.code.as_str());
                 None
             }
         }
