--- a/crates/node/tests/relay/mod.rs
+++ b/crates/node/tests/relay/mod.rs
@@ -307,13 +307,25 @@
         index: usize,
         path: &str,
         prompt: &str,
+    ) -> (String, Result<CallResponse, CallError>) {
+        self.call_for(index, path, prompt, Duration::from_secs(3))
+    }
+
+    /// Makes a call with the given sections of a prompt that waits for `deadline`; returns its new
+    /// identifier and its result.
+    pub fn call_for(
+        &self,
+        index: usize,
+        path: &str,
+        prompt: &str,
+        deadline: Duration,
     ) -> (String, Result<CallResponse, CallError>) {
         let id = self.next_id();
         let request = CallRequest {
             id: &id,
             path,
             key: KEYS[0],
-            deadline: Duration::from_secs(3),
+            deadline,
             continues: None,
             prompt,
         };
