Keep idle connections for the longest time-out that their callers knew

Callers lost a connection, and a request that crossed its end, as soon as a configuration shortened the idle time-out: the new value was applied to the time for which a connection had been idle already. A caller goes by the value that it knew. Now the longest idle time-out of a connection's lifetime applies. The test idle_connection_is_kept_for_the_time_out_that_callers_knew failed before (closed within 4.5 s).

--- a/crates/relay/src/activity.rs
+++ b/crates/relay/src/activity.rs
@@ -50,8 +50,9 @@
         ActivityGuard(Arc::clone(self))
     }
 
-    /// Time at which the connection times out if nothing changes.
-    pub(crate) fn deadline(&self, limits: Limits) -> Time {
+    /// Time at which the connection times out if nothing changes; `idle_timeout` is that of an idle
+    /// connection.
+    pub(crate) fn deadline(&self, limits: Limits, idle_timeout: Duration) -> Time {
         let last_active = Time(self.last_active.load(Ordering::Relaxed));
         let head_start = self.head_start.load(Ordering::Relaxed);
         if self.active_requests.load(Ordering::Relaxed) > 0 {
@@ -59,15 +60,20 @@
         } else if head_start > 0 {
             Time(head_start) + limits.head_timeout
         } else {
-            last_active + limits.idle_timeout
+            last_active + idle_timeout
         }
     }
 
     /// Waits until the connection has timed out, either idle or while a head was being read.
+    ///
+    /// The longest idle time-out of the connection's lifetime applies, because its caller may not
+    /// know a shorter one yet.
     pub(crate) async fn wait_for_timeout(&self, limits: impl Fn() -> Limits) {
+        let mut idle_timeout = Duration::ZERO;
         loop {
             let now = clock::now();
-            let deadline = self.deadline(limits());
+            idle_timeout = idle_timeout.max(limits().idle_timeout);
+            let deadline = self.deadline(limits(), idle_timeout);
             if deadline <= now {
                 return;
             }
