Let calls go on after a change of the targets of their route

Callers saw streams broken off, and idempotent calls answered 502, when their endpoint failed after a configuration had changed the targets or only the weights of the route: the check before each attempt compared the whole list of targets with that of the call's arrival and refused any difference. A stream that has begun now goes on at its service, at the version that began it; any other call keeps its service while that is a target, and otherwise gets one of the new targets if its route is of the same kind. The checks of the configuration's age and of the key remain. A call that is rerouted has a log line.

--- a/crates/ingress/src/config.rs
+++ b/crates/ingress/src/config.rs
@@ -73,6 +73,15 @@
     pub targets: Vec<Target>,
 }
 
+impl RouteSpec {
+    /// Whether the route sends calls to a service.
+    pub fn has_target(&self, service: &ServiceName) -> bool {
+        let has_weights = self.targets.iter().any(|target| target.weight > 0);
+        let mut targets = self.targets.iter();
+        targets.any(|target| target.service == *service && (target.weight > 0 || !has_weights))
+    }
+}
+
 /// Capacity of a service's engines.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EngineSpec {
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -140,7 +140,7 @@
         };
         let started = clock::now();
         // The process may have been suspended while the connection was opened.
-        if self.recheck(started).is_err() || self.endpoint_address(key).is_none() {
+        if self.check_allowed(started).is_err() || self.endpoint_address(key).is_none() {
             return Err(FailedAttempt::new(
                 Outcome::NotSent,
                 "the configuration or the endpoint changed before the call was sent",
--- a/crates/relay/src/call_forwarder.rs
+++ b/crates/relay/src/call_forwarder.rs
@@ -65,6 +65,7 @@
             if time_left.is_zero() {
                 return Err(self.deadline_failure());
             }
+            self.reroute();
             self.recheck(now)?;
             self.recheck_sections()?;
             let placement = self.choose().await?;
@@ -176,33 +177,70 @@
         }
     }
 
+    /// Selects another service if that of the call isn't a target of its route any more. A stream that
+    /// has begun stays at its service.
+    fn reroute(&mut self) {
+        let table = self.shared.table.load();
+        if table.version() == self.record.version || self.request.pin.is_begun() {
+            return;
+        }
+        let route = table.route(&self.request.host, self.request.uri.path());
+        let Some(route) = route.filter(|route| route.kind == self.request.route.kind) else {
+            return;
+        };
+        if !route.has_target(&self.request.service)
+            && let Some(service) = table.select_target(route, &self.request.call.id)
+        {
+            tracing::info!(
+                event = "rerouted",
+                id = &*self.request.call.id,
+                from = self.request.service.as_str(),
+                to = service.as_str(),
+                version = table.version(),
+                "attempt"
+            );
+            self.request.service = service.clone();
+        }
+    }
+
     /// Checks again, immediately before the call is sent, that the configuration is confirmed and
-    /// that the key is valid, because the process may have been suspended since the last check.
+    /// that the call and its key are allowed, because the process may have been suspended since the
+    /// last check.
     pub(crate) fn recheck(&self, now: Time) -> Result<(), Failure> {
-        let vm = self.shared.settings.vm.as_str();
-        let fresh = self.shared.core().freshness.is_usable(now);
-        if !fresh {
-            let retry_after = self.retry_after(now);
-            return Err(self
-                .not_run_failure(ErrorCode::StaleSet, vm)
-                .with_retry_after(retry_after));
+        let Err(code) = self.check_allowed(now) else {
+            return Ok(());
+        };
+        let failure = self.not_run_failure(code, self.shared.settings.vm.as_str());
+        Err(match code {
+            ErrorCode::StaleSet | ErrorCode::NoEndpoint => {
+                failure.with_retry_after(self.retry_after(now))
+            }
+            _ => failure,
+        })
+    }
+
+    /// Whether the configuration, which must be confirmed, still allows the call; the error is the
+    /// code of the refusal. A stream that has begun goes on whatever its route has become.
+    pub(crate) fn check_allowed(&self, now: Time) -> Result<(), ErrorCode> {
+        if !self.shared.core().freshness.is_usable(now) {
+            return Err(ErrorCode::StaleSet);
         }
         let table = self.shared.table.load();
         if table.version() == self.record.version {
             return Ok(());
         }
-        let path = self.request.uri.path();
-        let Some(route) = table.route(&self.request.host, path) else {
-            return Err(self.not_run_failure(ErrorCode::UnknownPath, vm));
+        let is_begun = self.request.pin.is_begun();
+        let route = match table.route(&self.request.host, self.request.uri.path()) {
+            _ if is_begun => &self.request.route,
+            Some(route) => route,
+            None => return Err(ErrorCode::UnknownPath),
         };
-        if route.targets != self.request.route.targets {
-            let retry_after = self.retry_after(now);
-            return Err(self
-                .not_run_failure(ErrorCode::NoEndpoint, vm)
-                .with_retry_after(retry_after));
+        let is_other_kind = route.kind != self.request.route.kind;
+        if !is_begun && (is_other_kind || !route.has_target(&self.request.service)) {
+            return Err(ErrorCode::NoEndpoint);
         }
         match table.access(route, self.request.call.key.as_deref()) {
-            Access::Denied => Err(self.not_run_failure(ErrorCode::Unauthorized, vm)),
+            Access::Denied => Err(ErrorCode::Unauthorized),
             Access::Open | Access::Granted(_) => Ok(()),
         }
     }
