Await a silent endpoint unless another one can go on

Callers saw resumable streams broken off, and idempotent calls answered 502, with most of their time left, because their endpoint sent nothing for a second or so. Cause: an endpoint that was silent for the limit of its route was dropped first; only then did the VM look whether another one could go on.

Now the connection is kept while another endpoint is sought, connected and, for streams, asked for a report that shows that it isn't silent too; it is dropped when the other one has begun to answer, or 200 ms after that one got the call. What the silent endpoint sends before wins. If nothing can go on, it is awaited until the deadline, and the handover is tried again with a growing interval. Ejected endpoints are no alternative. This holds before the head, inside and between events, and in plain answers. A stream that its endpoint has broken off waits up to a second for another one. An endpoint counts among those that may have run a call from the send on. A VM that was suspended reads what has arrived before it judges a silence.

Seven listed tests failed before, and pass now; two tests of the other side passed before and after: a dead endpoint is left as early as it was, and a stream that nothing can continue ends incomplete.

--- a/crates/ingress/src/budget.rs
+++ b/crates/ingress/src/budget.rs
@@ -58,6 +58,15 @@
     /// Counts a retry and returns true if the budget allows it; `vms` is the number of VMs that
     /// share the allowance.
     pub fn try_take(&mut self, now: Time, service: &ServiceName, vms: usize) -> bool {
+        let allowed = self.allows(now, service, vms);
+        if allowed {
+            self.bucket(now, service).retries += 1;
+        }
+        allowed
+    }
+
+    /// Whether the budget allows a retry, without counting it.
+    pub fn allows(&mut self, now: Time, service: &ServiceName, vms: usize) -> bool {
         let limit = self.limit;
         let bucket_start = self.bucket(now, service).start;
         let buckets = &self.buckets[service];
@@ -71,11 +80,7 @@
         let calls: u32 = calls.map(|bucket| bucket.calls).sum();
         let allowance = limit.allowance * ALLOWANCE_FRACTION / vms.max(1) as f64;
         let max_retries = f64::from(calls) * limit.ratio * RATIO_FRACTION + allowance;
-        let allowed = f64::from(retries) + 1.0 <= max_retries;
-        if allowed {
-            self.bucket(now, service).retries += 1;
-        }
-        allowed
+        f64::from(retries) + 1.0 <= max_retries
     }
 
     fn bucket(&mut self, now: Time, service: &ServiceName) -> &mut Bucket {
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -93,7 +93,9 @@
 };
 pub use listing::{ListingSchedule, ListingView};
 pub use membership::{EngineWork, Heartbeat, Member, MemberRecord, Membership, Phase};
-pub use outcome::{AttemptCounts, NextStep, Outcome, Verdict, next_step, verdict};
+pub use outcome::{
+    AttemptCounts, NextStep, Obstacle, Outcome, Verdict, next_step, obstacle, verdict,
+};
 pub use placement::{GroupLoad, Placement, PlacementDecision, PlacementReason, PlacementRequest};
 pub use quarantine::{
     AnswerRecord, CrashRecord, CutCall, HeldSection, HoldChange, HoldRecord, Passage, Quarantine,
--- a/crates/ingress/src/outcome.rs
+++ b/crates/ingress/src/outcome.rs
@@ -3,8 +3,11 @@
 //! The outcome of an attempt decides both whether the call may be retried and what may be reported
 //! to its caller. A call that may run only once is retried, and reported as "not run", only if no
 //! endpoint can have started it.
+//!
+//! An endpoint that is only silent may still answer. It is left for another one only if nothing
+//! stands in the way of that; otherwise its answer is awaited.
 
-use crate::config::RouteKind;
+use crate::{config::RouteKind, streams::VersionPin};
 use core::time::Duration;
 
 /// What is known about an attempt that has ended without a good answer.
@@ -60,6 +63,48 @@
 /// Remaining time below which a retry could not be answered.
 const MIN_RETRY_TIME: Duration = Duration::from_millis(20);
 
+/// What keeps a call from being sent to another endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Obstacle {
+    /// The call may run only once.
+    NotIdempotent,
+    /// The software version of the stream is unknown, so no endpoint can continue it.
+    UnknownVersion,
+    /// The call has been sent to as many endpoints as its route allows.
+    AttemptsUsed,
+    /// Too little time is left for an answer.
+    NoTime,
+    /// The retry budget is used.
+    BudgetUsed,
+    /// No other endpoint can be expected to answer.
+    NoEndpoint,
+    /// The configuration or the quarantine doesn't allow the call to be sent now.
+    NotAllowed,
+}
+
+impl Obstacle {
+    /// Whether the obstacle lasts as long as the call.
+    pub const fn is_final(self) -> bool {
+        match self {
+            Self::NotIdempotent | Self::UnknownVersion | Self::AttemptsUsed | Self::NoTime => true,
+            Self::BudgetUsed | Self::NoEndpoint | Self::NotAllowed => false,
+        }
+    }
+
+    /// Text for logs.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::NotIdempotent => "the call may run only once",
+            Self::UnknownVersion => "the software version of the stream is unknown",
+            Self::AttemptsUsed => "all attempts of the route are used",
+            Self::NoTime => "no time is left",
+            Self::BudgetUsed => "the retry budget is used",
+            Self::NoEndpoint => "no other endpoint can answer",
+            Self::NotAllowed => "the call may not be sent now",
+        }
+    }
+}
+
 impl Outcome {
     /// Whether an endpoint may have started the call.
     pub const fn may_have_run(self) -> bool {
@@ -93,6 +138,28 @@
     }
 }
 
+/// What keeps a call with the given attempts, the current one among them, from being sent to another
+/// endpoint, whatever the endpoints and the retry budget are.
+pub fn obstacle(
+    kind: RouteKind,
+    max_attempts: u32,
+    counts: AttemptCounts,
+    pin: &VersionPin,
+    time_left: Duration,
+) -> Option<Obstacle> {
+    if !kind.is_idempotent() {
+        Some(Obstacle::NotIdempotent)
+    } else if *pin == VersionPin::Nowhere {
+        Some(Obstacle::UnknownVersion)
+    } else if counts.maybe_run >= max_attempts || counts.total >= MAX_TOTAL_ATTEMPTS {
+        Some(Obstacle::AttemptsUsed)
+    } else if time_left < MIN_RETRY_TIME {
+        Some(Obstacle::NoTime)
+    } else {
+        None
+    }
+}
+
 /// Result that is reported to the caller if no further attempt is made.
 pub const fn verdict(counts: AttemptCounts, outcome: Outcome) -> Verdict {
     match outcome {
--- a/crates/node/tests/relay_silence.rs
+++ b/crates/node/tests/relay_silence.rs
@@ -282,7 +282,10 @@
         expect_that!(fleet.run_count(&answer.0), eq(1));
         expect_whole_stream(answer);
     }
-    expect_that!(fleet.log(0), not(contains_substring("\"resumes\"")));
+    for event in ["resumes", "awaited", "rests"] {
+        let line = format!("\"event\":\"{event}\"");
+        expect_that!(fleet.log(0), not(contains_substring(line)));
+    }
 }
 
 /// Guards the other side: a stream goes on as soon as before if its endpoint is dead and another one
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -1,13 +1,22 @@
 //! A single attempt to run a call on an endpoint, and the classification of its result.
 
 use crate::{
-    ForwardMetadata, ResponseInfo, ResponseKind, call_forwarder::CallForwarder, clock,
-    framing::framing_of, open_call::OpenCall, placement::reason_name, pool::Connection,
-    reply::millis_since, tcp::Sender,
+    ForwardMetadata, ResponseInfo, ResponseKind,
+    call_forwarder::CallForwarder,
+    clock,
+    framing::framing_of,
+    handover::{Awaited, Handover},
+    open_call::OpenCall,
+    placement::reason_name,
+    pool::Connection,
+    reply::millis_since,
+    tcp::Sender,
 };
 use bytes::Bytes;
 use core::{
+    fmt,
     net::SocketAddr,
+    pin::Pin,
     sync::atomic::{AtomicU32, Ordering},
     time::Duration,
 };
@@ -17,7 +26,7 @@
 use poplarswitch_entity::{EndpointName, Time};
 use poplarswitch_ingress::{EndpointKey, Framing, Health, Outcome, Placement, SoftwareVersion};
 use std::sync::Arc;
-use tokio::{sync::Notify, time::timeout};
+use tokio::{sync::Notify, time::Instant};
 
 /// Multiple of the latency objective after which an idempotent call is retried on another endpoint.
 const ATTEMPT_TIMEOUT_FACTOR: u32 = 2;
@@ -31,19 +40,83 @@
 /// Maximum number of interim responses (status 1xx) to a request.
 const MAX_INTERIM: u32 = 16;
 
+/// The endpoint of an attempt, as logged.
+#[derive(Clone, Debug)]
+pub(crate) struct AttemptInfo {
+    pub(crate) endpoint: EndpointName,
+    pub(crate) software: Option<SoftwareVersion>,
+    placement: Placement,
+}
+
+/// Result of sending a request: its response and the connection, or the connection's failure.
+type Exchange = dyn Future<Output = Result<(Response<Incoming>, Sender), FailedExchange>> + Send;
+
+/// Why a request has no response.
+#[derive(Debug)]
+pub(crate) enum FailedExchange {
+    /// The connection failed before the request was written to it.
+    Unsent(hyper::Error),
+    /// The connection failed afterwards.
+    Broken(hyper::Error),
+    /// The endpoint sends interim responses without end.
+    TooManyInterim,
+}
+
+/// A connection to the endpoint of an attempt, on which nothing has been sent yet.
+#[derive(Debug)]
+pub(crate) struct ReadyAttempt {
+    pub(crate) info: AttemptInfo,
+    open_call: OpenCall,
+    connection: Connection,
+}
+
+/// A request that has been sent and has no response yet.
+pub(crate) struct PendingAttempt {
+    pub(crate) info: AttemptInfo,
+    pub(crate) open_call: OpenCall,
+    pub(crate) exchange: Pin<Box<Exchange>>,
+    /// When the request was sent.
+    sent: Time,
+    /// Whether the connection had been used before.
+    reused: bool,
+}
+
+impl PendingAttempt {
+    pub(crate) const fn key(&self) -> EndpointKey {
+        self.open_call.key()
+    }
+}
+
+impl fmt::Debug for PendingAttempt {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("PendingAttempt")
+            .field("info", &self.info)
+            .finish_non_exhaustive()
+    }
+}
+
 /// A response whose body has not been read yet.
 #[derive(Debug)]
 pub(crate) struct UnreadResponse {
+    pub(crate) info: AttemptInfo,
     pub(crate) head: response::Parts,
     pub(crate) body: Incoming,
     pub(crate) open_call: OpenCall,
     pub(crate) sender: Sender,
     pub(crate) idle_timeout: Option<Duration>,
     pub(crate) framing: Framing,
+    /// When the request was sent.
+    sent: Time,
     /// When the head arrived.
     pub(crate) began: Time,
 }
 
+/// Progress of an attempt whose response is awaited.
+enum Stage {
+    Head(PendingAttempt),
+    Body(UnreadResponse),
+}
+
 /// Response of an endpoint.
 #[derive(Debug)]
 pub(crate) enum EndpointResponse {
@@ -85,11 +158,32 @@
     (request, too_many)
 }
 
+/// Sends a request on a connection and awaits its response; returns the connection too.
+async fn exchange(
+    mut sender: Sender,
+    request: Request<Full<Bytes>>,
+) -> Result<(Response<Incoming>, Sender), FailedExchange> {
+    let (request, too_many) = limit_interim(request);
+    let response = tokio::select! {
+        biased;
+        () = too_many.notified() => return Err(FailedExchange::TooManyInterim),
+        response = sender.try_send_request(request) => response,
+    };
+    match response {
+        Ok(response) => Ok((response, sender)),
+        Err(mut error) => match error.take_message() {
+            Some(_unsent) => Err(FailedExchange::Unsent(error.into_error())),
+            None => Err(FailedExchange::Broken(error.into_error())),
+        },
+    }
+}
+
 impl CallForwarder {
-    /// Time to wait for a response before another endpoint is tried.
+    /// Time after sending a request from which its endpoint counts as silent, if it has not
+    /// answered.
     fn attempt_timeout(&self, time_left: Duration) -> Duration {
         let kind = self.request.route.kind;
-        let can_retry = self.attempts.maybe_run + 1 < self.request.route.max_attempts;
+        let can_retry = self.attempts.maybe_run < self.request.route.max_attempts;
         let factor = if kind.is_stream() {
             STREAM_TIMEOUT_FACTOR
         } else {
@@ -111,6 +205,21 @@
         last_event_id: Option<&str>,
         new_connection: bool,
     ) -> Result<EndpointResponse, FailedAttempt> {
+        self.record.attempts += 1;
+        let is_checked = self.request.pin.is_begun();
+        let ready = self.connect(placement, new_connection, is_checked).await?;
+        let pending = self.send(ready, last_event_id)?;
+        self.respond(pending, last_event_id).await
+    }
+
+    /// Connects to the endpoint of a placement. With `is_checked`, the endpoint must report on the
+    /// connection that it is the incarnation that this VM knows.
+    pub(crate) async fn connect(
+        &mut self,
+        placement: Placement,
+        new_connection: bool,
+        is_checked: bool,
+    ) -> Result<ReadyAttempt, FailedAttempt> {
         let key = placement.endpoint;
         let Some((name, address)) = self.endpoint_address(key) else {
             return Err(FailedAttempt::new(
@@ -118,11 +227,14 @@
                 "the endpoint was removed or is draining",
             ));
         };
-        self.record.endpoint = name.as_str().into();
-        self.record.software = self.software_of(key);
-        self.record.reason = reason_name(placement.reason);
-        self.record.expected = placement.expected;
-        self.record.attempts += 1;
+        let info = AttemptInfo {
+            endpoint: name,
+            software: self.software_of(key),
+            placement,
+        };
+        if self.record.endpoint.is_empty() {
+            self.record_endpoint(&info);
+        }
         let open_call = OpenCall::start(&self.shared, key, self.call_load(placement));
         let new_connection = new_connection
             || !self.request.route.kind.is_idempotent() && !self.request.route.kind.is_stream();
@@ -132,66 +244,282 @@
             self.shared.mark_in_doubt(key);
             FailedAttempt::new(Outcome::NotSent, error.to_string())
         })?;
-        let connection = if self.request.pin.is_begun() {
+        let connection = if is_checked {
             let checked = self.check_incarnation(key, address, connection).await;
             checked.map_err(|cause| FailedAttempt::new(Outcome::NotSent, cause))?
         } else {
             connection
         };
-        let started = clock::now();
+        Ok(ReadyAttempt {
+            info,
+            open_call,
+            connection,
+        })
+    }
+
+    /// Records the endpoint whose answer is awaited.
+    pub(crate) fn record_endpoint(&mut self, info: &AttemptInfo) {
+        self.record.endpoint = info.endpoint.as_str().into();
+        self.record.software.clone_from(&info.software);
+        self.record.reason = reason_name(info.placement.reason);
+        self.record.expected = info.placement.expected;
+    }
+
+    /// Sends the request on a connection. The endpoint counts among those that may have run the call
+    /// until its answer shows the contrary.
+    pub(crate) fn send(
+        &mut self,
+        ready: ReadyAttempt,
+        last_event_id: Option<&str>,
+    ) -> Result<PendingAttempt, FailedAttempt> {
+        let ReadyAttempt {
+            info,
+            open_call,
+            connection,
+        } = ready;
+        let key = info.placement.endpoint;
+        let now = clock::now();
         // The process may have been suspended while the connection was opened.
-        if self.check_allowed(started).is_err() || self.endpoint_address(key).is_none() {
+        if self.check_allowed(now).is_err() || self.endpoint_address(key).is_none() {
             return Err(FailedAttempt::new(
                 Outcome::NotSent,
                 "the configuration or the endpoint changed before the call was sent",
             ));
         }
-        let time_left = self.request.deadline.since(started);
-        let cache_source = placement
-            .cache_source
-            .and_then(|key| self.endpoint_address(key));
+        let cache_source = info.placement.cache_source;
+        let cache_source = cache_source.and_then(|key| self.endpoint_address(key));
         let cache_source = cache_source.map(|(_, address)| address);
-        let request = self.build_request(&name, time_left, cache_source, last_event_id);
-        let (response, sender) = self.exchange(key, connection, request, time_left).await?;
+        let time_left = self.request.deadline.since(now);
+        let request = self.build_request(&info.endpoint, time_left, cache_source, last_event_id);
+        let Connection { sender, reused } = connection;
+        self.attempts.maybe_run += 1;
+        Ok(PendingAttempt {
+            info,
+            open_call,
+            exchange: Box::pin(exchange(sender, request)),
+            sent: now,
+            reused,
+        })
+    }
+
+    /// Awaits the response to a request. While the endpoint is silent, the call is handed over to
+    /// another one if that is possible.
+    pub(crate) async fn respond(
+        &mut self,
+        pending: PendingAttempt,
+        last_event_id: Option<&str>,
+    ) -> Result<EndpointResponse, FailedAttempt> {
+        let mut stage = Stage::Head(pending);
+        loop {
+            stage = match stage {
+                Stage::Head(pending) => self.await_head(pending, last_event_id).await?,
+                Stage::Body(unread) => {
+                    self.record_endpoint(&unread.info);
+                    self.record.framing = Some(unread.framing);
+                    let length = unread.body.size_hint().exact();
+                    let is_streaming =
+                        self.request.route.kind.is_stream() && unread.head.status.is_success();
+                    if is_streaming || length.is_none_or(|bytes| bytes > MAX_BUFFERED_BYTES) {
+                        let key = unread.open_call.key();
+                        return self.finish(key, EndpointResponse::Streaming(Box::new(unread)));
+                    }
+                    match self.await_body(unread, last_event_id).await? {
+                        Ok((key, response)) => return self.finish(key, response),
+                        Err(stage) => stage,
+                    }
+                }
+            };
+        }
+    }
+
+    async fn await_head(
+        &mut self,
+        mut pending: PendingAttempt,
+        last_event_id: Option<&str>,
+    ) -> Result<Stage, FailedAttempt> {
+        self.record_endpoint(&pending.info);
+        let limit = self.silence_limit(pending.sent);
+        let name = pending.info.endpoint.clone();
+        let silence = format!("no answer within {} ms", limit.as_millis());
+        let awaited = Awaited {
+            key: pending.key(),
+            name: &name,
+            silent_at: Instant::now() + limit,
+            silence: &silence,
+        };
+        let answer = pending.exchange.as_mut();
+        let result = match self.await_answer(awaited, answer, last_event_id).await {
+            Handover::Continued(result) => result,
+            Handover::Begun(unread) => return Ok(Stage::Body(*unread)),
+            Handover::Sent(next) => return Ok(Stage::Head(*next)),
+            Handover::Failed => return Err(FailedAttempt::new(Outcome::Doubtful, silence)),
+        };
+        self.accept(pending, result).map(Stage::Body)
+    }
+
+    /// Reads a short response completely.
+    async fn await_body(
+        &mut self,
+        unread: UnreadResponse,
+        last_event_id: Option<&str>,
+    ) -> Result<Result<(EndpointKey, EndpointResponse), Stage>, FailedAttempt> {
+        let silent_at = Instant::now() + self.silence_limit(unread.sent);
+        let UnreadResponse {
+            info,
+            head,
+            body,
+            open_call,
+            sender,
+            idle_timeout,
+            began,
+            ..
+        } = unread;
+        let key = open_call.key();
+        let body = core::pin::pin!(body.collect());
+        let silence = "the response did not end in time";
+        let awaited = Awaited {
+            key,
+            name: &info.endpoint,
+            silent_at,
+            silence,
+        };
+        let result = match self.await_answer(awaited, body, last_event_id).await {
+            Handover::Continued(result) => result,
+            Handover::Begun(unread) => return Ok(Err(Stage::Body(*unread))),
+            Handover::Sent(next) => return Ok(Err(Stage::Head(*next))),
+            Handover::Failed => return Err(FailedAttempt::new(Outcome::Doubtful, silence)),
+        };
+        match result {
+            Ok(body) => {
+                self.shared.return_connection(key, sender, idle_timeout);
+                let bytes = body.to_bytes();
+                self.record.received = bytes.len() as u64;
+                if head.status.is_success() {
+                    self.record_answer(began);
+                }
+                Ok(Ok((key, EndpointResponse::Buffered(head, bytes))))
+            }
+            Err(error) => {
+                self.record_failure(key);
+                self.record_cut(key, Some(began));
+                Err(FailedAttempt::new(
+                    Outcome::Doubtful,
+                    format!("the response is incomplete: {error}"),
+                ))
+            }
+        }
+    }
+
+    /// Time until an endpoint to which a request was sent counts as silent.
+    fn silence_limit(&self, sent: Time) -> Duration {
+        let time_left = self.request.deadline.since(sent);
+        self.attempt_timeout(time_left)
+            .saturating_sub(clock::now().since(sent))
+    }
+
+    /// Records the result of an attempt with a response.
+    fn finish(
+        &mut self,
+        key: EndpointKey,
+        response: EndpointResponse,
+    ) -> Result<EndpointResponse, FailedAttempt> {
+        let status = match &response {
+            EndpointResponse::Buffered(head, _) => head.status,
+            EndpointResponse::Streaming(unread) => unread.head.status,
+        };
+        if !status.is_server_error() {
+            self.record_health(key, |health, _| health.record_success());
+            return Ok(response);
+        }
+        self.record_failure(key);
+        Err(FailedAttempt {
+            outcome: Outcome::Failed,
+            response: Some(Box::new(response)),
+            cause: "the endpoint reported a failure".to_owned(),
+        })
+    }
+
+    /// Classifies the result of a request; returns the response if its body may be used. If the
+    /// endpoint has not run the call, it doesn't count among those that may have.
+    pub(crate) fn accept(
+        &mut self,
+        pending: PendingAttempt,
+        result: Result<(Response<Incoming>, Sender), FailedExchange>,
+    ) -> Result<UnreadResponse, FailedAttempt> {
+        let accepted = self.classify(pending, result);
+        if let Err(failed) = &accepted
+            && !failed.outcome.may_have_run()
+        {
+            self.attempts.maybe_run -= 1;
+        }
+        accepted
+    }
+
+    fn classify(
+        &self,
+        pending: PendingAttempt,
+        result: Result<(Response<Incoming>, Sender), FailedExchange>,
+    ) -> Result<UnreadResponse, FailedAttempt> {
+        let key = pending.key();
+        let (response, sender) = result
+            .map_err(|error| self.classify_failure(key, pending.sent, pending.reused, error))?;
         let (head, body) = response.into_parts();
         let info = self.shared.protocol.classify_response(
             head.status,
             &head.headers,
             &self.request.call.id,
         );
-        self.observe_limit(key, started, &info);
+        self.observe_limit(key, &pending.info.endpoint, pending.sent, &info);
         if let Err(failed) = self.check_head(key, &head, &info) {
             if failed.outcome == Outcome::Refused {
-                open_call.record_refusal();
+                pending.open_call.record_refusal();
             }
             return Err(failed);
         }
         self.record_begin(key);
-        let framing = framing_of(&head.headers, &body);
-        self.record.framing = Some(framing);
-        let unread = UnreadResponse {
+        Ok(UnreadResponse {
+            info: pending.info,
+            framing: framing_of(&head.headers, &body),
             head,
             body,
-            open_call,
+            open_call: pending.open_call,
             sender,
             idle_timeout: info.idle_timeout,
-            framing,
+            sent: pending.sent,
             began: clock::now(),
-        };
-        let server_error = unread.head.status.is_server_error();
-        let response = self.read_response(unread, started).await?;
-        if !server_error {
-            self.record_health(key, |health, _| health.record_success());
-            return Ok(response);
-        }
-        self.record_failure(key);
-        Err(FailedAttempt {
-            outcome: Outcome::Failed,
-            response: Some(Box::new(response)),
-            cause: "the endpoint reported a failure".to_owned(),
         })
     }
 
+    fn classify_failure(
+        &self,
+        key: EndpointKey,
+        sent: Time,
+        reused: bool,
+        error: FailedExchange,
+    ) -> FailedAttempt {
+        let after = millis_since(sent);
+        match error {
+            FailedExchange::TooManyInterim => {
+                self.record_failure(key);
+                let cause = format!("more than {MAX_INTERIM} interim responses");
+                FailedAttempt::new(Outcome::Doubtful, cause)
+            }
+            FailedExchange::Unsent(error) => {
+                if reused {
+                    self.shared.mark_in_doubt(key);
+                } else {
+                    self.record_failure(key);
+                }
+                FailedAttempt::new(Outcome::NotSent, format!("after {after} ms: {error}"))
+            }
+            FailedExchange::Broken(error) => {
+                self.record_failure(key);
+                self.record_cut(key, None);
+                FailedAttempt::new(Outcome::Doubtful, format!("after {after} ms: {error}"))
+            }
+        }
+    }
+
     /// Software version of an endpoint, if it is known.
     fn software_of(&self, key: EndpointKey) -> Option<SoftwareVersion> {
         let core = self.shared.core();
@@ -235,55 +563,6 @@
         request
     }
 
-    async fn exchange(
-        &self,
-        key: EndpointKey,
-        connection: Connection,
-        request: Request<Full<Bytes>>,
-        time_left: Duration,
-    ) -> Result<(Response<Incoming>, Sender), FailedAttempt> {
-        let Connection { mut sender, reused } = connection;
-        let attempt_timeout = self.attempt_timeout(time_left);
-        let sent = clock::now();
-        let (request, too_many) = limit_interim(request);
-        let response = async {
-            tokio::select! {
-                biased;
-                () = too_many.notified() => None,
-                response = sender.try_send_request(request) => Some(response),
-            }
-        };
-        match timeout(attempt_timeout, response).await {
-            Ok(None) => {
-                self.record_failure(key);
-                let cause = format!("more than {MAX_INTERIM} interim responses");
-                Err(FailedAttempt::new(Outcome::Doubtful, cause))
-            }
-            Ok(Some(Ok(response))) => Ok((response, sender)),
-            Ok(Some(Err(mut error))) => {
-                let unsent = error.take_message().is_some();
-                let cause = format!("after {} ms: {}", millis_since(sent), error.into_error());
-                if unsent && reused {
-                    self.shared.mark_in_doubt(key);
-                    return Err(FailedAttempt::new(Outcome::NotSent, cause));
-                }
-                self.record_failure(key);
-                let outcome = if unsent {
-                    Outcome::NotSent
-                } else {
-                    self.record_cut(key, None);
-                    Outcome::Doubtful
-                };
-                Err(FailedAttempt::new(outcome, cause))
-            }
-            Err(_elapsed) => {
-                self.record_failure(key);
-                let cause = format!("no answer within {} ms", attempt_timeout.as_millis());
-                Err(FailedAttempt::new(Outcome::Doubtful, cause))
-            }
-        }
-    }
-
     /// Checks whether a response may be forwarded to the caller.
     fn check_head(
         &self,
@@ -329,57 +608,6 @@
         Ok(())
     }
 
-    /// Reads a short response completely; streams and long responses are left to be forwarded.
-    async fn read_response(
-        &mut self,
-        unread: UnreadResponse,
-        started: Time,
-    ) -> Result<EndpointResponse, FailedAttempt> {
-        let length = unread.body.size_hint().exact();
-        let is_streaming = self.request.route.kind.is_stream() && unread.head.status.is_success();
-        if is_streaming || length.is_none_or(|bytes| bytes > MAX_BUFFERED_BYTES) {
-            return Ok(EndpointResponse::Streaming(Box::new(unread)));
-        }
-        let UnreadResponse {
-            head,
-            body,
-            open_call,
-            sender,
-            idle_timeout,
-            began,
-            ..
-        } = unread;
-        let attempt_timeout = self.attempt_timeout(self.request.deadline.since(started));
-        let time_left = attempt_timeout.saturating_sub(clock::now().since(started));
-        let key = open_call.key();
-        match timeout(time_left, body.collect()).await {
-            Ok(Ok(body)) => {
-                self.shared.return_connection(key, sender, idle_timeout);
-                let bytes = body.to_bytes();
-                self.record.received = bytes.len() as u64;
-                if head.status.is_success() {
-                    self.record_answer(began);
-                }
-                Ok(EndpointResponse::Buffered(head, bytes))
-            }
-            Ok(Err(error)) => {
-                self.record_failure(key);
-                self.record_cut(key, Some(began));
-                Err(FailedAttempt::new(
-                    Outcome::Doubtful,
-                    format!("the response is incomplete: {error}"),
-                ))
-            }
-            Err(_elapsed) => {
-                self.record_failure(key);
-                Err(FailedAttempt::new(
-                    Outcome::Doubtful,
-                    "the response did not end in time",
-                ))
-            }
-        }
-    }
-
     /// Records that an endpoint failed a call.
     pub(crate) fn record_failure(&self, key: EndpointKey) {
         self.shared.mark_in_doubt(key);
--- a/crates/relay/src/call_forwarder.rs
+++ b/crates/relay/src/call_forwarder.rs
@@ -89,7 +89,6 @@
                 self.tried.push(placement.endpoint);
             }
             self.attempts.total += 1;
-            self.attempts.maybe_run += u32::from(outcome.may_have_run());
             let now = clock::now();
             let time_left = self.request.deadline.since(now);
             let next = next_step(
--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -45,6 +45,14 @@
         }
     }
 
+    /// Identifier of the last event that was forwarded, if it has one.
+    pub(crate) fn last_id(&self) -> Option<String> {
+        match self {
+            Self::Opaque | Self::Events(_) => None,
+            Self::Resumable(buffer) => buffer.last_id().map(str::to_owned),
+        }
+    }
+
     /// Number of bytes after the last complete event; none if the body has no events.
     pub(crate) const fn partial_len(&self) -> Option<usize> {
         match self {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -14,6 +14,7 @@
 mod events;
 mod feed;
 mod framing;
+mod handover;
 mod heartbeats;
 mod limits;
 mod listeners;
--- a/crates/relay/src/limits.rs
+++ b/crates/relay/src/limits.rs
@@ -14,7 +14,7 @@
     net::{IpAddr, Ipv4Addr, SocketAddr},
     time::Duration,
 };
-use poplarswitch_entity::Time;
+use poplarswitch_entity::{EndpointName, Time};
 use poplarswitch_ingress::{
     Denial, EndpointKey, LimitChange, LimitId, LimitMessage, LimitShare, Permit, Phase, TokenReply,
     TokenRequest, hash_pair,
@@ -83,8 +83,15 @@
 }
 
 impl CallForwarder {
-    /// Records what an answer to a request that was sent at `sent` says of its endpoint's limit.
-    pub(crate) fn observe_limit(&self, key: EndpointKey, sent: Time, info: &ResponseInfo) {
+    /// Records what an answer to a request that was sent at `sent` says of the limit of its endpoint,
+    /// `name`.
+    pub(crate) fn observe_limit(
+        &self,
+        key: EndpointKey,
+        name: &EndpointName,
+        sent: Time,
+        info: &ResponseInfo,
+    ) {
         // Another process than this endpoint may have answered.
         if matches!(info.kind, ResponseKind::OtherCall | ResponseKind::Displaced) {
             return;
@@ -104,7 +111,7 @@
             self.shared.metrics.limited_sends.inc();
         }
         if let Some(change) = change {
-            log_change(id, change, &self.record.endpoint);
+            log_change(id, change, name.as_str());
             self.shared.limit_news.notify_one();
         }
     }
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -32,9 +32,15 @@
 const MAX_REPORT_BYTES: usize = 64 << 10;
 
 impl CallForwarder {
+    /// Selects an endpoint for the call, or refuses the call.
+    pub(crate) async fn choose(&mut self) -> Result<Placement, Failure> {
+        let selected = self.select_endpoint().await;
+        selected.map_err(|code| self.refusal(clock::now(), code))
+    }
+
     /// Selects an endpoint whose limit on the rate of requests allows the call; requests reports
     /// from engines if the decision depends on their load.
-    pub(crate) async fn choose(&mut self) -> Result<Placement, Failure> {
+    pub(crate) async fn select_endpoint(&mut self) -> Result<Placement, ErrorCode> {
         let mut probes = 0;
         for _ in 0..MAX_DECISIONS {
             let now = clock::now();
@@ -54,14 +60,12 @@
                 }
                 PlacementDecision::Refuse { expected } => {
                     self.record.expected = Some(expected);
-                    return Err(self.refusal(now, ErrorCode::Overload));
-                }
-                PlacementDecision::NoEndpoint => {
-                    return Err(self.refusal(now, ErrorCode::NoEndpoint));
+                    return Err(ErrorCode::Overload);
                 }
+                PlacementDecision::NoEndpoint => return Err(ErrorCode::NoEndpoint),
             }
         }
-        Err(self.refusal(clock::now(), ErrorCode::Overload))
+        Err(ErrorCode::Overload)
     }
 
     fn place(&self, now: Time) -> PlacementDecision {
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -4,26 +4,28 @@
 //! endpoint. A response is incomplete if its framing is, if it is a stream and ends inside an event,
 //! or if it has neither a length nor chunks and its connection ends right after the head. Of a
 //! resumable stream, only complete events are forwarded; if it is incomplete or nothing arrives for
-//! too long, another endpoint continues after the last forwarded event. If any other response is
-//! incomplete, the caller's connection ends without the end of the response.
+//! too long, another endpoint continues after the last forwarded event, if one can; see
+//! [`crate::handover`]. If any other response is incomplete, the caller's connection ends without the
+//! end of the response.
 //!
 //! The end of a response with neither a length nor chunks is only as certain as the end of its
 //! connection. It is forwarded with the same framing, so that it looks no more complete to the caller
 //! than to this VM.
 
 use crate::{
-    attempt::{EndpointResponse, UnreadResponse},
+    attempt::{EndpointResponse, PendingAttempt, UnreadResponse},
     call_forwarder::CallForwarder,
     clock,
     events::{BodyContent, EventBuffer},
+    handover::{Awaited, Handover},
     reply::{BodyPart, BodyParts},
     serve::outcome_of,
 };
-use core::time::Duration;
+use core::{pin::pin, time::Duration};
 use http::{header, response};
 use http_body_util::BodyExt as _;
 use poplarswitch_ingress::{
-    EndedBody, EventScanner, Framing, RouteKind, SURVIVAL_TIME, SoftwareVersion, VersionPin,
+    EndedBody, EndpointKey, EventScanner, Framing, RouteKind, SURVIVAL_TIME,
 };
 use tokio::{
     sync::mpsc,
@@ -110,8 +112,10 @@
     Complete,
     CallerLeft,
     DeadlineExceeded,
-    /// Nothing arrived for too long.
-    Silent(String),
+    /// Another endpoint has begun to continue the stream.
+    Replaced(Box<UnreadResponse>),
+    /// Another endpoint has been asked to continue the stream.
+    Moved(Box<PendingAttempt>),
     Broken(String),
 }
 
@@ -131,7 +135,7 @@
             let end = self.forward_segment(&mut unread).await;
             let record = &mut self.forwarder.record;
             record.partial = self.content.partial_len();
-            let cause = match end {
+            let next = match end {
                 SegmentEnd::Complete => {
                     if self.forwarder.record.status < 300 {
                         self.forwarder.record_answer(unread.began);
@@ -145,24 +149,39 @@
                 }
                 SegmentEnd::CallerLeft => return StreamEnd::CallerLeft,
                 SegmentEnd::DeadlineExceeded => {
-                    "the deadline of the call has passed"
-                        .clone_into(&mut self.forwarder.record.cause);
+                    record.add_cause("the deadline of the call has passed");
                     return StreamEnd::Broken;
                 }
-                SegmentEnd::Silent(cause) => cause,
+                SegmentEnd::Replaced(next) => Ok(*next),
+                SegmentEnd::Moved(pending) => Err(Some(*pending)),
                 SegmentEnd::Broken(cause) => {
+                    record.cause = cause;
                     self.forwarder.record_cut(key, Some(unread.began));
-                    cause
+                    self.forwarder.record_failure(key);
+                    Err(None)
                 }
             };
-            // Closes the connection, so that the endpoint stops before another one continues.
+            // Closes the connection, so that the endpoint stops.
             drop(unread);
-            self.forwarder.record_failure(key);
-            self.forwarder.record.cause = cause;
-            match self.resume(key).await {
-                Some(next) => unread = next,
-                None => return StreamEnd::Broken,
+            if let BodyContent::Resumable(events) = &mut self.content {
+                events.discard_partial();
             }
+            unread = match next {
+                Ok(next) => next,
+                Err(pending) => {
+                    let caller = self.sender.clone();
+                    tokio::select! {
+                        biased;
+                        () = caller.closed() => return StreamEnd::CallerLeft,
+                        next = self.resume(key, pending) => match next {
+                            Some(next) => next,
+                            None => return StreamEnd::Broken,
+                        },
+                    }
+                }
+            };
+            self.forwarder.record_endpoint(&unread.info);
+            self.forwarder.record.framing = Some(unread.framing);
         }
     }
 
@@ -175,6 +194,7 @@
             .route
             .max_gap
             .map_or(DEFAULT_MAX_SILENCE, |max_gap| max_gap * MAX_GAP_FACTOR);
+        let silence = format!("no data for {} ms", max_silence.as_millis());
         let mut received = 0;
         let mut survived = false;
         let mut pinned = false;
@@ -183,17 +203,28 @@
                 BodyContent::Resumable(_) => Instant::now() + max_silence,
                 BodyContent::Opaque | BodyContent::Events(_) => deadline,
             };
-            let frame = tokio::select! {
+            let awaited = Awaited {
+                key: unread.open_call.key(),
+                name: &unread.info.endpoint,
+                silent_at,
+                silence: &silence,
+            };
+            let last = self.content.last_id();
+            let next_frame = pin!(unread.body.frame());
+            let handover = tokio::select! {
                 biased;
                 () = self.sender.closed() => return SegmentEnd::CallerLeft,
                 // Before the data, which may come without a pause until after the deadline.
-                () = sleep_until(deadline.min(silent_at)) => {
-                    if self.forwarder.request.deadline <= clock::now() {
-                        return SegmentEnd::DeadlineExceeded;
-                    }
-                    return SegmentEnd::Silent(format!("no data for {} ms", max_silence.as_millis()));
+                () = sleep_until(deadline) => return SegmentEnd::DeadlineExceeded,
+                handover = self.forwarder.await_answer(awaited, next_frame, last.as_deref()) => {
+                    handover
                 }
-                frame = unread.body.frame() => frame,
+            };
+            let frame = match handover {
+                Handover::Continued(frame) => frame,
+                Handover::Begun(next) => return SegmentEnd::Replaced(next),
+                Handover::Sent(pending) => return SegmentEnd::Moved(pending),
+                Handover::Failed => return SegmentEnd::DeadlineExceeded,
             };
             let bytes = match frame {
                 None => return self.check_end(unread.framing, received),
@@ -243,62 +274,40 @@
             })
     }
 
-    /// Resumes the stream on another endpoint, if the route and the retry budget allow it.
-    async fn resume(&mut self, key: poplarswitch_ingress::EndpointKey) -> Option<UnreadResponse> {
-        let BodyContent::Resumable(events) = &mut self.content else {
-            return None;
-        };
-        events.discard_partial();
-        let last = events.last_id().map(str::to_owned);
-        let now = clock::now();
-        let forwarder = &mut self.forwarder;
-        forwarder.attempts.maybe_run += 1;
-        forwarder.attempts.total += 1;
-        forwarder.tried.push(key);
-        let time_left = forwarder.request.deadline.since(now);
-        let obstacle = if forwarder.request.pin == VersionPin::Nowhere {
-            Some("the software version of the stream is unknown")
-        } else if forwarder.attempts.maybe_run >= forwarder.request.route.max_attempts {
-            Some("all attempts of the route are used")
-        } else if time_left.is_zero() {
-            Some("no time is left")
-        } else if !forwarder.charge_retry(now) {
-            Some("the retry budget is used")
-        } else {
-            None
-        };
-        if let Some(obstacle) = obstacle {
-            forwarder.record.add_cause(obstacle);
+    /// Resumes the stream on other endpoints until one continues it or none can; `pending` is an
+    /// endpoint that has been asked to. `key` is the endpoint that has left the stream.
+    async fn resume(
+        &mut self,
+        mut key: EndpointKey,
+        mut pending: Option<PendingAttempt>,
+    ) -> Option<UnreadResponse> {
+        if !matches!(self.content, BodyContent::Resumable(_)) {
             return None;
         }
-        forwarder.record.resumed += 1;
-        tracing::info!(
-            event = "resumes",
-            id = &*forwarder.request.call.id,
-            last,
-            software = forwarder
-                .record
-                .software
-                .as_ref()
-                .map(SoftwareVersion::as_str),
-            cause = forwarder.record.cause,
-            left_ms = time_left.as_millis() as u64,
-            "stream"
-        );
-        let response = forwarder.run(last.as_deref()).await;
-        match response {
-            Ok(EndpointResponse::Streaming(unread)) if unread.head.status.is_success() => {
-                Some(*unread)
-            }
-            Ok(_) => {
-                forwarder
-                    .record
-                    .add_cause("the endpoint that should continue failed");
-                None
-            }
-            Err(failure) => {
-                forwarder.record.add_cause(failure.code.as_str());
-                None
+        let last = self.content.last_id();
+        let forwarder = &mut self.forwarder;
+        loop {
+            let asked = if let Some(asked) = pending.take() {
+                asked
+            } else {
+                match forwarder.replace_broken(key, last.as_deref()).await {
+                    Handover::Begun(next) => return Some(*next),
+                    Handover::Sent(asked) => *asked,
+                    Handover::Failed => return None,
+                    Handover::Continued(never) => match never {},
+                }
+            };
+            key = asked.key();
+            match forwarder.respond(asked, last.as_deref()).await {
+                Ok(EndpointResponse::Streaming(next)) if next.head.status.is_success() => {
+                    return Some(*next);
+                }
+                Ok(_) => {
+                    let cause = "the endpoint that should continue failed";
+                    forwarder.record.add_cause(cause);
+                    return None;
+                }
+                Err(failed) => forwarder.record.add_cause(&failed.cause),
             }
         }
     }
