Answer calls without an answer before a VM exits

Callers whose plain call was at a silent endpoint when their VM was told to stop lost their connection without an answer: calls are accepted until four fifths of the grace period, and the exit near its end closed the connections of those that were still waiting. Calls whose answer has not begun 300 ms before the exit now get one: in doubt if an endpoint may have run them, otherwise refused as not run. The test plain_calls_at_a_silent_endpoint_are_answered_before_their_vm_exits failed before.

--- a/crates/ingress/src/shutdown.rs
+++ b/crates/ingress/src/shutdown.rs
@@ -15,6 +15,9 @@
 /// Time before the end of the grace period at which the process exits in any case.
 const EXIT_MARGIN: Duration = Duration::from_millis(300);
 
+/// Time before the exit at which calls without an answer get one, so that it reaches their callers.
+const ANSWER_MARGIN: Duration = Duration::from_millis(300);
+
 /// Stage of a shutdown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ShutdownStage {
@@ -59,6 +62,13 @@
         self.started_at.is_some()
     }
 
+    /// When calls without an answer must get one, because the process exits soon afterwards; none if
+    /// no shutdown has started.
+    pub fn answer_time(&self) -> Option<Time> {
+        let started_at = self.started_at?;
+        Some(started_at + self.grace.saturating_sub(EXIT_MARGIN + ANSWER_MARGIN))
+    }
+
     /// The current stage, given the number of calls in flight.
     pub fn stage(&self, now: Time, in_flight: usize) -> ShutdownStage {
         let Some(started_at) = self.started_at else {
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -168,7 +168,11 @@
     shared.notify_change();
     tracing::info!(event = "leaving", in_flight = shared.in_flight(), "process");
     tokio::spawn(registry::deregister(Arc::clone(shared), Arc::clone(client)));
+    let answer_time = shared.core().shutdown.answer_time();
     while shared.stage(clock::now()) != ShutdownStage::Finished {
+        if answer_time.is_some_and(|at| at <= clock::now()) {
+            shared.announce_exit();
+        }
         sleep(SHUTDOWN_POLL_INTERVAL).await;
     }
     let in_flight = shared.in_flight();
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -58,16 +58,26 @@
         _in_flight: in_flight,
     };
     let caller_version = request.version();
-    let mut response = match accept_call(&shared, request, arrived, &mut record).await {
+    let accepted = tokio::select! {
+        biased;
+        accepted = accept_call(&shared, request, arrived, &mut record) => accepted,
+        () = shared.exit_announced() => Err(leaving_failure(&shared)),
+    };
+    let mut response = match accepted {
         Ok(request) => {
             let mut forwarder = CallForwarder {
-                shared,
+                shared: Arc::clone(&shared),
                 request,
                 attempts: AttemptCounts::default(),
                 tried: Vec::new(),
                 record,
             };
-            match forwarder.run(None).await {
+            let response = tokio::select! {
+                biased;
+                response = forwarder.run(None) => Some(response),
+                () = shared.exit_announced() => None,
+            };
+            match response.unwrap_or_else(|| Err(forwarder.exit_failure())) {
                 Ok(response) => into_response(forwarder, response, caller_version, guards),
                 Err(failure) => failure_response(&failure, &mut forwarder.record, guards),
             }
@@ -81,6 +91,23 @@
     response
 }
 
+/// Refusal of a call because this VM shuts down.
+fn leaving_failure(shared: &Shared) -> Failure {
+    let vm = shared.settings.vm.as_str();
+    Failure::new(ErrorCode::Leaving, vm).with_retry_after(OTHER_VM_RETRY_DELAY)
+}
+
+impl CallForwarder {
+    /// Failure that is reported to the caller because this VM exits before the call has an answer.
+    fn exit_failure(&self) -> Failure {
+        if self.attempts.maybe_run > 0 {
+            Failure::new(ErrorCode::Failed, &*self.record.endpoint).in_doubt()
+        } else {
+            leaving_failure(&self.shared)
+        }
+    }
+}
+
 fn failure_response(
     failure: &Failure,
     record: &mut CallRecord,
@@ -226,8 +253,7 @@
         ShutdownStage::Closed | ShutdownStage::Finished => true,
     };
     if refused {
-        let vm = shared.settings.vm.as_str();
-        return Err(Failure::new(ErrorCode::Leaving, vm).with_retry_after(OTHER_VM_RETRY_DELAY));
+        return Err(leaving_failure(shared));
     }
     Ok(())
 }
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -143,6 +143,8 @@
     in_flight: AtomicUsize,
     core: Mutex<Core>,
     changes: watch::Sender<u64>,
+    /// Whether calls without an answer get one now, because the process exits soon.
+    exiting: watch::Sender<bool>,
 }
 
 impl Shared {
@@ -205,9 +207,22 @@
             in_flight: AtomicUsize::new(0),
             core: Mutex::new(core),
             changes: watch::Sender::new(0),
+            exiting: watch::Sender::new(false),
         }
     }
 
+    /// Ends the waits of calls that have no answer yet.
+    pub(crate) fn announce_exit(&self) {
+        self.exiting.send_replace(true);
+    }
+
+    /// Waits until the process is about to exit.
+    pub(crate) async fn exit_announced(&self) {
+        let mut exiting = self.exiting.subscribe();
+        // The sender is not dropped during the wait.
+        let _announced = exiting.wait_for(|exiting| *exiting).await;
+    }
+
     /// Locks the state of the decision logic, for one decision.
     pub(crate) fn core(&self) -> MutexGuard<'_, Core> {
         // A task that panicked has changed single fields at most, and the other tasks must
