Don't resume streams whose last event has no identifier

Callers got events twice: a stream whose events have no identifiers was resumed without one, so that the next endpoint began it anew. A stream is now resumed only from its beginning, as long as nothing was forwarded, or after an event that has an identifier; comments are no events.

--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -45,11 +45,15 @@
         }
     }
 
-    /// Identifier of the last event that was forwarded, if it has one.
-    pub(crate) fn last_id(&self) -> Option<String> {
+    /// Where another endpoint may continue; none if it can't.
+    pub(crate) fn resume_point(&self) -> Option<ResumePoint> {
         match self {
             Self::Opaque | Self::Events(_) => None,
-            Self::Resumable(buffer) => buffer.last_id().map(str::to_owned),
+            Self::Resumable(buffer) => match &buffer.last {
+                LastEvent::None => Some(ResumePoint::Start),
+                LastEvent::Numbered(id) => Some(ResumePoint::After(id.clone())),
+                LastEvent::Unnumbered => None,
+            },
         }
     }
 
@@ -63,12 +67,41 @@
     }
 }
 
+/// Event after which another endpoint continues a stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum ResumePoint {
+    /// No event has been forwarded.
+    Start,
+    /// After the event with this identifier.
+    After(String),
+}
+
+impl ResumePoint {
+    /// Identifier of the last event that was forwarded.
+    pub(crate) fn last_id(&self) -> Option<&str> {
+        match self {
+            Self::Start => None,
+            Self::After(id) => Some(id),
+        }
+    }
+}
+
+/// The last complete event of a stream.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+enum LastEvent {
+    #[default]
+    None,
+    Numbered(String),
+    /// Without an identifier, so that no endpoint can tell what follows it.
+    Unnumbered,
+}
+
 /// Buffers bytes until an event is complete.
 #[derive(Debug, Default)]
 pub(crate) struct EventBuffer {
     scanner: EventScanner,
     partial: BytesMut,
-    last_id: Option<String>,
+    last: LastEvent,
 }
 
 impl EventBuffer {
@@ -84,8 +117,8 @@
             return Ok(None);
         };
         let complete = self.partial.split_to(end).freeze();
-        if let Some(id) = last_id(&complete) {
-            self.last_id = Some(id);
+        if let Some(last) = last_event(&complete) {
+            self.last = last;
         }
         Ok(Some(complete))
     }
@@ -95,16 +128,29 @@
         self.partial.clear();
         self.scanner = EventScanner::default();
     }
-
-    /// Identifier of the last complete event.
-    pub(crate) fn last_id(&self) -> Option<&str> {
-        self.last_id.as_deref()
-    }
 }
 
-fn last_id(events: &[u8]) -> Option<String> {
-    let mut lines = events.split(|byte| matches!(byte, b'\n' | b'\r')).rev();
-    let id = lines.find_map(|line| line.strip_prefix(b"id:"))?;
-    let text = core::str::from_utf8(id).ok()?;
-    Some(text.trim().to_owned())
+/// The last of some complete events; none if there are only comments.
+fn last_event(events: &[u8]) -> Option<LastEvent> {
+    let mut id = None;
+    let mut has_fields = false;
+    let lines = events.rsplit(|byte| *byte == b'\n').flat_map(|line| {
+        let line = line.strip_suffix(b"\r").unwrap_or(line);
+        line.rsplit(|byte| *byte == b'\r')
+    });
+    for line in lines {
+        match line {
+            [] if has_fields => break,
+            [] | [b':', ..] => {}
+            [b'i', b'd', b':', value @ ..] => {
+                has_fields = true;
+                id = id.or(core::str::from_utf8(value).ok());
+            }
+            _ => has_fields = true,
+        }
+    }
+    has_fields.then(|| match id.map(str::trim) {
+        None | Some("") => LastEvent::Unnumbered,
+        Some(id) => LastEvent::Numbered(id.to_owned()),
+    })
 }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -16,7 +16,7 @@
     attempt::{EndpointResponse, PendingAttempt, UnreadResponse},
     call_forwarder::CallForwarder,
     clock,
-    events::{BodyContent, EventBuffer},
+    events::{BodyContent, EventBuffer, ResumePoint},
     handover::{Awaited, Handover},
     reply::{BodyPart, BodyParts},
     serve::outcome_of,
@@ -199,24 +199,25 @@
         let mut survived = false;
         let mut pinned = false;
         loop {
-            let silent_at = match &self.content {
-                BodyContent::Resumable(_) => Instant::now() + max_silence,
-                BodyContent::Opaque | BodyContent::Events(_) => deadline,
+            let resume_point = self.content.resume_point();
+            let silent_at = match &resume_point {
+                Some(_) => Instant::now() + max_silence,
+                None => deadline,
             };
+            let last = resume_point.as_ref().and_then(ResumePoint::last_id);
             let awaited = Awaited {
                 key: unread.open_call.key(),
                 name: &unread.info.endpoint,
                 silent_at,
                 silence: &silence,
             };
-            let last = self.content.last_id();
             let next_frame = pin!(unread.body.frame());
             let handover = tokio::select! {
                 biased;
                 () = self.sender.closed() => return SegmentEnd::CallerLeft,
                 // Before the data, which may come without a pause until after the deadline.
                 () = sleep_until(deadline) => return SegmentEnd::DeadlineExceeded,
-                handover = self.forwarder.await_answer(awaited, next_frame, last.as_deref()) => {
+                handover = self.forwarder.await_answer(awaited, next_frame, last) => {
                     handover
                 }
             };
@@ -281,16 +282,21 @@
         mut key: EndpointKey,
         mut pending: Option<PendingAttempt>,
     ) -> Option<UnreadResponse> {
-        if !matches!(self.content, BodyContent::Resumable(_)) {
-            return None;
-        }
-        let last = self.content.last_id();
         let forwarder = &mut self.forwarder;
+        let Some(resume_point) = self.content.resume_point() else {
+            if matches!(self.content, BodyContent::Resumable(_)) {
+                forwarder
+                    .record
+                    .add_cause("the last event has no identifier");
+            }
+            return None;
+        };
+        let last = resume_point.last_id();
         loop {
             let asked = if let Some(asked) = pending.take() {
                 asked
             } else {
-                match forwarder.replace_broken(key, last.as_deref()).await {
+                match forwarder.replace_broken(key, last).await {
                     Handover::Begun(next) => return Some(*next),
                     Handover::Sent(asked) => *asked,
                     Handover::Failed => return None,
@@ -298,7 +304,7 @@
                 }
             };
             key = asked.key();
-            match forwarder.respond(asked, last.as_deref()).await {
+            match forwarder.respond(asked, last).await {
                 Ok(EndpointResponse::Streaming(next)) if next.head.status.is_success() => {
                     return Some(*next);
                 }
