--- a/crates/ingress/src/budget_tests.rs
+++ b/crates/ingress/src/budget_tests.rs
@@ -61,3 +61,17 @@
     while budget.try_take(Time::ZERO, &chat, 1) {}
     expect_that!(budget.try_take(Time::ZERO, &seats, 1), eq(true));
 }
+
+/// Asking whether a retry is allowed must not use the budget up.
+#[gtest]
+fn asking_for_a_retry_charges_nothing() {
+    let service = ServiceName::new("chat");
+    let mut budget = RetryBudget::new(LIMIT);
+    let asked = (0..1_000).all(|_| budget.allows(Time::ZERO, &service, 1));
+    expect_that!(asked, eq(true));
+    let taken = (0..1_000)
+        .filter(|_| budget.try_take(Time::ZERO, &service, 1))
+        .count();
+    expect_that!(taken, all![ge(1), le(LIMIT.allowance as usize)]);
+    expect_that!(budget.allows(Time::ZERO, &service, 1), eq(false));
+}
--- a/crates/ingress/src/outcome_tests.rs
+++ b/crates/ingress/src/outcome_tests.rs
@@ -1,4 +1,7 @@
-use crate::{AttemptCounts, NextStep, Outcome, RouteKind, Verdict, next_step, verdict};
+use crate::{
+    AttemptCounts, NextStep, Obstacle, Outcome, RouteKind, SoftwareVersion, Verdict, VersionPin,
+    next_step, obstacle, verdict,
+};
 use core::time::Duration;
 use googletest::prelude::*;
 
@@ -85,3 +88,68 @@
     };
     expect_that!(verdict(counts, Outcome::Refused), eq(Verdict::InDoubt));
 }
+
+/// Guards against a silent endpoint that is given up though no other one may have the call.
+#[gtest]
+fn call_leaves_a_silent_endpoint_only_if_another_one_may_have_it() {
+    let streams = RouteKind::Stream { resumable: true };
+    let pinned = VersionPin::Only(SoftwareVersion::new("v1"));
+    let counts = |maybe_run, total| AttemptCounts { maybe_run, total };
+    for (kind, counts, pin, time_left, expected) in [
+        (streams, counts(1, 0), &pinned, TIME_LEFT, None),
+        (streams, counts(1, 0), &VersionPin::Any, TIME_LEFT, None),
+        (
+            RouteKind::Safe,
+            counts(1, 2),
+            &VersionPin::Any,
+            TIME_LEFT,
+            None,
+        ),
+        (
+            RouteKind::Unsafe,
+            counts(1, 0),
+            &VersionPin::Any,
+            TIME_LEFT,
+            Some(Obstacle::NotIdempotent),
+        ),
+        (
+            RouteKind::Stream { resumable: false },
+            counts(1, 0),
+            &VersionPin::Any,
+            TIME_LEFT,
+            Some(Obstacle::NotIdempotent),
+        ),
+        (
+            streams,
+            counts(1, 0),
+            &VersionPin::Nowhere,
+            TIME_LEFT,
+            Some(Obstacle::UnknownVersion),
+        ),
+        (
+            streams,
+            counts(2, 1),
+            &pinned,
+            TIME_LEFT,
+            Some(Obstacle::AttemptsUsed),
+        ),
+        (
+            streams,
+            counts(1, 4),
+            &pinned,
+            TIME_LEFT,
+            Some(Obstacle::AttemptsUsed),
+        ),
+        (
+            streams,
+            counts(1, 0),
+            &pinned,
+            Duration::from_millis(5),
+            Some(Obstacle::NoTime),
+        ),
+    ] {
+        let found = obstacle(kind, 2, counts, pin, time_left);
+        expect_that!(found, eq(expected), "{kind:?} {counts:?} {pin:?}");
+        expect_that!(found.is_none_or(Obstacle::is_final), eq(true));
+    }
+}
--- a/crates/relay/src/handover.rs
+++ b/crates/relay/src/handover.rs
@@ -125,7 +125,7 @@
             let mut next = match sent {
                 Ok(next) => next,
                 Err(obstacle) => {
-                    if wait == MIN_RETRY_INTERVAL {
+                    if wait == MIN_RETRY_INTERVAL && obstacle != Obstacle::NotIdempotent {
                         self.log_obstacle(left, obstacle);
                     }
                     let again_at = match left {
