Keep a handover from ending what it should save

Only a stream of events may follow a head that was forwarded; the silent endpoint is awaited further. - A stream that was broken off while the other endpoints were ejected was given up, since a silent endpoint isn't left for an ejected one. That holds for silent endpoints only, and a broken-off stream waits for 2 s. - An endpoint that was silent itself when it was to continue a stream counted as an attempt and was never asked again. Only what was sent counts; the others are asked again when there are none left. - An idempotent call whose first two endpoints hung didn't get the third attempt of its route. - A paused VM with many streams still took its endpoints for silent: connections are read by tasks of their own, which need a turn first. A connection that fails is logged with its own endpoint.

--- a/crates/node/tests/relay_silence.rs
+++ b/crates/node/tests/relay_silence.rs
@@ -4,6 +4,7 @@
 
 use core::time::Duration;
 use googletest::prelude::*;
+use http::StatusCode;
 use poplarswitch_deployment::{
     AnswerCut, AnswerEnd, AnswerFraming, AnswerShape, CallError, CallResponse, Configuration,
     Endpoint, EndpointKind, EventForm, Run,
@@ -262,17 +263,22 @@
 #[gtest]
 fn pause_of_a_vm_counts_as_a_silence_of_no_endpoint() {
     let fleet = start_fleet(78, 1);
+    for endpoint in &fleet.endpoints {
+        endpoint.update_behaviour(|behaviour| {
+            behaviour.event_interval = Duration::from_millis(200);
+        });
+    }
     let answers: Vec<Answer> = thread::scope(|scope| {
         let fleet = &fleet;
-        let calls: Vec<_> = (0..8)
+        let calls: Vec<_> = (0..200)
             .map(|n| {
                 scope.spawn(move || {
                     let prompt = format!("f1:100,{:x}:50,{n:x}0:10", 0x700 + n);
-                    fleet.call_for(0, BRIEF, &prompt, Duration::from_secs(8))
+                    fleet.call_for(0, BRIEF, &prompt, Duration::from_secs(10))
                 })
             })
             .collect();
-        thread::sleep(EVENT_INTERVAL * 4);
+        thread::sleep(Duration::from_millis(900));
         fleet.signal(0, Signal::STOP);
         thread::sleep(SILENCE);
         fleet.signal(0, Signal::CONT);
@@ -284,7 +290,7 @@
     }
     for event in ["resumes", "awaited", "rests"] {
         let line = format!("\"event\":\"{event}\"");
-        expect_that!(fleet.log(0), not(contains_substring(line)));
+        expect_that!(fleet.log(0).matches(&line).count(), eq(0), "{event}");
     }
 }
 
@@ -440,3 +446,145 @@
     let body = response.map(|response| response.body);
     expect_that!(body, ok(eq(&unnumbered_body(&id, EVENT_COUNT))));
 }
+
+/// Makes a call; when it has run for a while, `disturb` gets the index of its endpoint.
+fn call_disturbed(fleet: &Fleet, path: &str, disturb: impl FnOnce(usize)) -> Answer {
+    thread::scope(|scope| {
+        let started = Instant::now();
+        let call = scope.spawn(|| fleet.call(0, path));
+        wait_until("the call runs", || {
+            let runs = fleet.endpoints.iter().flat_map(Endpoint::runs);
+            runs.filter(|run| run.started > started).count() > 0
+        });
+        let first = last_endpoint(fleet, started);
+        thread::sleep(EVENT_INTERVAL * 3);
+        disturb(first);
+        call.join().unwrap()
+    })
+}
+
+/// A stream ended as complete after a part of its events, because the endpoint that should continue it
+/// answered with an error.
+#[gtest]
+fn stream_does_not_look_complete_when_the_next_endpoint_reports_an_error() {
+    for (net, status) in [
+        (201, StatusCode::INTERNAL_SERVER_ERROR),
+        (202, StatusCode::NOT_FOUND),
+    ] {
+        let fleet = start_fleet(net, 1);
+        let (id, response) = call_disturbed(&fleet, BRIEF, |first| {
+            fleet.endpoints[1 - first].update_behaviour(|b| b.status = Some(status));
+            fleet.proxies[first].close_connections();
+        });
+        expect_that!(fleet.run_count(&id), eq(2));
+        expect_that!(response.is_err(), eq(true), "{response:?}");
+    }
+}
+
+/// A silent endpoint was left for one that answered with an error.
+#[gtest]
+fn stream_goes_on_at_its_silent_endpoint_if_the_next_one_reports_an_error() {
+    let fleet = start_fleet(203, 1);
+    let answer = call_disturbed(&fleet, BRIEF, |first| {
+        fleet.endpoints[1 - first].update_behaviour(|behaviour| {
+            behaviour.status = Some(StatusCode::INTERNAL_SERVER_ERROR);
+        });
+        fleet.endpoints[first].fall_silent(SILENCE);
+    });
+    expect_that!(fleet.run_count(&answer.0), eq(2));
+    expect_whole_stream(answer);
+}
+
+/// A stream that its endpoint had broken off was given up because the other one was ejected, though it
+/// had recovered.
+#[gtest]
+fn broken_stream_goes_on_at_an_ejected_endpoint() {
+    let fleet = start_fleet(204, 1);
+    fleet.endpoints[1].update_behaviour(|behaviour| behaviour.lose_answers = true);
+    let ejections = || fleet.log(0).matches("\"event\":\"rests\"").count();
+    let mut session = 0x700;
+    // The ejections of one endpoint become longer.
+    while ejections() < 3 {
+        session += 1;
+        let prompt = format!("f1:100,{session:x}:50,{session:x}0:10");
+        thread::scope(|scope| {
+            for _ in 0..4 {
+                scope.spawn(|| fleet.call_with_prompt(0, BRIEF, &prompt));
+            }
+        });
+    }
+    fleet.endpoints[1].update_behaviour(|behaviour| behaviour.lose_answers = false);
+    let answer = call_disturbed(&fleet, BRIEF, |first| {
+        fleet.proxies[first].close_connections();
+    });
+    expect_whole_stream(answer);
+}
+
+/// An endpoint that was silent when a stream was to go on there was never asked again.
+#[gtest]
+fn endpoint_that_was_silent_at_a_handover_is_asked_again() {
+    let fleet = start_fleet(205, 1);
+    let answer = call_disturbed(&fleet, BRIEF, |first| {
+        fleet.endpoints[first].fall_silent(Duration::from_secs(20));
+        fleet.endpoints[1 - first].fall_silent(Duration::from_millis(1_700));
+    });
+    expect_whole_stream(answer);
+}
+
+/// The same with several endpoints, all of which were silent at first.
+#[gtest]
+fn dead_endpoint_is_left_after_a_silence_of_all() {
+    let mut fleet = start_fleet(206, 1);
+    for name in ["engine-3", "engine-4"] {
+        fleet.add_endpoint(name, EndpointKind::Engine);
+    }
+    for endpoint in &fleet.endpoints {
+        endpoint.update_behaviour(|behaviour| {
+            behaviour.event_count = EVENT_COUNT;
+            behaviour.event_interval = EVENT_INTERVAL;
+        });
+    }
+    wait_until("the engines serve", || fleet.log(0).contains("engine-4"));
+    let answer = call_disturbed(&fleet, BRIEF, |first| {
+        for (index, endpoint) in fleet.endpoints.iter().enumerate() {
+            let is_dead = index == first;
+            endpoint.fall_silent(Duration::from_millis(if is_dead { 20_000 } else { 2_200 }));
+        }
+    });
+    expect_whole_stream(answer);
+}
+
+/// An idempotent call whose first two endpoints hung didn't get the third one that its route allows.
+#[gtest]
+fn idempotent_call_gets_all_attempts_of_its_route() {
+    let mut fleet = Fleet::new(207, 1);
+    fleet.add_endpoint("booking-3", EndpointKind::Service);
+    let Configuration(mut changed) = Configuration::sample(2, &KEYS);
+    changed["routes"][1]["max_attempts"] = 3.into();
+    fleet.store.configure(&Configuration(changed));
+    fleet.start_all();
+    fleet.await_ready();
+    wait_until("the service is known", || {
+        fleet.log(0).contains("booking-3")
+    });
+    for endpoint in &fleet.endpoints {
+        endpoint.update_behaviour(|behaviour| behaviour.run_time = Duration::from_secs(20));
+    }
+    let (id, response) = thread::scope(|scope| {
+        let call = scope.spawn(|| fleet.call(0, SEATS));
+        let runs = |endpoint: &Endpoint| endpoint.runs().len();
+        wait_until("two endpoints run it", || {
+            fleet.endpoints.iter().map(runs).sum::<usize>() == 2
+        });
+        let idle = fleet
+            .endpoints
+            .iter()
+            .filter(|endpoint| runs(endpoint) == 0);
+        for endpoint in idle {
+            endpoint.update_behaviour(|behaviour| behaviour.run_time = Duration::from_millis(5));
+        }
+        call.join().unwrap()
+    });
+    expect_that!(response.map(|response| response.status), ok(eq(&200)));
+    expect_that!(fleet.run_count(&id), eq(3));
+}
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -45,11 +45,12 @@
 pub(crate) struct AttemptInfo {
     pub(crate) endpoint: EndpointName,
     pub(crate) software: Option<SoftwareVersion>,
+    address: SocketAddr,
     placement: Placement,
 }
 
 /// Result of sending a request: its response and the connection, or the connection's failure.
-type Exchange = dyn Future<Output = Result<(Response<Incoming>, Sender), FailedExchange>> + Send;
+pub(crate) type Answer = Result<(Response<Incoming>, Sender), FailedExchange>;
 
 /// Why a request has no response.
 #[derive(Debug)]
@@ -74,7 +75,7 @@
 pub(crate) struct PendingAttempt {
     pub(crate) info: AttemptInfo,
     pub(crate) open_call: OpenCall,
-    pub(crate) exchange: Pin<Box<Exchange>>,
+    pub(crate) exchange: Pin<Box<dyn Future<Output = Answer> + Send>>,
     /// When the request was sent.
     sent: Time,
     /// Whether the connection had been used before.
@@ -85,6 +86,10 @@
     pub(crate) const fn key(&self) -> EndpointKey {
         self.open_call.key()
     }
+
+    pub(crate) const fn sent(&self) -> Time {
+        self.sent
+    }
 }
 
 impl fmt::Debug for PendingAttempt {
@@ -136,7 +141,7 @@
 }
 
 impl FailedAttempt {
-    fn new(outcome: Outcome, cause: impl Into<String>) -> Self {
+    pub(crate) fn new(outcome: Outcome, cause: impl Into<String>) -> Self {
         Self {
             outcome,
             response: None,
@@ -159,10 +164,7 @@
 }
 
 /// Sends a request on a connection and awaits its response; returns the connection too.
-async fn exchange(
-    mut sender: Sender,
-    request: Request<Full<Bytes>>,
-) -> Result<(Response<Incoming>, Sender), FailedExchange> {
+async fn exchange(mut sender: Sender, request: Request<Full<Bytes>>) -> Answer {
     let (request, too_many) = limit_interim(request);
     let response = tokio::select! {
         biased;
@@ -205,36 +207,41 @@
         last_event_id: Option<&str>,
         new_connection: bool,
     ) -> Result<EndpointResponse, FailedAttempt> {
+        let info = self.describe(placement).ok_or_else(|| {
+            let cause = "the endpoint was removed or is draining";
+            FailedAttempt::new(Outcome::NotSent, cause)
+        })?;
+        self.record_endpoint(&info);
         self.record.attempts += 1;
         let is_checked = self.request.pin.is_begun();
-        let ready = self.connect(placement, new_connection, is_checked).await?;
+        let ready = self.connect(info, new_connection, is_checked).await?;
         let pending = self.send(ready, last_event_id)?;
         self.respond(pending, last_event_id).await
     }
 
-    /// Connects to the endpoint of a placement. With `is_checked`, the endpoint must report on the
-    /// connection that it is the incarnation that this VM knows.
+    /// The endpoint of a placement; none if it accepts no calls any more.
+    pub(crate) fn describe(&self, placement: Placement) -> Option<AttemptInfo> {
+        let (endpoint, address) = self.endpoint_address(placement.endpoint)?;
+        Some(AttemptInfo {
+            endpoint,
+            address,
+            software: self.software_of(placement.endpoint),
+            placement,
+        })
+    }
+
+    /// Connects to an endpoint. With `is_checked`, the endpoint must report on the connection that it
+    /// is the incarnation that this VM knows.
     pub(crate) async fn connect(
         &mut self,
-        placement: Placement,
+        info: AttemptInfo,
         new_connection: bool,
         is_checked: bool,
     ) -> Result<ReadyAttempt, FailedAttempt> {
+        let AttemptInfo {
+            address, placement, ..
+        } = info;
         let key = placement.endpoint;
-        let Some((name, address)) = self.endpoint_address(key) else {
-            return Err(FailedAttempt::new(
-                Outcome::NotSent,
-                "the endpoint was removed or is draining",
-            ));
-        };
-        let info = AttemptInfo {
-            endpoint: name,
-            software: self.software_of(key),
-            placement,
-        };
-        if self.record.endpoint.is_empty() {
-            self.record_endpoint(&info);
-        }
         let open_call = OpenCall::start(&self.shared, key, self.call_load(placement));
         let new_connection = new_connection
             || !self.request.route.kind.is_idempotent() && !self.request.route.kind.is_stream();
@@ -411,7 +418,7 @@
     }
 
     /// Time until an endpoint to which a request was sent counts as silent.
-    fn silence_limit(&self, sent: Time) -> Duration {
+    pub(crate) fn silence_limit(&self, sent: Time) -> Duration {
         let time_left = self.request.deadline.since(sent);
         self.attempt_timeout(time_left)
             .saturating_sub(clock::now().since(sent))
@@ -444,7 +451,7 @@
     pub(crate) fn accept(
         &mut self,
         pending: PendingAttempt,
-        result: Result<(Response<Incoming>, Sender), FailedExchange>,
+        result: Answer,
     ) -> Result<UnreadResponse, FailedAttempt> {
         let accepted = self.classify(pending, result);
         if let Err(failed) = &accepted
@@ -458,7 +465,7 @@
     fn classify(
         &self,
         pending: PendingAttempt,
-        result: Result<(Response<Incoming>, Sender), FailedExchange>,
+        result: Answer,
     ) -> Result<UnreadResponse, FailedAttempt> {
         let key = pending.key();
         let (response, sender) = result
--- a/crates/relay/src/call_forwarder.rs
+++ b/crates/relay/src/call_forwarder.rs
@@ -48,6 +48,10 @@
     pub(crate) request: CallRequest,
     pub(crate) attempts: AttemptCounts,
     pub(crate) tried: Vec<EndpointKey>,
+    /// Endpoints that could not get the call at the moment of a handover.
+    pub(crate) skipped: Vec<EndpointKey>,
+    /// Whether the head of a response has been forwarded.
+    pub(crate) has_begun: bool,
     pub(crate) record: CallRecord,
 }
 
--- a/crates/relay/src/handover.rs
+++ b/crates/relay/src/handover.rs
@@ -2,25 +2,32 @@
 //!
 //! A silent endpoint may go on at any moment, so its connection is kept until another endpoint has
 //! begun to answer. If none can, because the attempts or the retry budget are used or no endpoint is
-//! available, the silent endpoint is awaited until the deadline of the call. Two endpoints work on one
-//! stream for a short time only.
+//! available, the silent endpoint is awaited until the deadline of the call. Two endpoints may work on
+//! one stream for a short time only; after that, the silent endpoint is left even if the other one has
+//! not begun. Endpoints of other idempotent calls are all kept, and the first answer counts.
 
 use crate::{
-    attempt::{AttemptInfo, FailedAttempt, PendingAttempt, UnreadResponse},
+    attempt::{Answer, AttemptInfo, FailedAttempt, PendingAttempt, UnreadResponse},
     call_forwarder::CallForwarder,
     clock,
+    stream::has_events,
 };
 use core::{
     convert::Infallible,
     future,
     pin::{Pin, pin},
+    task::Poll,
     time::Duration,
 };
 use poplarswitch_entity::EndpointName;
 use poplarswitch_ingress::{
-    EndpointKey, Obstacle, Placement, PlacementReason, RouteKind, SoftwareVersion, obstacle,
+    EndpointKey, Obstacle, Outcome, Placement, PlacementReason, RouteKind, SoftwareVersion,
+    obstacle,
+};
+use tokio::{
+    task::yield_now,
+    time::{Instant, sleep_until},
 };
-use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
 /// Maximum time for which two endpoints work on one stream.
 const MAX_OVERLAP: Duration = Duration::from_millis(200);
@@ -29,8 +36,9 @@
 const MIN_RETRY_INTERVAL: Duration = Duration::from_millis(150);
 /// Maximum time after which a handover is tried again.
 const MAX_RETRY_INTERVAL: Duration = Duration::from_secs(1);
-/// Time for which a stream whose endpoint has broken it off waits for another endpoint.
-const BROKEN_WAIT: Duration = Duration::from_secs(1);
+/// Time for which a stream whose endpoint has broken it off waits for another endpoint; callers wait
+/// for at least as long for the next event.
+const BROKEN_WAIT: Duration = Duration::from_secs(2);
 /// An endpoint whose answer is awaited.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Awaited<'a> {
@@ -64,6 +72,21 @@
     Failed,
 }
 
+/// Waits for the first answer of some endpoints, and returns its index; waits for ever if there are
+/// none.
+async fn any_answer(asked: &mut [PendingAttempt]) -> (usize, Answer) {
+    future::poll_fn(|context| {
+        let mut answers = asked.iter_mut().enumerate();
+        answers
+            .find_map(|(index, next)| match next.exchange.as_mut().poll(context) {
+                Poll::Ready(answer) => Some(Poll::Ready((index, answer))),
+                Poll::Pending => None,
+            })
+            .unwrap_or(Poll::Pending)
+    })
+    .await
+}
+
 impl CallForwarder {
     /// Waits for `answer`, that of an endpoint. While the endpoint is silent, the call is handed over
     /// to another one if that is possible; with `last_event_id`, the other one continues after that
@@ -77,8 +100,16 @@
     where
         F: Future + ?Sized,
     {
-        if let Ok(output) = timeout_at(awaited.silent_at, answer.as_mut()).await {
-            return Handover::Continued(output);
+        tokio::select! {
+            biased;
+            output = answer.as_mut() => return Handover::Continued(output),
+            () = sleep_until(awaited.silent_at) => {}
+        }
+        // After a suspension of the process, the tasks of connections have to read what has arrived.
+        tokio::select! {
+            biased;
+            output = answer.as_mut() => return Handover::Continued(output),
+            () = yield_now() => {}
         }
         let left = Left::Silent(awaited);
         self.hand_over(left, answer, last_event_id).await
@@ -114,61 +145,105 @@
         if !self.tried.contains(&key) {
             self.tried.push(key);
         }
+        self.skipped.clear();
         let mut wait = MIN_RETRY_INTERVAL;
+        let mut asked: Vec<PendingAttempt> = Vec::new();
         loop {
             let sent = tokio::select! {
                 biased;
                 output = current.as_mut() => return Handover::Continued(output),
+                answer = any_answer(&mut asked) => Err(answer),
                 () = sleep_until(give_up) => return Handover::Failed,
-                sent = self.send_elsewhere(left, last_event_id) => sent,
+                sent = self.send_elsewhere(left, last_event_id) => Ok(sent),
             };
-            let mut next = match sent {
-                Ok(next) => next,
-                Err(obstacle) => {
+            let (again_at, is_overlap) = match sent {
+                Ok(Ok(next)) => {
+                    let overlap = self.max_overlap(&next);
+                    asked.push(next);
+                    (Instant::now() + overlap, true)
+                }
+                Ok(Err(obstacle)) => {
                     if wait == MIN_RETRY_INTERVAL && obstacle != Obstacle::NotIdempotent {
                         self.log_obstacle(left, obstacle);
                     }
-                    let again_at = match left {
-                        Left::Broken(_) if obstacle.is_final() => return Handover::Failed,
-                        _ if obstacle.is_final() => give_up,
-                        _ => give_up.min(Instant::now() + wait),
-                    };
-                    tokio::select! {
-                        biased;
-                        output = current.as_mut() => return Handover::Continued(output),
-                        () = sleep_until(again_at) => {}
-                    }
-                    if again_at == give_up {
+                    let nothing_left = matches!(left, Left::Broken(_)) && asked.is_empty();
+                    if nothing_left && obstacle.is_final() {
                         return Handover::Failed;
                     }
+                    let again_in = wait;
                     wait = MAX_RETRY_INTERVAL.min(wait * 2);
+                    let again_at = Instant::now() + again_in;
+                    (
+                        if obstacle.is_final() {
+                            give_up
+                        } else {
+                            again_at
+                        },
+                        false,
+                    )
+                }
+                Err((index, result)) => {
+                    if let Some(unread) = self.accept_other(asked.swap_remove(index), result) {
+                        return Handover::Begun(Box::new(unread));
+                    }
                     continue;
                 }
             };
-            let overlap = self.max_overlap();
-            let result = tokio::select! {
+            tokio::select! {
                 biased;
                 output = current.as_mut() => return Handover::Continued(output),
-                result = next.exchange.as_mut() => result,
-                () = sleep(overlap) => return Handover::Sent(Box::new(next)),
-            };
-            let name = next.info.endpoint.clone();
-            match self.accept(next, result) {
-                Ok(unread) => return Handover::Begun(Box::new(unread)),
-                Err(failed) => self.log_missed(&name, &failed),
+                (index, result) = any_answer(&mut asked) => {
+                    if let Some(unread) = self.accept_other(asked.swap_remove(index), result) {
+                        return Handover::Begun(Box::new(unread));
+                    }
+                }
+                () = sleep_until(again_at.min(give_up)) => {
+                    if is_overlap
+                        && self.request.route.kind.is_stream()
+                        && let Some(next) = asked.pop()
+                    {
+                        return Handover::Sent(Box::new(next));
+                    }
+                }
             }
         }
     }
 
+    /// Takes in the answer of an endpoint that has the call besides a silent one; none if the silent
+    /// one has to be awaited further.
+    fn accept_other(&mut self, next: PendingAttempt, result: Answer) -> Option<UnreadResponse> {
+        let key = next.key();
+        let name = next.info.endpoint.clone();
+        let failed = match self.accept(next, result) {
+            Ok(unread) if self.can_continue(&unread) => return Some(unread),
+            Ok(unread) => {
+                self.record_failure(key);
+                let status = unread.head.status;
+                FailedAttempt::new(
+                    Outcome::Failed,
+                    format!("status {status} instead of events"),
+                )
+            }
+            Err(failed) => failed,
+        };
+        self.log_missed(&name, &failed);
+        None
+    }
+
+    /// Whether a response may follow what the caller has received.
+    pub(crate) fn can_continue(&self, unread: &UnreadResponse) -> bool {
+        !self.has_begun || has_events(self.request.route.kind, &unread.head)
+    }
+
     fn deadline(&self) -> Instant {
         Instant::now() + self.request.deadline.since(clock::now())
     }
 
-    /// Maximum time for which two endpoints work on the call. An idempotent call that isn't a stream
-    /// may run at several endpoints; the first answer counts.
-    fn max_overlap(&self) -> Duration {
+    /// Time for which the silent endpoint is kept beside another one that has the call, or after which
+    /// a further one gets the call too.
+    fn max_overlap(&self, next: &PendingAttempt) -> Duration {
         match self.request.route.kind {
-            RouteKind::Safe => self.request.deadline.since(clock::now()),
+            RouteKind::Safe => self.silence_limit(next.sent()),
             RouteKind::Unsafe | RouteKind::Stream { .. } => MAX_OVERLAP,
         }
     }
@@ -186,22 +261,25 @@
         if self.check_allowed(now).is_err() || self.recheck_sections().is_err() {
             return Err(Obstacle::NotAllowed);
         }
-        let placement = self.place_elsewhere().await?;
-        self.attempts.total += 1;
+        let placement = self.place_elsewhere(left).await?;
+        let key = placement.endpoint;
+        // Endpoints that get nothing now are tried again when there are no others.
+        self.skipped.push(key);
+        let info = self.describe(placement).ok_or(Obstacle::NoEndpoint)?;
         // A report on the same connection shows that the endpoint isn't silent too.
         let is_checked = self.request.route.kind.is_stream();
-        let ready = self.connect(placement, false, is_checked).await;
-        self.tried.push(placement.endpoint);
+        let ready = self.connect(info.clone(), false, is_checked).await;
         let ready = ready.map_err(|failed| {
-            tracing::debug!(cause = failed.cause, "handover");
+            self.log_missed(&info.endpoint, &failed);
             Obstacle::NoEndpoint
         })?;
         if !self.charge_retry(clock::now()) {
             return Err(Obstacle::BudgetUsed);
         }
-        let info = ready.info.clone();
         let sent = self.send(ready, last_event_id);
         let pending = sent.map_err(|_changed| Obstacle::NoEndpoint)?;
+        self.attempts.total += 1;
+        self.tried.push(key);
         self.record.attempts += 1;
         if let Left::Silent(Awaited { silence, .. }) = left {
             silence.clone_into(&mut self.record.cause);
@@ -231,13 +309,15 @@
         (!is_allowed).then_some(Obstacle::BudgetUsed)
     }
 
-    /// Selects an endpoint that isn't ejected, because the present one may go on.
-    async fn place_elsewhere(&mut self) -> Result<Placement, Obstacle> {
-        let placement = self.select_endpoint().await;
-        placement
-            .ok()
-            .filter(|placement| placement.reason != PlacementReason::AllEjected)
-            .ok_or(Obstacle::NoEndpoint)
+    /// Selects another endpoint. A silent endpoint isn't left for one that is ejected.
+    async fn place_elsewhere(&mut self, left: Left<'_>) -> Result<Placement, Obstacle> {
+        let selected = self.select_endpoint().await.ok().filter(|placement| {
+            placement.reason != PlacementReason::AllEjected || matches!(left, Left::Broken(_))
+        });
+        if selected.is_none() {
+            self.skipped.clear();
+        }
+        selected.ok_or(Obstacle::NoEndpoint)
     }
 
     fn log_obstacle(&mut self, left: Left<'_>, obstacle: Obstacle) {
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -69,6 +69,7 @@
     }
 
     fn place(&self, now: Time) -> PlacementDecision {
+        let excluded = [&*self.tried, &*self.skipped].concat();
         let core = self.shared.core();
         let request = PlacementRequest {
             service: &self.request.service,
@@ -79,7 +80,7 @@
             top_priority: self.request.route.priority == 0 || self.request.pin.is_begun(),
             rank: self.request.priority,
             software: self.request.pin.required(),
-            tried: &self.tried,
+            tried: &excluded,
             data_centre: &self.shared.settings.data_centre,
         };
         core.endpoints.choose(now, request, &core.groups)
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -17,8 +17,8 @@
 use core::{net::SocketAddr, time::Duration};
 use poplarswitch_entity::Time;
 use poplarswitch_ingress::{
-    Call, CutCall, EndpointKey, HoldChange, Passage, Prompt, QuarantineDigest, SURVIVAL_TIME,
-    hash_pair,
+    AttemptCounts, Call, CutCall, EndpointKey, HoldChange, Passage, Prompt, QuarantineDigest,
+    SURVIVAL_TIME, hash_pair,
 };
 use poplarswitch_wire::ErrorCode;
 use rand::Rng as _;
@@ -97,7 +97,7 @@
 impl CallForwarder {
     /// Checks before an attempt that no section has been held since the call was admitted.
     pub(crate) fn recheck_sections(&self) -> Result<(), Failure> {
-        if self.request.is_trial && self.attempts.total == 0 {
+        if self.request.is_trial && self.attempts == AttemptCounts::default() {
             return Ok(());
         }
         let held = self
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -70,6 +70,8 @@
                 request,
                 attempts: AttemptCounts::default(),
                 tried: Vec::new(),
+                skipped: Vec::new(),
+                has_begun: false,
                 record,
             };
             let response = tokio::select! {
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -52,6 +52,7 @@
     let (mut head, ()) = http::Response::new(()).into_parts();
     core::mem::swap(&mut head, &mut unread.head);
     forwarder.record.status = head.status.as_u16();
+    forwarder.has_begun = true;
     let outcome = outcome_of(head.status);
     let content = content_of(forwarder.request.route.kind, &head);
     let framing = unread.framing;
@@ -305,13 +306,12 @@
             };
             key = asked.key();
             match forwarder.respond(asked, last).await {
-                Ok(EndpointResponse::Streaming(next)) if next.head.status.is_success() => {
+                Ok(EndpointResponse::Streaming(next)) if forwarder.can_continue(&next) => {
                     return Some(*next);
                 }
                 Ok(_) => {
                     let cause = "the endpoint that should continue failed";
                     forwarder.record.add_cause(cause);
-                    return None;
                 }
                 Err(failed) => forwarder.record.add_cause(&failed.cause),
             }
