Let stand-in endpoints crash on certain requests and return under new names

Stand-in endpoints crash on requests (method, path with query, body, workspace) before or after the head of the answer, are down for a time and may return under a new name at the same address; the fleet of the relay's tests registers what returns and lets the entry of what ended lapse. Slots bound the calls that run and wait. A VM can be started cut off from the others.

--- a/crates/node/tests/relay/mod.rs
+++ b/crates/node/tests/relay/mod.rs
@@ -4,12 +4,12 @@
 
 use core::{
     net::{Ipv4Addr, SocketAddr},
-    sync::atomic::{AtomicU32, Ordering},
+    sync::atomic::{AtomicBool, AtomicU32, Ordering},
     time::Duration,
 };
 use poplarswitch_deployment::{
-    CallError, CallRequest, CallResponse, Caller, Configuration, DEFAULT_PROMPT, Deployment,
-    Endpoint, EndpointKind, Proxy, Run, Store, TakenUp, Vm,
+    CallError, CallRequest, CallResponse, Caller, Configuration, Deployment, Endpoint,
+    EndpointKind, Proxy, Run, Store, TakenUp, Vm,
 };
 use rustix::process::{Pid, Signal, kill_process};
 use std::{
@@ -28,6 +28,15 @@
 /// Maximum number of addresses in one response of the directory; from the operators' specification.
 const MAX_ADDRESSES: usize = 64;
 
+/// First port of each VM.
+const FIRST_PORT: u16 = 8_400;
+/// Port at which VMs reach each other.
+const PEER_PORT: u16 = FIRST_PORT + 3;
+/// The same for VMs that are cut off from the others.
+const CUT_OFF_PORT: u16 = FIRST_PORT + 13;
+/// Time after a crash after which the entry of an endpoint lapses.
+const LAPSE_TIME: Duration = Duration::from_secs(1);
+
 /// API keys of the only workspace.
 pub const KEYS: [&str; 2] = ["k1", "k2"];
 
@@ -37,6 +46,8 @@
     child: Option<Child>,
     /// Whether SIGTERM was sent to the process by [`Fleet::terminate_if_up`].
     term_sent: bool,
+    /// Whether the VM is cut off from the other VMs from its next start on.
+    pub cut_off: bool,
 }
 
 /// The relay processes of several VMs, the store and the endpoints.
@@ -72,7 +83,8 @@
         store.configure(&Configuration::sample(1, &KEYS));
         let deployment = Deployment {
             store: store.address(),
-            first_port: 8_400,
+            first_port: FIRST_PORT,
+            peer_port: PEER_PORT,
             data_centres: vec!["bole".to_owned(), "kality".to_owned()],
             seeds: Vec::new(),
         };
@@ -89,6 +101,7 @@
                 vm,
                 child: None,
                 term_sent: false,
+                cut_off: false,
             })
             .collect();
         let mut fleet = Self {
@@ -143,7 +156,42 @@
             incarnation,
             draining,
         );
-        self.store.register(endpoint.name(), entry);
+        self.store.register(&endpoint.name(), entry);
+    }
+
+    /// Sets the slots of an endpoint, also in its entry.
+    pub fn set_slots(&self, index: usize, count: u16) {
+        let endpoint = &self.endpoints[index];
+        endpoint.set_slots(count);
+        self.register(index, endpoint.kind(), 1, false);
+    }
+
+    /// Registers the incarnations of endpoints that come back after a crash, and removes the entries
+    /// of those that have ended, until `stop`.
+    pub fn keep_registered(&self, stop: &AtomicBool) {
+        let mut names: Vec<String> = self.endpoints.iter().map(Endpoint::name).collect();
+        let mut lapsing: Vec<(Instant, String)> = Vec::new();
+        let mut returning = vec![false; names.len()];
+        while !stop.load(Ordering::Relaxed) {
+            let now = Instant::now();
+            for (index, endpoint) in self.endpoints.iter().enumerate() {
+                let name = endpoint.name();
+                if name != names[index] {
+                    let ended = core::mem::replace(&mut names[index], name);
+                    lapsing.push((now + LAPSE_TIME, ended));
+                    returning[index] = true;
+                }
+                if returning[index] && !endpoint.is_down() {
+                    let incarnation = endpoint.crashes().len() as u64 + 1;
+                    self.register(index, endpoint.kind(), incarnation, false);
+                    returning[index] = false;
+                }
+            }
+            for (_, name) in lapsing.extract_if(.., |(at, _)| *at <= now) {
+                self.store.unregister(&name);
+            }
+            thread::sleep(POLL_INTERVAL);
+        }
     }
 
     /// Starts the process of a VM; does not wait until it is ready.
@@ -155,6 +203,12 @@
             .join(format!("{}.yaml", process.vm.name));
         let deployment = Deployment {
             store: self.store_proxies[index].address(),
+            // VMs send to each other's addresses at the port at which they listen themselves.
+            peer_port: if process.cut_off {
+                CUT_OFF_PORT
+            } else {
+                PEER_PORT
+            },
             ..self.deployment.clone()
         };
         fs::write(&file, deployment.settings(&process.vm)).unwrap();
@@ -243,6 +297,12 @@
         child.wait().unwrap().success()
     }
 
+    /// Waits until a VM accepts calls.
+    pub fn await_serving(&self, index: usize) {
+        let ready = self.deployment.ready_address(&self.processes[index].vm);
+        wait_until("the VM is ready", || self.caller.is_ready(ready));
+    }
+
     /// Waits until all VMs that run accept calls and list each other.
     pub fn await_ready(&self) {
         let running: Vec<&Process> = self
@@ -287,15 +347,20 @@
         index: usize,
         path: &str,
         key: &str,
+    ) -> (String, Result<CallResponse, CallError>) {
+        self.request(index, &CallRequest::new("", path, key))
+    }
+
+    /// Makes a call as given, but with a new identifier; returns that and the result.
+    pub fn request(
+        &self,
+        index: usize,
+        request: &CallRequest<'_>,
     ) -> (String, Result<CallResponse, CallError>) {
         let id = self.next_id();
         let request = CallRequest {
             id: &id,
-            path,
-            key,
-            deadline: Duration::from_secs(8),
-            continues: None,
-            prompt: DEFAULT_PROMPT,
+            ..request.clone()
         };
         let response = self.caller.call(self.address(index), &request);
         (id, response)
@@ -320,17 +385,12 @@
         prompt: &str,
         deadline: Duration,
     ) -> (String, Result<CallResponse, CallError>) {
-        let id = self.next_id();
         let request = CallRequest {
-            id: &id,
-            path,
-            key: KEYS[0],
             deadline,
-            continues: None,
             prompt,
+            ..CallRequest::new("", path, KEYS[0])
         };
-        let response = self.caller.call(self.address(index), &request);
-        (id, response)
+        self.request(index, &request)
     }
 
     /// Makes a call that takes a stream up again; returns its new identifier and its result.
@@ -340,17 +400,11 @@
         path: &str,
         stream: TakenUp<'_>,
     ) -> (String, Result<CallResponse, CallError>) {
-        let id = self.next_id();
         let request = CallRequest {
-            id: &id,
-            path,
-            key: KEYS[0],
-            deadline: Duration::from_secs(8),
             continues: Some(stream),
-            prompt: DEFAULT_PROMPT,
+            ..CallRequest::new("", path, KEYS[0])
         };
-        let response = self.caller.call(self.address(index), &request);
-        (id, response)
+        self.request(index, &request)
     }
 
     fn next_id(&self) -> String {
@@ -410,6 +464,12 @@
     }
 }
 
+/// Times at which requests arrived at an endpoint.
+pub fn arrival_times(fleet: &Fleet, endpoint: usize) -> Vec<Instant> {
+    let arrivals = fleet.endpoints[endpoint].arrivals();
+    arrivals.into_iter().map(|arrival| arrival.at).collect()
+}
+
 /// Body of the complete stream that answers a call.
 pub fn stream_body(call_id: &str, count: u32) -> String {
     let events: Vec<String> = (1..=count)
--- a/crates/node/tests/relay_bodies.rs
+++ b/crates/node/tests/relay_bodies.rs
@@ -6,8 +6,8 @@
 use core::{net::SocketAddr, time::Duration};
 use googletest::prelude::*;
 use poplarswitch_deployment::{
-    AnswerCut, AnswerEnd, AnswerFraming, AnswerShape, CallRequest, Configuration, DEFAULT_PROMPT,
-    EndpointKind, SIGNATURE_HEADER, body_parts,
+    AnswerCut, AnswerEnd, AnswerFraming, AnswerShape, CallRequest, Configuration, EndpointKind,
+    SIGNATURE_HEADER, body_parts,
 };
 use relay::{Fleet, KEYS};
 use std::{
@@ -118,14 +118,7 @@
 fn raw_call(vm: SocketAddr, version: &str, path: &str, id: &str) -> Received {
     let mut stream = TcpStream::connect(vm).unwrap();
     stream.set_read_timeout(Some(READ_TIMEOUT)).unwrap();
-    let request = CallRequest {
-        id,
-        path,
-        key: KEYS[0],
-        deadline: Duration::from_secs(8),
-        continues: None,
-        prompt: DEFAULT_PROMPT,
-    };
+    let request = CallRequest::new(id, path, KEYS[0]);
     let bytes = request.to_bytes(Configuration::host(), version);
     stream.write_all(&bytes).unwrap();
     let mut bytes = Vec::new();
--- a/crates/node/tests/relay_limits.rs
+++ b/crates/node/tests/relay_limits.rs
@@ -8,7 +8,7 @@
 };
 use googletest::prelude::*;
 use poplarswitch_deployment::EndpointKind;
-use relay::Fleet;
+use relay::{Fleet, arrival_times};
 use std::{thread, time::Instant};
 
 /// Number of VMs.
@@ -129,7 +129,7 @@
         thread::sleep(Duration::from_secs(14));
         end = Instant::now();
     });
-    check_use(&fleet.endpoints[0].arrivals(), rate, named, end);
+    check_use(&arrival_times(&fleet, 0), rate, named, end);
     // The other engines have room for all calls.
     expect_that!(share_served(&calls, named), ge(0.98));
 }
@@ -148,8 +148,8 @@
         thread::sleep(Duration::from_secs(12));
         end = Instant::now();
     });
-    for endpoint in &fleet.endpoints[2..4] {
-        check_use(&endpoint.arrivals(), rate, named, end);
+    for index in 2..4 {
+        check_use(&arrival_times(&fleet, index), rate, named, end);
     }
     let from = named + CONTACT_TIME;
     let late: Vec<&Outcome> = calls.iter().filter(|call| call.sent >= from).collect();
--- a/crates/node/tests/relay_measure.rs
+++ b/crates/node/tests/relay_measure.rs
@@ -16,7 +16,7 @@
 };
 use googletest::prelude::*;
 use hdrhistogram::Histogram;
-use poplarswitch_deployment::{CallRequest, Caller, Configuration, DEFAULT_PROMPT};
+use poplarswitch_deployment::{CallRequest, Caller, Configuration};
 use relay::{Fleet, KEYS};
 use std::{thread, time::Instant};
 use usage::{cpu_seconds, resident_mb};
@@ -38,12 +38,8 @@
     for number in 0..WARM_UP_CALLS + LATENCY_CALLS {
         let id = format!("m{}", ids.fetch_add(1, Ordering::Relaxed));
         let request = CallRequest {
-            continues: None,
-            prompt: DEFAULT_PROMPT,
-            id: &id,
-            path: "/seats/1",
-            key: KEYS[0],
             deadline: Duration::from_secs(3),
+            ..CallRequest::new(&id, "/seats/1", KEYS[0])
         };
         let started = Instant::now();
         let response = caller.call(address, &request).unwrap();
--- a/crates/node/tests/relay_soak.rs
+++ b/crates/node/tests/relay_soak.rs
@@ -19,7 +19,7 @@
 };
 use rand::{RngExt as _, SeedableRng as _, seq::IndexedRandom as _};
 use rand_pcg::Pcg64Mcg;
-use relay::{Fleet, KEYS, last_event, wait_until};
+use relay::{Fleet, KEYS, arrival_times, last_event, wait_until};
 use rustix::process::Signal;
 use soak::{
     checks::{Call, History, Runs},
@@ -260,10 +260,7 @@
         History::check_retries(calls, &runs);
         History::check_versions(calls, &runs);
         let windows: usize = (0..self.fleet.endpoints.len())
-            .map(|n| {
-                self.history
-                    .check_limits(n, &self.fleet.endpoints[n].arrivals())
-            })
+            .map(|n| self.history.check_limits(n, &arrival_times(&self.fleet, n)))
             .sum();
         let taken_up = calls.iter().filter(|call| call.continues.is_some());
         let (taken_up, gone_on) = taken_up.fold((0, 0), |(all, gone_on), call| {
@@ -313,12 +310,10 @@
         last_event: last,
     });
     let request = CallRequest {
-        id: &id,
-        path,
-        key,
         deadline: Duration::from_secs(3),
         continues: taken_up,
         prompt,
+        ..CallRequest::new(&id, path, key)
     };
     let sent = Instant::now();
     let (response, partial) = match caller.call(address, &request) {
