--- a/crates/node/tests/relay/mod.rs
+++ b/crates/node/tests/relay/mod.rs
@@ -4,7 +4,7 @@
 
 use core::{
     net::{Ipv4Addr, SocketAddr},
-    sync::atomic::{AtomicBool, AtomicU32, Ordering},
+    sync::atomic::{AtomicU32, Ordering},
     time::Duration,
 };
 use poplarswitch_deployment::{
@@ -60,6 +60,10 @@
     pub store_proxies: Vec<Proxy>,
     pub processes: Vec<Process>,
     pub caller: Caller,
+    /// Name of the registered incarnation of each endpoint, empty while it is down.
+    registered: Vec<Option<String>>,
+    /// Entries that lapse, and when.
+    lapsing: Vec<(Instant, String)>,
     deployment: Deployment,
     temp_dir: TempDir,
     call_count: AtomicU32,
@@ -111,6 +115,8 @@
             store_proxies,
             processes,
             caller: Caller::new(Configuration::host()),
+            registered: Vec::new(),
+            lapsing: Vec::new(),
             deployment,
             temp_dir: TempDir::new().unwrap(),
             call_count: AtomicU32::new(0),
@@ -166,34 +172,49 @@
         self.register(index, endpoint.kind(), 1, false);
     }
 
-    /// Registers the incarnations of endpoints that come back after a crash, and removes the entries
-    /// of those that have ended, until `stop`.
-    pub fn keep_registered(&self, stop: &AtomicBool) {
-        let mut names: Vec<String> = self.endpoints.iter().map(Endpoint::name).collect();
-        let mut lapsing: Vec<(Instant, String)> = Vec::new();
-        let mut returning = vec![false; names.len()];
-        while !stop.load(Ordering::Relaxed) {
+    /// Waits until a condition holds, and meanwhile keeps the entries of endpoints up to date: the
+    /// entry of a new incarnation is written when it is up after a crash, and that of an incarnation
+    /// that has ended lapses.
+    pub fn register_until(&mut self, mut holds: impl FnMut(&Self) -> bool) {
+        self.registered.resize_with(self.endpoints.len(), || None);
+        loop {
             let now = Instant::now();
-            for (index, endpoint) in self.endpoints.iter().enumerate() {
+            for index in 0..self.endpoints.len() {
+                let endpoint = &self.endpoints[index];
+                let crashes = endpoint.crashes().len();
                 let name = endpoint.name();
-                if name != names[index] {
-                    let ended = core::mem::replace(&mut names[index], name);
-                    lapsing.push((now + LAPSE_TIME, ended));
-                    returning[index] = true;
+                let is_down = endpoint.is_down();
+                let known = self.registered[index].get_or_insert_with(|| name.clone());
+                if *known != name && !known.is_empty() {
+                    let ended = core::mem::take(known);
+                    self.lapsing.push((now + LAPSE_TIME, ended));
                 }
-                if returning[index] && !endpoint.is_down() {
-                    let incarnation = endpoint.crashes().len() as u64 + 1;
-                    self.register(index, endpoint.kind(), incarnation, false);
-                    returning[index] = false;
+                if known.is_empty() && !is_down {
+                    *known = name;
+                    self.register(
+                        index,
+                        self.endpoints[index].kind(),
+                        crashes as u64 + 1,
+                        false,
+                    );
                 }
             }
-            for (_, name) in lapsing.extract_if(.., |(at, _)| *at <= now) {
+            for (_, name) in self.lapsing.extract_if(.., |(at, _)| *at <= now) {
                 self.store.unregister(&name);
             }
+            if holds(self) {
+                return;
+            }
             thread::sleep(POLL_INTERVAL);
         }
     }
 
+    /// Waits for a time, and meanwhile keeps the entries of endpoints up to date.
+    pub fn register_for(&mut self, length: Duration) {
+        let start = Instant::now();
+        self.register_until(|_| start.elapsed() >= length);
+    }
+
     /// Starts the process of a VM; does not wait until it is ready.
     pub fn start_process(&mut self, index: usize) {
         let process = &mut self.processes[index];
@@ -297,10 +318,10 @@
         child.wait().unwrap().success()
     }
 
-    /// Waits until a VM accepts calls.
-    pub fn await_serving(&self, index: usize) {
+    /// Whether a VM accepts calls.
+    pub fn is_ready(&self, index: usize) -> bool {
         let ready = self.deployment.ready_address(&self.processes[index].vm);
-        wait_until("the VM is ready", || self.caller.is_ready(ready));
+        self.caller.is_ready(ready)
     }
 
     /// Waits until all VMs that run accept calls and list each other.
