Let the soak silence endpoints, change routes and crash endpoints on a request

The soak couldn't see answers that end for a silence, nor one request that crashes endpoint after endpoint. New checks: calls that endpoints have begun outlast silences alone, at most three late sends of a request that crashes endpoints by VMs in touch, sound calls that are refused for crashes, and two endpoints that work on one stream. Configurations are changed through the stand-ins, which know the names on the wire.

--- a/crates/node/tests/relay/mod.rs
+++ b/crates/node/tests/relay/mod.rs
@@ -44,8 +44,8 @@
 pub struct Process {
     pub vm: Vm,
     child: Option<Child>,
-    /// Whether SIGTERM was sent to the process by [`Fleet::terminate_if_up`].
-    term_sent: bool,
+    /// When SIGTERM was sent to the process by [`Fleet::terminate_if_up`].
+    term_sent: Option<Instant>,
     /// Whether the VM is cut off from the other VMs from its next start on.
     pub cut_off: bool,
 }
@@ -104,7 +104,7 @@
             .map(|vm| Process {
                 vm,
                 child: None,
-                term_sent: false,
+                term_sent: None,
                 cut_off: false,
             })
             .collect();
@@ -135,6 +135,11 @@
         }
     }
 
+    /// Starts an endpoint of the service of its kind behind a proxy and registers it.
+    pub fn add_endpoint(&mut self, name: &str, kind: EndpointKind) {
+        self.add_endpoint_of(Self::service_name(kind), name, kind);
+    }
+
     fn service_name(kind: EndpointKind) -> &'static str {
         match kind {
             EndpointKind::Engine => "engines",
@@ -142,26 +147,25 @@
         }
     }
 
-    /// Starts an endpoint behind a proxy and registers it.
-    pub fn add_endpoint(&mut self, name: &str, kind: EndpointKind) {
+    /// Starts an endpoint of a service behind a proxy and registers it.
+    pub fn add_endpoint_of(&mut self, service: &str, name: &str, kind: EndpointKind) {
         let endpoint = Endpoint::start(name, kind, "127.0.0.1:0".parse().unwrap()).unwrap();
         let proxy = Proxy::start(endpoint.address()).unwrap();
         self.endpoints.push(endpoint);
         self.proxies.push(proxy);
-        self.register(self.endpoints.len() - 1, kind, 1, false);
+        self.register_of(service, self.endpoints.len() - 1, 1, false);
     }
 
-    /// Writes the entry of one incarnation of an endpoint to the store.
+    /// Writes the entry of one incarnation of an endpoint of the service of its kind to the store.
     pub fn register(&self, index: usize, kind: EndpointKind, incarnation: u64, draining: bool) {
+        self.register_of(Self::service_name(kind), index, incarnation, draining);
+    }
+
+    /// Writes the entry of one incarnation of an endpoint of a service to the store.
+    pub fn register_of(&self, service: &str, index: usize, incarnation: u64, draining: bool) {
         let endpoint = &self.endpoints[index];
         let address = self.proxies[index].address();
-        let entry = endpoint.entry(
-            address,
-            Self::service_name(kind),
-            "bole",
-            incarnation,
-            draining,
-        );
+        let entry = endpoint.entry(address, service, "bole", incarnation, draining);
         self.store.register(&endpoint.name(), entry);
     }
 
@@ -172,44 +176,42 @@
         self.register(index, endpoint.kind(), 1, false);
     }
 
-    /// Waits until a condition holds, and meanwhile keeps the entries of endpoints up to date: the
-    /// entry of a new incarnation is written when it is up after a crash, and that of an incarnation
-    /// that has ended lapses.
-    pub fn register_until(&mut self, mut holds: impl FnMut(&Self) -> bool) {
+    /// Endpoints that have come back under a new name, whose entries are to be written now; lets the
+    /// entries of the incarnations before lapse.
+    pub fn returned_endpoints(&mut self) -> Vec<usize> {
+        let now = Instant::now();
         self.registered.resize_with(self.endpoints.len(), || None);
-        loop {
-            let now = Instant::now();
-            for index in 0..self.endpoints.len() {
-                let endpoint = &self.endpoints[index];
-                let crashes = endpoint.crashes().len();
-                let name = endpoint.name();
-                let is_down = endpoint.is_down();
-                let known = self.registered[index].get_or_insert_with(|| name.clone());
-                if *known != name && !known.is_empty() {
-                    let ended = core::mem::take(known);
-                    self.lapsing.push((now + LAPSE_TIME, ended));
-                }
-                if known.is_empty() && !is_down {
-                    *known = name;
-                    self.register(
-                        index,
-                        self.endpoints[index].kind(),
-                        crashes as u64 + 1,
-                        false,
-                    );
-                }
+        let mut returned = Vec::new();
+        for (index, endpoint) in self.endpoints.iter().enumerate() {
+            let name = endpoint.name();
+            let known = self.registered[index].get_or_insert_with(|| name.clone());
+            if *known != name && !known.is_empty() {
+                let ended = core::mem::take(known);
+                self.lapsing.push((now + LAPSE_TIME, ended));
             }
-            for (_, name) in self.lapsing.extract_if(.., |(at, _)| *at <= now) {
-                self.store.unregister(&name);
+            if known.is_empty() && !endpoint.is_down() {
+                *known = name;
+                returned.push(index);
             }
-            if holds(self) {
-                return;
+        }
+        for (_, name) in self.lapsing.extract_if(.., |(at, _)| *at <= now) {
+            self.store.unregister(&name);
+        }
+        returned
+    }
+
+    /// Waits until a condition holds, and meanwhile registers endpoints that come back.
+    pub fn register_until(&mut self, mut holds: impl FnMut(&Self) -> bool) {
+        while !holds(self) {
+            for index in self.returned_endpoints() {
+                let incarnation = self.endpoints[index].crashes().len() as u64 + 1;
+                self.register(index, self.endpoints[index].kind(), incarnation, false);
             }
             thread::sleep(POLL_INTERVAL);
         }
     }
 
-    /// Waits for a time, and meanwhile keeps the entries of endpoints up to date.
+    /// Waits for a time, and meanwhile registers endpoints that come back.
     pub fn register_for(&mut self, length: Duration) {
         let start = Instant::now();
         self.register_until(|_| start.elapsed() >= length);
@@ -246,7 +248,7 @@
             .spawn()
             .unwrap();
         process.child = Some(child);
-        process.term_sent = false;
+        process.term_sent = None;
     }
 
     /// Whether the process of a VM has been started and neither killed nor awaited.
@@ -258,13 +260,13 @@
     pub fn terminate_if_up(&mut self, index: usize) {
         if self.is_up(index) {
             self.signal(index, Signal::TERM);
-            self.processes[index].term_sent = true;
+            self.processes[index].term_sent = Some(Instant::now());
         }
     }
 
     /// Whether the process of a VM runs and [`Self::terminate_if_up`] has sent SIGTERM to it.
     pub fn is_terminating(&self, index: usize) -> bool {
-        self.is_up(index) && self.processes[index].term_sent
+        self.is_up(index) && self.processes[index].term_sent.is_some()
     }
 
     /// Sends a signal to the process of a VM, if it runs.
@@ -311,6 +313,23 @@
         child.wait().unwrap();
     }
 
+    /// Whether the process of a VM has exited.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the process has been told to leave and is still there after [`WAIT_TIMEOUT`].
+    pub fn has_exited(&mut self, index: usize) -> bool {
+        let process = &mut self.processes[index];
+        let child = process.child.as_mut().unwrap();
+        let has_exited = child.try_wait().unwrap().is_some();
+        let waited = process.term_sent.map(|sent| sent.elapsed());
+        assert!(
+            has_exited || waited.is_none_or(|waited| waited < WAIT_TIMEOUT),
+            "timed out waiting until the process exits"
+        );
+        has_exited
+    }
+
     /// Waits until the process of a VM exits; returns whether its exit status is success.
     pub fn await_exit(&mut self, index: usize) -> bool {
         let mut child = self.processes[index].child.take().unwrap();
--- a/crates/node/tests/relay_culprits.rs
+++ b/crates/node/tests/relay_culprits.rs
@@ -15,7 +15,6 @@
 use poplarswitch_deployment::{Configuration, CrashPoint, Endpoint, EndpointKind};
 use relay::{Fleet, KEYS, wait_until};
 use rustix::process::Signal;
-use serde_json::json;
 use std::{collections::HashMap, thread, time::Instant};
 
 /// Number of VMs.
@@ -359,10 +358,9 @@
 #[gtest]
 fn several_requests_that_crash_endpoints_are_stopped_and_sound_calls_are_served() {
     let mut fleet = start_fleet(93);
-    let Configuration(mut changed) = Configuration::sample(2, &KEYS);
-    let tenants = changed["tenants"].as_array_mut().unwrap();
-    tenants.push(json!({"name": "others", "api_keys": ["k3"], "priority": 1}));
-    fleet.store.configure(&Configuration(changed));
+    let mut changed = Configuration::sample(2, &KEYS);
+    changed.add_workspace("others", &["k3"]);
+    fleet.store.configure(&changed);
     for vm in ALL_VMS {
         wait_until("the configuration is applied", || {
             fleet.log(vm).contains("\"version\":2,\"before\":1")
--- a/crates/node/tests/relay_soak.rs
+++ b/crates/node/tests/relay_soak.rs
@@ -14,8 +14,8 @@
 };
 use googletest::prelude::*;
 use poplarswitch_deployment::{
-    CallRequest, Caller, Configuration, DEFAULT_PROMPT, Endpoint, EndpointKind, LinkMode, Run,
-    StoreFault, TakenUp,
+    CallRequest, Caller, Configuration, CrashPoint, DEFAULT_PROMPT, Endpoint, EndpointKind,
+    LinkMode, Run, StoreFault, TakenUp,
 };
 use rand::{RngExt as _, SeedableRng as _, seq::IndexedRandom as _};
 use rand_pcg::Pcg64Mcg;
@@ -23,10 +23,12 @@
 use rustix::process::Signal;
 use soak::{
     checks::{Call, History, Runs},
+    endpoint_checks::{culprit, culprit_path},
     plan::{
         CRASHING_SECTION, Fault, Span, draw_fifth, draw_first, draw_fourth, draw_second,
-        draw_third, excludes_store, is_planned_only,
+        draw_sixth, draw_third, excludes, is_planned_only, is_silence_only,
     },
+    routes::RouteShape,
 };
 use std::{env, thread, time::Instant};
 
@@ -47,8 +49,13 @@
 /// - 206: streams began at an engine that had become another version behind an old entry, and were
 ///   resumed at the version of that entry: a check of the engine from before still counted.
 const DEFAULT_SEEDS: &str = "1,5,7,13,21,42,205,206";
+/// Seeds that are run by default beside the others: 308 has silences and planned operations only, 319
+/// requests that crash endpoints and planned operations only.
+const ENDPOINT_SEEDS: &str = "308,319";
 /// Default length of the run of a seed, in seconds.
 const DEFAULT_SECONDS: u64 = 8;
+/// The same for [`ENDPOINT_SEEDS`]; a request must crash three endpoints and be repeated afterwards.
+const ENDPOINT_SECONDS: u64 = 12;
 /// Default number of VMs.
 const DEFAULT_VMS: usize = 4;
 /// One in this many calls has the section that may crash engines.
@@ -64,13 +71,34 @@
 const STORM_LEN: usize = 5;
 /// Interval between the configurations of [`Fault::Storm`].
 const STORM_INTERVAL: Duration = Duration::from_millis(60);
-/// Kinds of the endpoints, in the order in which [`Fleet::start`] adds them.
-const ENDPOINT_KINDS: [EndpointKind; 4] = [
-    EndpointKind::Engine,
-    EndpointKind::Engine,
-    EndpointKind::Service,
-    EndpointKind::Service,
+/// Kinds and services of the endpoints, in the order in which they are added; [`Fleet::new`] adds all
+/// but the spare ones.
+const ENDPOINTS: [(EndpointKind, &str); 6] = [
+    (EndpointKind::Engine, "engines"),
+    (EndpointKind::Engine, "engines"),
+    (EndpointKind::Service, "booking"),
+    (EndpointKind::Service, "booking"),
+    (EndpointKind::Engine, "spare-engines"),
+    (EndpointKind::Service, "spare-booking"),
 ];
+/// Number of endpoints that [`Fleet::new`] adds.
+const FIRST_SPARE: usize = 4;
+/// Time for which an endpoint is down after a crash under the request of [`Fault::Culprit`].
+const CULPRIT_DOWN_TIME: Duration = Duration::from_millis(800);
+/// Time from the start of a run to that crash, or from the head of its answer.
+const CULPRIT_DELAY: Duration = Duration::from_millis(50);
+/// Number of callers that repeat the requests that may crash endpoints.
+const CULPRIT_CALLER_COUNT: u64 = 2;
+/// Prompt of these requests; its first section is that of all calls.
+const CULPRIT_PROMPT: &str = "5c1e07a2:800,c0c0:250";
+/// Time after the end of the faults in which endpoints that are down come back.
+const SETTLE_TIME: Duration = Duration::from_secs(1);
+/// Time for which callers wait.
+const DEADLINE: Duration = Duration::from_secs(3);
+/// The same for seeds with silences and planned operations only, so that silences end in time.
+const LONG_DEADLINE: Duration = Duration::from_secs(6);
+/// Interval at which endpoints that come back are registered.
+const REGISTRATION_INTERVAL: Duration = Duration::from_millis(20);
 /// Paths of calls, one for each route.
 const PATHS: [&str; 4] = ["/book/1", "/seats/1", "/chat/1", "/brief/1"];
 
@@ -89,9 +117,11 @@
     /// Version of the latest configuration.
     version: u64,
     /// Current incarnation of each endpoint.
-    incarnations: [u64; ENDPOINT_KINDS.len()],
+    incarnations: [u64; ENDPOINTS.len()],
     /// Whether each endpoint has the second software version.
-    versions: [bool; ENDPOINT_KINDS.len()],
+    versions: [bool; ENDPOINTS.len()],
+    /// What configurations have changed.
+    shape: RouteShape,
     history: History,
 }
 
@@ -107,7 +137,7 @@
             Fault::Link(endpoint, mode) => self.fleet.proxies[endpoint].set_mode(mode),
             Fault::Drain(n) => {
                 self.fleet
-                    .register(n, ENDPOINT_KINDS[n], self.incarnations[n], true);
+                    .register_of(ENDPOINTS[n].1, n, self.incarnations[n], true);
                 self.history.drains.push((n, Span::from_now()));
             }
             Fault::Refuses(n) => self.fleet.endpoints[n].update_behaviour(|b| b.decline = true),
@@ -131,6 +161,17 @@
                 self.fleet.endpoints[n].update_behaviour(|b| b.endless = Some(endless));
             }
             Fault::Crashes => self.crash_engines_on(&[CRASHING_SECTION]),
+            Fault::Silences { endpoints, millis } => {
+                let silent = self.fleet.endpoints.iter().enumerate();
+                for (_, endpoint) in silent.filter(|(n, _)| endpoints & 1 << n != 0) {
+                    endpoint.fall_silent(Duration::from_millis(u64::from(millis)));
+                }
+            }
+            Fault::Reroutes(shape) => {
+                self.shape = shape;
+                self.configure(self.valid_keys());
+            }
+            Fault::Culprit(kind) => self.set_culprit(kind, true),
             Fault::Revoke => {
                 self.configure(&KEYS[..1]);
                 self.history.revoked.push(Span::from_now());
@@ -168,6 +209,9 @@
             Fault::Term(vm) => {
                 self.fleet.signal_if_up(vm, Signal::CONT);
                 if self.fleet.is_terminating(vm) {
+                    while !self.fleet.has_exited(vm) {
+                        self.pass_time(REGISTRATION_INTERVAL);
+                    }
                     assert!(
                         self.fleet.await_exit(vm),
                         "VM {vm} did not exit successfully after SIGTERM"
@@ -188,6 +232,7 @@
             Fault::Breaks(n) => self.fleet.endpoints[n].update_behaviour(|b| b.cut_after = None),
             Fault::Shapes(n, _) => self.fleet.endpoints[n].update_behaviour(|b| b.shape = None),
             Fault::Crashes => self.crash_engines_on(&[]),
+            Fault::Culprit(kind) => self.set_culprit(kind, false),
             Fault::Revoke => {
                 self.history.revoked.iter_mut().for_each(Span::end);
                 self.configure(&KEYS);
@@ -197,7 +242,12 @@
                     self.fleet.start_if_down(vm);
                 }
             }
-            Fault::Forget | Fault::Hangup(_) | Fault::Storm | Fault::Upgrades(_) => {}
+            Fault::Forget
+            | Fault::Hangup(_)
+            | Fault::Storm
+            | Fault::Upgrades(_)
+            | Fault::Silences { .. }
+            | Fault::Reroutes(_) => {}
         }
         let ended = self
             .history
@@ -217,14 +267,41 @@
         let incarnation = self.incarnations[n];
         self.fleet.endpoints[n].update_behaviour(|b| b.reported_start = Some(incarnation));
         self.fleet
-            .register(n, ENDPOINT_KINDS[n], incarnation, false);
+            .register_of(ENDPOINTS[n].1, n, incarnation, false);
     }
 
-    fn crash_engines_on(&self, sections: &[u64]) {
-        for (endpoint, kind) in self.fleet.endpoints.iter().zip(ENDPOINT_KINDS) {
-            if kind == EndpointKind::Engine {
-                endpoint.crash_on(sections, ENGINE_DOWN_TIME);
+    /// Lets time pass, and registers endpoints that come back under new names.
+    fn pass_time(&mut self, length: Duration) {
+        let start = Instant::now();
+        while start.elapsed() < length {
+            for n in self.fleet.returned_endpoints() {
+                self.renew(n);
             }
+            thread::sleep(REGISTRATION_INTERVAL);
+        }
+    }
+
+    /// Makes a request crash all endpoints of a kind, or no longer.
+    fn set_culprit(&self, kind: EndpointKind, crashes: bool) {
+        let endpoints = self.fleet.endpoints.iter();
+        for endpoint in endpoints.filter(|endpoint| endpoint.kind() == kind) {
+            endpoint.update_crash_plan(|plan| {
+                plan.requests = crashes.then(|| culprit(kind)).into_iter().collect();
+                plan.point = match kind {
+                    EndpointKind::Service => CrashPoint::BeforeHead,
+                    EndpointKind::Engine => CrashPoint::AfterHead,
+                };
+                plan.delay = CULPRIT_DELAY;
+                plan.down_time = CULPRIT_DOWN_TIME;
+                plan.renames = true;
+            });
+        }
+    }
+
+    fn crash_engines_on(&self, sections: &[u64]) {
+        let endpoints = self.fleet.endpoints.iter();
+        for endpoint in endpoints.filter(|endpoint| endpoint.kind() == EndpointKind::Engine) {
+            endpoint.crash_on(sections, ENGINE_DOWN_TIME);
         }
     }
 
@@ -252,6 +329,7 @@
                 runs.entry(&run.call_id).or_default().push((endpoint, run));
             }
         }
+        let silenced = self.history.check_silences(calls, &runs);
         self.check_held_sections();
         for call in calls {
             self.history
@@ -259,6 +337,9 @@
         }
         History::check_retries(calls, &runs);
         History::check_versions(calls, &runs);
+        self.history.check_overlaps(calls, &runs);
+        let held = History::check_refusals(calls);
+        let (crashed, known_sends) = self.history.check_culprits(calls, &self.fleet.endpoints);
         let windows: usize = (0..self.fleet.endpoints.len())
             .map(|n| self.history.check_limits(n, &arrival_times(&self.fleet, n)))
             .sum();
@@ -273,7 +354,9 @@
             .filter(|response| response.status == 200);
         eprintln!(
             "soak: seed {seed}: {} calls, {} answered, {} late in a drain, {} during planned operations, \
-             {taken_up} taken up, {gone_on} of them served, {windows} windows of limits",
+             {taken_up} taken up, {gone_on} of them served, {windows} windows of limits, \
+             {silenced} beside silences alone, {crashed} endpoints crashed by a request, {known_sends} sends \
+             after its third crash, {held} sound calls held",
             calls.len(),
             answered.count(),
             self.history.count_late_in_drain(calls),
@@ -286,7 +369,7 @@
         self.version += 1;
         self.fleet
             .store
-            .configure(&Configuration::sample(self.version, keys));
+            .configure(&self.shape.configuration(self.version, keys));
     }
 }
 
@@ -303,6 +386,7 @@
     path: &'static str,
     key: &'static str,
     prompt: &str,
+    deadline: Duration,
     continues: Option<(String, String)>,
 ) -> Call {
     let taken_up = continues.as_ref().map(|(first, last)| TakenUp {
@@ -310,7 +394,7 @@
         last_event: last,
     });
     let request = CallRequest {
-        deadline: Duration::from_secs(3),
+        deadline,
         continues: taken_up,
         prompt,
         ..CallRequest::new(&id, path, key)
@@ -329,22 +413,69 @@
         key,
         sent,
         ended: Instant::now(),
+        deadline,
+        suspect: prompt != DEFAULT_PROMPT,
         response,
     }
 }
 
+/// Repeats the requests that may crash endpoints, at random VMs, until `stop`.
+fn make_culprit_calls(
+    addresses: &[SocketAddr],
+    seed: u64,
+    number: u64,
+    stop: &AtomicBool,
+) -> Vec<Call> {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed * 100 + CALLER_COUNT + number);
+    let caller = Caller::new(Configuration::host());
+    let mut calls = Vec::new();
+    for count in 0.. {
+        if stop.load(Ordering::Relaxed) {
+            break;
+        }
+        let kinds = [EndpointKind::Service, EndpointKind::Engine];
+        let path = culprit_path(kinds[count % kinds.len()]);
+        let vm = rng.random_range(0..addresses.len());
+        calls.push(make_call(
+            &caller,
+            vm,
+            addresses[vm],
+            format!("p{number}-{count}"),
+            path,
+            KEYS[0],
+            CULPRIT_PROMPT,
+            DEADLINE,
+            None,
+        ));
+        thread::sleep(Duration::from_millis(rng.random_range(20..150)));
+    }
+    calls
+}
+
 /// Runs the soak with one seed and checks the guarantees.
 fn run_soak(seed: u64, length: Duration, vms: usize) {
     eprintln!("soak: seed {seed}, {vms} VMs");
     let net = 100 + (seed % 100) as u8;
+    let mut fleet = Fleet::new(net, vms as u8);
+    for (number, (kind, service)) in ENDPOINTS.into_iter().enumerate().skip(FIRST_SPARE) {
+        fleet.add_endpoint_of(service, &format!("spare-{number}"), kind);
+    }
+    fleet.start_all();
+    fleet.await_ready();
     let mut soak = Soak {
-        fleet: Fleet::start(net, vms as u8),
+        fleet,
         version: 1,
-        incarnations: [1; ENDPOINT_KINDS.len()],
-        versions: [false; ENDPOINT_KINDS.len()],
+        incarnations: [1; ENDPOINTS.len()],
+        versions: [false; ENDPOINTS.len()],
+        shape: RouteShape::default(),
         history: History::default(),
     };
-    if is_planned_only(seed) {
+    let deadline = if is_silence_only(seed) {
+        LONG_DEADLINE
+    } else {
+        DEADLINE
+    };
+    if is_planned_only(seed) || is_silence_only(seed) {
         for endpoint in &soak.fleet.endpoints {
             endpoint.update_behaviour(|b| b.event_interval = LONG_EVENT_INTERVAL);
         }
@@ -380,7 +511,7 @@
                         };
                         let address = addresses[vm];
                         calls.push(make_call(
-                            &caller, vm, address, id, path, key, prompt, continues,
+                            &caller, vm, address, id, path, key, prompt, deadline, continues,
                         ));
                         thread::sleep(Duration::from_millis(rng.random_range(0..20)));
                     }
@@ -388,6 +519,12 @@
                 })
             })
             .collect();
+        let culprit_callers: Vec<_> = (0..CULPRIT_CALLER_COUNT)
+            .map(|number| {
+                let (stop, addresses) = (&stop, &addresses);
+                scope.spawn(move || make_culprit_calls(addresses, seed, number, stop))
+            })
+            .collect();
         // The callers must stop even if this thread panics; otherwise the scope would wait for them
         // forever.
         let stop_on_drop = StopOnDrop(&stop);
@@ -395,6 +532,7 @@
         drop(stop_on_drop);
         callers
             .into_iter()
+            .chain(culprit_callers)
             .flat_map(|caller| caller.join().unwrap())
             .collect()
     });
@@ -418,12 +556,13 @@
     let mut second_rng = Pcg64Mcg::seed_from_u64(!seed);
     let mut third_rng = Pcg64Mcg::seed_from_u64(seed.rotate_left(32));
     let mut fifth_rng = Pcg64Mcg::seed_from_u64(seed.rotate_left(16));
+    let mut sixth_rng = Pcg64Mcg::seed_from_u64(seed.rotate_left(48));
     let mut fourth_rng = Pcg64Mcg::seed_from_u64(!seed.rotate_left(32));
     let vms = soak.fleet.processes.len();
     let start = Instant::now();
     let mut open: Vec<(Instant, Fault)> = Vec::new();
     while start.elapsed() < length {
-        thread::sleep(Duration::from_millis(rng.random_range(100..900)));
+        soak.pass_time(Duration::from_millis(rng.random_range(100..900)));
         let now = Instant::now();
         let due: Vec<Fault> = open
             .iter()
@@ -452,14 +591,15 @@
         if fifth_rng.random_ratio(1, 2) {
             faults.push(draw_fifth(&mut fifth_rng));
         }
+        if sixth_rng.random_ratio(1, 2) {
+            faults.push(draw_sixth(&mut sixth_rng));
+        }
         for (fault, duration) in faults {
             // The end of one fault would also end another one of the same kind at the same VM or
             // endpoint, so only one fault of each kind is open at a time.
             let is_same_kind =
                 |other: &Fault| core::mem::discriminant(other) == core::mem::discriminant(&fault);
-            let excluded = excludes_store(seed) && fault.affects_store()
-                || is_planned_only(seed) && !fault.is_planned();
-            if excluded || open.iter().any(|(_, other)| is_same_kind(other)) {
+            if excludes(seed, fault) || open.iter().any(|(_, other)| is_same_kind(other)) {
                 continue;
             }
             eprintln!(
@@ -473,15 +613,30 @@
     for (_, fault) in open {
         soak.end_fault(fault);
     }
+    soak.pass_time(SETTLE_TIME);
 }
 
 #[gtest]
 fn guarantees_hold_under_random_faults() {
     let seeds = env::var("SOAK_SEEDS").unwrap_or_else(|_| DEFAULT_SEEDS.to_owned());
-    let seconds = env::var("SOAK_SECONDS")
+    run_seeds(&seeds, DEFAULT_SECONDS);
+}
+
+/// Answers that ended for a silence of their endpoint, and requests that crashed one endpoint after the
+/// other. If seeds are selected, all are run by the test above.
+#[gtest]
+fn guarantees_hold_under_silences_and_requests_that_crash_endpoints() {
+    if env::var("SOAK_SEEDS").is_err() {
+        run_seeds(ENDPOINT_SEEDS, ENDPOINT_SECONDS);
+    }
+}
+
+/// Runs seeds one after the other, each for the given number of seconds if no other is selected.
+fn run_seeds(seeds: &str, seconds: u64) {
+    let selected = env::var("SOAK_SECONDS")
         .ok()
         .and_then(|text| text.parse().ok());
-    let length = Duration::from_secs(seconds.unwrap_or(DEFAULT_SECONDS));
+    let length = Duration::from_secs(selected.unwrap_or(seconds));
     let vms = env::var("SOAK_VMS").map_or(DEFAULT_VMS, |text| {
         text.parse().expect("SOAK_VMS must be a number")
     });
--- a/crates/node/tests/soak/checks.rs
+++ b/crates/node/tests/soak/checks.rs
@@ -11,7 +11,7 @@
 /// Time after the start of a drain within which calls must no longer reach the endpoint.
 const DRAIN_BOUND: Duration = Duration::from_secs(2);
 /// Time before a drain or a call in which no fault may interfere, or the check does not apply.
-const QUIET_TIME: Duration = Duration::from_secs(3);
+pub const QUIET_TIME: Duration = Duration::from_secs(3);
 /// Retries per call that all VMs together may spend in a window: `retry_budget_ratio`.
 const RETRY_RATIO: f64 = 0.2;
 /// Further retries that all VMs together may spend in a window: `budget_slack`.
@@ -44,6 +44,10 @@
     pub key: &'static str,
     pub sent: Instant,
     pub ended: Instant,
+    /// Time for which the caller waits.
+    pub deadline: Duration,
+    /// Whether the call may crash endpoints.
+    pub suspect: bool,
     /// First attempt and last received event of the stream that the call takes up.
     pub continues: Option<(String, String)>,
     /// Last event of a stream that broke off.
@@ -53,14 +57,17 @@
 }
 
 impl Call {
+    /// The first attempt of the stream to which the call belongs.
+    pub fn first_attempt(&self) -> &str {
+        let continues = self.continues.as_ref();
+        continues.map_or(&self.id, |(first, _)| first)
+    }
+
     /// First attempt and last event of a stream that broke off and may be taken up.
     pub fn rest(&self) -> Option<(String, String)> {
         let last = self.partial.clone()?;
-        let first = match &self.continues {
-            Some((first, _)) => first,
-            None => &self.id,
-        };
-        (self.path == "/brief/1" && last != "5").then(|| (first.clone(), last))
+        let first = self.first_attempt().to_owned();
+        (self.path == "/brief/1" && last != "5").then_some((first, last))
     }
 }
 
@@ -116,21 +123,33 @@
     /// was open, and a missing response can have no other reason, such as another fault, the
     /// deadline of the call or a shutdown that began long before the call was sent.
     fn must_be_answered(&self, call: &Call) -> bool {
+        call.ended < call.sent + MAX_CHECKED_DURATION
+            && self
+                .overlapping(call)
+                .any(|(fault, _)| fault.is_planned_at(call.vm))
+            && !self.is_sent_late(call)
+            && !self.is_cut_off(call)
+    }
+
+    /// Faults and operations while a call was open.
+    fn overlapping(&self, call: &Call) -> impl Iterator<Item = &(Fault, Span)> {
+        let faults = self.faults.iter();
+        faults.filter(|(_, span)| span.overlaps(call.sent, call.ended))
+    }
+
+    /// Whether a fault may have cut a call off.
+    pub fn is_cut_off(&self, call: &Call) -> bool {
         let quiet_from = call.sent.checked_sub(QUIET_TIME).unwrap_or(call.sent);
-        let may_have_cut = |(fault, span): &(Fault, Span)| {
+        self.faults.iter().any(|(fault, span)| {
             fault.may_cut_off(call.vm) && span.overlaps(quiet_from, call.ended)
-        };
-        let overlapping = || {
-            let faults = self.faults.iter();
-            faults.filter(|(_, span)| span.overlaps(call.sent, call.ended))
-        };
-        let sent_late = |(fault, span): &(Fault, Span)| {
+        })
+    }
+
+    /// Whether a call was sent to a VM whose shutdown had begun long before.
+    pub fn is_sent_late(&self, call: &Call) -> bool {
+        self.overlapping(call).any(|(fault, span)| {
             matches!(fault, Fault::Term(vm) if *vm == call.vm) && call.sent > span.from + MIN_LINGER
-        };
-        call.ended < call.sent + MAX_CHECKED_DURATION
-            && overlapping().any(|(fault, _)| fault.is_planned_at(call.vm))
-            && !overlapping().any(sent_late)
-            && !self.faults.iter().any(may_have_cut)
+        })
     }
 
     /// Number of calls that were open during a planned operation, which must not cut them off.
@@ -144,9 +163,9 @@
     /// Checks that the retries of each service, which are the runs of a call after its first one,
     /// stay within the budget that all VMs share.
     pub fn check_retries(calls: &[Call], runs: &Runs<'_>) {
-        for paths in ["/book/1 /seats/1", "/chat/1 /brief/1"] {
-            let service_calls: Vec<&Call> =
-                calls.iter().filter(|c| paths.contains(c.path)).collect();
+        for paths in [["/book/", "/seats/"], ["/chat/", "/brief/"]] {
+            let is_of_service = |call: &&Call| paths.iter().any(|path| call.path.starts_with(path));
+            let service_calls: Vec<&Call> = calls.iter().filter(is_of_service).collect();
             let mut retries: Vec<Instant> = service_calls
                 .iter()
                 .filter_map(|call| runs.get(call.id.as_str()))
@@ -167,7 +186,7 @@
                 let limit = RETRY_RATIO * sent.count() as f64 + RETRY_ALLOWANCE;
                 assert!(
                     count as f64 <= limit,
-                    "{count} retries in one window for {paths}, limit {limit}"
+                    "{count} retries in one window for {paths:?}, limit {limit}"
                 );
             }
         }
@@ -178,13 +197,12 @@
     pub fn check_versions(calls: &[Call], runs: &Runs<'_>) {
         let mut streams: HashMap<&str, Vec<&Run>> = HashMap::new();
         for call in calls.iter().filter(|call| call.path == "/brief/1") {
-            let first = call
-                .continues
-                .as_ref()
-                .map_or(&*call.id, |(first, _)| first);
             let runs = runs.get(call.id.as_str()).into_iter().flatten();
             let runs = runs.map(|(_, run)| *run);
-            streams.entry(first).or_default().extend(runs);
+            streams
+                .entry(call.first_attempt())
+                .or_default()
+                .extend(runs);
         }
         let mixed = streams.iter_mut().filter_map(|(first, runs)| {
             runs.sort_unstable_by_key(|run| run.started);
@@ -283,7 +301,7 @@
         }
         if response.status == 200 {
             let body = &response.body;
-            let is_stream = matches!(*path, "/chat/1" | "/brief/1");
+            let is_stream = path.starts_with("/chat/") || path.starts_with("/brief/");
             let whole = if is_stream {
                 let last = call.continues.as_ref().map_or("0", |(_, last)| last);
                 let received = stream_body(id, last.parse().unwrap_or(0)).len();
--- a/crates/node/tests/soak/plan.rs
+++ b/crates/node/tests/soak/plan.rs
@@ -2,9 +2,11 @@
 //!
 //! The plans of a seed depend on the order of the draws, so that order must not change.
 
+use super::routes::{RouteShape, Targets};
 use core::time::Duration;
 use poplarswitch_deployment::{
-    AnswerCut, AnswerEnd, AnswerFraming, AnswerShape, EndlessAnswer, LinkMode, StoreFault,
+    AnswerCut, AnswerEnd, AnswerFraming, AnswerShape, EndlessAnswer, EndpointKind, LinkMode,
+    StoreFault,
 };
 use rand::{RngExt as _, seq::IndexedRandom as _};
 use rand_pcg::Pcg64Mcg;
@@ -15,7 +17,7 @@
 
 /// A fault or a planned operation, with the VM or endpoint that it affects.
 ///
-/// `Forget`, `Hangup`, `Storm` and `Upgrades` take effect at once; the others last until a planned time.
+/// `Forget`, `Hangup`, `Storm`, `Upgrades` and `Reroutes` take effect at once; the others last until a planned time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
     /// The process of a VM is suspended by SIGSTOP.
@@ -58,6 +60,12 @@
     Storm,
     /// All VMs are killed one right after another, and later started again.
     KillAll,
+    /// Endpoints send nothing for a time, and then go on; each has a bit in `endpoints`.
+    Silences { endpoints: u8, millis: u16 },
+    /// A configuration changes the targets of routes and the idle time-out.
+    Reroutes(RouteShape),
+    /// One request crashes each endpoint of a kind that begins to run it.
+    Culprit(EndpointKind),
 }
 
 impl Fault {
@@ -91,7 +99,19 @@
             | Self::Endless(..)
             | Self::Revoke
             | Self::Hangup(_)
-            | Self::Storm => false,
+            | Self::Storm
+            | Self::Silences { .. }
+            | Self::Reroutes(_)
+            | Self::Culprit(_) => false,
+        }
+    }
+
+    /// Whether a VM that has the fault, or has had it a moment ago, is not in touch with the others.
+    pub const fn breaks_contact(self, vm: usize) -> bool {
+        match self {
+            Self::Stop(at) | Self::Kill(at) | Self::Term(at) | Self::StoreLink(at, _) => at == vm,
+            Self::Store(_) | Self::KillAll => true,
+            _ => false,
         }
     }
 
@@ -99,7 +119,7 @@
     pub const fn is_planned_at(self, vm: usize) -> bool {
         match self {
             Self::Term(at) | Self::Hangup(at) => at == vm,
-            Self::Storm | Self::Revoke => true,
+            Self::Storm | Self::Revoke | Self::Reroutes(_) => true,
             _ => false,
         }
     }
@@ -108,13 +128,19 @@
     pub const fn is_planned(self) -> bool {
         matches!(
             self,
-            Self::Term(_) | Self::Hangup(_) | Self::Storm | Self::Revoke | Self::Drain(_)
+            Self::Term(_)
+                | Self::Hangup(_)
+                | Self::Storm
+                | Self::Revoke
+                | Self::Drain(_)
+                | Self::Reroutes(_)
         )
     }
 
-    /// Whether the fault may cut off a call that a VM has accepted.
+    /// Whether the fault may cut off a call that a VM has accepted; a silence may not.
     pub const fn may_cut_off(self, vm: usize) -> bool {
         match self {
+            Self::Silences { .. } => false,
             Self::Stop(at) | Self::Kill(at) | Self::StoreLink(at, _) => at == vm,
             other => !other.is_planned(),
         }
@@ -141,15 +167,47 @@
         self.to.get_or_insert_with(Instant::now);
     }
 
+    /// Whether a time is in the period.
+    pub fn contains(&self, at: Instant) -> bool {
+        self.overlaps(at, at)
+    }
+
     /// Whether the span overlaps the period between two times.
     pub fn overlaps(&self, from: Instant, to: Instant) -> bool {
         self.from <= to && self.to.is_none_or(|end| end >= from)
     }
 }
 
+/// First seed of those that were added with the sixth plan.
+const SIXTH_SEEDS: u64 = 300;
+
+/// Whether a seed has silences and planned operations only, so that it is tested often that
+/// silences cut off no calls.
+pub const fn is_silence_only(seed: u64) -> bool {
+    seed >= SIXTH_SEEDS && seed % 10 == 8
+}
+
+/// Whether a seed has requests that crash endpoints and planned operations only, so that most VMs are
+/// in touch.
+const fn is_culprit_only(seed: u64) -> bool {
+    seed >= SIXTH_SEEDS && seed % 10 == 9
+}
+
+/// Whether a seed leaves a fault out.
+pub const fn excludes(seed: u64, fault: Fault) -> bool {
+    let other = if is_silence_only(seed) {
+        !matches!(fault, Fault::Silences { .. })
+    } else if is_culprit_only(seed) {
+        !matches!(fault, Fault::Culprit(_))
+    } else {
+        is_planned_only(seed)
+    };
+    excludes_store(seed) && fault.affects_store() || other && !fault.is_planned()
+}
+
 /// Whether a seed injects no faults of the store, so that bounds that hold only while the store can
 /// be reached are tested too.
-pub const fn excludes_store(seed: u64) -> bool {
+const fn excludes_store(seed: u64) -> bool {
     seed % 10 == 5
 }
 
@@ -264,3 +322,36 @@
         }
     }
 }
+
+/// The next fault of a seed's sixth plan: endpoints that fall silent, a configuration that changes the
+/// targets of routes or the idle time-out, or a request that crashes endpoints.
+pub fn draw_sixth(rng: &mut Pcg64Mcg) -> (Fault, Duration) {
+    let millis = rng.random_range(300..2_000);
+    let silences = Fault::Silences {
+        endpoints: rng.random_range(1..64),
+        millis,
+    };
+    let shape = RouteShape {
+        targets: *[
+            Targets::Own,
+            Targets::Split(7),
+            Targets::Split(3),
+            Targets::Spare,
+        ]
+        .choose(rng)
+        .unwrap(),
+        idle_ms: *[15_000, 4_000, 2_000].choose(rng).unwrap(),
+    };
+    let kind = *[EndpointKind::Service, EndpointKind::Engine]
+        .choose(rng)
+        .unwrap();
+    let crashing = Duration::from_millis(rng.random_range(6_000..12_000));
+    match rng.random_range(0..4) {
+        0 | 1 => (silences, Duration::from_millis(u64::from(millis))),
+        2 => (
+            Fault::Reroutes(shape),
+            Duration::from_millis(u64::from(millis)),
+        ),
+        _ => (Fault::Culprit(kind), crashing),
+    }
+}
