--- a/crates/node/tests/culprits/mod.rs
+++ b/crates/node/tests/culprits/mod.rs
@@ -1,4 +1,4 @@
-//! Callers that repeat requests at several VMs, and the account of what became of the requests.
+//! Callers that repeat requests at several VMs, and an account of the results.
 
 use crate::relay::{Fleet, KEYS};
 use core::{
@@ -16,7 +16,7 @@
     time::Instant,
 };
 
-/// Time within which VMs in touch must know what one of them has learned, and that a VM must run
+/// Time within which VMs in touch must know what one of them has learned, and for which a VM must run
 /// undisturbed to be in touch; from the operators' specification.
 pub const CONTACT_TIME: Duration = Duration::from_secs(3);
 /// Number of endpoints that a request must have crashed before that time begins; from the operators'
@@ -43,7 +43,7 @@
 /// Time between the attempts of such a request.
 const REPEAT_INTERVAL: Duration = Duration::from_millis(150);
 
-/// Always true.
+/// Flag of plans that are active at all times.
 pub static ALWAYS: AtomicBool = AtomicBool::new(true);
 
 /// A request that callers make.
@@ -96,7 +96,7 @@
         }
     }
 
-    /// What identifies the request at endpoints.
+    /// Parts by which endpoints identify the request.
     pub fn request_key(&self) -> RequestKey {
         RequestKey::new(self.method.clone(), &self.path, self.body, Some(WORKSPACE))
     }
@@ -287,7 +287,7 @@
     pub to: Instant,
 }
 
-/// What became of a request that crashes endpoints.
+/// Effects of a request that crashes endpoints.
 #[derive(Clone, Copy, Debug)]
 pub struct Account {
     /// Number of endpoints that the request crashed.
@@ -346,7 +346,7 @@
     account
 }
 
-/// What became of sound calls.
+/// Results of sound calls.
 #[derive(Clone, Copy, Debug)]
 pub struct SoundAccount {
     pub calls: usize,
--- a/crates/node/tests/relay/mod.rs
+++ b/crates/node/tests/relay/mod.rs
@@ -32,7 +32,7 @@
 const FIRST_PORT: u16 = 8_400;
 /// Port at which VMs reach each other.
 const PEER_PORT: u16 = FIRST_PORT + 3;
-/// The same for VMs that are cut off from the others.
+/// Port at which a VM listens for others while it is cut off from them.
 const CUT_OFF_PORT: u16 = FIRST_PORT + 13;
 /// Time after a crash after which the entry of an endpoint lapses.
 const LAPSE_TIME: Duration = Duration::from_secs(1);
--- a/crates/node/tests/relay_culprits.rs
+++ b/crates/node/tests/relay_culprits.rs
@@ -173,7 +173,7 @@
     check_containment(84, kind, &subject, CrashPoint::AfterHead, |_| {});
 }
 
-/// The same where they crash before the head of the answer.
+/// Engines crashed one after the other before they had sent the head of an answer to one request.
 #[gtest]
 fn request_that_crashes_engines_before_the_head_is_stopped_and_sound_calls_are_served() {
     let subject = Subject::stream("/brief/1", format!("{FIRST_SECTION},bad0:10"));
@@ -297,14 +297,15 @@
     check_containment_beside(&mut fleet, &[0, 1], &[2], |_| Vec::new());
 }
 
-/// The same where only the VM that is cut off has seen the crashes.
+/// VMs must learn from the platform of a request whose crashes only a VM has seen that is cut off from
+/// them.
 #[gtest]
 fn vms_stop_a_request_that_only_a_vm_knows_that_is_cut_off_from_them() {
     let mut fleet = start_fleet_with_cut_vm(90);
     check_containment_beside(&mut fleet, &[2], &[0, 1], |_| Vec::new());
 }
 
-/// What is known must not be forgotten when all VMs are killed at once.
+/// A known request must not be forgotten when all VMs are killed at once.
 #[gtest]
 fn known_request_is_stopped_after_the_loss_of_all_vms() {
     let mut fleet = start_fleet(91);
--- a/crates/node/tests/relay_soak.rs
+++ b/crates/node/tests/relay_soak.rs
@@ -54,7 +54,8 @@
 const ENDPOINT_SEEDS: &str = "308,319";
 /// Default length of the run of a seed, in seconds.
 const DEFAULT_SECONDS: u64 = 8;
-/// The same for [`ENDPOINT_SEEDS`]; a request must crash three endpoints and be repeated afterwards.
+/// Default length for [`ENDPOINT_SEEDS`], in seconds; a request must crash three endpoints and be
+/// repeated afterwards.
 const ENDPOINT_SECONDS: u64 = 12;
 /// Default number of VMs.
 const DEFAULT_VMS: usize = 4;
@@ -89,13 +90,14 @@
 const CULPRIT_DELAY: Duration = Duration::from_millis(50);
 /// Number of callers that repeat the requests that may crash endpoints.
 const CULPRIT_CALLER_COUNT: u64 = 2;
-/// Prompt of these requests; its first section is that of all calls.
+/// Prompt of the requests that may crash endpoints; its first section is that of all calls.
 const CULPRIT_PROMPT: &str = "5c1e07a2:800,c0c0:250";
 /// Time after the end of the faults in which endpoints that are down come back.
 const SETTLE_TIME: Duration = Duration::from_secs(1);
 /// Time for which callers wait.
 const DEADLINE: Duration = Duration::from_secs(3);
-/// The same for seeds with silences and planned operations only, so that silences end in time.
+/// Time for which callers wait if there are silences and planned operations only, so that silences end
+/// in time.
 const LONG_DEADLINE: Duration = Duration::from_secs(6);
 /// Interval at which endpoints that come back are registered.
 const REGISTRATION_INTERVAL: Duration = Duration::from_millis(20);
@@ -120,7 +122,7 @@
     incarnations: [u64; ENDPOINTS.len()],
     /// Whether each endpoint has the second software version.
     versions: [bool; ENDPOINTS.len()],
-    /// What configurations have changed.
+    /// Routes of the latest configuration.
     shape: RouteShape,
     history: History,
 }
--- a/crates/node/tests/soak/routes.rs
+++ b/crates/node/tests/soak/routes.rs
@@ -20,7 +20,7 @@
     Spare,
 }
 
-/// What configurations change.
+/// Parts of a configuration that the soak changes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RouteShape {
     pub targets: Targets,
