--- a/crates/node/tests/relay/mod.rs
+++ b/crates/node/tests/relay/mod.rs
@@ -8,8 +8,8 @@
     time::Duration,
 };
 use poplarswitch_deployment::{
-    CallError, CallRequest, CallResponse, Caller, Configuration, DEFAULT_PROMPT, Deployment,
-    Endpoint, EndpointKind, Proxy, Run, Store, TakenUp, Vm,
+    CallError, CallRequest, CallResponse, Caller, Configuration, Deployment, Endpoint,
+    EndpointKind, Proxy, Run, Store, TakenUp, Vm,
 };
 use rustix::process::{Pid, Signal, kill_process};
 use std::{
@@ -28,6 +28,15 @@
 /// Maximum number of addresses in one response of the directory; from the operators' specification.
 const MAX_ADDRESSES: usize = 64;
 
+/// First port of each VM.
+const FIRST_PORT: u16 = 8_400;
+/// Port at which VMs reach each other.
+const PEER_PORT: u16 = FIRST_PORT + 3;
+/// Port at which a VM listens for others while it is cut off from them.
+const CUT_OFF_PORT: u16 = FIRST_PORT + 13;
+/// Time after a crash after which the entry of an endpoint lapses.
+const LAPSE_TIME: Duration = Duration::from_secs(1);
+
 /// API keys of the only workspace.
 pub const KEYS: [&str; 2] = ["k1", "k2"];
 
@@ -35,8 +44,10 @@
 pub struct Process {
     pub vm: Vm,
     child: Option<Child>,
-    /// Whether SIGTERM was sent to the process by [`Fleet::terminate_if_up`].
-    term_sent: bool,
+    /// When SIGTERM was sent to the process by [`Fleet::terminate_if_up`].
+    term_sent: Option<Instant>,
+    /// Whether the VM is cut off from the other VMs from its next start on.
+    pub cut_off: bool,
 }
 
 /// The relay processes of several VMs, the store and the endpoints.
@@ -49,6 +60,10 @@
     pub store_proxies: Vec<Proxy>,
     pub processes: Vec<Process>,
     pub caller: Caller,
+    /// Name of the registered incarnation of each endpoint, empty while it is down.
+    registered: Vec<Option<String>>,
+    /// Entries that lapse, and when.
+    lapsing: Vec<(Instant, String)>,
     deployment: Deployment,
     temp_dir: TempDir,
     call_count: AtomicU32,
@@ -72,7 +87,8 @@
         store.configure(&Configuration::sample(1, &KEYS));
         let deployment = Deployment {
             store: store.address(),
-            first_port: 8_400,
+            first_port: FIRST_PORT,
+            peer_port: PEER_PORT,
             data_centres: vec!["bole".to_owned(), "kality".to_owned()],
             seeds: Vec::new(),
         };
@@ -88,7 +104,8 @@
             .map(|vm| Process {
                 vm,
                 child: None,
-                term_sent: false,
+                term_sent: None,
+                cut_off: false,
             })
             .collect();
         let mut fleet = Self {
@@ -98,6 +115,8 @@
             store_proxies,
             processes,
             caller: Caller::new(Configuration::host()),
+            registered: Vec::new(),
+            lapsing: Vec::new(),
             deployment,
             temp_dir: TempDir::new().unwrap(),
             call_count: AtomicU32::new(0),
@@ -116,6 +135,11 @@
         }
     }
 
+    /// Starts an endpoint of the service of its kind behind a proxy and registers it.
+    pub fn add_endpoint(&mut self, name: &str, kind: EndpointKind) {
+        self.add_endpoint_of(Self::service_name(kind), name, kind);
+    }
+
     fn service_name(kind: EndpointKind) -> &'static str {
         match kind {
             EndpointKind::Engine => "engines",
@@ -123,27 +147,74 @@
         }
     }
 
-    /// Starts an endpoint behind a proxy and registers it.
-    pub fn add_endpoint(&mut self, name: &str, kind: EndpointKind) {
+    /// Starts an endpoint of a service behind a proxy and registers it.
+    pub fn add_endpoint_of(&mut self, service: &str, name: &str, kind: EndpointKind) {
         let endpoint = Endpoint::start(name, kind, "127.0.0.1:0".parse().unwrap()).unwrap();
         let proxy = Proxy::start(endpoint.address()).unwrap();
         self.endpoints.push(endpoint);
         self.proxies.push(proxy);
-        self.register(self.endpoints.len() - 1, kind, 1, false);
+        self.register_of(service, self.endpoints.len() - 1, 1, false);
     }
 
-    /// Writes the entry of one incarnation of an endpoint to the store.
+    /// Writes the entry of one incarnation of an endpoint of the service of its kind to the store.
     pub fn register(&self, index: usize, kind: EndpointKind, incarnation: u64, draining: bool) {
+        self.register_of(Self::service_name(kind), index, incarnation, draining);
+    }
+
+    /// Writes the entry of one incarnation of an endpoint of a service to the store.
+    pub fn register_of(&self, service: &str, index: usize, incarnation: u64, draining: bool) {
         let endpoint = &self.endpoints[index];
         let address = self.proxies[index].address();
-        let entry = endpoint.entry(
-            address,
-            Self::service_name(kind),
-            "bole",
-            incarnation,
-            draining,
-        );
-        self.store.register(endpoint.name(), entry);
+        let entry = endpoint.entry(address, service, "bole", incarnation, draining);
+        self.store.register(&endpoint.name(), entry);
+    }
+
+    /// Sets the slots of an endpoint, also in its entry.
+    pub fn set_slots(&self, index: usize, count: u16) {
+        let endpoint = &self.endpoints[index];
+        endpoint.set_slots(count);
+        self.register(index, endpoint.kind(), 1, false);
+    }
+
+    /// Endpoints that have come back under a new name, whose entries are to be written now; lets the
+    /// entries of the incarnations before lapse.
+    pub fn returned_endpoints(&mut self) -> Vec<usize> {
+        let now = Instant::now();
+        self.registered.resize_with(self.endpoints.len(), || None);
+        let mut returned = Vec::new();
+        for (index, endpoint) in self.endpoints.iter().enumerate() {
+            let name = endpoint.name();
+            let known = self.registered[index].get_or_insert_with(|| name.clone());
+            if *known != name && !known.is_empty() {
+                let ended = core::mem::take(known);
+                self.lapsing.push((now + LAPSE_TIME, ended));
+            }
+            if known.is_empty() && !endpoint.is_down() {
+                *known = name;
+                returned.push(index);
+            }
+        }
+        for (_, name) in self.lapsing.extract_if(.., |(at, _)| *at <= now) {
+            self.store.unregister(&name);
+        }
+        returned
+    }
+
+    /// Waits until a condition holds, and meanwhile registers endpoints that come back.
+    pub fn register_until(&mut self, mut holds: impl FnMut(&Self) -> bool) {
+        while !holds(self) {
+            for index in self.returned_endpoints() {
+                let incarnation = self.endpoints[index].crashes().len() as u64 + 1;
+                self.register(index, self.endpoints[index].kind(), incarnation, false);
+            }
+            thread::sleep(POLL_INTERVAL);
+        }
+    }
+
+    /// Waits for a time, and meanwhile registers endpoints that come back.
+    pub fn register_for(&mut self, length: Duration) {
+        let start = Instant::now();
+        self.register_until(|_| start.elapsed() >= length);
     }
 
     /// Starts the process of a VM; does not wait until it is ready.
@@ -155,6 +226,12 @@
             .join(format!("{}.yaml", process.vm.name));
         let deployment = Deployment {
             store: self.store_proxies[index].address(),
+            // VMs send to each other's addresses at the port at which they listen themselves.
+            peer_port: if process.cut_off {
+                CUT_OFF_PORT
+            } else {
+                PEER_PORT
+            },
             ..self.deployment.clone()
         };
         fs::write(&file, deployment.settings(&process.vm)).unwrap();
@@ -171,7 +248,7 @@
             .spawn()
             .unwrap();
         process.child = Some(child);
-        process.term_sent = false;
+        process.term_sent = None;
     }
 
     /// Whether the process of a VM has been started and neither killed nor awaited.
@@ -183,13 +260,13 @@
     pub fn terminate_if_up(&mut self, index: usize) {
         if self.is_up(index) {
             self.signal(index, Signal::TERM);
-            self.processes[index].term_sent = true;
+            self.processes[index].term_sent = Some(Instant::now());
         }
     }
 
     /// Whether the process of a VM runs and [`Self::terminate_if_up`] has sent SIGTERM to it.
     pub fn is_terminating(&self, index: usize) -> bool {
-        self.is_up(index) && self.processes[index].term_sent
+        self.is_up(index) && self.processes[index].term_sent.is_some()
     }
 
     /// Sends a signal to the process of a VM, if it runs.
@@ -236,6 +313,23 @@
         child.wait().unwrap();
     }
 
+    /// Whether the process of a VM has exited.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the process has been told to leave and is still there after [`WAIT_TIMEOUT`].
+    pub fn has_exited(&mut self, index: usize) -> bool {
+        let process = &mut self.processes[index];
+        let child = process.child.as_mut().unwrap();
+        let has_exited = child.try_wait().unwrap().is_some();
+        let waited = process.term_sent.map(|sent| sent.elapsed());
+        assert!(
+            has_exited || waited.is_none_or(|waited| waited < WAIT_TIMEOUT),
+            "timed out waiting until the process exits"
+        );
+        has_exited
+    }
+
     /// Waits until the process of a VM exits; returns whether its exit status is success.
     pub fn await_exit(&mut self, index: usize) -> bool {
         let mut child = self.processes[index].child.take().unwrap();
@@ -243,6 +337,12 @@
         child.wait().unwrap().success()
     }
 
+    /// Whether a VM accepts calls.
+    pub fn is_ready(&self, index: usize) -> bool {
+        let ready = self.deployment.ready_address(&self.processes[index].vm);
+        self.caller.is_ready(ready)
+    }
+
     /// Waits until all VMs that run accept calls and list each other.
     pub fn await_ready(&self) {
         let running: Vec<&Process> = self
@@ -287,15 +387,20 @@
         index: usize,
         path: &str,
         key: &str,
+    ) -> (String, Result<CallResponse, CallError>) {
+        self.request(index, &CallRequest::new("", path, key))
+    }
+
+    /// Makes a call as given, but with a new identifier; returns that and the result.
+    pub fn request(
+        &self,
+        index: usize,
+        request: &CallRequest<'_>,
     ) -> (String, Result<CallResponse, CallError>) {
         let id = self.next_id();
         let request = CallRequest {
             id: &id,
-            path,
-            key,
-            deadline: Duration::from_secs(8),
-            continues: None,
-            prompt: DEFAULT_PROMPT,
+            ..request.clone()
         };
         let response = self.caller.call(self.address(index), &request);
         (id, response)
@@ -320,17 +425,12 @@
         prompt: &str,
         deadline: Duration,
     ) -> (String, Result<CallResponse, CallError>) {
-        let id = self.next_id();
         let request = CallRequest {
-            id: &id,
-            path,
-            key: KEYS[0],
             deadline,
-            continues: None,
             prompt,
+            ..CallRequest::new("", path, KEYS[0])
         };
-        let response = self.caller.call(self.address(index), &request);
-        (id, response)
+        self.request(index, &request)
     }
 
     /// Makes a call that takes a stream up again; returns its new identifier and its result.
@@ -340,17 +440,11 @@
         path: &str,
         stream: TakenUp<'_>,
     ) -> (String, Result<CallResponse, CallError>) {
-        let id = self.next_id();
         let request = CallRequest {
-            id: &id,
-            path,
-            key: KEYS[0],
-            deadline: Duration::from_secs(8),
             continues: Some(stream),
-            prompt: DEFAULT_PROMPT,
+            ..CallRequest::new("", path, KEYS[0])
         };
-        let response = self.caller.call(self.address(index), &request);
-        (id, response)
+        self.request(index, &request)
     }
 
     fn next_id(&self) -> String {
@@ -410,6 +504,12 @@
     }
 }
 
+/// Times at which requests arrived at an endpoint.
+pub fn arrival_times(fleet: &Fleet, endpoint: usize) -> Vec<Instant> {
+    let arrivals = fleet.endpoints[endpoint].arrivals();
+    arrivals.into_iter().map(|arrival| arrival.at).collect()
+}
+
 /// Body of the complete stream that answers a call.
 pub fn stream_body(call_id: &str, count: u32) -> String {
     let events: Vec<String> = (1..=count)
--- a/crates/node/tests/relay_silence.rs
+++ b/crates/node/tests/relay_silence.rs
@@ -6,8 +6,8 @@
 use googletest::prelude::*;
 use http::StatusCode;
 use poplarswitch_deployment::{
-    AnswerCut, AnswerEnd, AnswerFraming, AnswerShape, CallError, CallResponse, Configuration,
-    Endpoint, EndpointKind, EventForm, Run,
+    AnswerCut, AnswerEnd, AnswerFraming, AnswerShape, CallError, CallRequest, CallResponse,
+    Configuration, Endpoint, EndpointKind, EventForm, Run,
 };
 use relay::{Fleet, KEYS, last_event, stream_body, wait_until};
 use rustix::process::Signal;
@@ -240,13 +240,9 @@
             let runs = fleet.endpoints.iter().flat_map(Endpoint::runs);
             runs.count() > 0
         });
-        let Configuration(mut changed) = Configuration::sample(2, &KEYS);
-        let route = &mut changed["routes"][3];
-        route.as_object_mut().unwrap().remove("service");
-        route["traffic_split"] = serde_json::json!([
-            {"service": "engines", "weight": 0.7}, {"service": "booking", "weight": 0.3},
-        ]);
-        fleet.store.configure(&Configuration(changed));
+        let mut changed = Configuration::sample(2, &KEYS);
+        changed.set_targets("brief", &[("engines", 0.7), ("booking", 0.3)]);
+        fleet.store.configure(&changed);
         wait_until("the configuration is applied", || {
             fleet.log(0).contains("\"version\":2,\"before\":1")
         });
@@ -377,13 +373,10 @@
         .set_read_timeout(Some(Duration::from_secs(8)))
         .unwrap();
     let exchange = |stream: &mut TcpStream, id: &str| {
-        let request = format!(
-            "POST /book/1 HTTP/1.1\r\nhost: {}\r\nx-attempt-id: {id}\r\nx-deadline-ms: 3000\r\n\
-             authorization: Bearer {}\r\ncontent-length: 0\r\n\r\n",
-            Configuration::host(),
-            KEYS[0]
-        );
-        stream.write_all(request.as_bytes())?;
+        let request = CallRequest::new(id, "/book/1", KEYS[0]);
+        let bytes = request.to_bytes(Configuration::host(), "HTTP/1.1");
+        let text = String::from_utf8_lossy(&bytes).replace("connection: close\r\n", "");
+        stream.write_all(text.as_bytes())?;
         let mut buffer = [0; 4_096];
         let read = stream.read(&mut buffer)?;
         Ok::<_, std::io::Error>(String::from_utf8_lossy(&buffer[..read]).into_owned())
@@ -392,9 +385,9 @@
         exchange(&mut stream, "idle-1").unwrap(),
         starts_with("HTTP/1.1 200")
     );
-    let Configuration(mut changed) = Configuration::sample(2, &KEYS);
-    changed["limits"]["idle_timeout_ms"] = 1_000.into();
-    fleet.store.configure(&Configuration(changed));
+    let mut changed = Configuration::sample(2, &KEYS);
+    changed.set_idle_timeout(Duration::from_secs(1));
+    fleet.store.configure(&changed);
     wait_until("the configuration is applied", || {
         fleet.log(0).contains("\"version\":2,\"before\":1")
     });
