Simulate requests that crash endpoints, beside sound calls

Callers saw all three endpoints of a service end within seconds, again and again, under one request that came back. The simulation has VMs, plain services and engines, retries, endpoints that come back under new names, lost datagrams and disturbed VMs, and holds the bounds of the rule. Its tests for requests fail: the quarantine knows sections of prompts only.

--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -60,6 +60,8 @@
 #[cfg(test)]
 mod placement_tests;
 #[cfg(test)]
+mod quarantine_sim_tests;
+#[cfg(test)]
 mod quarantine_tests;
 #[cfg(test)]
 mod shutdown_tests;
