--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -64,6 +64,8 @@
 #[cfg(test)]
 mod quarantine_tests;
 #[cfg(test)]
+mod quarantine_trials_tests;
+#[cfg(test)]
 mod shutdown_tests;
 #[cfg(test)]
 mod stale_vms_tests;
@@ -98,8 +100,10 @@
 pub use outcome::{AttemptCounts, NextStep, Outcome, Verdict, next_step, verdict};
 pub use placement::{GroupLoad, Placement, PlacementDecision, PlacementReason, PlacementRequest};
 pub use quarantine::{
-    AnswerRecord, CrashRecord, CutCall, HeldSection, HoldChange, HoldRecord, Passage, Quarantine,
-    QuarantineDigest, SURVIVAL_TIME,
+    AnswerRecord, CrashRecord, CutCall, HeldSubject, HoldChange, HoldRecord, Passage, Quarantine,
+    QuarantineDigest, RequestId, RequestParts, SURVIVAL_TIME, Subject, SubjectRecords,
+    TRIAL_REPLY_TIMEOUT, TRIAL_WAIT, TrialAsk, TrialEnded, TrialHome, TrialId, TrialMessage,
+    TrialOutcome, TrialReply, TrialTarget, TrialVerdict,
 };
 pub use shutdown::{Shutdown, ShutdownStage};
 pub use stale_vms::{StaleVmDetector, VmEntry};
--- a/crates/ingress/src/membership.rs
+++ b/crates/ingress/src/membership.rs
@@ -212,7 +212,7 @@
 
     /// Addresses to which the next heartbeat is sent; `draw` returns random numbers.
     pub fn receivers(&self, now: Time, mut draw: impl FnMut() -> u64) -> Vec<Ipv4Addr> {
-        if self.members.len() <= SMALL_CLUSTER {
+        if self.tells_all() {
             return self.members.keys().copied().collect();
         }
         let mut candidates: Vec<(u64, Ipv4Addr)> = self
@@ -225,6 +225,11 @@
         candidates.into_iter().map(|(_, ip)| ip).collect()
     }
 
+    /// Whether what this VM tells goes to all members, so that they needn't pass it on.
+    pub fn tells_all(&self) -> bool {
+        self.members.len() <= SMALL_CLUSTER
+    }
+
     /// Removes members that have been silent for a long time and returns their addresses.
     pub fn prune(&mut self, now: Time) -> Vec<Ipv4Addr> {
         let expired = |m: &Member| m.seq > 0 && now.since(m.last_seen) > MEMBER_EXPIRY;
--- a/crates/ingress/src/quarantine.rs
+++ b/crates/ingress/src/quarantine.rs
@@ -1,91 +1,120 @@
-//! Sections of prompts that crash every engine that begins an answer on them.
+//! Requests, and sections of prompts, that crash every endpoint that begins to run them.
 //!
-//! When an engine crashes, each VM reports the shared sections of the calls that it had on that
-//! engine and that had not run for long. Sound sections are answered elsewhere, which clears the
-//! crashes before; a section that crashes engines collects crashes and no answers, and is held: calls
-//! with it are refused before they reach an engine. Evidence in both directions and held sections are
-//! exchanged between all VMs.
+//! When an endpoint crashes, each VM reports the requests that it had open there, and the shared
+//! sections of their prompts. What is sound is answered elsewhere, which clears the crashes before; what
+//! crashes endpoints collects crashes and no answers, and is held: calls with it are kept back. Evidence
+//! in both directions and holds are exchanged between all VMs.
 //!
-//! A popular section is on many engines when these crash of a common cause. Therefore crashes at
-//! about the same time count once, a section that was answered not long before needs more evidence,
-//! and crashes that a held section explains count less against others.
-//!
-//! From time to time, one VM sends a call with a held section as a trial; if it is answered, the
-//! section is released on all VMs.
+//! Sound calls are on endpoints that crash, too, so a hold is no verdict. One VM, the home, grants trials;
+//! the first one at once. If the trial is answered, the subject is
+//! released on all VMs; if it is cut, the next one is granted much later.
 
 mod evidence;
 mod exchange;
 mod holds;
 mod records;
+mod subject;
+mod trials;
 
 pub use records::{
-    AnswerRecord, CrashRecord, CutCall, HeldSection, HoldChange, HoldRecord, Passage,
-    QuarantineDigest,
+    AnswerRecord, CrashRecord, CutCall, HeldSubject, HoldChange, HoldRecord, Passage,
+    QuarantineDigest, SubjectRecords,
+};
+pub use subject::{RequestId, RequestParts, Subject};
+pub use trials::{
+    TRIAL_REPLY_TIMEOUT, TRIAL_WAIT, TrialAsk, TrialEnded, TrialHome, TrialId, TrialMessage,
+    TrialOutcome, TrialReply, TrialTarget, TrialVerdict,
 };
 
 use core::time::Duration;
-use evidence::{ANSWER_TTL, Answered, Crash, Suspect};
+use evidence::{ANSWER_TTL, Answered, Crash, PROMPT_DEPTH, Suspect};
 use holds::{HOLD_IDLE_TTL, Hold};
 use poplarswitch_entity::Time;
 use std::collections::HashMap;
 
-/// Time after the beginning of an answer from which its sections count as sound, also if the answer
-/// is not complete; a section that crashes engines does so when its answer begins.
+/// Time after the beginning of an answer from which its subjects count as sound, also if the answer
+/// is not complete; a subject that crashes endpoints does so when its answer begins.
 pub const SURVIVAL_TIME: Duration = Duration::from_secs(1);
-/// Time for which a crash counts.
-const CRASH_TTL: Duration = Duration::from_mins(2);
 /// Interval at which expired evidence is removed.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
 
-/// The evidence on all sections, and the sections that are held.
+/// The evidence on all subjects, and those that are held.
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
-    suspects: HashMap<u64, Suspect>,
-    answered: HashMap<u64, Answered>,
-    held: HashMap<u64, Hold>,
-    /// Rotates the held sections over digests.
+    suspects: HashMap<Subject, Suspect>,
+    answered: HashMap<Subject, Answered>,
+    held: HashMap<Subject, Hold>,
+    /// Rotates the holds over digests.
     digests: usize,
+    /// Number of the last trial that this VM asked for.
+    serial: u32,
     expired_at: Time,
+    /// Latest crash that this VM has learned of.
+    last_crash: Time,
 }
 
 impl Quarantine {
     /// Records a call that was cut by a crash of its endpoint.
     pub fn record_crash(&mut self, now: Time, cut: &CutCall) -> Vec<HoldChange> {
-        for (depth, section) in cut.sections.iter().enumerate() {
-            let crash = Crash {
-                endpoint: cut.endpoint,
-                at: cut.at,
-                begun: cut.begun,
-                explained: false,
-                learned: now,
-            };
-            self.add_crash(*section, depth.min(usize::from(u8::MAX)) as u8, crash);
+        let CutCall {
+            endpoint,
+            at,
+            begun,
+            request,
+            sections,
+        } = cut;
+        let crash = Crash {
+            endpoint: *endpoint,
+            at: *at,
+            begun: *begun,
+            explained: false,
+            learned: now,
+        };
+        let request = request.map(Subject::Request);
+        if let Some(request) = request {
+            let depth = if sections.is_empty() { 0 } else { PROMPT_DEPTH };
+            self.add_crash(request, depth, crash);
+        }
+        // A held request explains the crashes of its trials.
+        if request.is_none_or(|request| !self.held.contains_key(&request)) {
+            for (depth, section) in sections.iter().enumerate() {
+                let depth = depth.min(usize::from(u8::MAX)) as u8;
+                self.add_crash(Subject::Section(*section), depth, crash);
+            }
         }
         self.hold_convicted(now)
     }
 
-    /// Records that an answer that began at `began` was written well on all its sections.
+    /// Records that an answer that began at `began` is complete, or has survived [`SURVIVAL_TIME`].
+    ///
+    /// An answer clears the crashes of sections before it began. Those of requests it clears up to now:
+    /// the request has run well beside them, and a short time decides between an answer and a crash.
     pub fn record_answer(
         &mut self,
         now: Time,
         began: Time,
-        sections: impl Iterator<Item = u64>,
+        subjects: impl Iterator<Item = Subject>,
     ) -> Vec<HoldChange> {
-        sections
-            .filter_map(|section| self.add_answer(now, section, began))
+        let clears_until = |subject| match subject {
+            Subject::Section(_) => began,
+            Subject::Request(_) => now,
+        };
+        subjects
+            .filter_map(|subject| self.add_answer(now, subject, clears_until(subject)))
             .collect()
     }
 
-    /// Removes what has expired; does nothing if called again soon.
-    pub fn expire(&mut self, now: Time) {
+    /// Removes what has expired, and holds subjects that have not been answered for a time after their
+    /// crashes. To be called several times a second.
+    pub fn expire(&mut self, now: Time) -> Vec<HoldChange> {
+        let changes = self.hold_convicted(now);
         if now.since(self.expired_at) < EXPIRY_INTERVAL {
-            return;
+            return changes;
         }
         self.expired_at = now;
-        for suspect in self.suspects.values_mut() {
-            suspect
-                .crashes
-                .retain(|crash| now.since(crash.at) < CRASH_TTL);
+        for (subject, suspect) in &mut self.suspects {
+            let ttl = subject.crash_ttl();
+            suspect.crashes.retain(|crash| now.since(crash.at) < ttl);
         }
         self.suspects
             .retain(|_, suspect| !suspect.crashes.is_empty());
@@ -93,9 +122,10 @@
             .retain(|_, answered| now.since(answered.began) < ANSWER_TTL);
         self.held
             .retain(|_, hold| now.since(hold.asked) < HOLD_IDLE_TTL);
+        changes
     }
 
-    /// Number of held sections.
+    /// Number of held subjects.
     pub fn held_count(&self) -> usize {
         self.held.len()
     }
--- a/crates/ingress/src/quarantine/exchange.rs
+++ b/crates/ingress/src/quarantine/exchange.rs
@@ -1,8 +1,9 @@
-//! Exchange of evidence and held sections with other VMs, and of held sections with the platform.
+//! Exchange of evidence and holds with other VMs, and of holds with the platform.
 
 use super::{
-    AnswerRecord, CrashRecord, HeldSection, HoldChange, HoldRecord, Quarantine, QuarantineDigest,
-    evidence::{ANSWER_NEWS_STEP, Crash},
+    AnswerRecord, CrashRecord, HeldSubject, HoldChange, HoldRecord, Quarantine, QuarantineDigest,
+    RequestId, Subject, SubjectRecords,
+    evidence::{ANSWER_NEWS_STEP, CLEARING_NEWS_STEP, Crash},
     holds::Hold,
 };
 use core::{cmp::Reverse, time::Duration};
@@ -10,21 +11,55 @@
 
 /// Time for which news is repeated to other VMs, which may lose datagrams.
 const NEWS_TIME: Duration = Duration::from_secs(2);
-/// Maximum number of records of each kind in one digest, which fits into one datagram.
+/// Maximum number of records of each sort in one digest, which fits into one datagram.
 const MAX_RECORDS: usize = 20;
+/// Time that a hold must last before the platform is told of it; most end with their first trial.
+const PLATFORM_DELAY: Duration = Duration::from_millis(300);
 
 impl Quarantine {
     /// What to tell other VMs.
     pub fn digest(&mut self, now: Time) -> QuarantineDigest {
-        let age = |at: Time| now.since(at).as_millis().min(u128::from(u32::MAX)) as u32;
-        let is_news = |learned: Time| now.since(learned) < NEWS_TIME;
-        let mut crashes: Vec<(u32, Time, CrashRecord)> = Vec::new();
-        for (section, suspect) in &self.suspects {
-            let weight = suspect.weight();
-            let news = suspect
+        let mut sections = SubjectRecords::default();
+        let mut requests = SubjectRecords::default();
+        for (subject, record) in self.crash_records(now) {
+            of_kind(subject, &mut sections, &mut requests)
                 .crashes
-                .iter()
-                .filter(|crash| is_news(crash.learned));
+                .push(record);
+        }
+        for (subject, record) in self.answer_records(now) {
+            of_kind(subject, &mut sections, &mut requests)
+                .answers
+                .push(record);
+        }
+        for (subject, record) in self.hold_records(now) {
+            of_kind(subject, &mut sections, &mut requests)
+                .holds
+                .push(record);
+        }
+        let SubjectRecords {
+            crashes,
+            answers,
+            holds,
+        } = sections;
+        QuarantineDigest {
+            crashes,
+            answers,
+            holds,
+            requests,
+        }
+    }
+
+    /// Recent crashes; those of the subjects with the most evidence first, so that the limit leaves out
+    /// bystanders.
+    fn crash_records(&self, now: Time) -> Vec<(Subject, CrashRecord)> {
+        let mut crashes = Vec::new();
+        for (subject, suspect) in &self.suspects {
+            let is_new = |crash: &&Crash| is_news(now, crash.learned);
+            if !suspect.crashes.iter().any(|crash| is_new(&crash)) {
+                continue;
+            }
+            let strength = self.strength(*subject, suspect);
+            let news = suspect.crashes.iter().filter(is_new);
             crashes.extend(news.map(|crash| {
                 let Crash {
                     endpoint,
@@ -33,117 +68,196 @@
                     learned,
                     ..
                 } = *crash;
-                let record = CrashRecord(*section, endpoint, age(at), begun, suspect.depth);
-                (weight, learned, record)
+                let age = age(now, at);
+                let record = CrashRecord(subject.id(), endpoint, age, begun, suspect.depth);
+                (strength, learned, *subject, record)
             }));
         }
-        // The sections with the most evidence first, so that a limit leaves out bystanders.
-        crashes.sort_unstable_by_key(|(weight, learned, record)| {
-            (Reverse(*weight), Reverse(*learned), record.0)
+        crashes.sort_unstable_by_key(|(strength, learned, subject, _)| {
+            (Reverse(*strength), Reverse(*learned), *subject)
         });
         crashes.truncate(MAX_RECORDS);
-        let mut answers: Vec<(Time, AnswerRecord)> = self
-            .answered
-            .iter()
-            .filter_map(|(section, answered)| {
-                let news = answered.news.filter(|news| is_news(*news))?;
-                Some((news, AnswerRecord(*section, age(answered.began))))
-            })
-            .collect();
-        answers.sort_unstable_by_key(|(news, record)| (Reverse(*news), record.0));
+        let records = crashes.into_iter();
+        records
+            .map(|(.., subject, record)| (subject, record))
+            .collect()
+    }
+
+    /// Recent answers, the newest first.
+    fn answer_records(&self, now: Time) -> Vec<(Subject, AnswerRecord)> {
+        let news = self.answered.iter().filter_map(|(subject, answered)| {
+            let news = answered.news.filter(|news| is_news(now, *news))?;
+            let record = AnswerRecord(subject.id(), age(now, answered.began));
+            Some((news, *subject, record))
+        });
+        let mut answers: Vec<(Time, Subject, AnswerRecord)> = news.collect();
+        answers.sort_unstable_by_key(|(news, subject, _)| (Reverse(*news), *subject));
         answers.truncate(MAX_RECORDS);
-        let mut holds: Vec<HoldRecord> = self
-            .held
-            .iter()
-            .map(|(section, hold)| {
-                HoldRecord(*section, age(hold.since), age(hold.asked), hold.trials)
-            })
-            .collect();
-        holds.sort_unstable_by_key(|record| record.0);
+        let records = answers.into_iter();
+        records
+            .map(|(_, subject, record)| (subject, record))
+            .collect()
+    }
+
+    /// Holds, others in each digest.
+    fn hold_records(&mut self, now: Time) -> Vec<(Subject, HoldRecord)> {
+        let holds = self.held.iter().map(|(subject, hold)| {
+            let (since, asked) = (age(now, hold.since), age(now, hold.asked));
+            let record = HoldRecord(subject.id(), since, asked, hold.told_trials(now));
+            (*subject, record)
+        });
+        let mut holds: Vec<(Subject, HoldRecord)> = holds.collect();
+        holds.sort_unstable_by_key(|(subject, _)| *subject);
         if !holds.is_empty() {
             let start = self.digests * MAX_RECORDS % holds.len();
             holds.rotate_left(start);
             holds.truncate(MAX_RECORDS);
         }
         self.digests = self.digests.wrapping_add(1);
-        QuarantineDigest {
-            crashes: crashes.into_iter().map(|(_, _, record)| record).collect(),
-            answers: answers.into_iter().map(|(_, record)| record).collect(),
-            holds,
-        }
+        holds
     }
 
-    /// Merges what another VM told; returns whether anything was new, and the changes of held
-    /// sections.
+    /// Merges what another VM told; returns whether anything was new, and the changes of holds.
     pub fn merge(&mut self, now: Time, digest: &QuarantineDigest) -> (bool, Vec<HoldChange>) {
-        let at = |age: u32| Time(now.0.saturating_sub(u64::from(age) * 1_000));
-        let mut is_new = false;
+        let QuarantineDigest {
+            crashes,
+            answers,
+            holds,
+            requests,
+        } = digest;
+        let request = |id: u64| Subject::Request(RequestId(id));
         let mut changes = Vec::new();
-        for AnswerRecord(section, age) in &digest.answers {
-            let began = at(*age);
-            let known = self.answered.get(section);
+        let mut is_new = self.merge_answers(now, Subject::Section, answers, &mut changes);
+        is_new |= self.merge_answers(now, request, &requests.answers, &mut changes);
+        is_new |= self.merge_crashes(now, Subject::Section, crashes);
+        is_new |= self.merge_crashes(now, request, &requests.crashes);
+        is_new |= self.merge_holds(now, Subject::Section, holds, &mut changes);
+        is_new |= self.merge_holds(now, request, &requests.holds, &mut changes);
+        changes.extend(self.release_cleared(now));
+        changes.extend(self.hold_convicted(now));
+        (is_new, changes)
+    }
+
+    fn merge_answers(
+        &mut self,
+        now: Time,
+        subject: impl Fn(u64) -> Subject,
+        answers: &[AnswerRecord],
+        changes: &mut Vec<HoldChange>,
+    ) -> bool {
+        let mut is_new = false;
+        for AnswerRecord(id, age) in answers {
+            let subject = subject(*id);
+            let began = time_of(now, *age);
+            let known = self.answered.get(&subject);
             // The transit adds to the age, so a record that comes back must not count as a later
             // answer.
-            if known.is_none_or(|known| began > known.began + ANSWER_NEWS_STEP) {
+            let suspect = self.suspects.get(&subject);
+            let clears = suspect.is_some_and(|suspect| suspect.has_crash_before(began));
+            let step = if clears {
+                CLEARING_NEWS_STEP
+            } else {
+                ANSWER_NEWS_STEP
+            };
+            if known.is_none_or(|known| began > known.began + step) {
                 is_new = true;
-                changes.extend(self.add_answer(now, *section, began));
+                changes.extend(self.add_answer(now, subject, began));
             }
         }
-        for CrashRecord(section, endpoint, age, begun, depth) in &digest.crashes {
+        is_new
+    }
+
+    fn merge_crashes(
+        &mut self,
+        now: Time,
+        subject: impl Fn(u64) -> Subject,
+        crashes: &[CrashRecord],
+    ) -> bool {
+        let mut is_new = false;
+        for CrashRecord(id, endpoint, age, begun, depth) in crashes {
             let crash = Crash {
                 endpoint: *endpoint,
-                at: at(*age),
+                at: time_of(now, *age),
                 begun: *begun,
                 explained: false,
                 learned: now,
             };
-            is_new |= self.add_crash(*section, *depth, crash);
+            is_new |= self.add_crash(subject(*id), *depth, crash);
         }
-        for HoldRecord(section, age, idle, trials) in &digest.holds {
-            let hold = Hold {
-                since: at(*age),
-                asked: at(*idle),
-                trials: *trials,
-            };
-            let change = self.add_hold(now, *section, hold);
+        is_new
+    }
+
+    fn merge_holds(
+        &mut self,
+        now: Time,
+        subject: impl Fn(u64) -> Subject,
+        holds: &[HoldRecord],
+        changes: &mut Vec<HoldChange>,
+    ) -> bool {
+        let mut is_new = false;
+        for HoldRecord(id, age, idle, trials) in holds {
+            let mut hold = Hold::new(now, time_of(now, *age), *trials);
+            hold.asked = time_of(now, *idle);
+            let change = self.add_hold(now, subject(*id), hold);
             is_new |= change.is_some();
             changes.extend(change);
         }
-        changes.extend(self.hold_convicted(now));
-        (is_new, changes)
+        is_new
     }
 
-    /// Held sections for the platform, in the order of their identifiers; `unix_ms` is the current
-    /// Unix time in milliseconds.
-    pub fn held_sections(&self, now: Time, unix_ms: u64) -> Vec<HeldSection> {
+    /// Holds for the platform, in the order of their subjects; `unix_ms` is the current Unix time in
+    /// milliseconds.
+    pub fn held_subjects(&self, now: Time, unix_ms: u64) -> Vec<HeldSubject> {
         let at = |time: Time| unix_ms.saturating_sub(now.since(time).as_millis() as u64);
-        let sections = self.held.iter().map(|(section, hold)| HeldSection {
-            section: *section,
+        let lasting = self.held.iter();
+        let lasting = lasting.filter(|(_, hold)| now.since(hold.learned) >= PLATFORM_DELAY);
+        let subjects = lasting.map(|(subject, hold)| HeldSubject {
+            subject: *subject,
             since_ms: at(hold.since),
             asked_ms: at(hold.asked),
             trials: hold.trials,
         });
-        let mut sections: Vec<HeldSection> = sections.collect();
-        sections.sort_unstable_by_key(|held| held.section);
-        sections
+        let mut subjects: Vec<HeldSubject> = subjects.collect();
+        subjects.sort_unstable_by_key(|held| held.subject);
+        subjects
     }
 
-    /// Takes in held sections that were read from the platform.
+    /// Takes in holds that were read from the platform.
     pub fn restore(
         &mut self,
         now: Time,
         unix_ms: u64,
-        sections: &[HeldSection],
+        subjects: &[HeldSubject],
     ) -> Vec<HoldChange> {
         let at = |millis: u64| now - Duration::from_millis(unix_ms.saturating_sub(millis));
-        let holds = sections.iter().filter_map(|held| {
-            let hold = Hold {
-                since: at(held.since_ms),
-                asked: at(held.asked_ms),
-                trials: held.trials,
-            };
-            self.add_hold(now, held.section, hold)
+        let holds = subjects.iter().filter_map(|held| {
+            let mut hold = Hold::new(now, at(held.since_ms), held.trials);
+            hold.asked = at(held.asked_ms);
+            self.add_hold(now, held.subject, hold)
         });
         holds.collect()
     }
 }
+
+const fn of_kind<'a>(
+    subject: Subject,
+    sections: &'a mut SubjectRecords,
+    requests: &'a mut SubjectRecords,
+) -> &'a mut SubjectRecords {
+    match subject {
+        Subject::Section(_) => sections,
+        Subject::Request(_) => requests,
+    }
+}
+
+fn age(now: Time, at: Time) -> u32 {
+    now.since(at).as_millis().min(u128::from(u32::MAX)) as u32
+}
+
+fn is_news(now: Time, learned: Time) -> bool {
+    now.since(learned) < NEWS_TIME
+}
+
+const fn time_of(now: Time, age: u32) -> Time {
+    Time(now.0.saturating_sub(age as u64 * 1_000))
+}
--- a/crates/ingress/src/quarantine/holds.rs
+++ b/crates/ingress/src/quarantine/holds.rs
@@ -1,19 +1,16 @@
-//! Held sections of prompts: which calls they keep back, when one is sent as a trial, and which sections
-//! are held next.
+//! Held subjects: which ones are held next, and those that other VMs hold.
 
-use super::{HoldChange, Passage, Quarantine, evidence::UNKNOWN_SPAN};
+use super::{
+    HoldChange, Quarantine, Subject,
+    evidence::REQUEST_LIMIT,
+    trials::{Pause, RunningTrial},
+};
 use core::time::Duration;
 use poplarswitch_entity::Time;
 
-/// Time after which the first call with a held section is sent as a trial.
-const FIRST_TRIAL: Duration = Duration::from_secs(30);
-/// Factor between the times of successive trials.
-const TRIAL_FACTOR: u32 = 4;
-/// Maximum number of trials that increase the time until the next one.
-const MAX_TRIAL_EXPONENT: u8 = 6;
-/// Maximum number of sections that are held.
+/// Maximum number of subjects of each kind that are held.
 const MAX_HELD: usize = 256;
-/// Time after which a held section that no call has asked for is forgotten.
+/// Time after which a held subject that no call has asked for is forgotten.
 pub(super) const HOLD_IDLE_TTL: Duration = Duration::from_mins(30);
 
 #[derive(Clone, Copy, Debug)]
@@ -21,63 +18,51 @@
     /// Last crash before it was held; an answer that began later releases it.
     pub(super) since: Time,
     pub(super) asked: Time,
+    /// When this VM began to hold it.
+    pub(super) learned: Time,
+    /// Trials that count.
     pub(super) trials: u8,
+    /// Trials within a short time after the third crash, at the home.
+    pub(super) early: u8,
+    pub(super) last_trial: Time,
+    /// Software version at the last trial; 0 if unknown.
+    pub(super) version: u64,
+    pub(super) running: Option<RunningTrial>,
+    /// Until when this VM doesn't ask for a trial, and why.
+    pub(super) pause: Option<(Time, Pause)>,
 }
 
 impl Hold {
-    pub(super) fn next_trial(&self) -> Time {
-        self.since + FIRST_TRIAL * TRIAL_FACTOR.pow(u32::from(self.trials.min(MAX_TRIAL_EXPONENT)))
+    pub(super) const fn new(now: Time, since: Time, trials: u8) -> Self {
+        Self {
+            since,
+            asked: now,
+            learned: now,
+            trials,
+            early: 0,
+            last_trial: since,
+            version: 0,
+            running: None,
+            pause: None,
+        }
     }
 }
 
 impl Quarantine {
-    /// Decides whether a call with the given shared sections may be sent. `is_home` tells whether
-    /// this VM sends the trials of a section.
-    pub fn check(
-        &mut self,
-        now: Time,
-        sections: impl Iterator<Item = u64>,
-        is_home: impl Fn(u64) -> bool,
-    ) -> Passage {
-        if self.held.is_empty() {
-            return Passage::Free;
-        }
-        let mut passage = Passage::Free;
-        for section in sections {
-            let Some(hold) = self.held.get_mut(&section) else {
-                continue;
-            };
-            hold.asked = now;
-            let next_trial = hold.next_trial();
-            if now < next_trial || !is_home(section) || passage != Passage::Free {
-                let retry_after = next_trial.since(now).max(UNKNOWN_SPAN);
-                return Passage::Held {
-                    section,
-                    retry_after,
-                };
-            }
-            passage = Passage::Trial(section);
-        }
-        if let Passage::Trial(section) = passage
-            && let Some(hold) = self.held.get_mut(&section)
-        {
-            hold.trials = hold.trials.saturating_add(1);
-        }
-        passage
+    /// Whether a subject of a call is held, without counting the call.
+    pub fn is_held(&self, mut subjects: impl Iterator<Item = Subject>) -> Option<Subject> {
+        subjects.find(|subject| self.held.contains_key(subject))
     }
 
-    /// Whether a section of a call is held, without counting the call.
-    pub fn is_held(&self, mut sections: impl Iterator<Item = u64>) -> Option<u64> {
-        sections.find(|section| self.held.contains_key(section))
-    }
-
-    /// Adds a section that another VM holds.
-    pub(super) fn add_hold(&mut self, now: Time, section: u64, hold: Hold) -> Option<HoldChange> {
-        let convicted = self
-            .suspects
-            .get(&section)
-            .is_some_and(|suspect| self.is_convicted(section, suspect));
-        if let Some(answered) = self.answered.get_mut(&section)
+    /// Adds a subject that another VM holds, unless it was answered here.
+    pub(super) fn add_hold(
+        &mut self,
+        now: Time,
+        subject: Subject,
+        hold: Hold,
+    ) -> Option<HoldChange> {
+        let convicted = hold.trials > 0 || self.is_suspect_convicted(now, subject);
+        if let Some(answered) = self.answered.get_mut(&subject)
             && (answered.began > hold.since || !convicted)
         {
             // The other VM has not heard of the answer.
@@ -87,56 +72,102 @@
         if now.since(hold.asked) >= HOLD_IDLE_TTL {
             return None;
         }
-        if let Some(known) = self.held.get_mut(&section) {
+        self.insert_hold(subject, hold)
+    }
+
+    /// Inserts a hold, or merges it with the one that is known.
+    pub(super) fn insert_hold(&mut self, subject: Subject, hold: Hold) -> Option<HoldChange> {
+        if let Some(known) = self.held.get_mut(&subject) {
             known.since = known.since.min(hold.since);
             known.asked = known.asked.max(hold.asked);
             known.trials = known.trials.max(hold.trials);
             return None;
         }
-        if self.held.len() >= MAX_HELD {
+        if !self.make_room(subject) {
             return None;
         }
-        self.held.insert(section, hold);
-        self.mark_explained(section);
-        let crashes = self.suspects.get(&section);
+        self.held.insert(subject, hold);
+        self.mark_explained(subject);
+        let crashes = self.suspects.get(&subject);
         Some(HoldChange::Held {
-            section,
+            subject,
             crashes: crashes.map_or(0, |suspect| suspect.crashes.len()),
             remote: true,
         })
     }
 
-    /// Holds the sections whose evidence suffices, one at a time: each one explains crashes.
+    /// Makes room for a hold of the same kind; returns whether there is any. Requests give way if they
+    /// have had no trial, those first that no call has asked for lately.
+    fn make_room(&mut self, subject: Subject) -> bool {
+        let is_request = matches!(subject, Subject::Request(_));
+        let same = self
+            .held
+            .iter()
+            .filter(|(held, _)| held.is_same_kind(subject));
+        if same.clone().count() < MAX_HELD {
+            return true;
+        }
+        let idle = same
+            .filter(|(_, hold)| is_request && hold.trials == 0)
+            .min_by_key(|(held, hold)| (hold.asked, **held))
+            .map(|(held, _)| *held);
+        idle.is_some_and(|idle| {
+            self.suspects.remove(&idle);
+            self.held.remove(&idle).is_some()
+        })
+    }
+
+    /// Holds the subjects whose evidence suffices, one at a time: each one explains crashes.
     pub(super) fn hold_convicted(&mut self, now: Time) -> Vec<HoldChange> {
         let mut changes = Vec::new();
-        while self.held.len() < MAX_HELD {
+        loop {
             let convicted = self
                 .suspects
                 .iter()
-                .filter(|(section, suspect)| {
-                    !self.held.contains_key(section) && self.is_convicted(**section, suspect)
+                .filter(|(subject, suspect)| {
+                    // Most suspects have been on one endpoint that crashed.
+                    suspect.crashes.len() >= REQUEST_LIMIT as usize
+                        && !self.held.contains_key(subject)
+                        && self.is_convicted(now, **subject, suspect)
                 })
-                .max_by_key(|(section, suspect)| {
-                    let unanswered = !self.answered.contains_key(section);
-                    (unanswered, suspect.weight(), suspect.depth, **section)
+                .max_by_key(|(subject, suspect)| {
+                    let unanswered = !self.answered.contains_key(subject);
+                    let strength = self.strength(**subject, suspect);
+                    (unanswered, strength, suspect.depth, **subject)
                 });
-            let Some((&section, suspect)) = convicted else {
+            let Some((&subject, suspect)) = convicted else {
                 break;
             };
             let crashes = suspect.crashes.len();
-            let hold = Hold {
-                since: suspect.crashes.last().map_or(now, |crash| crash.at),
-                asked: now,
-                trials: 0,
-            };
-            self.held.insert(section, hold);
-            self.mark_explained(section);
+            let since = suspect.crashes.last().map_or(now, |crash| crash.at);
+            if !self.make_room(subject) {
+                break;
+            }
+            self.held.insert(subject, Hold::new(now, since, 0));
+            self.mark_explained(subject);
             changes.push(HoldChange::Held {
-                section,
+                subject,
                 crashes,
                 remote: false,
             });
         }
         changes
     }
+
+    /// Releases the subjects that this VM would no longer hold now that it knows of their answers,
+    /// and that have had no trial.
+    pub(super) fn release_cleared(&mut self, now: Time) -> Vec<HoldChange> {
+        let cleared = self.held.iter().filter(|(subject, hold)| {
+            hold.trials == 0
+                && self.answered.contains_key(subject)
+                && self.suspects.contains_key(subject)
+                && !self.is_suspect_convicted(now, **subject)
+        });
+        let cleared: Vec<Subject> = cleared.map(|(subject, _)| *subject).collect();
+        let release = |subject| {
+            self.held.remove(&subject);
+            HoldChange::Released { subject }
+        };
+        cleared.into_iter().map(release).collect()
+    }
 }
--- a/crates/ingress/src/quarantine/records.rs
+++ b/crates/ingress/src/quarantine/records.rs
@@ -1,13 +1,17 @@
-//! What VMs tell each other and the platform about sections of prompts, and the decisions about calls.
+//! What VMs tell each other and the platform about subjects, and the decisions about calls.
+//!
+//! Records of sections have the form that VMs of earlier versions read; those of requests are in a
+//! field of their own, which such VMs pass over.
 
+use super::{RequestId, Subject, TrialAsk, TrialId};
 use core::time::Duration;
 use poplarswitch_entity::Time;
 use serde::{Deserialize, Serialize};
 
-/// A crash of an endpoint while a call with a section was on it.
+/// A crash of an endpoint while a call with a subject was on it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashRecord(
-    /// Section.
+    /// Section or request.
     pub u64,
     /// Hash of the endpoint's name.
     pub u32,
@@ -15,46 +19,64 @@
     pub u32,
     /// Whether an answer had begun.
     pub bool,
-    /// Position of the section in its prompt.
+    /// Position of the section in its prompt; of a request, 1 if it has a prompt and 0 if not.
     pub u8,
 );
 
-/// An answer on a section that was written well.
+/// An answer on a subject that was written well.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AnswerRecord(
-    /// Section.
+    /// Section or request.
     pub u64,
     /// Time since the answer began, in milliseconds.
     pub u32,
 );
 
-/// A held section.
+/// A held subject.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HoldRecord(
-    /// Section.
+    /// Section or request.
     pub u64,
     /// Time since the last crash before it was held, in milliseconds.
     pub u32,
     /// Time since a call last asked for it, in milliseconds.
     pub u32,
-    /// Number of trials.
+    /// Number of trials that count.
     pub u8,
 );
 
-/// A held section in the platform, with times that outlive a process.
+/// A held subject in the platform, with times that outlive a process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct HeldSection {
-    /// Section.
-    pub section: u64,
+pub struct HeldSubject {
+    /// Section or request.
+    pub subject: Subject,
     /// Last crash before it was held, in Unix milliseconds.
     pub since_ms: u64,
     /// When a call last asked for it, in Unix milliseconds.
     pub asked_ms: u64,
-    /// Number of trials.
+    /// Number of trials that count.
     pub trials: u8,
 }
 
-/// What a VM tells others about sections.
+/// What a VM tells others about the subjects of one kind.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SubjectRecords {
+    /// Crashes that this VM has learned of recently.
+    pub crashes: Vec<CrashRecord>,
+    /// Answers that clear crashes.
+    pub answers: Vec<AnswerRecord>,
+    /// Held subjects.
+    pub holds: Vec<HoldRecord>,
+}
+
+impl SubjectRecords {
+    /// Whether there is nothing to tell.
+    pub const fn is_empty(&self) -> bool {
+        self.crashes.is_empty() && self.answers.is_empty() && self.holds.is_empty()
+    }
+}
+
+/// What a VM tells others about subjects; the first three fields are of sections.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct QuarantineDigest {
     /// Crashes that this VM has learned of recently.
@@ -63,12 +85,18 @@
     pub answers: Vec<AnswerRecord>,
     /// Held sections.
     pub holds: Vec<HoldRecord>,
+    /// The same of requests.
+    #[serde(default, skip_serializing_if = "SubjectRecords::is_empty")]
+    pub requests: SubjectRecords,
 }
 
 impl QuarantineDigest {
     /// Whether there is nothing to tell.
     pub const fn is_empty(&self) -> bool {
-        self.crashes.is_empty() && self.answers.is_empty() && self.holds.is_empty()
+        self.crashes.is_empty()
+            && self.answers.is_empty()
+            && self.holds.is_empty()
+            && self.requests.is_empty()
     }
 }
 
@@ -81,40 +109,52 @@
     pub at: Time,
     /// Whether its answer had begun.
     pub begun: bool,
+    /// The request; none if it isn't to be tracked.
+    pub request: Option<RequestId>,
     /// Its sections that other calls may share, in order.
     pub sections: Vec<u64>,
 }
 
-/// A change of the set of held sections.
+/// A change of the set of held subjects.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum HoldChange {
-    /// The section is held from now on.
+    /// The subject is held from now on.
     Held {
-        /// Section.
-        section: u64,
+        /// Subject.
+        subject: Subject,
         /// Crashes that count.
         crashes: usize,
         /// Whether another VM decided this.
         remote: bool,
     },
-    /// The section is not held any more.
+    /// The subject is not held any more.
     Released {
-        /// Section.
-        section: u64,
+        /// Subject.
+        subject: Subject,
     },
 }
 
 /// Whether a call may be sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Passage {
-    /// None of its sections is held.
+    /// None of its subjects is held.
     Free,
-    /// It is the trial of a held section.
-    Trial(u64),
-    /// A section is held.
+    /// It is the trial of a held subject; its end is to be told with this identifier.
+    Trial(TrialId),
+    /// The home decides.
+    Ask(TrialAsk),
+    /// A trial is running, or its grant is awaited. The call is to ask again when the subject is
+    /// released, and then at the latest; it is refused [`super::TRIAL_WAIT`] after its first wait.
+    Wait {
+        /// Subject.
+        subject: Subject,
+        /// When to ask again.
+        until: Time,
+    },
+    /// A subject is held.
     Held {
-        /// Section.
-        section: u64,
+        /// Subject.
+        subject: Subject,
         /// Time until its next trial.
         retry_after: Duration,
     },
--- /dev/null
+++ b/crates/ingress/src/quarantine/trials.rs
@@ -0,0 +1,544 @@
+//! Trials of held subjects: one call is sent to find out whether a subject still crashes endpoints.
+//!
+//! The home, one of the VMs that are alive, grants trials to itself and to other VMs, one at a time for
+//! each subject, and few at a time for each service: one that is cut beside another shows nothing. The first one is granted at once: most subjects that are held were beside a crash
+//! that another one caused. Each further trial of a subject that crashes endpoints costs one, so they are
+//! rare and their number is limited; crashes soon after the third one are not avoidable anyway.
+
+use super::{HoldChange, Passage, Quarantine, Subject, evidence::Suspect, holds::Hold};
+use core::time::Duration;
+use poplarswitch_entity::Time;
+use serde::{Deserialize, Serialize};
+
+/// Time limit for the home's reply; a call that waits for it may have a latency objective of 100 ms.
+pub const TRIAL_REPLY_TIMEOUT: Duration = Duration::from_millis(80);
+/// Times from the last crash before a subject was held to its trials after the first one.
+const TRIAL_DELAYS: [Duration; 5] = [
+    Duration::from_secs(30),
+    Duration::from_secs(150),
+    Duration::from_hours(1),
+    Duration::from_hours(4),
+    Duration::from_hours(16),
+];
+/// Maximum number of counted trials with which a new software version brings the next one forward.
+const MAX_VERSION_TRIALS: u8 = 2;
+/// Time after the third crash in which trials are not counted; shorter than the time within which all
+/// VMs in touch have to know of a subject.
+const EARLY_TIME: Duration = Duration::from_millis(2_500);
+/// Time between trials within [`EARLY_TIME`].
+const EARLY_DELAY: Duration = Duration::from_millis(600);
+/// Maximum number of trials that are not counted, of a subject that was answered recently.
+const MAX_EARLY: u8 = 3;
+/// Time without a crash after which a subject that was answered recently has its next trials, which a
+/// crash of another cause is not likely to cut.
+const CALM_TIME: Duration = Duration::from_millis(2_500);
+/// Longest time for which such a trial waits for calm.
+const MAX_CALM_WAIT: Duration = Duration::from_secs(8);
+/// Time after the third crash from which further crashes count as trials.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+/// Time since a call asked for a subject in which its first trial goes before those of others.
+const FIRST_ASK_TIME: Duration = Duration::from_secs(1);
+/// Time for which the grant of a trial is not told to others.
+const GRANT_NEWS_DELAY: Duration = Duration::from_millis(300);
+/// Time after which a trial without an outcome is lost.
+const TRIAL_TTL: Duration = Duration::from_secs(10);
+/// Number of endpoints of a service for each trial that may run there beside another one.
+const ENDPOINTS_PER_TRIAL: u16 = 6;
+/// Time for which a call may wait for the outcome of trials, counted from its first wait; longer than
+/// [`super::SURVIVAL_TIME`] and the messages before and after it.
+pub const TRIAL_WAIT: Duration = Duration::from_millis(1_500);
+/// Time after which a VM asks again while a trial is running, or without a reply.
+const RUNNING_DELAY: Duration = Duration::from_millis(100);
+/// Longest time after which a VM asks again.
+const MAX_ASK_DELAY: Duration = Duration::from_secs(1);
+/// Time after which a caller may come back if there is no home, or another one.
+const UNANSWERED_DELAY: Duration = Duration::from_millis(300);
+
+/// The VM that grants trials, as seen by this VM.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TrialHome {
+    /// This VM.
+    Local,
+    /// Another VM.
+    Other,
+    /// None: this VM can't tell, since it is in contact with half of the VMs or fewer.
+    Nobody,
+}
+
+/// Identifies a trial together with the VM that asked for it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TrialId {
+    /// Subject.
+    pub subject: Subject,
+    /// Number of the trial, by the VM that asked.
+    pub serial: u32,
+}
+
+/// The service that a call goes to, as it bears on trials.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TrialTarget {
+    /// Hash of its name.
+    pub service: u64,
+    /// Number of its endpoints that are up, which limits the trials that run there at a time.
+    pub endpoints: u16,
+    /// Hash of the software version that all its endpoints run; 0 while they differ.
+    pub version: u64,
+}
+
+/// Asks the home for a trial.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TrialAsk {
+    /// Number of the trial, by the VM that asks.
+    pub serial: u32,
+    /// Subject.
+    pub subject: Subject,
+    /// Time since the last crash before it was held, in milliseconds.
+    pub since_ms: u32,
+    /// Number of trials that count.
+    pub trials: u8,
+    /// Service that the call goes to.
+    pub target: TrialTarget,
+}
+
+impl TrialAsk {
+    /// Identifier of the trial that is asked for.
+    pub const fn id(&self) -> TrialId {
+        TrialId {
+            subject: self.subject,
+            serial: self.serial,
+        }
+    }
+}
+
+/// The home's decision.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum TrialVerdict {
+    /// The call may be sent as a trial.
+    Granted,
+    /// Another trial is running.
+    Running,
+    /// The next trial is due after this many milliseconds.
+    Later(u32),
+    /// The subject was answered well after it was held, this many milliseconds ago.
+    Answered(u32),
+}
+
+/// Replies to a [`TrialAsk`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TrialReply {
+    /// Number of the trial that was asked for.
+    pub serial: u32,
+    /// Subject.
+    pub subject: Subject,
+    /// Decision.
+    pub verdict: TrialVerdict,
+}
+
+/// How a trial ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum TrialOutcome {
+    /// Its answer is complete, or has survived [`super::SURVIVAL_TIME`].
+    Answered,
+    /// Its endpoint crashed, or it failed in another way after it may have run.
+    Cut,
+    /// It was not sent.
+    Unsent,
+}
+
+/// Tells the home how a trial ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TrialEnded {
+    /// Number of the trial, by the VM that asked.
+    pub serial: u32,
+    /// Subject.
+    pub subject: Subject,
+    /// Outcome.
+    pub outcome: TrialOutcome,
+}
+
+/// A datagram between a VM and the home of a subject.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum TrialMessage {
+    /// Asks for a trial.
+    TrialAsk(TrialAsk),
+    /// Replies to that.
+    TrialReply(TrialReply),
+    /// Tells how a trial ended.
+    TrialEnded(TrialEnded),
+}
+
+/// A granted trial, at the subject's home.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct RunningTrial {
+    /// Other VM that asked, if any, and the asking VM's number of the trial.
+    key: (Option<u32>, u32),
+    service: u64,
+    granted: Time,
+    /// Counts of the hold before the grant, which one that is not sent restores.
+    before: (u8, u8),
+}
+
+/// Why a VM doesn't ask again yet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Pause {
+    /// A reply, or the outcome of a trial, is awaited.
+    Outcome,
+    /// The next trial is due then.
+    Due(Time),
+}
+
+/// Crashes of a subject as they bear on its trials.
+#[derive(Clone, Copy, Debug, Default)]
+struct History {
+    /// When it was the third endpoint that crashed, or the fifth one of a section.
+    known: Option<Time>,
+    /// Crashes later than [`CONTACT_TIME`] after that.
+    late: u8,
+}
+
+impl History {
+    fn new(subject: Subject, suspect: &Suspect) -> Self {
+        let known = suspect.crashes.get(subject.known_crashes() - 1);
+        let known = known.map(|crash| crash.at);
+        let late = known.map_or(0, |known| {
+            let crashes = suspect.crashes.iter();
+            crashes
+                .filter(|crash| crash.at > known + CONTACT_TIME)
+                .count()
+        });
+        Self {
+            known,
+            late: late.min(usize::from(u8::MAX)) as u8,
+        }
+    }
+
+    fn is_early(&self, now: Time) -> bool {
+        self.known.is_none_or(|known| now < known + EARLY_TIME)
+    }
+}
+
+/// What bears on the trials of a subject beside its own crashes.
+#[derive(Clone, Copy, Debug)]
+struct TrialState {
+    is_answered: bool,
+    /// Whether it would not be held any more, for what is known of others.
+    is_explained: bool,
+    /// End of the time after the last crash of any endpoint.
+    calm_from: Time,
+    version: u64,
+}
+
+impl Hold {
+    /// Number of trials that other VMs are told of. A trial that has just been granted may be given
+    /// back, but no number that others know can be taken back.
+    pub(super) fn told_trials(&self, now: Time) -> u8 {
+        let granted = self.running;
+        let granted = granted.filter(|running| now.since(running.granted) < GRANT_NEWS_DELAY);
+        granted.map_or(self.trials, |running| running.before.0)
+    }
+
+    fn repeats_early(&self, now: Time, history: &History, is_answered: bool) -> bool {
+        let is_early = history.known.is_some() && history.is_early(now);
+        self.trials == 1 && is_early && is_answered && self.early < MAX_EARLY
+    }
+
+    /// When the next trial is due.
+    fn next_trial(&self, now: Time, history: &History, state: TrialState) -> Time {
+        let TrialState {
+            is_answered,
+            is_explained,
+            calm_from,
+            version,
+        } = state;
+        let is_new = version != 0 && self.version != 0 && version != self.version;
+        let last = self.last_trial;
+        let delay = |index: u8| {
+            let index = usize::from(index).min(TRIAL_DELAYS.len() - 1);
+            self.since + TRIAL_DELAYS[index]
+        };
+        match self.trials {
+            0 => now,
+            1..=MAX_VERSION_TRIALS if is_new => now,
+            1 if self.repeats_early(now, history, is_answered) => last + EARLY_DELAY,
+            1 | 2 if is_explained => last + EARLY_DELAY,
+            1 | 2 if is_answered => calm_from.max(last + CALM_TIME).min(last + MAX_CALM_WAIT),
+            trials => delay(trials - 1),
+        }
+    }
+}
+
+impl Quarantine {
+    /// Decides whether a call with the given subjects may be sent. `home` is the VM that grants trials,
+    /// one for all subjects.
+    pub fn check(
+        &mut self,
+        now: Time,
+        subjects: impl Iterator<Item = Subject>,
+        home: TrialHome,
+        target: TrialTarget,
+    ) -> Passage {
+        if self.held.is_empty() {
+            return Passage::Free;
+        }
+        let mut found = None;
+        for subject in subjects {
+            let Some(hold) = self.held.get_mut(&subject) else {
+                continue;
+            };
+            hold.asked = now;
+            if found.replace(subject).is_some() {
+                // A trial of two subjects would show nothing of either.
+                return Passage::Held {
+                    subject,
+                    retry_after: MAX_ASK_DELAY,
+                };
+            }
+        }
+        found.map_or(Passage::Free, |subject| {
+            self.check_held(now, subject, home, target)
+        })
+    }
+
+    fn check_held(
+        &mut self,
+        now: Time,
+        subject: Subject,
+        home: TrialHome,
+        target: TrialTarget,
+    ) -> Passage {
+        let Some(hold) = self.held.get_mut(&subject) else {
+            return Passage::Free;
+        };
+        if let Some((until, pause)) = hold.pause
+            && now < until
+        {
+            return hold_back(now, subject, until, pause);
+        }
+        self.serial = self.serial.wrapping_add(1);
+        let serial = self.serial;
+        match home {
+            TrialHome::Nobody => Passage::Held {
+                subject,
+                retry_after: UNANSWERED_DELAY,
+            },
+            TrialHome::Other => {
+                hold.pause = Some((now + TRIAL_REPLY_TIMEOUT, Pause::Outcome));
+                Passage::Ask(TrialAsk {
+                    serial,
+                    subject,
+                    since_ms: millis(now.since(hold.since)),
+                    trials: hold.trials,
+                    target,
+                })
+            }
+            TrialHome::Local => {
+                let verdict = self.decide(now, subject, (None, serial), target);
+                self.apply(now, TrialId { subject, serial }, Some(verdict))
+                    .0
+            }
+        }
+    }
+
+    /// Takes in the home's reply to a request for a trial, or that there was none in time; then the
+    /// home is to be told that the trial was not sent.
+    pub fn finish_ask(
+        &mut self,
+        now: Time,
+        id: TrialId,
+        reply: Option<TrialVerdict>,
+    ) -> (Passage, Option<HoldChange>) {
+        self.apply(now, id, reply)
+    }
+
+    fn apply(
+        &mut self,
+        now: Time,
+        id: TrialId,
+        verdict: Option<TrialVerdict>,
+    ) -> (Passage, Option<HoldChange>) {
+        let subject = id.subject;
+        let mut change = None;
+        if let Some(TrialVerdict::Answered(age)) = verdict {
+            let age = Duration::from_millis(u64::from(age));
+            change = self.add_answer(now, subject, now - age);
+        }
+        let Some(hold) = self.held.get_mut(&subject) else {
+            return (Passage::Free, change);
+        };
+        let (delay, pause) = match verdict {
+            // Without a reply, the call may ask again.
+            None | Some(TrialVerdict::Granted | TrialVerdict::Running) => {
+                (RUNNING_DELAY, Pause::Outcome)
+            }
+            Some(TrialVerdict::Later(wait)) => {
+                let wait = Duration::from_millis(u64::from(wait));
+                (wait.min(MAX_ASK_DELAY), Pause::Due(now + wait))
+            }
+            Some(TrialVerdict::Answered(_)) => {
+                (UNANSWERED_DELAY, Pause::Due(now + UNANSWERED_DELAY))
+            }
+        };
+        hold.pause = Some((now + delay, pause));
+        let passage = match verdict {
+            Some(TrialVerdict::Granted) => Passage::Trial(id),
+            _ => hold_back(now, subject, now + delay, pause),
+        };
+        (passage, change)
+    }
+
+    /// Answers the request of another VM, with address `from`, for a trial. `home` is this VM's view.
+    pub fn answer_ask(
+        &mut self,
+        now: Time,
+        from: u32,
+        ask: &TrialAsk,
+        home: TrialHome,
+    ) -> (TrialReply, Option<HoldChange>) {
+        let TrialAsk {
+            serial,
+            subject,
+            since_ms,
+            trials,
+            target,
+        } = *ask;
+        let since = now - Duration::from_millis(u64::from(since_ms));
+        let reply = |verdict| TrialReply {
+            serial,
+            subject,
+            verdict,
+        };
+        let answered = self.answered.get(&subject).map(|answered| answered.began);
+        if let Some(began) = answered.filter(|began| *began > since) {
+            let age = millis(now.since(began));
+            return (reply(TrialVerdict::Answered(age)), None);
+        }
+        let hold = Hold::new(now, since, trials);
+        let change = self.insert_hold(subject, hold);
+        if home != TrialHome::Local {
+            let wait = millis(UNANSWERED_DELAY);
+            return (reply(TrialVerdict::Later(wait)), change);
+        }
+        let verdict = self.decide(now, subject, (Some(from), serial), target);
+        (reply(verdict), change)
+    }
+
+    /// Whether a trial of a subject has to wait: for another one of it or at the same service, or,
+    /// unless it was answered recently, for the first trials of those that were.
+    fn is_busy(&self, now: Time, subject: Subject, target: TrialTarget) -> bool {
+        let is_answered = |subject: Subject| self.answered.contains_key(&subject);
+        let gives_way = !is_answered(subject);
+        let mut running = 0;
+        for (other, hold) in &self.held {
+            let trial = hold.running.filter(|r| now.since(r.granted) < TRIAL_TTL);
+            let goes_first = hold.trials == 0
+                && now.since(hold.asked) < FIRST_ASK_TIME
+                && now.since(hold.learned) < EARLY_TIME;
+            if trial.is_some() && *other == subject
+                || gives_way && goes_first && is_answered(*other)
+            {
+                return true;
+            }
+            running += u16::from(trial.is_some_and(|trial| trial.service == target.service));
+        }
+        running > target.endpoints / ENDPOINTS_PER_TRIAL
+    }
+
+    /// Decides on a trial as the subject's home.
+    fn decide(
+        &mut self,
+        now: Time,
+        subject: Subject,
+        key: (Option<u32>, u32),
+        target: TrialTarget,
+    ) -> TrialVerdict {
+        let TrialTarget {
+            service, version, ..
+        } = target;
+        if self.is_busy(now, subject, target) {
+            return TrialVerdict::Running;
+        }
+        let is_answered = self.answered.contains_key(&subject);
+        let state = TrialState {
+            is_answered,
+            is_explained: is_answered
+                && self.suspects.contains_key(&subject)
+                && !self.is_suspect_convicted(now, subject),
+            calm_from: self.last_crash + CALM_TIME,
+            version,
+        };
+        let history = self.suspects.get(&subject);
+        let history = history.map(|suspect| History::new(subject, suspect));
+        let history = history.unwrap_or_default();
+        let Some(hold) = self.held.get_mut(&subject) else {
+            return TrialVerdict::Later(millis(UNANSWERED_DELAY));
+        };
+        hold.asked = now;
+        let due = hold.next_trial(now, &history, state);
+        if now < due {
+            return TrialVerdict::Later(millis(due.since(now)));
+        }
+        let before = (hold.trials, hold.early);
+        if hold.trials == 0 {
+            let late = u8::from(!history.is_early(now));
+            hold.trials = history.late.saturating_add(1 + late);
+            hold.early = 1;
+        } else if hold.repeats_early(now, &history, is_answered) {
+            hold.early += 1;
+        } else {
+            hold.trials = hold.trials.saturating_add(1);
+        }
+        if version != 0 {
+            hold.version = version;
+        }
+        hold.last_trial = now;
+        hold.running = Some(RunningTrial {
+            key,
+            service,
+            granted: now,
+            before,
+        });
+        TrialVerdict::Granted
+    }
+
+    /// Takes in how a trial ended that this VM granted to the VM with address `from`, or to itself.
+    pub fn end_trial(
+        &mut self,
+        now: Time,
+        from: Option<u32>,
+        ended: &TrialEnded,
+    ) -> Option<HoldChange> {
+        let TrialEnded {
+            serial,
+            subject,
+            outcome,
+        } = *ended;
+        let hold = self.held.get_mut(&subject)?;
+        if from.is_none() {
+            hold.pause = None;
+        }
+        let key = (from, serial);
+        let running = hold.running.filter(|running| running.key == key)?;
+        hold.running = None;
+        match outcome {
+            TrialOutcome::Answered => return self.add_answer(now, subject, running.granted),
+            TrialOutcome::Unsent => (hold.trials, hold.early) = running.before,
+            TrialOutcome::Cut => {}
+        }
+        None
+    }
+}
+
+/// Keeps back a call with a held subject.
+fn hold_back(now: Time, subject: Subject, until: Time, pause: Pause) -> Passage {
+    match pause {
+        Pause::Outcome => Passage::Wait { subject, until },
+        Pause::Due(due) => Passage::Held {
+            subject,
+            retry_after: due.since(now),
+        },
+    }
+}
+
+fn millis(duration: Duration) -> u32 {
+    duration.as_millis().min(u128::from(u32::MAX)) as u32
+}
--- a/crates/ingress/src/stale_vms.rs
+++ b/crates/ingress/src/stale_vms.rs
@@ -6,7 +6,7 @@
 //! revision. A VM that is cut off receives no heartbeats, so nothing is removed unless most of the
 //! listed VMs are alive.
 
-use crate::quarantine::HeldSection;
+use crate::quarantine::HeldSubject;
 use core::net::Ipv4Addr;
 use poplarswitch_entity::VmName;
 use std::collections::HashMap;
@@ -28,8 +28,8 @@
     pub start_ms: u64,
     /// Platform revision of the entry's last change; 0 in an entry that is yet to be written.
     pub revision: u64,
-    /// Sections of prompts that the VM holds, for VMs that start.
-    pub held: Vec<HeldSection>,
+    /// Subjects that the VM holds, for VMs that start.
+    pub held: Vec<HeldSubject>,
 }
 
 /// Detects entries of dead VMs by two successive scans; holds the suspects of the last scan with
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -14,11 +14,14 @@
     shared::{Core, Shared},
     tcp,
 };
-use core::{net::SocketAddr, time::Duration};
+use core::{
+    net::{Ipv4Addr, SocketAddr},
+    time::Duration,
+};
 use poplarswitch_entity::Time;
 use poplarswitch_ingress::{
     Call, CutCall, EndpointKey, HoldChange, Passage, Prompt, QuarantineDigest, SURVIVAL_TIME,
-    hash_pair,
+    Subject, TRIAL_REPLY_TIMEOUT, TrialHome, TrialId, TrialTarget, hash_pair,
 };
 use poplarswitch_wire::ErrorCode;
 use rand::Rng as _;
@@ -35,6 +38,10 @@
 const DIGEST_INTERVAL: Duration = Duration::from_millis(300);
 /// Minimum interval between digests.
 const MIN_DIGEST_INTERVAL: Duration = Duration::from_millis(20);
+/// Shortest time after which a caller of a held call is told to come back.
+const MIN_HELD_DELAY: Duration = Duration::from_secs(1);
+/// Selects the VM that grants trials.
+const TRIAL_HOME_SEED: u64 = 0;
 /// Maximum number of broken calls that wait for the check of one engine.
 const MAX_PENDING_CUTS: usize = 256;
 
@@ -47,51 +54,65 @@
     sections.map(|section| section.id)
 }
 
+/// What a call has in common with others that may crash its endpoint.
+fn subjects(call: &Call) -> impl Iterator<Item = Subject> {
+    shared_sections(call).map(Subject::Section)
+}
+
+impl Core {
+    /// The VM that grants trials. A VM that is in contact with half of the known VMs or fewer can't
+    /// tell.
+    fn trial_home(&self, now: Time) -> TrialHome {
+        let alive = self.membership.alive_count(now);
+        let all = alive + self.membership.silent_count(now);
+        if alive * 2 <= all {
+            return TrialHome::Nobody;
+        }
+        let weight = |ip: Ipv4Addr| hash_pair(u64::from(ip.to_bits()), TRIAL_HOME_SEED);
+        let local_ip = self.membership.local_ip();
+        let mut others = self.membership.alive(now);
+        if others.all(|member| weight(member.ip) < weight(local_ip)) {
+            TrialHome::Local
+        } else {
+            TrialHome::Other
+        }
+    }
+}
+
 /// Checks that no section of a call is held; returns whether the call is the trial of one.
 pub(crate) fn admit_sections(shared: &Shared, call: &Call) -> Result<bool, Failure> {
     let now = clock::now();
     let mut core = shared.core();
-    let Core {
-        quarantine,
-        membership,
-        ..
-    } = &mut *core;
-    let local_ip = membership.local_ip();
-    let is_home = |section: u64| {
-        let weight = |ip: core::net::Ipv4Addr| hash_pair(u64::from(ip.to_bits()), section);
-        membership
-            .alive(now)
-            .all(|member| weight(member.ip) < weight(local_ip))
-    };
-    let passage = quarantine.check(now, shared_sections(call), is_home);
+    let home = core.trial_home(now);
+    let passage = core
+        .quarantine
+        .check(now, subjects(call), home, TrialTarget::default());
     drop(core);
-    match passage {
-        Passage::Free => Ok(false),
-        Passage::Trial(section) => {
-            tracing::info!(
-                event = "trial",
-                section = hex(section),
-                id = &*call.id,
-                "section"
-            );
-            Ok(true)
+    let (subject, retry_after) = match passage {
+        Passage::Free => return Ok(false),
+        Passage::Trial(TrialId { subject, .. }) => {
+            let id = &*call.id;
+            tracing::info!(event = "trial", section = hex(subject), id, "section");
+            return Ok(true);
         }
+        Passage::Ask(ask) => (ask.subject, TRIAL_REPLY_TIMEOUT),
+        Passage::Wait { subject, until } => (subject, until.since(now)),
         Passage::Held {
-            section,
+            subject,
             retry_after,
-        } => {
-            shared.metrics.calls_held.inc();
-            Err(held_failure(section).with_retry_after(retry_after))
-        }
-    }
+        } => (subject, retry_after),
+    };
+    shared.metrics.calls_held.inc();
+    let retry_after = retry_after.max(MIN_HELD_DELAY);
+    Err(held_failure(subject).with_retry_after(retry_after))
 }
 
-fn held_failure(section: u64) -> Failure {
-    Failure::new(ErrorCode::PromptHeld, format!("section {section:x}"))
+fn held_failure(subject: Subject) -> Failure {
+    Failure::new(ErrorCode::PromptHeld, subject.to_string())
 }
 
-fn hex(section: u64) -> String {
-    format!("{section:x}")
+fn hex(subject: Subject) -> String {
+    format!("{:x}", subject.id())
 }
 
 impl CallForwarder {
@@ -104,13 +125,13 @@
             .shared
             .core()
             .quarantine
-            .is_held(shared_sections(&self.request.call));
+            .is_held(subjects(&self.request.call));
         match held {
             None => Ok(()),
-            Some(section) if self.attempts.maybe_run > 0 => {
-                Err(Failure::new(ErrorCode::Failed, format!("section {section:x}")).in_doubt())
+            Some(subject) if self.attempts.maybe_run > 0 => {
+                Err(Failure::new(ErrorCode::Failed, subject.to_string()).in_doubt())
             }
-            Some(section) => Err(held_failure(section).with_retry_after(DIGEST_INTERVAL)),
+            Some(subject) => Err(held_failure(subject).with_retry_after(DIGEST_INTERVAL)),
         }
     }
 
@@ -119,13 +140,13 @@
         if self.request.call.prompt.is_none() {
             return;
         }
-        let sections = shared_sections(&self.request.call);
+        let subjects = subjects(&self.request.call);
         let now = clock::now();
         let changes = self
             .shared
             .core()
             .quarantine
-            .record_answer(now, began, sections);
+            .record_answer(now, began, subjects);
         log_changes(&self.shared, &changes);
     }
 
@@ -158,6 +179,7 @@
             endpoint: (endpoint.name_hash >> 32) as u32,
             at: now,
             begun: began.is_some(),
+            request: None,
             sections,
         };
         let is_checked = core.pending_cuts.contains_key(&key);
@@ -232,16 +254,16 @@
     for change in changes {
         match change {
             HoldChange::Held {
-                section,
+                subject,
                 crashes,
                 remote,
             } => {
                 shared.metrics.sections_held.inc();
-                let section = hex(*section);
+                let section = hex(*subject);
                 tracing::info!(event = "held", section, crashes, remote, "section");
             }
-            HoldChange::Released { section } => {
-                tracing::info!(event = "released", section = hex(*section), "section");
+            HoldChange::Released { subject } => {
+                tracing::info!(event = "released", section = hex(*subject), "section");
             }
         }
     }
@@ -259,14 +281,15 @@
             () = sleep(DIGEST_INTERVAL) => {}
         }
         let now = clock::now();
-        let receivers = {
+        let (receivers, changes) = {
             let mut core = shared.core();
-            core.quarantine.expire(now);
+            let changes = core.quarantine.expire(now);
             let mut rng = core.rng.clone();
             let receivers = core.membership.receivers(now, || rng.next_u64());
             core.rng = rng;
-            receivers
+            (receivers, changes)
         };
+        log_changes(&shared, &changes);
         if let Some(bytes) = encode_digest(&shared, now) {
             let port = shared.settings.listen.peers.port();
             for ip in receivers {
@@ -310,9 +333,12 @@
 /// Takes in the digest of another VM. In a large cluster, each VM tells only a few others, so news is
 /// passed on.
 pub(crate) fn receive(shared: &Shared, digest: &QuarantineDigest) {
-    let (is_new, changes) = shared.core().quarantine.merge(clock::now(), digest);
+    let mut core = shared.core();
+    let (is_new, changes) = core.quarantine.merge(clock::now(), digest);
+    let is_passed_on = is_new && !core.membership.tells_all();
+    drop(core);
     log_changes(shared, &changes);
-    if is_new {
+    if is_passed_on {
         shared.quarantine_news.notify_one();
     }
 }
--- a/crates/relay/src/registry.rs
+++ b/crates/relay/src/registry.rs
@@ -17,15 +17,16 @@
 use core::time::Duration;
 use poplarswitch_entity::Time;
 use poplarswitch_ingress::{
-    HeldSection, HoldChange, ListingSchedule, ListingView, StaleVmDetector, VmEntry,
+    HeldSubject, HoldChange, ListingSchedule, ListingView, StaleVmDetector, VmEntry,
 };
 use poplarswitch_platform::Backoff;
 use snafu::{ResultExt as _, Snafu};
 use std::{collections::HashSet, sync::Arc};
 use tokio::time::sleep;
 
-/// Delay before held sections are written, so that one write has several that change together.
-const HELD_WRITE_DELAY: Duration = Duration::from_millis(100);
+/// Delay before holds are written, so that one write has several that change together, and none that
+/// ends with its first trial.
+const HELD_WRITE_DELAY: Duration = Duration::from_millis(350);
 /// Delay after a failed write of held sections.
 const HELD_RETRY_DELAY: Duration = Duration::from_secs(2);
 /// Number of VMs of each data centre that write held sections; more than one, because one may be
@@ -131,7 +132,7 @@
         data_centre: settings.data_centre.to_string(),
         start_ms: clock::unix_millis(),
         revision: 0,
-        held: held_sections(shared),
+        held: held_subjects(shared),
     }
 }
 
@@ -174,8 +175,8 @@
     client: &PlatformClient,
     local_vm: &mut VmEntry,
 ) -> Result<(), RegistryError> {
-    let held = held_sections(shared);
-    let key = |held: &HeldSection| (held.section, held.trials);
+    let held = held_subjects(shared);
+    let key = |held: &HeldSubject| (held.subject, held.trials);
     let is_known = held.iter().map(key).eq(local_vm.held.iter().map(key));
     let rank = {
         let core = shared.core();
@@ -199,12 +200,12 @@
     written
 }
 
-fn held_sections(shared: &Shared) -> Vec<HeldSection> {
+fn held_subjects(shared: &Shared) -> Vec<HeldSubject> {
     let (now, unix_ms) = (clock::now(), clock::unix_millis());
-    shared.core().quarantine.held_sections(now, unix_ms)
+    shared.core().quarantine.held_subjects(now, unix_ms)
 }
 
-/// Takes in the sections that other VMs, and the previous process of this one, held.
+/// Takes in the subjects that other VMs, and the previous process of this one, held.
 fn restore_held(shared: &Shared, vms: &[VmEntry]) {
     let (now, unix_ms) = (clock::now(), clock::unix_millis());
     let mut core = shared.core();
