Don't tell of a first trial while it runs

A VM that has just started holds sound sections after a few crashes, since it knows no answers. Its first trial was told to all VMs after 0.3 s, and a subject that has had a trial is held in spite of answers: all VMs would hold the section until the trial's answer has survived.

--- a/crates/ingress/src/quarantine/trials.rs
+++ b/crates/ingress/src/quarantine/trials.rs
@@ -229,12 +229,15 @@
 }
 
 impl Hold {
-    /// Number of trials that other VMs are told of. A trial that has just been granted may be given
-    /// back, but no number that others know can be taken back.
+    /// Number of trials that other VMs are told of. They don't learn of a trial that may be given back,
+    /// since no number that they know can be taken back, nor of a first one that runs, since they hold a
+    /// subject for it in spite of answers.
     pub(super) fn told_trials(&self, now: Time) -> u8 {
-        let granted = self.running;
-        let granted = granted.filter(|running| now.since(running.granted) < GRANT_NEWS_DELAY);
-        granted.map_or(self.trials, |running| running.before.0)
+        let running = self.running.filter(|running| {
+            let age = now.since(running.granted);
+            age < GRANT_NEWS_DELAY || running.before.0 == 0 && age < TRIAL_TTL
+        });
+        running.map_or(self.trials, |running| running.before.0)
     }
 
     fn repeats_early(&self, now: Time, history: &History, is_answered: bool) -> bool {
--- a/crates/ingress/src/quarantine_trials_tests.rs
+++ b/crates/ingress/src/quarantine_trials_tests.rs
@@ -441,3 +441,24 @@
         expect_that!(read, eq(message));
     }
 }
+
+/// Guards against a sound section that a VM holds because it has just started, and that all others
+/// hold while its first trial runs.
+#[gtest]
+fn first_trial_that_runs_makes_no_vm_with_answers_hold_its_subject() {
+    let section = Subject::Section(1);
+    let mut started = Quarantine::default();
+    for n in 0..4 {
+        let request = Subject::Request(RequestId(n));
+        crash(&mut started, 500 * n, request, &[1]);
+    }
+    assert_that!(
+        check(&mut started, 1_600, section),
+        matches_pattern!(Passage::Trial(_))
+    );
+    let digest = started.digest(time(2_400));
+    let mut other = Quarantine::default();
+    answer(&mut other, 1_400, section);
+    other.merge(time(2_400), &digest);
+    expect_that!(other.held_count(), eq(0));
+}
