--- a/crates/ingress/src/quarantine/exchange.rs
+++ b/crates/ingress/src/quarantine/exchange.rs
@@ -73,8 +73,9 @@
                 (strength, learned, *subject, record)
             }));
         }
-        crashes.sort_unstable_by_key(|(strength, learned, subject, _)| {
-            (Reverse(*strength), Reverse(*learned), *subject)
+        crashes.sort_unstable_by_key(|(strength, learned, subject, record)| {
+            let CrashRecord(_, endpoint, ..) = record;
+            (Reverse(*strength), Reverse(*learned), *subject, *endpoint)
         });
         crashes.truncate(MAX_RECORDS);
         let records = crashes.into_iter();
--- a/crates/ingress/src/quarantine_trials_tests.rs
+++ b/crates/ingress/src/quarantine_trials_tests.rs
@@ -462,3 +462,27 @@
     other.merge(time(2_400), &digest);
     expect_that!(other.held_count(), eq(0));
 }
+
+/// Guards against digests, and so simulations, that differ from run to run.
+#[gtest]
+fn digest_does_not_depend_on_the_order_of_a_map() {
+    let digest = || {
+        let mut quarantine = Quarantine::default();
+        for n in 0..60 {
+            let subject = Subject::Request(RequestId(n % 6));
+            let cut = CutCall {
+                endpoint: n as u32,
+                at: time(2_000 - n),
+                begun: true,
+                request: Some(RequestId(subject.id())),
+                sections: Vec::new(),
+            };
+            quarantine.record_crash(time(2_000), &cut);
+        }
+        quarantine.digest(time(2_000))
+    };
+    let first = digest();
+    for _ in 0..20 {
+        expect_that!(digest(), eq(&first));
+    }
+}
