Log which request each call is

Operators couldn't tell from the logs whether calls at several VMs were the same request: call lines name the attempt, which is new each time. The line now has the hash of host, method, path with query, caller and body, the same at every VM.

--- a/crates/relay/src/call_record.rs
+++ b/crates/relay/src/call_record.rs
@@ -8,7 +8,7 @@
 use crate::{clock, shared::Shared};
 use core::time::Duration;
 use poplarswitch_entity::Time;
-use poplarswitch_ingress::{Continuation, Framing, SoftwareVersion};
+use poplarswitch_ingress::{Continuation, Framing, RequestId, SoftwareVersion};
 use std::sync::Arc;
 
 /// Data about a call for its log line and its metrics.
@@ -19,6 +19,7 @@
     pub(crate) call_id: Box<str>,
     pub(crate) route: Box<str>,
     pub(crate) version: u64,
+    pub(crate) request: Option<RequestId>,
     /// Identifiers of the shared sections of the prompt.
     pub(crate) sections: String,
     pub(crate) endpoint: Box<str>,
@@ -59,6 +60,7 @@
             call_id: "".into(),
             route: "".into(),
             version,
+            request: None,
             sections: String::new(),
             endpoint: "".into(),
             reason: "",
@@ -120,6 +122,7 @@
             status = self.status,
             route = &*self.route,
             version = self.version,
+            request = self.request.map(|RequestId(id)| format!("{id:x}")),
             proof_ms = config_age.map(|age| age.as_millis() as u64),
             endpoint = &*self.endpoint,
             reason = self.reason,
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -15,10 +15,10 @@
 use http::{HeaderValue, Request, Response, StatusCode, Version, header, request, response};
 use http_body_util::{BodyExt as _, Limited};
 use hyper::body::{Body as _, Incoming};
-use poplarswitch_entity::Time;
+use poplarswitch_entity::{Time, WorkspaceName};
 use poplarswitch_ingress::{
-    Access, Admission, AttemptCounts, Call, EndpointGroup, Framing, Prompt, Route, RoutingTable,
-    ShutdownStage, VersionPin, engine_work_ms,
+    Access, Admission, AttemptCounts, Call, EndpointGroup, Framing, Prompt, RequestId,
+    RequestParts, Route, RoutingTable, ShutdownStage, VersionPin, engine_work_ms,
 };
 use poplarswitch_wire::ErrorCode;
 use std::sync::Arc;
@@ -160,6 +160,20 @@
     check_stage(shared, route, arrived)?;
     let limits = table.limits();
     let body = read_body(body, limits.body_bytes, limits.idle_timeout, vm).await?;
+    let rank = table.rank(route, workspace.as_ref());
+    let workspace = workspace.map(|workspace| workspace.name);
+    let caller = workspace.as_ref().map(WorkspaceName::as_str);
+    let id = RequestId::new(&RequestParts {
+        host: &route.host,
+        method: head.method.as_str(),
+        path: head
+            .uri
+            .path_and_query()
+            .map_or("", http::uri::PathAndQuery::as_str),
+        caller: caller.or(call.key.as_deref()).unwrap_or_default(),
+        body: &body,
+    });
+    record.request = Some(id);
     let origin = match &call.continues {
         Some(continues) if route.kind.is_stream() => {
             let origin = origins::find_origin(shared, route, continues).await;
@@ -184,7 +198,7 @@
         route.objective,
         engine.map_or(1, |engine| engine.slots),
     )?;
-    record.priority = table.rank(route, workspace.as_ref());
+    record.priority = rank;
     let wait = call
         .deadline
         .unwrap_or(DEFAULT_TIMEOUT)
@@ -199,7 +213,7 @@
         headers: head.headers,
         body,
         host,
-        workspace: workspace.map(|w| w.name.as_str().into()),
+        workspace: caller.map(Into::into),
         priority: record.priority,
         deadline: arrived + wait,
         is_trial,
