Hold requests that crash endpoints

Cause: a crash counted against its endpoint; evidence on what crashed it was kept for sections of prompts only, which plain calls don't have, so that each further attempt went to the next endpoint that was up.

Each call is now also a request (host, method, path, caller, body) in the quarantine: endpoints that cut a call are checked, plain ones by a connection that stays open, and crashes and answers of requests are exchanged. A trial is sent to one endpoint, and its end is told. The rest of a resumed stream is no answer in the sense of the evidence. A VM that hears nobody grants itself the first trial only and learns holds from the platform every 2 s; so do the VMs that read the platform for others while some are silent, which its test now asks for.

Tests changed: sound calls and bad ones had the same path and body in relay_crashes, relay_culprits (streams) and the soak, so that they were the same request; they differ now. Checks of held sections look at sections, since a sound request may be on probation for a moment; that none is refused is checked instead.

--- a/crates/ingress/src/listing.rs
+++ b/crates/ingress/src/listing.rs
@@ -5,7 +5,8 @@
 //! heartbeats. The list may still be incomplete, or a datagram lost, so further reads follow: a few
 //! while listed VMs haven't been heard of, regular ones by the VM that reads the platform for its
 //! data centre, and regular ones by a VM that hears nobody. What one VM finds reaches the others in
-//! heartbeats.
+//! heartbeats. While VMs are parted, the reads are frequent, since the list also tells what each VM
+//! holds back.
 
 use core::time::Duration;
 use poplarswitch_entity::Time;
@@ -14,6 +15,9 @@
 const MIN_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum interval between reads; much longer than a restart.
 const MAX_INTERVAL: Duration = Duration::from_secs(30);
+/// Interval between reads while this VM hears nobody, or reads the platform for others and some are
+/// silent; what they and this VM hold is then known to each other from the platform only.
+const SILENCE_INTERVAL: Duration = Duration::from_secs(2);
 /// Number of reads after the start while listed VMs haven't been heard of.
 const STARTUP_READS: u32 = 3;
 
@@ -56,7 +60,13 @@
         if now < self.due {
             return false;
         }
-        self.interval = (self.interval * 2).min(MAX_INTERVAL);
+        let is_parted = view.silent > 0 && (view.is_reader || view.alive == 0);
+        let longest = if is_parted {
+            SILENCE_INTERVAL
+        } else {
+            MAX_INTERVAL
+        };
+        self.interval = (self.interval * 2).min(longest);
         self.due = now + self.interval;
         let is_starting = self.reads < STARTUP_READS;
         self.reads = self.reads.saturating_add(1);
--- a/crates/ingress/src/listing_tests.rs
+++ b/crates/ingress/src/listing_tests.rs
@@ -158,21 +158,34 @@
     expect_that!(start.reads - before, le(5));
 }
 
-/// A VM that hears nobody reads the list again soon, and seldom after that.
+/// A VM that hears nobody, and one that reads for others while some are silent, must learn from the
+/// platform in time what the others hold.
 #[gtest]
-fn isolated_vm_reads_the_list_again() {
+fn parted_vm_reads_the_list_every_two_seconds() {
     let now = Time::from_millis(100_000);
-    let mut schedule = ListingSchedule::new(now);
     let view = ListingView {
         is_reader: false,
         alive: 0,
         silent: 5,
     };
-    let seconds =
-        (0..300).filter(|second| schedule.decide(now + Duration::from_secs(*second), view));
-    let seconds: Vec<u64> = seconds.collect();
-    expect_that!(seconds.first(), some(eq(&1)));
-    expect_that!(seconds.len(), all![ge(10), le(15)]);
+    let reader = ListingView {
+        is_reader: true,
+        alive: 5,
+        silent: 1,
+    };
+    for view in [view, reader] {
+        let mut schedule = ListingSchedule::new(now);
+        let seconds =
+            (0..300).filter(|second| schedule.decide(now + Duration::from_secs(*second), view));
+        let seconds: Vec<u64> = seconds.collect();
+        expect_that!(seconds.first(), some(eq(&1)));
+        let gaps = seconds.windows(2).map(|pair| pair[1] - pair[0]);
+        expect_that!(gaps.collect::<Vec<_>>(), each(eq(&2)));
+    }
+    let mut schedule = ListingSchedule::new(now);
+    for second in 0..300 {
+        schedule.decide(now + Duration::from_secs(second), view);
+    }
     let settled = ListingView {
         alive: 5,
         silent: 1,
--- a/crates/ingress/src/quarantine/trials.rs
+++ b/crates/ingress/src/quarantine/trials.rs
@@ -63,6 +63,9 @@
     Other,
     /// None: this VM can't tell, since it is in contact with half of the VMs or fewer.
     Nobody,
+    /// None, and this VM is in contact with no other one. It grants itself the first trial of what it
+    /// holds, since nobody else can; the others may have granted that one too, but no further ones.
+    Alone,
 }
 
 /// Identifies a trial together with the VM that asked for it.
@@ -320,7 +323,8 @@
         self.serial = self.serial.wrapping_add(1);
         let serial = self.serial;
         match home {
-            TrialHome::Nobody => Passage::Held {
+            TrialHome::Alone if hold.trials == 0 => self.grant(now, subject, serial, target),
+            TrialHome::Nobody | TrialHome::Alone => Passage::Held {
                 subject,
                 retry_after: UNANSWERED_DELAY,
             },
@@ -334,14 +338,17 @@
                     target,
                 })
             }
-            TrialHome::Local => {
-                let verdict = self.decide(now, subject, (None, serial), target);
-                self.apply(now, TrialId { subject, serial }, Some(verdict))
-                    .0
-            }
+            TrialHome::Local => self.grant(now, subject, serial, target),
         }
     }
 
+    /// Decides on a trial of this VM.
+    fn grant(&mut self, now: Time, subject: Subject, serial: u32, target: TrialTarget) -> Passage {
+        let verdict = self.decide(now, subject, (None, serial), target);
+        let id = TrialId { subject, serial };
+        self.apply(now, id, Some(verdict)).0
+    }
+
     /// Takes in the home's reply to a request for a trial, or that there was none in time; then the
     /// home is to be told that the trial was not sent.
     pub fn finish_ask(
--- a/crates/ingress/src/quarantine_sim_tests/world.rs
+++ b/crates/ingress/src/quarantine_sim_tests/world.rs
@@ -474,8 +474,13 @@
         vms.max_by_key(|vm| hash_pair(*vm as u64, 0))
     }
 
+    fn is_alone(&self, now: u64, viewer: usize) -> bool {
+        (0..self.vms.len()).all(|vm| vm == viewer || !self.is_alive(now, viewer, vm))
+    }
+
     fn trial_home(&self, now: u64, viewer: usize) -> TrialHome {
         match self.home(now, viewer) {
+            None if self.is_alone(now, viewer) => TrialHome::Alone,
             None => TrialHome::Nobody,
             Some(home) if home == viewer => TrialHome::Local,
             Some(_) => TrialHome::Other,
--- a/crates/node/tests/culprits/mod.rs
+++ b/crates/node/tests/culprits/mod.rs
@@ -78,7 +78,7 @@
     }
 
     /// A request for a stream.
-    pub fn stream(path: &str, prompt: impl Into<String>) -> Self {
+    pub fn stream(path: impl Into<String>, prompt: impl Into<String>) -> Self {
         Self {
             prompt: prompt.into(),
             ..Self::post(path, b"prompt")
--- a/crates/node/tests/relay_crashes.rs
+++ b/crates/node/tests/relay_crashes.rs
@@ -49,6 +49,12 @@
     fleet
 }
 
+/// Path on one of the two routes. Bodies are alike, so that paths tell requests apart.
+fn path_of(count: u32, name: &str) -> String {
+    let route = ["/chat", "/brief"][count as usize % 2];
+    format!("{route}/{name}")
+}
+
 /// Makes sound calls on all VMs until `stop`; each session is one of a few.
 fn make_sound_calls(fleet: &Fleet, stop: &AtomicBool, caller: u32) -> Vec<SoundCall> {
     let mut calls = Vec::new();
@@ -58,10 +64,10 @@
         }
         let session = 0x5000 + (caller * 7 + count) % 20;
         let prompt = format!("{FIRST_SECTION:x}:100,{session:x}:50,{count:x}{caller:x}:10");
-        let path = ["/chat/1", "/brief/1"][count as usize % 2];
+        let path = path_of(count, &format!("sound-{caller}-{count}"));
         let sent = Instant::now();
         let vm = count as usize % usize::from(VM_COUNT);
-        let (_, response) = fleet.call_with_prompt(vm, path, &prompt);
+        let (_, response) = fleet.call_with_prompt(vm, &path, &prompt);
         let served = response.is_ok_and(|response| response.status == 200);
         calls.push(SoundCall { sent, served });
         thread::sleep(Duration::from_millis(20));
@@ -95,8 +101,8 @@
             count += 1;
             scope.spawn(move || {
                 let prompt = format!("{FIRST_SECTION:x}:100,{BAD_SECTION:x}:50,{count:x}0:10");
-                let path = ["/chat/1", "/brief/1"][count as usize % 2];
-                fleet.call_with_prompt(count as usize % usize::from(VM_COUNT), path, &prompt)
+                let path = path_of(count, &format!("bad-{count}"));
+                fleet.call_with_prompt(count as usize % usize::from(VM_COUNT), &path, &prompt)
             });
             thread::sleep(Duration::from_millis(150));
         }
@@ -141,7 +147,13 @@
 
 /// Whether the logs of the VMs say that a section was held.
 fn is_any_held(fleet: &Fleet) -> bool {
-    (0..usize::from(VM_COUNT)).any(|vm| fleet.log(vm).contains(r#""event":"held""#))
+    let held = r#""message":"section","event":"held""#;
+    (0..usize::from(VM_COUNT)).any(|vm| fleet.log(vm).contains(held))
+}
+
+/// Whether a call was refused because its request was held.
+fn is_any_refused(fleet: &Fleet) -> bool {
+    (0..usize::from(VM_COUNT)).any(|vm| fleet.log(vm).contains(r#""event":"request_held""#))
 }
 
 /// Starts a fleet whose VMs hold the bad section.
@@ -187,6 +199,7 @@
         (calls.collect::<Vec<_>>(), last_second, end)
     });
     expect_that!(is_any_held(&fleet), eq(false));
+    expect_that!(is_any_refused(&fleet), eq(false));
     expect_that!(served_share(&calls, last_second, end), gt(0.9));
 }
 
@@ -200,7 +213,8 @@
         fleet.await_ready();
         let before = crash_times(&fleet).len();
         let prompt = format!("{FIRST_SECTION:x}:100,{BAD_SECTION:x}:50,7{vm}0:10");
-        let (_, response) = fleet.call_with_prompt(vm, "/chat/1", &prompt);
+        let path = format!("/chat/restarted-{vm}");
+        let (_, response) = fleet.call_with_prompt(vm, &path, &prompt);
         expect_that!(response.unwrap().not_run(), eq(true), "VM {vm}");
         expect_that!(crash_times(&fleet).len(), eq(before), "VM {vm}");
     }
@@ -220,8 +234,31 @@
     let before = crash_times(&fleet).len();
     for vm in 0..usize::from(VM_COUNT) {
         let prompt = format!("{FIRST_SECTION:x}:100,{BAD_SECTION:x}:50,8{vm}0:10");
-        let (_, response) = fleet.call_with_prompt(vm, "/chat/1", &prompt);
+        let path = format!("/chat/started-{vm}");
+        let (_, response) = fleet.call_with_prompt(vm, &path, &prompt);
         expect_that!(response.unwrap().not_run(), eq(true), "VM {vm}");
     }
     expect_that!(crash_times(&fleet).len(), eq(before));
 }
+
+/// A trial of a held section was sent to a second engine after it had crashed the first one.
+#[gtest]
+fn trial_of_a_held_section_crashes_one_engine_at_most() {
+    let fleet = start_fleet_with_held_section(35);
+    make_bad_calls(&fleet, Duration::from_secs(1));
+    let logs: String = (0..usize::from(VM_COUNT)).map(|vm| fleet.log(vm)).collect();
+    let trials = logs
+        .lines()
+        .filter(|line| line.contains(r#""event":"trial""#));
+    let ids: Vec<String> = trials
+        .filter_map(|line| {
+            let (_, id) = line.split_once(r#""id":""#)?;
+            Some(id.split('"').next()?.to_owned())
+        })
+        .collect();
+    expect_that!(ids.len(), ge(1));
+    for id in ids {
+        let crashed = fleet.runs_of(&id).filter(|run| run.crashed).count();
+        expect_that!(crashed, le(1), "call {id}");
+    }
+}
--- a/crates/node/tests/relay_culprits.rs
+++ b/crates/node/tests/relay_culprits.rs
@@ -80,10 +80,11 @@
 
 /// Sound calls to engines, no two alike.
 fn sound_stream(number: u32) -> Subject {
-    let path = ["/chat/1", "/brief/1"][number as usize % 2];
+    let route = ["/chat", "/brief"][number as usize % 2];
     let session = 0x5000 + number % 20;
     Subject::stream(
-        path,
+        // The body is the same for all, and a request is its path, caller and body.
+        format!("{route}/sound-{number}"),
         format!("{FIRST_SECTION},{session:x}:50,{number:x}0:10"),
     )
 }
--- a/crates/node/tests/relay_soak.rs
+++ b/crates/node/tests/relay_soak.rs
@@ -314,7 +314,7 @@
             let log = self.fleet.log(vm);
             let held = log
                 .lines()
-                .filter(|line| line.contains(r#""event":"held""#));
+                .filter(|line| line.contains(r#""message":"section","event":"held""#));
             for line in held {
                 assert!(line.contains(&crashing), "a sound section was held: {line}");
             }
@@ -395,12 +395,17 @@
         first_attempt: Some(first),
         last_event: last,
     });
-    let request = CallRequest {
+    let mut request = CallRequest {
         deadline,
         continues: taken_up,
         prompt,
         ..CallRequest::new(&id, path, key)
     };
+    let suspect = prompt != DEFAULT_PROMPT;
+    if prompt.contains(&format!(",{CRASHING_SECTION:x}:")) {
+        // Otherwise it would be the same request as the sound calls on its path.
+        request.body = id.as_bytes();
+    }
     let sent = Instant::now();
     let (response, partial) = match caller.call(address, &request) {
         Ok(response) => (Some(response), None),
@@ -416,7 +421,7 @@
         sent,
         ended: Instant::now(),
         deadline,
-        suspect: prompt != DEFAULT_PROMPT,
+        suspect,
         response,
     }
 }
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -24,7 +24,9 @@
 use http_body_util::{BodyExt as _, Full};
 use hyper::body::{Body as _, Incoming};
 use poplarswitch_entity::{EndpointName, Time};
-use poplarswitch_ingress::{EndpointKey, Framing, Health, Outcome, Placement, SoftwareVersion};
+use poplarswitch_ingress::{
+    EndpointKey, Framing, Health, Outcome, Placement, SoftwareVersion, TrialOutcome,
+};
 use std::sync::Arc;
 use tokio::{sync::Notify, time::Instant};
 
@@ -300,6 +302,7 @@
         let request = self.build_request(&info.endpoint, time_left, cache_source, last_event_id);
         let Connection { sender, reused } = connection;
         self.attempts.maybe_run += 1;
+        self.record_trial(TrialOutcome::Cut);
         Ok(PendingAttempt {
             info,
             open_call,
@@ -401,9 +404,7 @@
                 self.shared.return_connection(key, sender, idle_timeout);
                 let bytes = body.to_bytes();
                 self.record.received = bytes.len() as u64;
-                if head.status.is_success() {
-                    self.record_answer(began);
-                }
+                self.record_answer(began, head.status.is_success());
                 Ok(Ok((key, EndpointResponse::Buffered(head, bytes))))
             }
             Err(error) => {
--- a/crates/relay/src/call_forwarder.rs
+++ b/crates/relay/src/call_forwarder.rs
@@ -7,14 +7,15 @@
     clock,
     reply::Failure,
     shared::Shared,
+    trials::Trial,
 };
 use bytes::Bytes;
 use core::time::Duration;
 use http::{HeaderMap, Method, Uri};
 use poplarswitch_entity::{ServiceName, Time};
 use poplarswitch_ingress::{
-    Access, AttemptCounts, Call, EndpointKey, NextStep, Outcome, Route, Verdict, VersionPin,
-    next_step, verdict,
+    Access, AttemptCounts, Call, EndpointKey, NextStep, Outcome, RequestId, Route, Verdict,
+    VersionPin, next_step, verdict,
 };
 use poplarswitch_wire::ErrorCode;
 use std::sync::Arc;
@@ -37,8 +38,8 @@
     pub(crate) deadline: Time,
     /// Software versions at which the call may run.
     pub(crate) pin: VersionPin,
-    /// Whether the call is the trial of a held section of its prompt.
-    pub(crate) is_trial: bool,
+    /// Identifies the request, whichever attempt of its caller this is.
+    pub(crate) id: RequestId,
 }
 
 /// Forwards one call.
@@ -52,6 +53,8 @@
     pub(crate) skipped: Vec<EndpointKey>,
     /// Whether the head of a response has been forwarded.
     pub(crate) has_begun: bool,
+    /// The trial of a held subject that the call is.
+    pub(crate) trial: Option<Trial>,
     pub(crate) record: CallRecord,
 }
 
@@ -71,8 +74,11 @@
             }
             self.reroute();
             self.recheck(now)?;
-            self.recheck_sections()?;
             let placement = self.choose().await?;
+            if self.pass_quarantine().await? {
+                // The wait may have outlasted the placement.
+                continue;
+            }
             let failed = match self
                 .attempt(placement, last_event_id, stale_connection)
                 .await
--- a/crates/relay/src/handover.rs
+++ b/crates/relay/src/handover.rs
@@ -258,7 +258,7 @@
             return Err(obstacle);
         }
         let now = clock::now();
-        if self.check_allowed(now).is_err() || self.recheck_sections().is_err() {
+        if self.check_allowed(now).is_err() || self.recheck_subjects().is_err() {
             return Err(Obstacle::NotAllowed);
         }
         let placement = self.place_elsewhere(left).await?;
--- a/crates/relay/src/heartbeats.rs
+++ b/crates/relay/src/heartbeats.rs
@@ -3,6 +3,7 @@
 use crate::{
     clock, limits, origins, quarantine,
     shared::{Core, Shared},
+    trials,
 };
 use core::{
     net::{IpAddr, Ipv4Addr, SocketAddr},
@@ -10,7 +11,7 @@
 };
 use poplarswitch_entity::Time;
 use poplarswitch_ingress::{
-    Heartbeat, LimitMessage, MemberRecord, Phase, QuarantineDigest, StreamMessage,
+    Heartbeat, LimitMessage, MemberRecord, Phase, QuarantineDigest, StreamMessage, TrialMessage,
 };
 use rand::Rng as _;
 use std::{collections::HashMap, sync::Arc};
@@ -218,6 +219,10 @@
                     if let IpAddr::V4(ip) = from.ip() {
                         origins::receive(&shared, &socket, ip, message).await;
                     }
+                } else if let Ok(message) = ciborium::from_reader::<TrialMessage, _>(datagram) {
+                    if let IpAddr::V4(ip) = from.ip() {
+                        trials::receive(&shared, ip, &message);
+                    }
                 } else if let Ok(digest) = ciborium::from_reader::<QuarantineDigest, _>(datagram) {
                     quarantine::receive(&shared, &digest);
                 } else {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -38,6 +38,7 @@
 mod snapshot;
 mod stream;
 mod tcp;
+mod trials;
 
 #[cfg(test)]
 mod events_tests;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -43,7 +43,7 @@
     pub(crate) platform_failures: Counter,
     pub(crate) bad_datagrams: Counter,
     pub(crate) crashes: Counter,
-    pub(crate) sections_held: Counter,
+    pub(crate) subjects_held: Counter,
     pub(crate) calls_held: Counter,
     pub(crate) limited_sends: Counter,
     pub(crate) tokens_denied: Counter,
@@ -72,7 +72,7 @@
             platform_failures: Counter::default(),
             bad_datagrams: Counter::default(),
             crashes: Counter::default(),
-            sections_held: Counter::default(),
+            subjects_held: Counter::default(),
             calls_held: Counter::default(),
             limited_sends: Counter::default(),
             tokens_denied: Counter::default(),
@@ -138,12 +138,12 @@
             ),
             (
                 "sections_held",
-                "Sections of prompts that were held",
-                &self.sections_held,
+                "Requests and sections of prompts that were held",
+                &self.subjects_held,
             ),
             (
                 "calls_held",
-                "Calls refused for a held section",
+                "Calls refused for a held request or section",
                 &self.calls_held,
             ),
         ] {
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -1,27 +1,19 @@
-//! Evidence on sections of prompts that crash engines: collection from calls, exchange with other VMs,
-//! and refusal of calls with held sections.
+//! Evidence on requests and sections of prompts that crash endpoints: collection from calls, and
+//! exchange with other VMs. Calls with a held subject are in [`crate::trials`].
 //!
-//! A connection that breaks doesn't show that its engine crashed. Before a broken call counts, the
-//! engine is asked for its report on a new connection; only one that can't be reached or closes that
-//! connection too has crashed.
+//! A connection that breaks doesn't show that its endpoint crashed. Before a broken call counts, a new
+//! connection is opened, on which an engine is asked for its report; only an endpoint that can't be
+//! reached or closes that connection too has crashed.
 
 use crate::{
-    call_forwarder::CallForwarder,
-    clock,
-    placement::fetch_report,
-    pool::Connection,
-    reply::Failure,
-    shared::{Core, Shared},
-    tcp,
-};
-use core::{
-    net::{Ipv4Addr, SocketAddr},
-    time::Duration,
+    call_forwarder::CallForwarder, clock, placement::fetch_report, pool::Connection,
+    reply::Failure, shared::Shared, tcp,
 };
+use core::{iter, net::SocketAddr, time::Duration};
 use poplarswitch_entity::Time;
 use poplarswitch_ingress::{
-    AttemptCounts, Call, CutCall, EndpointKey, HoldChange, Passage, Prompt, QuarantineDigest,
-    SURVIVAL_TIME, Subject, TRIAL_REPLY_TIMEOUT, TrialHome, TrialId, TrialTarget, hash_pair,
+    Call, CutCall, EndpointKey, HoldChange, Prompt, QuarantineDigest, RequestId, SURVIVAL_TIME,
+    Subject, TrialOutcome,
 };
 use poplarswitch_wire::ErrorCode;
 use rand::Rng as _;
@@ -31,21 +23,18 @@
     time::{sleep, timeout},
 };
 
-/// Time limit for the report that shows whether an engine has crashed; one that is alive but slow
-/// has not.
+/// Time limit for the check whether an endpoint has crashed; one that is alive but slow has not.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(300);
 /// Interval at which digests are repeated.
 const DIGEST_INTERVAL: Duration = Duration::from_millis(300);
 /// Minimum interval between digests.
 const MIN_DIGEST_INTERVAL: Duration = Duration::from_millis(20);
-/// Shortest time after which a caller of a held call is told to come back.
-const MIN_HELD_DELAY: Duration = Duration::from_secs(1);
-/// Selects the VM that grants trials.
-const TRIAL_HOME_SEED: u64 = 0;
-/// Maximum number of broken calls that wait for the check of one engine.
+/// Time within which an endpoint that is down closes a connection that its host has accepted.
+const CLOSE_TIME: Duration = Duration::from_millis(150);
+/// Maximum number of broken calls that wait for the check of one endpoint.
 const MAX_PENDING_CUTS: usize = 256;
 
-/// Broken calls of each engine that is being checked.
+/// Broken calls of each endpoint that is being checked.
 pub(crate) type PendingCuts = HashMap<EndpointKey, Vec<CutCall>>;
 
 /// Identifiers of the sections of a call's prompt that other calls may share.
@@ -55,99 +44,52 @@
 }
 
 /// What a call has in common with others that may crash its endpoint.
-fn subjects(call: &Call) -> impl Iterator<Item = Subject> {
-    shared_sections(call).map(Subject::Section)
-}
-
-impl Core {
-    /// The VM that grants trials. A VM that is in contact with half of the known VMs or fewer can't
-    /// tell.
-    fn trial_home(&self, now: Time) -> TrialHome {
-        let alive = self.membership.alive_count(now);
-        let all = alive + self.membership.silent_count(now);
-        if alive * 2 <= all {
-            return TrialHome::Nobody;
-        }
-        let weight = |ip: Ipv4Addr| hash_pair(u64::from(ip.to_bits()), TRIAL_HOME_SEED);
-        let local_ip = self.membership.local_ip();
-        let mut others = self.membership.alive(now);
-        if others.all(|member| weight(member.ip) < weight(local_ip)) {
-            TrialHome::Local
-        } else {
-            TrialHome::Other
-        }
-    }
+pub(crate) fn subjects(id: RequestId, call: &Call) -> impl Iterator<Item = Subject> {
+    let sections = shared_sections(call).map(Subject::Section);
+    iter::once(Subject::Request(id)).chain(sections)
 }
 
-/// Checks that no section of a call is held; returns whether the call is the trial of one.
-pub(crate) fn admit_sections(shared: &Shared, call: &Call) -> Result<bool, Failure> {
-    let now = clock::now();
-    let mut core = shared.core();
-    let home = core.trial_home(now);
-    let passage = core
-        .quarantine
-        .check(now, subjects(call), home, TrialTarget::default());
-    drop(core);
-    let (subject, retry_after) = match passage {
-        Passage::Free => return Ok(false),
-        Passage::Trial(TrialId { subject, .. }) => {
-            let id = &*call.id;
-            tracing::info!(event = "trial", section = hex(subject), id, "section");
-            return Ok(true);
-        }
-        Passage::Ask(ask) => (ask.subject, TRIAL_REPLY_TIMEOUT),
-        Passage::Wait { subject, until } => (subject, until.since(now)),
-        Passage::Held {
-            subject,
-            retry_after,
-        } => (subject, retry_after),
+pub(crate) fn held_failure(subject: Subject) -> Failure {
+    let code = match subject {
+        Subject::Section(_) => ErrorCode::PromptHeld,
+        Subject::Request(_) => ErrorCode::RequestHeld,
     };
-    shared.metrics.calls_held.inc();
-    let retry_after = retry_after.max(MIN_HELD_DELAY);
-    Err(held_failure(subject).with_retry_after(retry_after))
-}
-
-fn held_failure(subject: Subject) -> Failure {
-    Failure::new(ErrorCode::PromptHeld, subject.to_string())
+    Failure::new(code, subject.to_string())
 }
 
 fn hex(subject: Subject) -> String {
     format!("{:x}", subject.id())
 }
 
-impl CallForwarder {
-    /// Checks before an attempt that no section has been held since the call was admitted.
-    pub(crate) fn recheck_sections(&self) -> Result<(), Failure> {
-        if self.request.is_trial && self.attempts == AttemptCounts::default() {
-            return Ok(());
-        }
-        let held = self
-            .shared
-            .core()
-            .quarantine
-            .is_held(subjects(&self.request.call));
-        match held {
-            None => Ok(()),
-            Some(subject) if self.attempts.maybe_run > 0 => {
-                Err(Failure::new(ErrorCode::Failed, subject.to_string()).in_doubt())
-            }
-            Some(subject) => Err(held_failure(subject).with_retry_after(DIGEST_INTERVAL)),
-        }
+/// Logs what happened to a subject; `id` is the call's.
+pub(crate) fn log_subject(event: &'static str, subject: Subject, id: Option<&str>) {
+    match subject {
+        Subject::Section(_) => tracing::info!(event, section = hex(subject), id, "section"),
+        Subject::Request(_) => tracing::info!(event, request = hex(subject), id, "request"),
     }
+}
 
-    /// Records that an answer that began at `began` is complete or has survived.
-    pub(crate) fn record_answer(&self, began: Time) {
-        if self.request.call.prompt.is_none() {
-            return;
-        }
-        let subjects = subjects(&self.request.call);
+impl CallForwarder {
+    /// Records that an answer that began at `began` is complete or has survived. The rest of a stream
+    /// doesn't show that its request is sound, nor does a failure that its prompt is.
+    pub(crate) fn record_answer(&mut self, began: Time, is_success: bool) {
         let now = clock::now();
+        let request = &self.request;
+        let is_whole = self.record.resumed == 0 && request.call.continues.is_none();
+        let subjects = subjects(request.id, &request.call);
+        let subjects = subjects.filter(|subject| match subject {
+            Subject::Request(_) => is_whole,
+            Subject::Section(_) => is_success,
+        });
         let changes = self
             .shared
             .core()
             .quarantine
             .record_answer(now, began, subjects);
         log_changes(&self.shared, &changes);
+        if is_whole {
+            self.record_trial(TrialOutcome::Answered);
+        }
     }
 
     /// Records that an endpoint has begun an answer.
@@ -163,7 +105,7 @@
         let now = clock::now();
         let survived = began.is_some_and(|began| now.since(began) >= SURVIVAL_TIME);
         let sections: Vec<u64> = shared_sections(&self.request.call).collect();
-        if survived || sections.is_empty() {
+        if survived {
             return;
         }
         let mut core = self.shared.core();
@@ -175,11 +117,14 @@
             return;
         }
         let address = endpoint.entry.address;
+        let table = self.shared.table.load();
+        let service = table.service(&endpoint.entry.service);
+        let is_engine = service.is_some_and(|service| service.engine.is_some());
         let cut = CutCall {
             endpoint: (endpoint.name_hash >> 32) as u32,
             at: now,
             begun: began.is_some(),
-            request: None,
+            request: Some(self.request.id),
             sections,
         };
         let is_checked = core.pending_cuts.contains_key(&key);
@@ -189,14 +134,24 @@
         }
         drop(core);
         if !is_checked {
-            tokio::spawn(check_endpoint(Arc::clone(&self.shared), key, address));
+            tokio::spawn(check_endpoint(
+                Arc::clone(&self.shared),
+                key,
+                address,
+                is_engine,
+            ));
         }
     }
 }
 
 /// Checks whether an endpoint has crashed; if so, its broken calls count as evidence.
-async fn check_endpoint(shared: Arc<Shared>, key: EndpointKey, address: SocketAddr) {
-    let crashed = has_crashed(&shared, address).await;
+async fn check_endpoint(
+    shared: Arc<Shared>,
+    key: EndpointKey,
+    address: SocketAddr,
+    is_engine: bool,
+) {
+    let crashed = has_crashed(&shared, address, is_engine).await;
     let now = clock::now();
     let mut core = shared.core();
     let cuts = core.pending_cuts.remove(&key).unwrap_or_default();
@@ -229,27 +184,31 @@
     log_changes(&shared, &changes);
 }
 
-async fn has_crashed(shared: &Shared, address: SocketAddr) -> bool {
-    shared.metrics.probes.inc();
+async fn has_crashed(shared: &Shared, address: SocketAddr, is_engine: bool) -> bool {
     shared.metrics.connections.inc();
     let report = async {
-        match tcp::open(address, CHECK_TIMEOUT).await {
-            Ok(sender) => {
-                let connection = Connection {
-                    sender,
-                    reused: false,
-                };
-                fetch_report(shared, connection, address).await.is_err()
-            }
-            Err(tcp::ConnectError::TimedOut { .. }) => false,
-            Err(_) => true,
+        let sender = match tcp::open(address, CHECK_TIMEOUT).await {
+            Ok(sender) => sender,
+            Err(tcp::ConnectError::TimedOut { .. }) => return false,
+            Err(_) => return true,
+        };
+        if !is_engine {
+            // Plain services have no report; one that is down closes the connection at once.
+            sleep(CLOSE_TIME).await;
+            return sender.is_closed();
         }
+        shared.metrics.probes.inc();
+        let connection = Connection {
+            sender,
+            reused: false,
+        };
+        fetch_report(shared, connection, address).await.is_err()
     };
     // An endpoint that doesn't answer may be cut off or slow.
     timeout(CHECK_TIMEOUT, report).await.unwrap_or(false)
 }
 
-/// Logs changes of held sections, and tells other VMs of them.
+/// Logs changes of held subjects, tells other VMs of them, and wakes the calls that wait for them.
 pub(crate) fn log_changes(shared: &Shared, changes: &[HoldChange]) {
     for change in changes {
         match change {
@@ -258,12 +217,20 @@
                 crashes,
                 remote,
             } => {
-                shared.metrics.sections_held.inc();
-                let section = hex(*subject);
-                tracing::info!(event = "held", section, crashes, remote, "section");
+                shared.metrics.subjects_held.inc();
+                let id = hex(*subject);
+                match subject {
+                    Subject::Section(_) => {
+                        tracing::info!(event = "held", section = id, crashes, remote, "section");
+                    }
+                    Subject::Request(_) => {
+                        tracing::info!(event = "held", request = id, crashes, remote, "request");
+                    }
+                }
             }
             HoldChange::Released { subject } => {
-                tracing::info!(event = "released", section = hex(*subject), "section");
+                log_subject("released", *subject, None);
+                shared.released.send_replace(());
             }
         }
     }
--- a/crates/relay/src/registry.rs
+++ b/crates/relay/src/registry.rs
@@ -1,7 +1,7 @@
 //! Registration of entry VMs in the platform.
 //!
-//! A VM that starts reads the entries to learn the sections of prompts that other VMs hold, also if
-//! all VMs were killed. It then writes its own entry and reads the list again, because VMs that start
+//! A VM that starts reads the entries to learn the requests and sections of prompts that other VMs
+//! hold, also if all VMs were killed. So does one that is cut off from others, or that others are. It then writes its own entry and reads the list again, because VMs that start
 //! together find each other's entries only after they have written theirs; [`ListingSchedule`] tells
 //! when further reads follow. A VM removes its entry when it shuts down; the first VMs of each data
 //! centre write theirs again when held sections change. In each data centre, one VM removes the
@@ -155,6 +155,7 @@
     view: ListingView,
 ) -> Result<(), RegistryError> {
     let listed = list(shared, client).await?;
+    restore_held(shared, &listed);
     add_members(shared, &listed);
     // A VM that shuts down has removed its entry itself.
     let is_leaving = shared.core().shutdown.has_started();
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -5,7 +5,7 @@
     attempt::EndpointResponse,
     call_forwarder::{CallForwarder, CallRequest},
     call_record::CallRecord,
-    clock, origins, quarantine,
+    clock, origins,
     reply::{Failure, Guards, ReplyBody},
     shared::Shared,
     stream,
@@ -72,6 +72,7 @@
                 tried: Vec::new(),
                 skipped: Vec::new(),
                 has_begun: false,
+                trial: None,
                 record,
             };
             let response = tokio::select! {
@@ -189,7 +190,6 @@
     let service = service
         .cloned()
         .ok_or_else(|| Failure::new(ErrorCode::NoEndpoint, vm))?;
-    let is_trial = quarantine::admit_sections(shared, &call)?;
     let engine = table.service(&service).and_then(|service| service.engine);
     admit(
         shared,
@@ -216,7 +216,7 @@
         workspace: caller.map(Into::into),
         priority: record.priority,
         deadline: arrived + wait,
-        is_trial,
+        id,
         pin: origin.map_or(VersionPin::Any, |origin| VersionPin::Only(origin.software)),
         call,
     })
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -13,6 +13,7 @@
     settings::RelaySettings,
     snapshot::Snapshot,
     tcp::{ConnectError, Sender},
+    trials::TrialRequests,
 };
 use arc_swap::ArcSwap;
 use core::{
@@ -85,10 +86,12 @@
     pub(crate) origin_requests: OriginRequests,
     /// Number of the last request for an origin.
     pub(crate) origin_serial: u32,
-    /// Sections of prompts that crash engines.
+    /// Requests and sections of prompts that crash endpoints.
     pub(crate) quarantine: Quarantine,
-    /// Broken calls of engines that are being checked.
+    /// Broken calls of endpoints that are being checked.
     pub(crate) pending_cuts: PendingCuts,
+    /// Requests for trials whose replies are awaited.
+    pub(crate) trial_requests: TrialRequests,
 }
 
 impl Core {
@@ -139,6 +142,8 @@
     pub(crate) quarantine_news: Notify,
     /// Notified when the set of held sections has changed.
     pub(crate) holds_changed: Notify,
+    /// Changes when a held subject is released.
+    pub(crate) released: watch::Sender<()>,
     pub(crate) started: Time,
     in_flight: AtomicUsize,
     core: Mutex<Core>,
@@ -190,6 +195,7 @@
             origin_serial: 0,
             quarantine: Quarantine::default(),
             pending_cuts: PendingCuts::new(),
+            trial_requests: TrialRequests::new(),
         };
         Self {
             settings,
@@ -203,6 +209,7 @@
             peer_socket: OnceLock::new(),
             quarantine_news: Notify::new(),
             holds_changed: Notify::new(),
+            released: watch::Sender::new(()),
             started: clock::now(),
             in_flight: AtomicUsize::new(0),
             core: Mutex::new(core),
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -138,9 +138,8 @@
             record.partial = self.content.partial_len();
             let next = match end {
                 SegmentEnd::Complete => {
-                    if self.forwarder.record.status < 300 {
-                        self.forwarder.record_answer(unread.began);
-                    }
+                    let is_success = self.forwarder.record.status < 300;
+                    self.forwarder.record_answer(unread.began, is_success);
                     self.forwarder.shared.return_connection(
                         key,
                         unread.sender,
@@ -245,7 +244,7 @@
             received += bytes.len();
             if !survived && clock::now().since(unread.began) >= SURVIVAL_TIME {
                 survived = true;
-                self.forwarder.record_answer(unread.began);
+                self.forwarder.record_answer(unread.began, true);
             }
             let bytes = match self.content.push(bytes) {
                 Ok(Some(bytes)) => bytes,
--- a/crates/wire/src/error.rs
+++ b/crates/wire/src/error.rs
@@ -91,6 +91,8 @@
     StaleSet,
     /// Calls with a section of the prompt have crashed engines.
     PromptHeld,
+    /// The request has crashed endpoints.
+    RequestHeld,
     /// The endpoint ran the call and failed.
     Failed,
     /// The call may have run.
@@ -125,6 +127,7 @@
             Self::NoSet => "no_set",
             Self::StaleSet => "stale_set",
             Self::PromptHeld => "prompt_held",
+            Self::RequestHeld => "request_held",
             Self::Failed => "failed",
             Self::InDoubt => "in_doubt",
         }
@@ -150,6 +153,7 @@
             | Self::NoSet
             | Self::StaleSet
             | Self::PromptHeld
+            | Self::RequestHeld
             | Self::HomeUnreached => 503,
             Self::Failed => 502,
             Self::InDoubt => 504,
@@ -188,7 +192,8 @@
             | Self::Busy
             | Self::NoSet
             | Self::StaleSet
-            | Self::PromptHeld => Step::Admit,
+            | Self::PromptHeld
+            | Self::RequestHeld => Step::Admit,
             Self::WaitExpired | Self::NoEndpoint => Step::Queue,
             Self::Failed | Self::InDoubt => Step::Run,
         }
@@ -223,6 +228,7 @@
             Self::NoSet => "this VM has no configuration yet",
             Self::StaleSet => "this VM can't prove that its configuration is the newest",
             Self::PromptHeld => "engines crashed on calls with a section of this prompt",
+            Self::RequestHeld => "endpoints crashed on this request",
             Self::Failed => "the endpoint ran the call and failed",
             Self::InDoubt => "the call may or may not have run",
         }
