Keep callers' idle connections beyond the time limit on heads

Cause: `hyper` starts its time-out for a head at the end of the previous response, so `head_ms` also closed idle connections: after 2 s in that test, after 10 s by default. The client keeps idle connections for 15 s. A call sent on one just as the node closes it gets no answer. The drain has no part in it.

Change: connections have a time limit of their own between calls (`keep_alive_ms`, 30 s). The time for a head starts with its first byte, or when the connection is accepted, as the relay does it.

--- a/crates/node/src/callers/mod.rs
+++ b/crates/node/src/callers/mod.rs
@@ -10,6 +10,7 @@
 mod auth;
 mod body;
 mod chat;
+mod connection;
 mod receiver;
 mod reply;
 mod resolve;
--- a/crates/node/src/callers/server.rs
+++ b/crates/node/src/callers/server.rs
@@ -1,10 +1,13 @@
 //! Accepts and serves the callers' connections.
 
-use super::routes::route;
+use super::{
+    connection::{CallerStream, Usage},
+    routes::route,
+};
 use crate::shared::Shared;
 use core::{convert::Infallible, pin::pin, time::Duration};
 use hyper::{body::Incoming, server::conn::http1::Builder, service::service_fn};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use std::sync::Arc;
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -69,17 +72,23 @@
 ) {
     drop(stream.set_nodelay(true));
     shared.counters.connections.inc();
+    let usage = Usage::new();
     let service = service_fn(|request: http::Request<Incoming>| {
         let shared = Arc::clone(&shared);
-        async move { Ok::<_, Infallible>(route(shared, request).await) }
+        let guard = usage.begin_request();
+        async move {
+            let response = route(shared, request).await;
+            Ok::<_, Infallible>(response.map(|body| guard.keep(body)))
+        }
     });
+    let stream = CallerStream::new(stream, usage.clone());
     let mut serving = pin!(
         Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(shared.settings.limits.head_timeout())
+            .header_read_timeout(None)
             .max_buf_size(MAX_HEAD_BYTES)
             .serve_connection(TokioIo::new(stream), service)
     );
+    let mut timed_out = pin!(usage.time_out(&shared.settings.limits));
     let mut closing = false;
     loop {
         let awaited = if closing {
@@ -92,6 +101,7 @@
                 drop(served);
                 break;
             }
+            () = timed_out.as_mut() => break,
             changed = port_state
                 .wait_for(|state| *state == awaited || *state == PortState::Closed) => {
                 if changed.map_or(true, |state| *state == PortState::Closed) {
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -129,6 +129,7 @@
             ("limits.body_bytes", limits.body_bytes),
             ("limits.answer_bytes", limits.answer_bytes),
             ("limits.head_ms", limits.head_ms),
+            ("limits.keep_alive_ms", limits.keep_alive_ms),
             ("limits.body_ms", limits.body_ms),
             ("limits.unread_ms", limits.unread_ms),
             ("limits.connect_ms", limits.connect_ms),
--- a/crates/settings/src/settings.rs
+++ b/crates/settings/src/settings.rs
@@ -85,6 +85,10 @@
     /// Maximum time for a caller to send the head of a call, in milliseconds.
     #[builder(default = 10_000)]
     pub head_ms: u32,
+    /// Maximum time for which a caller's connection is kept without a call, in milliseconds; longer
+    /// than callers keep idle connections, so that they don't use one that is being closed.
+    #[builder(default = 30_000)]
+    pub keep_alive_ms: u32,
     /// Maximum time for a caller to send the body of a call, in milliseconds.
     #[builder(default = 10_000)]
     pub body_ms: u32,
@@ -111,6 +115,11 @@
         Duration::from_millis(self.head_ms as u64)
     }
 
+    /// Maximum time for which a caller's connection is kept without a call.
+    pub const fn keep_alive_timeout(&self) -> Duration {
+        Duration::from_millis(self.keep_alive_ms as u64)
+    }
+
     /// Maximum time to receive the body of a call.
     pub const fn body_timeout(&self) -> Duration {
         Duration::from_millis(self.body_ms as u64)
