Answer calls on connections that are open when the port closes

A caller whose address list is older than the linger may connect to a VM at its exit and lose its call.

Cause: when a VM had drained, it dropped its listener, and the system reset the connections that waited there with the calls sent on them. `hyper`'s orderly end also closes a connection that has brought nothing yet. And the process could exit before a connection just accepted was counted. The bounds add up to this: VMs of the cell name the leaving VM for up to 0.5 s, those of other cells for up to 5 s, a list lives for 5 s, and the linger is 6 s.

Change: the port accepts all connections that wait, then closes; a connection without a call stays open until its first call is refused, for 2 s at most; it is counted from its acceptance, and the exit waits for the accepting task. A connection that opens between the last accept and the close of the listener is still reset. Later ones are refused, so their calls count as unsent.

--- a/crates/node/src/callers/connection.rs
+++ b/crates/node/src/callers/connection.rs
@@ -28,8 +28,9 @@
 /// What a connection is used for.
 #[derive(Clone, Copy, Debug)]
 enum Stage {
-    /// The head of a request is being read, since its first byte; the first one also is awaited,
-    /// since the connection was accepted.
+    /// The first head is awaited or being read, since the connection was accepted.
+    FirstHead(Instant),
+    /// The head of a later request is being read, since its first byte.
     Head(Instant),
     /// A request is being served.
     Serving,
@@ -44,7 +45,7 @@
 impl Usage {
     /// Usage of a connection that has just been accepted.
     pub(super) fn new() -> Self {
-        Self(Arc::new(Mutex::new(Stage::Head(Instant::now()))))
+        Self(Arc::new(Mutex::new(Stage::FirstHead(Instant::now()))))
     }
 
     fn stage(&self) -> Stage {
@@ -55,6 +56,11 @@
         *self.0.lock().unwrap_or_else(PoisonError::into_inner) = stage;
     }
 
+    /// Whether the connection has not brought a whole head yet.
+    pub(super) fn awaits_first_head(&self) -> bool {
+        matches!(self.stage(), Stage::FirstHead(_))
+    }
+
     /// Records that a head has been read; the connection is idle again when the guard is dropped.
     pub(super) fn begin_request(&self) -> RequestGuard {
         self.enter(Stage::Serving);
@@ -72,7 +78,7 @@
         loop {
             let now = Instant::now();
             let deadline = match self.stage() {
-                Stage::Head(since) => since + limits.head_timeout(),
+                Stage::FirstHead(since) | Stage::Head(since) => since + limits.head_timeout(),
                 Stage::Serving => now + limits.head_timeout(),
                 Stage::Idle(since) => since + limits.keep_alive_timeout(),
             };
--- a/crates/node/src/callers/mod.rs
+++ b/crates/node/src/callers/mod.rs
@@ -19,6 +19,9 @@
 mod service;
 mod submit;
 
+#[cfg(test)]
+mod server_tests;
+
 pub(crate) use auth::bearer;
 pub(crate) use server::{PortState, serve};
 pub(crate) use submit::leaving_error;
--- a/crates/node/src/callers/server.rs
+++ b/crates/node/src/callers/server.rs
@@ -30,36 +30,70 @@
     Closed,
 }
 
-/// Accepts connections as long as the port state is [`PortState::Open`].
+/// Accepts connections as long as the port state is [`PortState::Open`], then those that are
+/// already waiting: their callers take them for open and may have sent a call.
 pub(crate) async fn serve(
     shared: Arc<Shared>,
     listener: TcpListener,
     mut port_state: watch::Receiver<PortState>,
 ) {
     let limit = shared.settings.limits.connections as usize;
-    let permits = Arc::new(Semaphore::new(limit));
+    let port = Port {
+        permits: Arc::new(Semaphore::new(limit)),
+        state: port_state.clone(),
+        shared,
+    };
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             changed = port_state.wait_for(|state| *state != PortState::Open) => {
                 drop(changed);
-                return;
+                break;
             }
         };
         let Ok((stream, _)) = accepted else {
-            shared.counters.accept_errors.inc();
+            port.shared.counters.accept_errors.inc();
             tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
-        let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
-            shared.counters.connections_refused.inc();
-            continue;
+        port.start_connection(stream);
+    }
+    // `accept` of the runtime may not know yet that connections wait.
+    let Ok(listener) = listener.into_std() else {
+        return;
+    };
+    while let Ok((stream, _)) = listener.accept() {
+        let stream = stream.set_nonblocking(true).map(|()| stream);
+        match stream.and_then(TcpStream::from_std) {
+            Ok(stream) => port.start_connection(stream),
+            Err(_) => {
+                port.shared.counters.accept_errors.inc();
+            }
+        }
+    }
+}
+
+/// What the connections of a port share.
+struct Port {
+    shared: Arc<Shared>,
+    permits: Arc<Semaphore>,
+    state: watch::Receiver<PortState>,
+}
+
+impl Port {
+    /// Starts to serve a connection, which is counted from now on; drops it at the limit.
+    fn start_connection(&self, stream: TcpStream) {
+        let counters = &self.shared.counters;
+        let Ok(permit) = Arc::clone(&self.permits).try_acquire_owned() else {
+            counters.connections_refused.inc();
+            return;
         };
+        counters.connections.inc();
         tokio::spawn(connection(
-            Arc::clone(&shared),
+            Arc::clone(&self.shared),
             stream,
             permit,
-            port_state.clone(),
+            self.state.clone(),
         ));
     }
 }
@@ -71,7 +105,6 @@
     mut port_state: watch::Receiver<PortState>,
 ) {
     drop(stream.set_nodelay(true));
-    shared.counters.connections.inc();
     let usage = Usage::new();
     let service = service_fn(|request: http::Request<Incoming>| {
         let shared = Arc::clone(&shared);
@@ -107,7 +140,11 @@
                 if changed.map_or(true, |state| *state == PortState::Closed) {
                     break;
                 }
-                serving.as_mut().graceful_shutdown();
+                // `hyper` would close a connection that has brought nothing yet. Its first response
+                // ends it.
+                if !usage.awaits_first_head() {
+                    serving.as_mut().graceful_shutdown();
+                }
                 closing = true;
             }
         }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -32,6 +32,7 @@
 use tokio::{
     runtime::{Builder, Runtime},
     sync::watch,
+    task,
 };
 
 /// Threads that serve the callers' connections.
@@ -88,6 +89,7 @@
     shared: Arc<Shared>,
     addresses: Addresses,
     port_state: watch::Sender<PortState>,
+    callers: task::JoinHandle<()>,
     event_loop: Option<JoinHandle<()>>,
     poller_stop: Option<Sender<()>>,
     runtime: Option<Runtime>,
@@ -111,7 +113,7 @@
             events,
         ));
         let (port_state, state) = watch::channel(PortState::Open);
-        let (addresses, peers) = open_ports(&shared, &runtime, state)?;
+        let (addresses, peers, callers) = open_ports(&shared, &runtime, state)?;
         let (poller_stop, stop) = bounded(0);
         reports::start(&shared, &stop).context(ThreadSnafu)?;
         let cluster = join_cluster(&shared, &addresses, peers, orders).context(ThreadSnafu)?;
@@ -121,6 +123,7 @@
             shared,
             addresses,
             port_state,
+            callers,
             event_loop: Some(event_loop),
             poller_stop: Some(poller_stop),
             runtime: Some(runtime),
@@ -180,7 +183,8 @@
         }
         self.port_state.send_replace(PortState::Closing);
         let since = self.shared.now();
-        let open = || self.shared.counters.connections.get() > 0;
+        let connections = &self.shared.counters.connections;
+        let open = || !self.callers.is_finished() || connections.get() > 0;
         while open() && self.shared.now().since(since) < CLOSE_TIMEOUT {
             thread::sleep(PHASE_POLL_INTERVAL);
         }
@@ -258,7 +262,7 @@
     shared: &Arc<Shared>,
     runtime: &Runtime,
     state: watch::Receiver<PortState>,
-) -> Result<(Addresses, TcpListener), StartError> {
+) -> Result<(Addresses, TcpListener, task::JoinHandle<()>), StartError> {
     let configured = &shared.settings.addresses;
     let (callers, callers_address) = listen("callers", configured.callers)?;
     let (peers, peers_address) = listen("peers", configured.peers)?;
@@ -279,13 +283,13 @@
         peers: peers_address,
     };
     let task_shared = Arc::clone(shared);
-    runtime.spawn(async move {
+    let callers = runtime.spawn(async move {
         match tokio::net::TcpListener::from_std(callers) {
             Ok(listener) => callers::serve(task_shared, listener, state).await,
             Err(error) => tracing::error!(%error, "failed to register the callers' listener"),
         }
     });
-    Ok((addresses, peers))
+    Ok((addresses, peers, callers))
 }
 
 fn listen(
