Keep the limits of endpoints that are listed but get no calls

Cause: VMs forgot a limit a minute after the last answer that named it, and then sent without tokens until the next answers.

Change: a limit is kept for as long as its endpoint is listed. What is forgotten after a minute are ends of limits, and limits of endpoints that are gone. The minute counts from when this VM learned of it, since a list of endpoints may be behind the news. Ages are kept as ages: an old limit may have been named before the clock of a VM that was just booted began.

--- a/crates/ingress/src/limits.rs
+++ b/crates/ingress/src/limits.rs
@@ -1,7 +1,7 @@
 //! Limits on the rate of requests that endpoints name in their answers.
 //!
 //! A limit binds all VMs together, from the answer that names it until an answer to a later request
-//! names none.
+//! names none, or the endpoint is gone.
 //!
 //! For each limited endpoint, rendezvous hashing selects one of the VMs that are alive as its owner.
 //! The owner keeps a token bucket that is filled at the rate of the limit, and every request of any
@@ -22,8 +22,8 @@
 
 /// Maximum number of endpoints whose limits are remembered.
 const MAX_LIMITS: usize = 4_096;
-/// Time after the last news of a limit at which it is forgotten; the next answer names it again if
-/// it still holds.
+/// Time after the last news of a limit at which it is forgotten if it has ended or its endpoint isn't
+/// listed; the list may be behind the news.
 const LIMIT_EXPIRY: Duration = Duration::from_mins(1);
 /// Age up to which news of a limit is repeated to other VMs.
 const NEWS_AGE: Duration = Duration::from_secs(5);
@@ -198,8 +198,11 @@
 struct Limit {
     /// Requests per second; none after the end of the limit.
     rate: Option<f64>,
-    /// When the newest answer that tells of it arrived, here or at another VM.
-    observed: Time,
+    /// When this VM last learned of it.
+    learned: Time,
+    /// Age that the newest answer that tells of it had then, since it arrived here or at another VM;
+    /// it may have arrived before this VM's clock began.
+    age: Duration,
     /// Tokens at the owner.
     tokens: f64,
     filled: Time,
@@ -224,10 +227,12 @@
 }
 
 impl Limit {
-    const fn new(now: Time, rate: Option<f64>) -> Self {
+    /// A limit that is not known yet.
+    const fn new(now: Time, age: Duration) -> Self {
         Self {
-            rate,
-            observed: now,
+            rate: None,
+            learned: now,
+            age,
             tokens: 1.0,
             filled: now,
             acts_from: None,
@@ -246,6 +251,11 @@
         }
     }
 
+    /// Age of the newest answer that tells of it.
+    fn age(&self, now: Time) -> Duration {
+        self.age + now.since(self.learned)
+    }
+
     /// Takes up to `wanted` tokens as the owner; returns their number, or when to ask again.
     fn take(&mut self, now: Time, share: LimitShare, rank: u8, wanted: u32) -> Result<u32, Time> {
         let rate = self.rate.unwrap_or(f64::MAX).max(MIN_RATE) * share.fraction;
@@ -308,11 +318,12 @@
     ) -> Option<LimitChange> {
         match named {
             NamedLimit::Unreadable => None,
-            NamedLimit::Rate(rate) => self.update(id, Some(rate), now),
+            NamedLimit::Rate(rate) => self.update(now, id, Some(rate), Duration::ZERO),
             NamedLimit::Free => {
                 // The answer may have begun before the limit was named.
                 let known = self.limits.get(&id)?;
-                (sent >= known.observed).then(|| self.update(id, None, now))?
+                let is_later = now.since(sent) <= known.age(now);
+                is_later.then(|| self.update(now, id, None, Duration::ZERO))?
             }
         }
     }
@@ -321,30 +332,35 @@
     pub fn merge(&mut self, now: Time, records: &[LimitRecord]) -> Vec<(LimitId, LimitChange)> {
         let changes = records.iter().filter_map(|LimitRecord(id, rate, age_ms)| {
             let id = LimitId(*id);
-            let observed = now - Duration::from_millis(u64::from(*age_ms));
+            let age = Duration::from_millis(u64::from(*age_ms));
             let change = match self.limits.get(&id) {
                 None if rate.is_none() => None,
-                Some(known) if observed <= known.observed => None,
-                Some(known) if known.rate == *rate && observed < known.observed + MIN_REFRESH => {
-                    None
-                }
-                _ => self.update(id, *rate, observed),
+                Some(known) if age >= known.age(now) => None,
+                Some(known) if known.rate == *rate && age + MIN_REFRESH > known.age(now) => None,
+                _ => self.update(now, id, *rate, age),
             };
             change.map(|change| (id, change))
         });
         changes.collect()
     }
 
-    fn update(&mut self, id: LimitId, rate: Option<f64>, observed: Time) -> Option<LimitChange> {
+    fn update(
+        &mut self,
+        now: Time,
+        id: LimitId,
+        rate: Option<f64>,
+        age: Duration,
+    ) -> Option<LimitChange> {
         let is_full = self.limits.len() >= MAX_LIMITS && !self.limits.contains_key(&id);
         if is_full {
             return None;
         }
         let limit = self.limits.entry(id);
-        let limit = limit.or_insert_with(|| Limit::new(observed, None));
+        let limit = limit.or_insert_with(|| Limit::new(now, age));
         let is_new = limit.rate != rate;
         limit.rate = rate;
-        limit.observed = limit.observed.max(observed);
+        limit.age = limit.age(now).min(age);
+        limit.learned = now;
         if rate.is_none() {
             limit.denial = Denial::default();
         }
@@ -356,20 +372,37 @@
         self.limits.get(&id)?.rate
     }
 
+    /// Number of limits that are remembered, with those that have ended.
+    pub fn len(&self) -> usize {
+        self.limits.len()
+    }
+
+    /// Whether no limits are remembered.
+    pub fn is_empty(&self) -> bool {
+        self.limits.is_empty()
+    }
+
     /// The newest limits, for other VMs.
     pub fn news(&self, now: Time) -> Vec<LimitRecord> {
         let recent = self.limits.iter();
-        let recent = recent.filter(|(_, limit)| now.since(limit.observed) < NEWS_AGE);
+        let recent = recent.filter(|(_, limit)| limit.age(now) < NEWS_AGE);
         let mut recent: Vec<(&LimitId, &Limit)> = recent.collect();
-        recent.sort_unstable_by_key(|(id, limit)| (core::cmp::Reverse(limit.observed), **id));
+        recent.sort_unstable_by_key(|(id, limit)| (limit.age(now), **id));
         let records = recent.into_iter().take(MAX_NEWS);
         records.map(|(id, limit)| record(now, *id, limit)).collect()
     }
 
-    /// Updates which endpoints this VM owns, and forgets old limits.
-    pub fn refresh(&mut self, now: Time, share_of: impl Fn(LimitId) -> LimitShare) {
-        self.limits
-            .retain(|_, limit| now.since(limit.observed) < LIMIT_EXPIRY);
+    /// Updates which endpoints this VM owns, and forgets old limits. `is_listed` tells whether an
+    /// endpoint is listed now.
+    pub fn refresh(
+        &mut self,
+        now: Time,
+        share_of: impl Fn(LimitId) -> LimitShare,
+        is_listed: impl Fn(LimitId) -> bool,
+    ) {
+        self.limits.retain(|id, limit| {
+            now.since(limit.learned) < LIMIT_EXPIRY || limit.rate.is_some() && is_listed(*id)
+        });
         for (id, limit) in &mut self.limits {
             let share = share_of(*id);
             if !share.is_owner {
@@ -487,6 +520,6 @@
 }
 
 fn record(now: Time, id: LimitId, limit: &Limit) -> LimitRecord {
-    let age = now.since(limit.observed).as_millis();
-    LimitRecord(id.0, limit.rate, age as u32)
+    let age = limit.age(now).as_millis();
+    LimitRecord(id.0, limit.rate, age.try_into().unwrap_or(u32::MAX))
 }
--- a/crates/ingress/src/limits_tests.rs
+++ b/crates/ingress/src/limits_tests.rs
@@ -1,6 +1,6 @@
 use crate::{
-    LimitChange, LimitId, LimitMessage, LimitShare, NamedLimit, Permit, RateLimits, TokenReply,
-    hash_pair,
+    LimitChange, LimitId, LimitMessage, LimitRecord, LimitShare, NamedLimit, Permit, RateLimits,
+    TokenReply, hash_pair,
 };
 use core::time::Duration;
 use googletest::prelude::*;
@@ -155,6 +155,16 @@
         self.events.insert((when, self.count), event);
     }
 
+    /// Removes the calls of a span.
+    fn without_calls(mut self, from: f64, to: f64) -> Self {
+        let span = at(from)..at(to);
+        self.events.retain(|(when, _), event| {
+            !(span.contains(when) && matches!(event, Event::Call { .. }))
+        });
+        self.calls.retain(|when| !span.contains(when));
+        self
+    }
+
     fn is_up(&self, vm: usize) -> bool {
         let vm = &self.vms[vm];
         (vm.started..vm.stopped).contains(&self.now)
@@ -311,7 +321,7 @@
                 }
                 if self.vms[vm].limits.rate(ID).is_some() {
                     let share = self.share(vm);
-                    self.vms[vm].limits.refresh(now, |_| share);
+                    self.vms[vm].limits.refresh(now, |_| share, |_| true);
                 }
                 let news = self.vms[vm].limits.news(now);
                 if news.is_empty() {
@@ -495,3 +505,61 @@
     let [urgent, others] = simulation.granted;
     expect_that!(urgent, ge(others * 3 / 2));
 }
+
+/// After a minute without calls, VMs forgot a limit that still held, and sent a burst.
+#[gtest]
+fn limit_holds_after_minutes_without_calls() {
+    for (vms, rate) in [(1, 1.4), (6, 1.4), (60, 1.4), (60, 6.5)] {
+        let simulation = Simulation::new(vms, rate, 400.0, 210.0, 13);
+        let mut simulation = simulation.without_calls(5.0, 200.0);
+        simulation.run(210.0);
+        let arrivals = simulation.arrivals_between(200.0, 204.0);
+        expect_that!(arrivals, le(allowed(rate)), "{vms} VMs, limit {rate}");
+        expect_that!(arrivals, ge(1), "{vms} VMs, limit {rate}");
+    }
+}
+
+/// Limits of endpoints that are gone must not stay for ever, nor ends of limits.
+#[gtest]
+fn limit_is_forgotten_once_it_has_ended_or_its_endpoint_is_gone() {
+    let share = LimitShare {
+        is_owner: false,
+        uptime: Duration::from_mins(10),
+        fraction: 1.0,
+    };
+    let at = Time::from_millis;
+    let ended = LimitId(8);
+    let mut limits = RateLimits::default();
+    for id in [ID, ended] {
+        limits.observe(at(1_000), id, at(900), NamedLimit::Rate(2.0));
+    }
+    limits.observe(at(2_000), ended, at(1_500), NamedLimit::Free);
+    limits.refresh(at(61_500), |_| share, |_| true);
+    expect_that!(limits.len(), eq(2));
+    limits.refresh(at(62_500), |_| share, |_| true);
+    expect_that!(limits.rate(ID), some(eq(2.0)));
+    expect_that!(limits.len(), eq(1));
+    limits.refresh(at(62_500), |_| share, |_| false);
+    expect_that!(limits.len(), eq(0));
+}
+
+/// A VM that has just started may be told of limits before it has read the list of endpoints.
+#[gtest]
+fn limit_that_was_just_told_is_kept_though_its_endpoint_is_not_listed_yet() {
+    let share = LimitShare {
+        is_owner: false,
+        uptime: Duration::ZERO,
+        fraction: 1.0,
+    };
+    let mut limits = RateLimits::default();
+    // Its clock may have begun after the limit was named.
+    let now = Time::from_millis(20_000);
+    limits.merge(now, &[LimitRecord(ID.0, Some(2.0), 300_000)]);
+    limits.refresh(now + Duration::from_secs(2), |_| share, |_| false);
+    expect_that!(limits.rate(ID), some(eq(2.0)));
+    // Newer news of its end, though older than the clock, replaces it.
+    limits.merge(now, &[LimitRecord(ID.0, None, 200_000)]);
+    expect_that!(limits.rate(ID), none());
+    limits.merge(now, &[LimitRecord(ID.0, Some(2.0), 300_000)]);
+    expect_that!(limits.rate(ID), none());
+}
--- a/crates/relay/src/limits.rs
+++ b/crates/relay/src/limits.rs
@@ -11,6 +11,7 @@
     shared::{Core, Shared},
 };
 use core::{
+    cell::LazyCell,
     net::{IpAddr, Ipv4Addr, SocketAddr},
     time::Duration,
 };
@@ -20,7 +21,10 @@
     TokenRequest, hash_pair,
 };
 use rand::Rng as _;
-use std::{collections::HashMap, sync::Arc};
+use std::{
+    collections::{HashMap, HashSet},
+    sync::Arc,
+};
 use tokio::{
     net::UdpSocket,
     sync::oneshot,
@@ -77,9 +81,21 @@
     /// Updates which limits this VM owns, and forgets old ones.
     pub(crate) fn refresh_limits(&mut self, now: Time, started: Time) {
         let mut limits = core::mem::take(&mut self.limits);
-        limits.refresh(now, |id| self.limit_share(now, started, id));
+        let listed = LazyCell::new(|| self.listed_limits());
+        limits.refresh(
+            now,
+            |id| self.limit_share(now, started, id),
+            |id| listed.contains(&id),
+        );
         self.limits = limits;
     }
+
+    /// Identifiers under which limits of the listed endpoints would be known.
+    fn listed_limits(&self) -> HashSet<LimitId> {
+        let endpoints = self.endpoints.iter();
+        let ids = endpoints.map(|(_, e)| LimitId::new(e.name_hash, e.entry.start_ms));
+        ids.collect()
+    }
 }
 
 impl CallForwarder {
