Tell VMs that start of limits that were not named lately

Cause: VMs repeat news of limits for 5 s only. A VM that starts later learns of a limit from its own first answer, after its first calls.

Change: a VM that hears a heartbeat of another one whose phase is new to it (just started, come back, or ready) tells it all limits it knows, the newest 200 in datagrams of 40. That is done on changes only, so the bytes don't grow with the time that a start takes.

--- a/crates/ingress/src/limits.rs
+++ b/crates/ingress/src/limits.rs
@@ -29,6 +29,8 @@
 const NEWS_AGE: Duration = Duration::from_secs(5);
 /// Maximum number of limits in one datagram of news.
 const MAX_NEWS: usize = 40;
+/// Maximum number of limits that a VM that has just started or come back is told.
+const MAX_TOLD: usize = 200;
 /// Difference in age from which news that changes nothing replaces older news; longer than a
 /// datagram is on its way, so that repeated news doesn't seem to be new.
 const MIN_REFRESH: Duration = Duration::from_secs(1);
@@ -384,12 +386,29 @@
 
     /// The newest limits, for other VMs.
     pub fn news(&self, now: Time) -> Vec<LimitRecord> {
-        let recent = self.limits.iter();
-        let recent = recent.filter(|(_, limit)| limit.age(now) < NEWS_AGE);
-        let mut recent: Vec<(&LimitId, &Limit)> = recent.collect();
-        recent.sort_unstable_by_key(|(id, limit)| (limit.age(now), **id));
-        let records = recent.into_iter().take(MAX_NEWS);
-        records.map(|(id, limit)| record(now, *id, limit)).collect()
+        let recent = self.newest(now, |age| age < NEWS_AGE);
+        recent.take(MAX_NEWS).collect()
+    }
+
+    /// Limits of any age, the newest first, for a VM that has just started or come back; each item is
+    /// for one datagram.
+    pub fn all(&self, now: Time) -> Vec<Vec<LimitRecord>> {
+        let all: Vec<LimitRecord> = self.newest(now, |_| true).take(MAX_TOLD).collect();
+        all.chunks(MAX_NEWS).map(<[LimitRecord]>::to_vec).collect()
+    }
+
+    fn newest(
+        &self,
+        now: Time,
+        is_told: impl Fn(Duration) -> bool,
+    ) -> impl Iterator<Item = LimitRecord> {
+        let limits = self.limits.iter();
+        let mut told: Vec<(&LimitId, &Limit)> = limits
+            .filter(|(_, limit)| is_told(limit.age(now)))
+            .collect();
+        told.sort_unstable_by_key(|(id, limit)| (limit.age(now), **id));
+        told.into_iter()
+            .map(move |(id, limit)| record(now, *id, limit))
     }
 
     /// Updates which endpoints this VM owns, and forgets old limits. `is_listed` tells whether an
--- a/crates/ingress/src/limits_tests.rs
+++ b/crates/ingress/src/limits_tests.rs
@@ -46,6 +46,8 @@
         to: usize,
         message: LimitMessage,
     },
+    /// A heartbeat of a VM that has just started arrives at another.
+    FirstHeartbeat { from: usize, to: usize },
     /// A VM gives up waiting for the reply to a request.
     TimedOut { vm: usize, serial: u32 },
     /// A request arrives at the endpoint.
@@ -298,6 +300,13 @@
                     LimitMessage::Grant(reply) => self.finish(to, reply.serial, Some(reply)),
                 }
             }
+            Event::FirstHeartbeat { from, to } => {
+                if self.is_up(to) {
+                    for records in self.vms[to].limits.all(now) {
+                        self.send(to, from, LimitMessage::News(records));
+                    }
+                }
+            }
             Event::TimedOut { vm, serial } => self.finish(vm, serial, None),
             Event::Arrival { vm, sent } => {
                 self.arrivals.push((now, vm));
@@ -323,8 +332,9 @@
                     let share = self.share(vm);
                     self.vms[vm].limits.refresh(now, |_| share, |_| true);
                 }
+                let is_new = now.since(self.vms[vm].started) < DETECTION / 2;
                 let news = self.vms[vm].limits.news(now);
-                if news.is_empty() {
+                if news.is_empty() && !is_new {
                     return;
                 }
                 let others: Vec<usize> = (0..self.vms.len())
@@ -333,7 +343,12 @@
                 let fanout = if others.len() <= 12 { others.len() } else { 5 };
                 for _ in 0..fanout {
                     let to = others[self.rng.random_range(0..others.len())];
-                    self.send(vm, to, LimitMessage::News(news.clone()));
+                    if is_new {
+                        let when = now + self.latency();
+                        self.push(when, Event::FirstHeartbeat { from: vm, to });
+                    } else {
+                        self.send(vm, to, LimitMessage::News(news.clone()));
+                    }
                 }
             }
         }
@@ -519,6 +534,21 @@
     }
 }
 
+/// A VM that started while nobody called knew nothing of a limit, so its first calls took no tokens.
+#[gtest]
+fn limit_holds_for_the_first_calls_of_a_vm_that_starts() {
+    for (vms, rate) in [(2, 1.4), (6, 1.4), (60, 1.4), (60, 6.5)] {
+        let simulation = Simulation::new(vms, rate, 2_000.0, 34.0, 17);
+        let mut simulation = simulation.without_calls(5.0, 30.0);
+        // Half of the calls arrive at this VM.
+        simulation.vms[0].started = at(20.0);
+        simulation.run(34.0);
+        let arrivals = simulation.arrivals_between(30.0, 34.0);
+        expect_that!(arrivals, le(allowed(rate)), "{vms} VMs, limit {rate}");
+        expect_that!(arrivals, ge(1), "{vms} VMs, limit {rate}");
+    }
+}
+
 /// Limits of endpoints that are gone must not stay for ever, nor ends of limits.
 #[gtest]
 fn limit_is_forgotten_once_it_has_ended_or_its_endpoint_is_gone() {
@@ -563,3 +593,28 @@
     limits.merge(now, &[LimitRecord(ID.0, Some(2.0), 300_000)]);
     expect_that!(limits.rate(ID), none());
 }
+
+/// What a VM that has just started is told must fit in datagrams, and must not grow without bound.
+#[gtest]
+fn limits_told_to_a_vm_that_starts_are_bounded_and_newest_first() {
+    let mut limits = RateLimits::default();
+    for id in 0..1_000_u64 {
+        let now = Time::from_millis(1_000 + id);
+        limits.observe(
+            now,
+            LimitId(u64::MAX - id),
+            now,
+            NamedLimit::Rate(1.0 / 3.0),
+        );
+    }
+    let now = Time::from_millis(60_000);
+    expect_that!(limits.news(now).len(), eq(0));
+    let pages = limits.all(now);
+    expect_that!(pages.iter().map(Vec::len).sum::<usize>(), eq(200));
+    expect_that!(pages[0][0].0, eq(u64::MAX - 999));
+    for page in pages {
+        let mut bytes = Vec::new();
+        ciborium::into_writer(&LimitMessage::News(page), &mut bytes).unwrap();
+        expect_that!(bytes.len(), lt(1_500));
+    }
+}
--- a/crates/node/tests/relay_limits.rs
+++ b/crates/node/tests/relay_limits.rs
@@ -177,3 +177,27 @@
     });
     expect_that!(share_served(&calls, ended + END_TIME), ge(0.98));
 }
+
+/// A VM that started knew nothing of limits that no answer had named for 5 s, so its first calls took
+/// no tokens.
+#[gtest]
+fn vm_that_starts_is_told_of_old_limits() {
+    let mut fleet = Fleet::start(51, VM_COUNT);
+    for endpoint in &fleet.endpoints[2..4] {
+        endpoint.update_behaviour(|b| b.limit = Some(1.4));
+    }
+    let calls = with_calls(&fleet, SEATS, 20.0, || {
+        thread::sleep(Duration::from_secs(2));
+    });
+    expect_that!(calls.len(), gt(10));
+    fleet.kill(0);
+    // Longer than news is repeated.
+    thread::sleep(Duration::from_secs(6));
+    let log_start = fleet.log(0).len();
+    fleet.start_process(0);
+    relay::wait_until("the VM knows both limits", || {
+        let log = fleet.log(0);
+        let named = log.get(log_start..).unwrap_or_default();
+        named.matches("limit_named").count() == 2
+    });
+}
--- a/crates/relay/src/heartbeats.rs
+++ b/crates/relay/src/heartbeats.rs
@@ -235,6 +235,9 @@
         let before = receive(&shared, ip, heartbeat);
         if before != Some(phase) {
             tracing::info!(event = "heard", %ip, ?phase, ?before, "member");
+            if phase != Phase::Leaving {
+                limits::tell_one(&shared, &socket, from).await;
+            }
         }
         // A VM that has just started knows nothing; one that was cut off may have missed news.
         if before.is_none() || phase == Phase::Starting {
--- a/crates/relay/src/limits.rs
+++ b/crates/relay/src/limits.rs
@@ -203,6 +203,14 @@
     }
 }
 
+/// Tells a VM that has just started or come back of all limits, however old the news is.
+pub(crate) async fn tell_one(shared: &Shared, socket: &UdpSocket, peer: SocketAddr) {
+    let pages = shared.core().limits.all(clock::now());
+    for records in pages {
+        send(socket, &LimitMessage::News(records), peer).await;
+    }
+}
+
 async fn send(socket: &UdpSocket, message: &LimitMessage, peer: SocketAddr) {
     let mut bytes = Vec::with_capacity(64);
     if let Err(error) = ciborium::into_writer(message, &mut bytes) {
