Tell the receivers of a heartbeat of different members

Seen: at 340 VMs, every VM takes some living ones for silent at any moment (docs/FINDINGS.md): 14,818 of 2,305,200 views, 2.2 at each VM.

Cause: a heartbeat told all five receivers of the same 60 members, those heard of last. What a VM heard of a little earlier it never repeated, so news of a member died out before it had reached all.

Change: receivers take turns in versions of the heartbeat that repeat different members, at least two receivers to a version, and the silence limit above 100 VMs is 3 s. The datagrams are as many and as large as before. VMs of the program before read them.

--- a/crates/ingress/src/listing_tests.rs
+++ b/crates/ingress/src/listing_tests.rs
@@ -89,11 +89,13 @@
         if self.schedules[vm].decide(now, view) {
             self.read(vm, now);
         }
-        let heartbeat = self.vms[vm].next_heartbeat(now, Phase::Ready, EngineWork::default());
         let rng = &mut self.rng;
-        for receiver in self.vms[vm].receivers(now, || rng.next_u64()) {
+        let receivers = self.vms[vm].receivers(now, || rng.next_u64());
+        let work = EngineWork::default();
+        let heartbeats = self.vms[vm].next_heartbeats(now, Phase::Ready, work, receivers.len());
+        for (receiver, heartbeat) in receivers.into_iter().zip(heartbeats.iter().cycle()) {
             if !self.rng.random_bool(self.loss_rate) {
-                self.vms[index_of(receiver)].receive(now, &heartbeat);
+                self.vms[index_of(receiver)].receive(now, heartbeat);
             }
         }
     }
--- a/crates/ingress/src/membership.rs
+++ b/crates/ingress/src/membership.rs
@@ -2,7 +2,8 @@
 //!
 //! VMs exchange heartbeats in UDP datagrams. Each heartbeat goes to a few random members and
 //! repeats the newest heartbeats that its sender has received, so a change of one VM reaches all
-//! VMs in a few rounds, and the load on a VM doesn't grow with the number of VMs. A member counts
+//! VMs in a few rounds, and the load on a VM doesn't grow with the number of VMs. In large clusters
+//! some receivers are told of other members than the rest, so that most members are carried on. A member counts
 //! as alive while the sequence number of its heartbeats increases; clocks of different VMs are
 //! never compared.
 
@@ -14,6 +15,9 @@
 
 /// Maximum number of members that a heartbeat repeats; keeps its datagram under 1,500 bytes.
 const MAX_GOSSIP_MEMBERS: usize = 60;
+/// Number of receivers of each version of a heartbeat; with fewer, a change of one VM takes longer to
+/// reach all.
+const MIN_RECEIVERS: usize = 2;
 /// Number of members up to which each heartbeat goes to all of them.
 const SMALL_CLUSTER: usize = 12;
 /// Number of members that receive a heartbeat in larger clusters.
@@ -27,7 +31,7 @@
 const LARGE_CLUSTER: usize = 100;
 /// Silence limit of clusters above [`LARGE_CLUSTER`], where a change needs more rounds to reach all
 /// VMs.
-const HUGE_SILENCE_LIMIT: Duration = Duration::from_secs(4);
+const HUGE_SILENCE_LIMIT: Duration = Duration::from_secs(3);
 /// Time without a heartbeat after which a member is removed.
 const MEMBER_EXPIRY: Duration = Duration::from_mins(1);
 
@@ -184,8 +188,15 @@
         }
     }
 
-    /// Creates the next heartbeat.
-    pub fn next_heartbeat(&mut self, now: Time, phase: Phase, work: EngineWork) -> Heartbeat {
+    /// Creates the next heartbeat, in at least one version and at most one for every two receivers,
+    /// which take turns. Each version repeats other members.
+    pub fn next_heartbeats(
+        &mut self,
+        now: Time,
+        phase: Phase,
+        work: EngineWork,
+        receiver_count: usize,
+    ) -> Vec<Heartbeat> {
         self.seq += 1;
         let mut newest: Vec<&Member> = self
             .members
@@ -198,16 +209,19 @@
         newest.sort_unstable_by_key(|member| {
             (core::cmp::Reverse(member.last_seen), rotation(member))
         });
-        newest.truncate(MAX_GOSSIP_MEMBERS);
-        let members = newest
-            .iter()
-            .map(|m| MemberRecord(m.ip, m.dc_index, m.seq, m.phase, m.work))
-            .collect();
-        Heartbeat {
+        let versions = newest.len().div_ceil(MAX_GOSSIP_MEMBERS);
+        let versions = versions.min(receiver_count.div_ceil(MIN_RECEIVERS)).max(1);
+        let version = |index: usize| Heartbeat {
             own: MemberRecord(self.local_ip, self.dc_index, self.seq, phase, work),
             open_calls: Vec::new(),
-            members,
-        }
+            members: newest
+                .iter()
+                .skip(index * MAX_GOSSIP_MEMBERS)
+                .take(MAX_GOSSIP_MEMBERS)
+                .map(|m| MemberRecord(m.ip, m.dc_index, m.seq, m.phase, m.work))
+                .collect(),
+        };
+        (0..versions).map(version).collect()
     }
 
     /// Addresses to which the next heartbeat is sent; `draw` returns random numbers.
--- a/crates/ingress/src/membership_tests.rs
+++ b/crates/ingress/src/membership_tests.rs
@@ -53,16 +53,16 @@
         let Some(membership) = &mut self.vms[vm] else {
             return;
         };
-        let heartbeat = membership.next_heartbeat(now, phase, self.work);
         let receivers = membership.receivers(now, || draws.next_u64());
-        for receiver in receivers {
+        let heartbeats = membership.next_heartbeats(now, phase, self.work, receivers.len());
+        for (receiver, heartbeat) in receivers.into_iter().zip(heartbeats.iter().cycle()) {
             let [_, _, high, low] = receiver.octets();
             let index = usize::from(high) * 200 + usize::from(low) - 1;
             if self.draws.random_bool(self.loss_rate) {
                 continue;
             }
             if let Some(Some(peer)) = self.vms.get_mut(index) {
-                peer.receive(now, &heartbeat);
+                peer.receive(now, heartbeat);
             }
         }
     }
@@ -216,6 +216,48 @@
     }
 }
 
+/// At 340 VMs, every VM took some of the others for silent at any moment, since all receivers of a
+/// heartbeat were told of the same few members.
+#[gtest]
+fn hardly_any_alive_member_is_silent_among_340() {
+    const VM_COUNT: usize = 340;
+    const SAMPLE_COUNT: usize = 20;
+    /// Of so many views of a member, one may be silent.
+    const VIEWS_PER_SILENT: usize = 1_000;
+    let mut cluster = Cluster::new(VM_COUNT, 5);
+    cluster.run(9_000);
+    let mut silent = 0;
+    for _ in 0..SAMPLE_COUNT {
+        cluster.run(HEARTBEAT_MS);
+        let memberships = cluster.vms.iter().flatten();
+        silent += memberships
+            .map(|membership| membership.silent_count(cluster.now))
+            .sum::<usize>();
+    }
+    let views = SAMPLE_COUNT * VM_COUNT * (VM_COUNT - 1);
+    eprintln!("{silent} of {views} views of an alive member are silent");
+    expect_that!(silent, le(views / VIEWS_PER_SILENT));
+}
+
+/// Telling receivers of different members made VMs miss a death later.
+#[gtest]
+fn dead_vm_among_340_is_silent_at_most_vms_within_seconds() {
+    const VM_COUNT: usize = 340;
+    let mut cluster = Cluster::new(VM_COUNT, 6);
+    cluster.run(9_000);
+    cluster.vms[1] = None;
+    let listed = |cluster: &Cluster| {
+        let others = (0..VM_COUNT).filter(|vm| *vm != 1);
+        others
+            .filter(|vm| cluster.caller_addresses(*vm).contains(&ip(1)))
+            .count()
+    };
+    cluster.run(4_200);
+    expect_that!(listed(&cluster), le(VM_COUNT / 2));
+    cluster.run(3_600);
+    expect_that!(listed(&cluster), eq(0));
+}
+
 #[gtest]
 fn largest_heartbeat_fits_in_a_datagram() {
     let mut cluster = Cluster::new(87, 5);
@@ -226,10 +268,13 @@
     }
     cluster.run(6_000);
     let membership = cluster.vms[1].as_mut().unwrap();
-    let heartbeat = membership.next_heartbeat(cluster.now, Phase::Ready, cluster.work);
-    let mut bytes = Vec::new();
-    ciborium::into_writer(&heartbeat, &mut bytes).unwrap();
-    expect_that!(bytes.len(), lt(1_500));
-    let decoded: Heartbeat = ciborium::from_reader(bytes.as_slice()).unwrap();
-    expect_that!(decoded, eq(&heartbeat));
+    let heartbeats = membership.next_heartbeats(cluster.now, Phase::Ready, cluster.work, 5);
+    expect_that!(heartbeats.len(), eq(2));
+    for heartbeat in heartbeats {
+        let mut bytes = Vec::new();
+        ciborium::into_writer(&heartbeat, &mut bytes).unwrap();
+        expect_that!(bytes.len(), lt(1_500));
+        let decoded: Heartbeat = ciborium::from_reader(bytes.as_slice()).unwrap();
+        expect_that!(decoded, eq(&heartbeat));
+    }
 }
--- a/crates/relay/src/heartbeats.rs
+++ b/crates/relay/src/heartbeats.rs
@@ -149,12 +149,9 @@
 }
 
 async fn send(shared: &Shared, socket: &UdpSocket, now: Time, phase: Phase, to_all: bool) {
-    let (heartbeat, receivers) = {
+    let (heartbeats, receivers) = {
         let mut core = shared.core();
         let demand = core.demand.decayed_to(now);
-        let mut heartbeat = core
-            .membership
-            .next_heartbeat(now, phase, demand.engine_work());
         let open_calls = core
             .endpoints
             .iter()
@@ -169,7 +166,6 @@
             .collect();
         open_calls.sort_unstable_by_key(|(_, count)| core::cmp::Reverse(*count));
         open_calls.truncate(MAX_REPORTED_ENDPOINTS);
-        heartbeat.open_calls = open_calls;
         let mut rng = core.rng.clone();
         let receivers: Vec<Ipv4Addr> = if to_all {
             core.membership.alive(now).map(|member| member.ip).collect()
@@ -177,18 +173,25 @@
             core.membership.receivers(now, || rng.next_u64())
         };
         core.rng = rng;
-        (heartbeat, receivers)
+        let work = demand.engine_work();
+        let mut heartbeats = core
+            .membership
+            .next_heartbeats(now, phase, work, receivers.len());
+        for heartbeat in &mut heartbeats {
+            heartbeat.open_calls.clone_from(&open_calls);
+        }
+        (heartbeats, receivers)
+    };
+    let encoded: Result<Vec<Vec<u8>>, _> = heartbeats.iter().map(encode).collect();
+    let encoded = match encoded {
+        Ok(encoded) => encoded,
+        Err(error) => return tracing::warn!(event = "unwritable", %error, "beats"),
     };
-    let mut bytes = Vec::with_capacity(256);
-    if let Err(error) = ciborium::into_writer(&heartbeat, &mut bytes) {
-        tracing::warn!(event = "unwritable", %error, "beats");
-        return;
-    }
     let port = shared.settings.listen.peers.port();
-    for ip in receivers {
+    for (ip, bytes) in receivers.into_iter().zip(encoded.iter().cycle()) {
         // A failed send has the same effect as a lost datagram; the next heartbeat follows soon.
         if let Err(error) = socket
-            .send_to(&bytes, SocketAddr::new(ip.into(), port))
+            .send_to(bytes, SocketAddr::new(ip.into(), port))
             .await
         {
             tracing::debug!(%ip, %error, "send a beat");
@@ -196,6 +199,12 @@
     }
 }
 
+fn encode(heartbeat: &Heartbeat) -> Result<Vec<u8>, ciborium::ser::Error<std::io::Error>> {
+    let mut bytes = Vec::with_capacity(256);
+    ciborium::into_writer(heartbeat, &mut bytes)?;
+    Ok(bytes)
+}
+
 async fn listen(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
