Keep the versions that VMs have seen in their platform entries

Seen, with all VMs killed at once: 1. A stream without a record was refused for up to 30 s if an endpoint was young, though there had been one version only.

Cause: VMs that start know only the endpoints of now. That all of them are older than a stream lasts doesn't show that no other version has just gone, and a young one doesn't show that there was another.

Change: the first two VMs of each data centre keep the versions of each service in their entries, as they do held sections. VMs that start take them in: a version that any entry names as seen less than 30 s ago holds streams without a record back; an entry of a VM that had run for 30 s shows that the versions named are all. A write follows a version that comes, or that has gone for 5 s; an entry has 200 versions at most. Fields are added only, so VMs of the program before read the entries. While two versions serve, a record is still needed.

A failed write of an entry is now repeated whatever it was for.

--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -102,6 +102,7 @@
 pub use shutdown::{Shutdown, ShutdownStage};
 pub use stale_vms::{StaleVmDetector, VmEntry};
 pub use streams::{
-    StreamId, StreamMessage, StreamOrigin, StreamOrigins, VersionPin, asked_vms, copy_holders,
+    KeptVersion, StreamId, StreamMessage, StreamOrigin, StreamOrigins, VersionPin, asked_vms,
+    copy_holders, lacks_versions,
 };
 pub use table::{Access, Route, RoutingTable, Workspace};
--- a/crates/ingress/src/stale_vms.rs
+++ b/crates/ingress/src/stale_vms.rs
@@ -6,7 +6,7 @@
 //! revision. A VM that is cut off receives no heartbeats, so nothing is removed unless most of the
 //! listed VMs are alive.
 
-use crate::quarantine::HeldSection;
+use crate::{quarantine::HeldSection, streams::KeptVersion};
 use core::net::Ipv4Addr;
 use poplarswitch_entity::VmName;
 use std::collections::HashMap;
@@ -30,6 +30,8 @@
     pub revision: u64,
     /// Sections of prompts that the VM holds, for VMs that start.
     pub held: Vec<HeldSection>,
+    /// Versions of the software of each service that the VM has seen, for VMs that start.
+    pub versions: Vec<KeptVersion>,
 }
 
 /// Detects entries of dead VMs by two successive scans; holds the suspects of the last scan with
--- a/crates/ingress/src/stale_vms_tests.rs
+++ b/crates/ingress/src/stale_vms_tests.rs
@@ -11,6 +11,7 @@
         start_ms: 1,
         revision: 100 + u64::from(n),
         held: Vec::new(),
+        versions: Vec::new(),
     };
     (1..=count).map(vm).collect()
 }
--- a/crates/ingress/src/streams.rs
+++ b/crates/ingress/src/streams.rs
@@ -6,17 +6,19 @@
 //! other VMs. Records are kept for longer than callers wait, and their number is limited.
 //!
 //! Without a record, the stream is known to be of the only version that its service has had for as
-//! long; otherwise it goes on nowhere.
+//! long; otherwise it goes on nowhere. VMs keep the versions that they have seen in their entries in the
+//! platform, for the case that all VMs end at once.
 
 use crate::{
     endpoints::EndpointTable,
     entry::SoftwareVersion,
     hash::{hash_pair, hash_text},
+    stale_vms::VmEntry,
 };
 use core::{net::Ipv4Addr, time::Duration};
 use poplarswitch_entity::{ServiceName, Time};
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 /// Time for which the origin of a stream is kept after its last event that began an answer.
 const RECORD_TTL: Duration = Duration::from_mins(1);
@@ -24,6 +26,11 @@
 const MAX_RECORDS: usize = 50_000;
 /// Time for which a service must have had one version for a stream without a record to be of it.
 const HISTORY_TIME: Duration = Duration::from_secs(30);
+/// Time for which no endpoint must have had a version before its end is kept; endpoints that are
+/// replaced leave gaps.
+const KEPT_GAP: Duration = Duration::from_secs(5);
+/// Maximum number of versions that a VM keeps in its entry.
+const MAX_KEPT: usize = 200;
 /// Number of other VMs that are told of an origin.
 const COPY_COUNT: usize = 2;
 /// Number of VMs up to which all of them are asked for an origin.
@@ -52,6 +59,32 @@
     pub software: SoftwareVersion,
 }
 
+/// A version of a service that a VM has seen, as it is kept in the VM's entry in the platform.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KeptVersion {
+    /// The service.
+    pub service: ServiceName,
+    /// The version; an unknown one stands for any.
+    pub software: SoftwareVersion,
+    /// When it was last seen, in Unix milliseconds; none if an endpoint had it when the entry was
+    /// written.
+    pub last_ms: Option<u64>,
+}
+
+/// Whether the versions in an entry lack something that VMs which start have to know.
+pub fn lacks_versions(written: &[KeptVersion], current: &[KeptVersion]) -> bool {
+    let is_same = |a: &KeptVersion, b: &KeptVersion| {
+        a.service == b.service
+            && a.software == b.software
+            && a.last_ms.is_none() == b.last_ms.is_none()
+    };
+    let is_missing =
+        |version: &KeptVersion, list: &[KeptVersion]| !list.iter().any(|v| is_same(v, version));
+    let mut serving = written.iter().filter(|version| version.last_ms.is_none());
+    current.iter().any(|version| is_missing(version, written))
+        || serving.any(|version| is_missing(version, current))
+}
+
 /// A datagram between VMs about the origins of streams.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StreamMessage {
@@ -118,6 +151,9 @@
     versions: BTreeMap<ServiceName, Vec<SeenVersion>>,
     /// Change count of the endpoints when their versions were last read.
     change_count: Option<u64>,
+    /// Services whose versions other processes had seen for longer than a stream lasts when this one
+    /// started.
+    settled: BTreeSet<ServiceName>,
 }
 
 /// A version that endpoints of a service have or had.
@@ -128,6 +164,8 @@
     last: Time,
     /// Whether an endpoint has it now.
     serves: bool,
+    /// Whether an endpoint has it now or had it a short time ago.
+    kept: bool,
 }
 
 impl StreamOrigins {
@@ -181,20 +219,83 @@
         }
     }
 
-    /// Notes which versions serve now.
-    pub fn note_versions(&mut self, now: Time, endpoints: &EndpointTable) {
+    /// Notes which versions serve now; returns whether [`Self::kept_versions`] has changed.
+    pub fn note_versions(&mut self, now: Time, endpoints: &EndpointTable) -> bool {
         if self.change_count != Some(endpoints.change_count()) {
             self.change_count = Some(endpoints.change_count());
             self.read_versions(endpoints);
         }
+        let mut is_changed = false;
         for versions in self.versions.values_mut() {
-            for version in versions.iter_mut().filter(|version| version.serves) {
-                version.last = now;
+            for version in versions.iter_mut() {
+                if version.serves {
+                    version.last = now;
+                }
+                let kept = now.since(version.last) < KEPT_GAP;
+                is_changed |= version.kept != kept;
+                version.kept = kept;
             }
             versions.retain(|version| now.since(version.last) < HISTORY_TIME);
         }
         self.versions.retain(|_, versions| !versions.is_empty());
         self.expire(now);
+        is_changed
+    }
+
+    /// The versions for this VM's entry in the platform, all of a service or none.
+    pub fn kept_versions(&self, now: Time, unix_ms: u64) -> Vec<KeptVersion> {
+        let mut kept = Vec::new();
+        for (service, versions) in &self.versions {
+            if kept.len() + versions.len() > MAX_KEPT {
+                break;
+            }
+            kept.extend(versions.iter().map(|version| {
+                KeptVersion {
+                    service: service.clone(),
+                    software: version.software.clone().unwrap_or_default(),
+                    last_ms: (!version.kept).then(|| {
+                        unix_ms.saturating_sub(now.since(version.last).as_millis() as u64)
+                    }),
+                }
+            }));
+        }
+        kept
+    }
+
+    /// Takes in the versions that VMs kept in their entries, at the start of this process at
+    /// `unix_ms`.
+    ///
+    /// A version that had endpoints when its entry was written counts as seen until now.
+    pub fn restore(&mut self, now: Time, unix_ms: u64, vms: &[VmEntry]) {
+        let oldest_ms = unix_ms.saturating_sub(HISTORY_TIME.as_millis() as u64);
+        for vm in vms {
+            for kept in &vm.versions {
+                if vm.start_ms <= oldest_ms {
+                    self.settled.insert(kept.service.clone());
+                }
+                let last_ms = kept.last_ms.unwrap_or(unix_ms);
+                let age = Duration::from_millis(unix_ms.saturating_sub(last_ms));
+                if age < HISTORY_TIME {
+                    self.add_version(&kept.service, &kept.software, now - age);
+                }
+            }
+        }
+    }
+
+    fn add_version(&mut self, service: &ServiceName, software: &SoftwareVersion, last: Time) {
+        let versions = self.versions.entry(service.clone()).or_default();
+        let known = versions
+            .iter_mut()
+            .find(|known| known.software.as_ref() == Some(software));
+        match known {
+            Some(known) => known.last = known.last.max(last),
+            None => versions.push(SeenVersion {
+                software: Some(software.clone()),
+                last,
+                serves: false,
+                kept: false,
+            }),
+        }
     }
 
     fn read_versions(&mut self, endpoints: &EndpointTable) {
@@ -219,6 +320,7 @@
                     software: entry.software.clone(),
                     last: Time::ZERO,
                     serves: true,
+                    kept: false,
                 }),
             }
         }
@@ -242,9 +344,9 @@
 
     /// The only version that a service has had for longer than a stream lasts, if there is one.
     ///
-    /// A process that started at `started` hasn't seen what was before. Then either `told`, the
-    /// histories of other VMs, or `unix_ms`, the time of day, must show it: all endpoints must be
-    /// older than that.
+    /// A process that started at `started` hasn't seen what was before. Then `told`, the histories of
+    /// other VMs, or what VMs kept in the platform must show it, or `unix_ms`, the time of day: all
+    /// endpoints must be older than that.
     pub fn only_version(
         &self,
         now: Time,
@@ -264,7 +366,9 @@
         if told.iter().flatten().any(|version| version != only) {
             return None;
         }
-        let is_settled = now.since(started) >= HISTORY_TIME || !told.is_empty();
+        let is_settled = now.since(started) >= HISTORY_TIME
+            || !told.is_empty()
+            || self.settled.contains(service);
         let all_match = of_service.all(|entry| {
             entry.software.as_ref() == Some(only) && (is_settled || entry.start_ms <= oldest_ms)
         });
--- a/crates/node/tests/relay_versions.rs
+++ b/crates/node/tests/relay_versions.rs
@@ -6,7 +6,11 @@
 use googletest::prelude::*;
 use poplarswitch_deployment::{CallError, CallResponse, EndpointKind, StoreFault, TakenUp};
 use relay::{Fleet, last_event};
-use std::{collections::HashMap, thread};
+use std::{
+    collections::HashMap,
+    thread,
+    time::{SystemTime, UNIX_EPOCH},
+};
 
 /// Path of a stream that may be resumed.
 const BRIEF: &str = "/brief/1";
@@ -322,3 +326,64 @@
     let ran = attempts.keys().filter(|id| fleet.run_count(id) > 0).count();
     expect_that!(ran, eq(0));
 }
+
+/// A release that was withdrawn shortly before all VMs were killed: streams that it had begun went on
+/// at the version that was left, since no VM had seen another one.
+#[gtest]
+fn stream_of_a_withdrawn_version_goes_on_nowhere_after_all_vms_were_killed() {
+    let mut fleet = start_fleet(58);
+    for (index, _) in ENGINES {
+        fleet.endpoints[index].update_behaviour(|b| b.cut_after = Some(3));
+    }
+    let broken = broken_streams(make_streams(&fleet, 0, 24));
+    let is_withdrawn = |id: &str| {
+        let withdrawn = ENGINES.iter().filter(|(_, software)| *software == "v2");
+        let mut runs = withdrawn.flat_map(|(index, _)| fleet.endpoints[*index].runs());
+        runs.any(|run| run.call_id == id)
+    };
+    let withdrawn = broken.into_iter().filter(|(id, _)| is_withdrawn(id));
+    let withdrawn: Vec<(String, String)> = withdrawn.collect();
+    expect_that!(withdrawn.len(), ge(4));
+    for (index, _) in ENGINES {
+        fleet.endpoints[index].set_software("v1".into());
+        fleet.endpoints[index].update_behaviour(|b| b.cut_after = None);
+        fleet.register(index, EndpointKind::Engine, START_MS + 1, false);
+    }
+    thread::sleep(Duration::from_secs(1));
+    for vm in 0..usize::from(VM_COUNT) {
+        fleet.kill(vm);
+    }
+    for vm in 0..usize::from(VM_COUNT) {
+        fleet.start_process(vm);
+    }
+    fleet.await_ready();
+    let (attempts, _) = take_up_all(&fleet, 0, &withdrawn);
+    let ran = attempts.keys().filter(|id| fleet.run_count(id) > 0).count();
+    expect_that!(ran, eq(0));
+}
+
+/// Streams were refused for half a minute after all VMs had been killed, if an endpoint had started
+/// shortly before.
+#[gtest]
+fn stream_without_a_known_attempt_goes_on_after_all_vms_were_killed() {
+    let mut fleet = Fleet::start(59, 2);
+    // For longer than a stream lasts, so that the VMs know what was before.
+    thread::sleep(Duration::from_secs(32));
+    let start_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+    let start_ms = start_ms.as_millis() as u64;
+    fleet.register(0, EndpointKind::Engine, start_ms, false);
+    thread::sleep(Duration::from_secs(1));
+    for vm in 0..2 {
+        fleet.kill(vm);
+    }
+    for vm in 0..2 {
+        fleet.start_process(vm);
+    }
+    fleet.await_ready();
+    let stream = TakenUp {
+        first_attempt: Some("never-sent"),
+        last_event: "3",
+    };
+    let (_, response) = fleet.take_up(1, BRIEF, stream);
+    expect_that!(response.map(|r| r.status), ok(eq(&200)));
+}
--- a/crates/relay/src/heartbeats.rs
+++ b/crates/relay/src/heartbeats.rs
@@ -104,8 +104,11 @@
     let Core {
         origins, endpoints, ..
     } = &mut *core;
-    origins.note_versions(now, endpoints);
+    let versions_changed = origins.note_versions(now, endpoints);
     drop(core);
+    if versions_changed {
+        shared.holds_changed.notify_one();
+    }
     shared.handle_endpoint_changes(&expired, "lapse");
     for key in shared.pool.evict_idle() {
         shared.mark_in_doubt(key);
--- a/crates/relay/src/registry.rs
+++ b/crates/relay/src/registry.rs
@@ -1,10 +1,10 @@
 //! Registration of entry VMs in the platform.
 //!
-//! A VM that starts reads the entries to learn the sections of prompts that other VMs hold, also if
-//! all VMs were killed. It then writes its own entry and reads the list again, because VMs that start
+//! A VM that starts reads the entries to learn the sections of prompts that other VMs hold and the
+//! software versions that they have seen, also if all VMs were killed. It then writes its own entry and reads the list again, because VMs that start
 //! together find each other's entries only after they have written theirs; [`ListingSchedule`] tells
 //! when further reads follow. A VM removes its entry when it shuts down; the first VMs of each data
-//! centre write theirs again when held sections change. In each data centre, one VM removes the
+//! centre write theirs again when held sections or versions change. In each data centre, one VM removes the
 //! entries of dead VMs. Each process writes its own entry, and a removal contains the revision of the
 //! entry, so that a delayed removal can't delete the entry of the next process of that VM.
 
@@ -14,23 +14,26 @@
     quarantine,
     shared::Shared,
 };
-use core::time::Duration;
+use core::{net::Ipv4Addr, time::Duration};
 use poplarswitch_entity::Time;
 use poplarswitch_ingress::{
-    HeldSection, HoldChange, ListingSchedule, ListingView, StaleVmDetector, VmEntry,
+    HeldSection, HoldChange, KeptVersion, ListingSchedule, ListingView, StaleVmDetector, VmEntry,
+    lacks_versions,
 };
 use poplarswitch_platform::Backoff;
 use snafu::{ResultExt as _, Snafu};
 use std::{collections::HashSet, sync::Arc};
 use tokio::time::sleep;
 
-/// Delay before held sections are written, so that one write has several that change together.
-const HELD_WRITE_DELAY: Duration = Duration::from_millis(100);
-/// Delay after a failed write of held sections.
-const HELD_RETRY_DELAY: Duration = Duration::from_secs(2);
-/// Number of VMs of each data centre that write held sections; more than one, because one may be
-/// cut off from the platform.
-const HELD_WRITERS: usize = 2;
+/// Delay before this VM's entry is written again, so that one write has changes that come together.
+const ENTRY_WRITE_DELAY: Duration = Duration::from_millis(100);
+/// Delay after a failed write of this VM's entry.
+const ENTRY_RETRY_DELAY: Duration = Duration::from_secs(2);
+/// Time after the start of the process in which it may not have heard of all VMs.
+const STARTUP_TIME: Duration = Duration::from_secs(5);
+/// Number of VMs of each data centre that write held sections and versions; more than one, because one
+/// may be cut off from the platform.
+const ENTRY_WRITERS: usize = 2;
 
 /// Why entries could not be read or written.
 #[derive(Debug, Snafu)]
@@ -49,7 +52,7 @@
 pub(crate) async fn run(shared: Arc<Shared>, client: Arc<PlatformClient>) {
     let mut backoff = Backoff::new(shared.random_number());
     let listed = list_until_read(&shared, &client, &mut backoff).await;
-    restore_held(&shared, &listed);
+    restore(&shared, &listed);
     add_members(&shared, &listed);
     let mut local_vm = local_entry(&shared);
     while let Err(error) = register(&shared, &client, &local_vm).await {
@@ -89,17 +92,17 @@
     let mut detector = StaleVmDetector::default();
     let mut schedule = ListingSchedule::new(clock::now());
     let mut was_isolated = false;
-    let mut held_failed = false;
+    let mut write_failed = false;
     loop {
         let now = clock::now();
-        let wait = schedule.due().since(now).min(if held_failed {
-            HELD_RETRY_DELAY
+        let wait = schedule.due().since(now).min(if write_failed {
+            ENTRY_RETRY_DELAY
         } else {
             Duration::MAX
         });
         tokio::select! {
             () = sleep(wait) => {}
-            () = shared.holds_changed.notified() => sleep(HELD_WRITE_DELAY).await,
+            () = shared.holds_changed.notified() => sleep(ENTRY_WRITE_DELAY).await,
         }
         let now = clock::now();
         let view = listing_view(shared, now);
@@ -114,8 +117,8 @@
             schedule.hurry(now);
         }
         was_isolated = is_isolated;
-        let written = update_held(shared, client, local_vm).await;
-        held_failed = written.is_err();
+        let written = update_entry(shared, client, local_vm, write_failed).await;
+        write_failed = written.is_err();
         if let Err(error) = written {
             tracing::warn!(event = "failed", call = "put_vm", %error, "platform");
         }
@@ -132,6 +135,7 @@
         start_ms: clock::unix_millis(),
         revision: 0,
         held: held_sections(shared),
+        versions: kept_versions(shared),
     }
 }
 
@@ -167,36 +171,56 @@
     Ok(())
 }
 
-/// Writes this VM's entry again if its held sections have changed and it is among the first VMs of
-/// its data centre.
-async fn update_held(
+/// Writes this VM's entry again if its held sections or versions have changed and it is among the
+/// first VMs of its data centre, or if the last write failed.
+async fn update_entry(
     shared: &Shared,
     client: &PlatformClient,
     local_vm: &mut VmEntry,
+    write_failed: bool,
 ) -> Result<(), RegistryError> {
-    let held = held_sections(shared);
+    // A VM that shuts down removes its entry.
+    if shared.core().shutdown.has_started() {
+        return Ok(());
+    }
+    let (held, versions) = (held_sections(shared), kept_versions(shared));
     let key = |held: &HeldSection| (held.section, held.trials);
-    let is_known = held.iter().map(key).eq(local_vm.held.iter().map(key));
-    let rank = {
+    let is_held_known = held.iter().map(key).eq(local_vm.held.iter().map(key));
+    let now = clock::now();
+    let (writes_held, writes_versions) = {
         let core = shared.core();
-        let order = core.membership.local_vms(clock::now());
-        order
-            .iter()
-            .position(|ip| *ip == core.membership.local_ip())
+        let is_writer = |order: Vec<Ipv4Addr>| {
+            let mut writers = order.iter().take(ENTRY_WRITERS);
+            writers.any(|ip| *ip == core.membership.local_ip())
+        };
+        // All VMs have versions to write when they start together, and have heard of no others yet.
+        let order = if now.since(shared.started) < STARTUP_TIME {
+            core.membership.listed_local_vms(now)
+        } else {
+            core.membership.local_vms(now)
+        };
+        // A version that is named as served would hold streams back for ever.
+        let names_served = local_vm.versions.iter().any(|v| v.last_ms.is_none());
+        (
+            is_writer(core.membership.local_vms(now)),
+            is_writer(order) || names_served,
+        )
     };
-    if is_known || rank.is_none_or(|rank| rank >= HELD_WRITERS) {
+    let is_changed = writes_held && !is_held_known
+        || writes_versions && lacks_versions(&local_vm.versions, &versions);
+    if !is_changed && !write_failed {
         return Ok(());
     }
     local_vm.held = held;
+    local_vm.versions = versions;
     let write = PlatformCall::PutVm(local_vm.clone());
-    let written = match call(shared, client, &write).await {
-        Ok(reply) => expect_done(&write, reply),
-        Err(error) => Err(error),
-    };
-    if written.is_err() {
-        local_vm.held.clear();
-    }
-    written
+    let reply = call(shared, client, &write).await?;
+    expect_done(&write, reply)
+}
+
+fn kept_versions(shared: &Shared) -> Vec<KeptVersion> {
+    let (now, unix_ms) = (clock::now(), clock::unix_millis());
+    shared.core().origins.kept_versions(now, unix_ms)
 }
 
 fn held_sections(shared: &Shared) -> Vec<HeldSection> {
@@ -204,14 +228,16 @@
     shared.core().quarantine.held_sections(now, unix_ms)
 }
 
-/// Takes in the sections that other VMs, and the previous process of this one, held.
-fn restore_held(shared: &Shared, vms: &[VmEntry]) {
+/// Takes in the sections that other VMs, and the previous process of this one, held, and the versions
+/// that they saw.
+fn restore(shared: &Shared, vms: &[VmEntry]) {
     let (now, unix_ms) = (clock::now(), clock::unix_millis());
     let mut core = shared.core();
     let changes: Vec<HoldChange> = vms
         .iter()
         .flat_map(|vm| core.quarantine.restore(now, unix_ms, &vm.held))
         .collect();
+    core.origins.restore(now, unix_ms, vms);
     drop(core);
     quarantine::log_changes(shared, &changes);
 }
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -137,7 +137,7 @@
     pub(crate) peer_socket: OnceLock<Arc<UdpSocket>>,
     /// Notified when other VMs must be told of evidence on sections of prompts.
     pub(crate) quarantine_news: Notify,
-    /// Notified when the set of held sections has changed.
+    /// Notified when the set of held sections, or the versions that this VM keeps, have changed.
     pub(crate) holds_changed: Notify,
     pub(crate) started: Time,
     in_flight: AtomicUsize,
