--- a/crates/ingress/src/membership.rs
+++ b/crates/ingress/src/membership.rs
@@ -3,9 +3,9 @@
 //! VMs exchange heartbeats in UDP datagrams. Each heartbeat goes to a few random members and
 //! repeats the newest heartbeats that its sender has received, so a change of one VM reaches all
 //! VMs in a few rounds, and the load on a VM doesn't grow with the number of VMs. In large clusters
-//! some receivers are told of other members than the rest, so that most members are carried on. A member counts
-//! as alive while the sequence number of its heartbeats increases; clocks of different VMs are
-//! never compared.
+//! some receivers are told of other members than the rest, so that most members are carried on. A
+//! member counts as alive while the sequence number of its heartbeats increases; clocks of different
+//! VMs are never compared.
 
 use crate::hash::{hash_pair, hash_text};
 use core::{net::Ipv4Addr, time::Duration};
@@ -15,9 +15,9 @@
 
 /// Maximum number of members that a heartbeat repeats; keeps its datagram under 1,500 bytes.
 const MAX_GOSSIP_MEMBERS: usize = 60;
-/// Number of receivers of each version of a heartbeat; with fewer, a change of one VM takes longer to
-/// reach all.
-const MIN_RECEIVERS: usize = 2;
+/// Number of receivers that share a version of a heartbeat; the last version may have fewer. If all
+/// had fewer, a change of one VM would take longer to reach all.
+const VERSION_RECEIVERS: usize = 2;
 /// Number of members up to which each heartbeat goes to all of them.
 const SMALL_CLUSTER: usize = 12;
 /// Number of members that receive a heartbeat in larger clusters.
@@ -188,8 +188,8 @@
         }
     }
 
-    /// Creates the next heartbeat, in at least one version and at most one for every two receivers,
-    /// which take turns. Each version repeats other members.
+    /// Creates the next heartbeat in one version or more, which receivers take in turns. Each version
+    /// repeats other members.
     pub fn next_heartbeats(
         &mut self,
         now: Time,
@@ -210,7 +210,9 @@
             (core::cmp::Reverse(member.last_seen), rotation(member))
         });
         let versions = newest.len().div_ceil(MAX_GOSSIP_MEMBERS);
-        let versions = versions.min(receiver_count.div_ceil(MIN_RECEIVERS)).max(1);
+        let versions = versions
+            .min(receiver_count.div_ceil(VERSION_RECEIVERS))
+            .max(1);
         let version = |index: usize| Heartbeat {
             own: MemberRecord(self.local_ip, self.dc_index, self.seq, phase, work),
             open_calls: Vec::new(),
--- a/crates/relay/src/registry.rs
+++ b/crates/relay/src/registry.rs
@@ -1,12 +1,13 @@
 //! Registration of entry VMs in the platform.
 //!
 //! A VM that starts reads the entries to learn the sections of prompts that other VMs hold and the
-//! software versions that they have seen, also if all VMs were killed. It then writes its own entry and reads the list again, because VMs that start
-//! together find each other's entries only after they have written theirs; [`ListingSchedule`] tells
-//! when further reads follow. A VM removes its entry when it shuts down; the first VMs of each data
-//! centre write theirs again when held sections or versions change. In each data centre, one VM removes the
-//! entries of dead VMs. Each process writes its own entry, and a removal contains the revision of the
-//! entry, so that a delayed removal can't delete the entry of the next process of that VM.
+//! software versions that they have seen, also if all VMs were killed. It then writes its own entry
+//! and reads the list again, because VMs that start together find each other's entries only after
+//! they have written theirs; [`ListingSchedule`] tells when further reads follow. A VM removes its
+//! entry when it shuts down; the first VMs of each data centre write theirs again when held sections
+//! or versions change. In each data centre, one VM removes the entries of dead VMs. Each process
+//! writes its own entry, and a removal contains the revision of the entry, so that a delayed removal
+//! can't delete the entry of the next process of that VM.
 
 use crate::{
     PlatformCall, PlatformReply, clock,
