--- a/crates/node/src/callers/mod.rs
+++ b/crates/node/src/callers/mod.rs
@@ -10,6 +10,7 @@
 mod auth;
 mod body;
 mod chat;
+mod connection;
 mod receiver;
 mod reply;
 mod resolve;
@@ -18,6 +19,9 @@
 mod service;
 mod submit;
 
+#[cfg(test)]
+mod server_tests;
+
 pub(crate) use auth::bearer;
 pub(crate) use server::{PortState, serve};
 pub(crate) use submit::leaving_error;
