Remove the entries of VMs only after thirty silent seconds

Callers could get a request sent that a VM held which was cut off from the others only: what it holds is told by its entry in the platform, and the VMs that read the platform removed that entry after two successive scans in which it was silent.

The tests that counted scans count seconds now: the same entries are kept, and none is removed earlier than before. entry_is_removed_after_thirty_silent_seconds fails with the old detector for scans 2 and 5 s apart: there the entry goes at the second scan.

--- a/crates/ingress/src/stale_vms.rs
+++ b/crates/ingress/src/stale_vms.rs
@@ -1,20 +1,23 @@
 //! Removal of the entries of dead VMs from the platform.
 //!
 //! Entries of VMs don't expire by themselves. The VM that reads the platform for its data centre
-//! scans the list periodically. An entry is removed if its VM was silent in two successive scans
-//! and the entry has not been written in between; the removal is conditional on the entry's
-//! revision. A VM that is cut off receives no heartbeats, so nothing is removed unless most of the
-//! listed VMs are alive.
+//! scans the list. An entry is removed if its VM was silent in all scans for some time and the entry
+//! has not been written in between; the removal is conditional on the entry's revision. A VM that is
+//! cut off receives no heartbeats, so nothing is removed unless most of the listed VMs are alive.
 
 use crate::{quarantine::HeldSubject, streams::KeptVersion};
-use core::net::Ipv4Addr;
-use poplarswitch_entity::VmName;
+use core::{net::Ipv4Addr, time::Duration};
+use poplarswitch_entity::{Time, VmName};
 use std::collections::HashMap;
 
 /// Maximum number of entries that one scan removes; the others wait for the next scan, which limits
 /// the load on the platform.
 const MAX_REMOVALS: usize = 8;
 
+/// Time for which a VM must be silent. One that is only cut off from the others tells them what it
+/// holds in its entry.
+const SILENCE_TIME: Duration = Duration::from_secs(30);
+
 /// Entry of a VM in the platform.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct VmEntry {
@@ -34,17 +37,18 @@
     pub versions: Vec<KeptVersion>,
 }
 
-/// Detects entries of dead VMs by two successive scans; holds the suspects of the last scan with
-/// their revisions.
+/// Detects entries of dead VMs by successive scans; holds the silent VMs of the last scan with the
+/// revisions of their entries and the time of the first scan that found them so.
 #[derive(Clone, Debug, Default)]
 pub struct StaleVmDetector {
-    suspects: HashMap<VmName, u64>,
+    suspects: HashMap<VmName, (u64, Time)>,
 }
 
 impl StaleVmDetector {
     /// Scans the list of all entries and returns those to remove.
     pub fn scan(
         &mut self,
+        now: Time,
         listed: &[VmEntry],
         is_alive: impl Fn(Ipv4Addr) -> bool,
     ) -> Vec<VmEntry> {
@@ -54,12 +58,18 @@
         if alive.len() <= silent.len() {
             return Vec::new();
         }
-        self.suspects = silent
-            .iter()
-            .map(|vm| (vm.name.clone(), vm.revision))
-            .collect();
-        let unchanged = |vm: &&&VmEntry| previous.get(&vm.name) == Some(&vm.revision);
-        let stale = silent.iter().filter(unchanged).take(MAX_REMOVALS);
+        let suspects = silent.iter().map(|vm| {
+            let known = previous.get(&vm.name);
+            let unchanged = known.filter(|(revision, _)| *revision == vm.revision);
+            let since = unchanged.map_or(now, |(_, since)| *since);
+            (vm.name.clone(), (vm.revision, since))
+        });
+        self.suspects = suspects.collect();
+        let is_stale = |vm: &&&VmEntry| {
+            let suspect = self.suspects.get(&vm.name);
+            suspect.is_some_and(|(_, since)| now.since(*since) >= SILENCE_TIME)
+        };
+        let stale = silent.iter().filter(is_stale).take(MAX_REMOVALS);
         stale.map(|vm| (*vm).clone()).collect()
     }
 }
--- a/crates/ingress/src/stale_vms_tests.rs
+++ b/crates/ingress/src/stale_vms_tests.rs
@@ -1,7 +1,7 @@
 use crate::{StaleVmDetector, VmEntry};
 use core::net::Ipv4Addr;
 use googletest::prelude::*;
-use poplarswitch_entity::VmName;
+use poplarswitch_entity::{Time, VmName};
 
 fn listed(count: u8) -> Vec<VmEntry> {
     let vm = |n| VmEntry {
@@ -16,26 +16,39 @@
     (1..=count).map(vm).collect()
 }
 
-/// Scans with all VMs alive but the last `dead_count`.
-fn scan(detector: &mut StaleVmDetector, listed: &[VmEntry], dead_count: u8) -> Vec<VmEntry> {
+/// Scans at a time in seconds with all VMs alive but the last `dead_count`.
+fn scan(
+    detector: &mut StaleVmDetector,
+    second: u64,
+    listed: &[VmEntry],
+    dead_count: u8,
+) -> Vec<VmEntry> {
     let alive_count = listed.len() as u8 - dead_count;
-    detector.scan(listed, |ip| ip.octets()[3] <= alive_count)
+    let now = Time::from_millis(second * 1_000);
+    detector.scan(now, listed, |ip| ip.octets()[3] <= alive_count)
 }
 
+/// The entry of a VM that was only cut off from the others must not be removed after two scans that
+/// followed each other soon.
 #[gtest]
-fn entry_is_removed_after_two_silent_scans() {
-    let mut detector = StaleVmDetector::default();
-    let all = listed(9);
-    expect_that!(scan(&mut detector, &all, 1), is_empty());
-    expect_that!(scan(&mut detector, &all, 1), eq(&all[8..]));
+fn entry_is_removed_after_thirty_silent_seconds() {
+    for interval in [2, 5, 30] {
+        let mut detector = StaleVmDetector::default();
+        let all = listed(9);
+        let seconds = (0..30).step_by(interval);
+        for second in seconds {
+            expect_that!(scan(&mut detector, second, &all, 1), is_empty());
+        }
+        expect_that!(scan(&mut detector, 30, &all, 1), eq(&all[8..]));
+    }
 }
 
 #[gtest]
 fn entry_is_kept_if_its_vm_was_alive_in_between() {
     let mut detector = StaleVmDetector::default();
     let all = listed(9);
-    for dead_count in [1, 0, 1] {
-        expect_that!(scan(&mut detector, &all, dead_count), is_empty());
+    for (second, dead_count) in [(0, 1), (20, 0), (40, 1), (60, 1)] {
+        expect_that!(scan(&mut detector, second, &all, dead_count), is_empty());
     }
 }
 
@@ -43,9 +56,9 @@
 fn entry_that_was_rewritten_is_kept() {
     let mut detector = StaleVmDetector::default();
     let mut all = listed(9);
-    scan(&mut detector, &all, 1);
+    scan(&mut detector, 0, &all, 1);
     all[8].revision += 50;
-    expect_that!(scan(&mut detector, &all, 1), is_empty());
+    expect_that!(scan(&mut detector, 30, &all, 1), is_empty());
 }
 
 /// A VM that is cut off from the others receives no heartbeats, but may still reach the platform.
@@ -53,8 +66,8 @@
 fn nothing_is_removed_while_most_vms_are_silent() {
     let mut detector = StaleVmDetector::default();
     let all = listed(10);
-    for dead_count in [9, 9, 5, 5, 4] {
-        expect_that!(scan(&mut detector, &all, dead_count), is_empty());
+    for (second, dead_count) in [(0, 9), (30, 9), (60, 5), (90, 5), (120, 4)] {
+        expect_that!(scan(&mut detector, second, &all, dead_count), is_empty());
     }
 }
 
@@ -62,6 +75,6 @@
 fn scan_removes_at_most_eight_entries() {
     let mut detector = StaleVmDetector::default();
     let all = listed(100);
-    scan(&mut detector, &all, 40);
-    expect_that!(scan(&mut detector, &all, 40).len(), eq(8));
+    scan(&mut detector, 0, &all, 40);
+    expect_that!(scan(&mut detector, 30, &all, 40).len(), eq(8));
 }
--- a/crates/relay/src/registry.rs
+++ b/crates/relay/src/registry.rs
@@ -347,7 +347,7 @@
         let others = core.membership.alive(clock::now()).map(|member| member.ip);
         others.chain([core.membership.local_ip()]).collect()
     };
-    for vm in detector.scan(listed, |ip| alive.contains(&ip)) {
+    for vm in detector.scan(clock::now(), listed, |ip| alive.contains(&ip)) {
         remove(shared, client, &vm).await?;
         tracing::info!(
             event = "removed",
