Write the entry of a VM again if the platform has none when it is to change

A VM whose entry had been removed by others, who took it for dead, got 404 for each change of what it holds until it read the list of VMs the next time; meanwhile VMs that start, or are cut off from it, did not learn of its holds.

The entry is registered again at once. Found by reading; there is no test of its own.

--- a/crates/relay/src/registry.rs
+++ b/crates/relay/src/registry.rs
@@ -17,6 +17,7 @@
     shared::Shared,
 };
 use core::{net::Ipv4Addr, time::Duration};
+use http::StatusCode;
 use poplarswitch_entity::Time;
 use poplarswitch_ingress::{
     HeldSubject, HoldChange, KeptVersion, ListingSchedule, ListingView, StaleVmDetector, VmEntry,
@@ -218,8 +219,14 @@
     local_vm.held = held;
     local_vm.versions = versions;
     let write = PlatformCall::PutVm(local_vm.clone());
-    let reply = call(shared, client, &write).await?;
-    expect_done(&write, reply)
+    match call(shared, client, &write).await? {
+        // Others have taken this VM for dead.
+        PlatformReply::Refused(StatusCode::NOT_FOUND) => {
+            tracing::info!(event = "entry_missing", "member");
+            register(shared, client, local_vm).await
+        }
+        reply => expect_done(&write, reply),
+    }
 }
 
 fn kept_versions(shared: &Shared) -> Vec<KeptVersion> {
