Send trials only to endpoints that are up

Callers got 503 request_held for half a minute for a sound request that had only been open on endpoints which crashed of another cause. Cause: right after its crashes such a request gets its first trial at once, often while all endpoints of the service are still down and their entries have not lapsed; the connection broke, the trial counted as cut by a crash, and the next one came 30 s later.

A trial that its endpoint has refused without running it, or whose connection broke though the endpoint lives, is given back to the home.

--- a/crates/node/tests/relay_culprits.rs
+++ b/crates/node/tests/relay_culprits.rs
@@ -555,3 +555,33 @@
     let sound_calls = bookings.iter().flatten();
     expect_sound(&SoundAccount::new(&fleet, kind, sound_calls, &[]));
 }
+
+/// The trial of a held request must not be used up by endpoints that are down; the request would be
+/// refused for half a minute.
+#[gtest]
+fn trial_is_not_used_up_by_endpoints_that_are_down() {
+    let mut fleet = start_fleet(97);
+    let kind = EndpointKind::Service;
+    crash_endpoints_on(&fleet, kind, &[], CrashPoint::BeforeHead);
+    for endpoint in fleet.endpoints.iter().filter(|e| e.kind() == kind) {
+        endpoint.update_behaviour(|behaviour| behaviour.run_time = Duration::from_millis(300));
+    }
+    let book = |_| Subject::post("/book/1", b"seat");
+    let booking = |vms| Plan {
+        repeats: true,
+        ..repeat(&book, vms)
+    };
+    let plans = [booking(&[0]), booking(&[1]), booking(&[2])];
+    with_callers(&mut fleet, &plans, |fleet| {
+        fleet.register_for(Duration::from_millis(200));
+        for endpoint in fleet.endpoints.iter().filter(|e| e.kind() == kind) {
+            endpoint.crash(DOWN_TIME);
+        }
+        fleet.register_for(DOWN_TIME + RECOVERY_TIME);
+    });
+    for vm in ALL_VMS {
+        let (_, response) = fleet.request(vm, &book(0).call());
+        let status = response.map(|response| response.status);
+        expect_that!(status, ok(eq(&200)), "VM {vm}");
+    }
+}
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -9,6 +9,7 @@
     open_call::OpenCall,
     placement::reason_name,
     pool::Connection,
+    quarantine::check_open,
     reply::millis_since,
     tcp::Sender,
 };
@@ -245,7 +246,10 @@
         } = info;
         let key = placement.endpoint;
         let open_call = OpenCall::start(&self.shared, key, self.call_load(placement));
+        // An endpoint that is down would tell nothing of a trial.
+        let is_trial = self.is_unsent_trial();
         let new_connection = new_connection
+            || is_trial
             || !self.request.route.kind.is_idempotent() && !self.request.route.kind.is_stream();
         let connection = self.shared.acquire(key, address, new_connection).await;
         let connection = connection.map_err(|error| {
@@ -253,12 +257,17 @@
             self.shared.mark_in_doubt(key);
             FailedAttempt::new(Outcome::NotSent, error.to_string())
         })?;
-        let connection = if is_checked {
-            let checked = self.check_incarnation(key, address, connection).await;
-            checked.map_err(|cause| FailedAttempt::new(Outcome::NotSent, cause))?
+        let checked = if is_checked || is_trial && self.is_model_call() {
+            self.check_incarnation(key, address, connection).await
+        } else if is_trial {
+            check_open(connection).await
         } else {
-            connection
+            Ok(connection)
         };
+        let connection = checked.map_err(|cause| FailedAttempt::new(Outcome::NotSent, cause))?;
+        if is_trial {
+            self.record_alive(key);
+        }
         Ok(ReadyAttempt {
             info,
             open_call,
@@ -459,12 +468,13 @@
             && !failed.outcome.may_have_run()
         {
             self.attempts.maybe_run -= 1;
+            self.record_trial(TrialOutcome::Unsent);
         }
         accepted
     }
 
     fn classify(
-        &self,
+        &mut self,
         pending: PendingAttempt,
         result: Answer,
     ) -> Result<UnreadResponse, FailedAttempt> {
@@ -484,7 +494,7 @@
             }
             return Err(failed);
         }
-        self.record_begin(key);
+        self.record_alive(key);
         Ok(UnreadResponse {
             info: pending.info,
             framing: framing_of(&head.headers, &body),
@@ -499,7 +509,7 @@
     }
 
     fn classify_failure(
-        &self,
+        &mut self,
         key: EndpointKey,
         sent: Time,
         reused: bool,
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     call_forwarder::CallForwarder, clock, placement::fetch_report, pool::Connection,
-    reply::Failure, shared::Shared, tcp,
+    reply::Failure, shared::Shared, tcp, trials::Trial,
 };
 use core::{iter, net::SocketAddr, time::Duration};
 use poplarswitch_entity::Time;
@@ -34,8 +34,16 @@
 /// Maximum number of broken calls that wait for the check of one endpoint.
 const MAX_PENDING_CUTS: usize = 256;
 
+/// A call whose connection broke, while its endpoint is being checked.
+#[derive(Debug)]
+pub(crate) struct PendingCut {
+    cut: CutCall,
+    /// The trial that the call is; it ends with the check.
+    trial: Option<Trial>,
+}
+
 /// Broken calls of each endpoint that is being checked.
-pub(crate) type PendingCuts = HashMap<EndpointKey, Vec<CutCall>>;
+pub(crate) type PendingCuts = HashMap<EndpointKey, Vec<PendingCut>>;
 
 /// Identifiers of the sections of a call's prompt that other calls may share.
 fn shared_sections(call: &Call) -> impl Iterator<Item = u64> {
@@ -92,8 +100,15 @@
         }
     }
 
-    /// Records that an endpoint has begun an answer.
-    pub(crate) fn record_begin(&self, key: EndpointKey) {
+    /// Whether the call goes to an engine, which can report.
+    pub(crate) fn is_model_call(&self) -> bool {
+        let table = self.shared.table.load();
+        let service = table.service(&self.request.service);
+        service.is_some_and(|service| service.engine.is_some())
+    }
+
+    /// Records that an endpoint is alive.
+    pub(crate) fn record_alive(&self, key: EndpointKey) {
         if let Some(endpoint) = self.shared.core().endpoints.get_mut(key) {
             endpoint.has_crashed = false;
         }
@@ -101,8 +116,9 @@
 
     /// Records that the connection to an endpoint broke during the call, and checks whether the
     /// endpoint has crashed. `began` is when its answer began, if it did.
-    pub(crate) fn record_cut(&self, key: EndpointKey, began: Option<Time>) {
+    pub(crate) fn record_cut(&mut self, key: EndpointKey, began: Option<Time>) {
         let now = clock::now();
+        let is_engine = self.is_model_call();
         let survived = began.is_some_and(|began| now.since(began) >= SURVIVAL_TIME);
         let sections: Vec<u64> = shared_sections(&self.request.call).collect();
         if survived {
@@ -117,9 +133,6 @@
             return;
         }
         let address = endpoint.entry.address;
-        let table = self.shared.table.load();
-        let service = table.service(&endpoint.entry.service);
-        let is_engine = service.is_some_and(|service| service.engine.is_some());
         let cut = CutCall {
             endpoint: (endpoint.name_hash >> 32) as u32,
             at: now,
@@ -130,7 +143,8 @@
         let is_checked = core.pending_cuts.contains_key(&key);
         let pending = core.pending_cuts.entry(key).or_default();
         if pending.len() < MAX_PENDING_CUTS {
-            pending.push(cut);
+            let trial = self.trial.take();
+            pending.push(PendingCut { cut, trial });
         }
         drop(core);
         if !is_checked {
@@ -154,18 +168,23 @@
     let crashed = has_crashed(&shared, address, is_engine).await;
     let now = clock::now();
     let mut core = shared.core();
-    let cuts = core.pending_cuts.remove(&key).unwrap_or_default();
+    let mut cuts = core.pending_cuts.remove(&key).unwrap_or_default();
     let name = core.endpoints.get(key).map(|e| e.entry.name.clone());
     let mut changes = Vec::new();
     if crashed {
         if let Some(endpoint) = core.endpoints.get_mut(key) {
             endpoint.has_crashed = true;
         }
-        for cut in &cuts {
-            changes.extend(core.quarantine.record_crash(now, cut));
+        for pending in &cuts {
+            changes.extend(core.quarantine.record_crash(now, &pending.cut));
         }
     }
     drop(core);
+    // A broken connection to an endpoint that lives tells nothing of the subject.
+    if !crashed {
+        let trials = cuts.iter_mut().filter_map(|cut| cut.trial.as_mut());
+        trials.for_each(|trial| trial.outcome = TrialOutcome::Unsent);
+    }
     tracing::info!(
         event = if crashed {
             "crashed"
@@ -174,7 +193,7 @@
         },
         endpoint = name.as_ref().map(poplarswitch_entity::EndpointName::as_str),
         calls = cuts.len(),
-        begun = cuts.iter().filter(|cut| cut.begun).count(),
+        begun = cuts.iter().filter(|pending| pending.cut.begun).count(),
         "endpoint"
     );
     if crashed {
@@ -184,6 +203,16 @@
     log_changes(&shared, &changes);
 }
 
+/// Checks that a new connection to a plain service, which has no report, stays open: an endpoint that
+/// is down may have its host accept connections, and closes them.
+pub(crate) async fn check_open(connection: Connection) -> Result<Connection, String> {
+    sleep(CLOSE_TIME).await;
+    if connection.sender.is_closed() {
+        return Err("the endpoint closed the connection".to_owned());
+    }
+    Ok(connection)
+}
+
 async fn has_crashed(shared: &Shared, address: SocketAddr, is_engine: bool) -> bool {
     shared.metrics.connections.inc();
     let report = async {
@@ -192,16 +221,14 @@
             Err(tcp::ConnectError::TimedOut { .. }) => return false,
             Err(_) => return true,
         };
-        if !is_engine {
-            // Plain services have no report; one that is down closes the connection at once.
-            sleep(CLOSE_TIME).await;
-            return sender.is_closed();
-        }
-        shared.metrics.probes.inc();
         let connection = Connection {
             sender,
             reused: false,
         };
+        if !is_engine {
+            return check_open(connection).await.is_err();
+        }
+        shared.metrics.probes.inc();
         fetch_report(shared, connection, address).await.is_err()
     };
     // An endpoint that doesn't answer may be cut off or slow.
--- a/crates/relay/src/trials.rs
+++ b/crates/relay/src/trials.rs
@@ -258,6 +258,12 @@
         }
     }
 
+    /// Whether the call is a trial that hasn't been sent.
+    pub(crate) fn is_unsent_trial(&self) -> bool {
+        let trial = self.trial.as_ref();
+        trial.is_some_and(|trial| trial.outcome == TrialOutcome::Unsent)
+    }
+
     /// Records the outcome of the call's trial, if it is one.
     pub(crate) fn record_trial(&mut self, outcome: TrialOutcome) {
         if let Some(trial) = &mut self.trial {
