Send nothing to an endpoint while it wants no requests

An endpoint that turns requests away with status 503 may say for how long it wants nothing from this VM. Calls were sent to it again after 100 ms, the back-off for a full endpoint, and requests for reports at any time; callers whose calls all endpoints had turned away were told to return before any accepted them.

Cause: the header wasn't read. The adapter now parses it into a NamedPause, for calls and reports alike; Pause decides until when an endpoint is kept from requests, and placement skips it, also where it would try an ejected endpoint as the last one. endpoint_address, which is asked right before a request is sent, returns no address in a pause, so calls that were placed before it began go elsewhere. The pause belongs to an incarnation and outlasts its entry. Refusals name the first end of a pause or limit if all endpoints are kept from the call.

Not covered: the check whether an endpoint has crashed (relay/src/quarantine.rs) still requests reports.

--- a/crates/ingress/src/endpoints.rs
+++ b/crates/ingress/src/endpoints.rs
@@ -12,6 +12,7 @@
     hash::hash_text,
     health::Health,
     limits::Denial,
+    notices::Pause,
     placement::GroupLoad,
 };
 use poplarswitch_entity::{EndpointName, ServiceName, Time};
@@ -29,6 +30,8 @@
 const IDLE_PER_SLOT: usize = 4;
 /// Maximum number of idle connections that a VM keeps to an endpoint; a VM never used more at once.
 const MAX_IDLE_PER_VM: usize = 6;
+/// Number of former incarnations that are remembered.
+const MAX_FORMER: usize = 512;
 /// Number of removals that are remembered to answer VMs that request changes.
 const MAX_REMOVALS: usize = 512;
 
@@ -85,6 +88,8 @@
     pub remote_calls: u32,
     /// Calls that its limit on the rate of requests keeps back.
     pub denial: Denial,
+    /// Time in which it wants no requests from this VM.
+    pub pause: Pause,
     /// Whether its process may have ended since it was last known to be this incarnation.
     pub in_doubt: bool,
     /// Whether it has crashed and has not begun an answer since.
@@ -97,6 +102,13 @@
         self.open_calls + self.remote_calls
     }
 
+    /// Until when requests for calls of a rank are kept from the endpoint; none if they are not.
+    pub(crate) fn kept_until(&self, now: Time, rank: u8) -> Option<Time> {
+        let denied = self.denial.holds(now, rank).then_some(self.denial.until);
+        let paused = self.pause.holds(now).then(|| self.pause.until());
+        denied.max(paused)
+    }
+
     /// Maximum number of idle connections that each of `vms` VMs may keep to the endpoint.
     pub fn max_idle(&self, vms: usize) -> usize {
         let all = self.entry.slots as usize * IDLE_PER_SLOT;
@@ -104,6 +116,14 @@
     }
 }
 
+/// What an incarnation whose entry is gone has said of itself.
+#[derive(Debug)]
+struct FormerEndpoint {
+    name: EndpointName,
+    start_ms: u64,
+    pause: Pause,
+}
+
 /// All endpoints.
 #[derive(Debug, Default)]
 pub struct EndpointTable {
@@ -113,6 +133,8 @@
     by_service: HashMap<ServiceName, Vec<EndpointKey>>,
     /// End of the grace period and revision of each entry that may only have lapsed.
     lapsed: BTreeMap<EndpointName, (Time, u64)>,
+    /// Incarnations whose entries are gone and that have asked for pauses; an entry may come back.
+    former: VecDeque<FormerEndpoint>,
     /// Latest removals with their revisions.
     removals: VecDeque<(EndpointName, u64)>,
     /// Revision since which all removals are remembered.
@@ -226,6 +248,7 @@
         }
         let ready = entry.state == EndpointState::Ready;
         let service = entry.service.clone();
+        let former = self.take_former(&entry);
         self.change_count += 1;
         let key = self.endpoints.insert(Endpoint {
             name_hash: hash_text(entry.name.as_str()),
@@ -234,6 +257,7 @@
             open_calls: 0,
             remote_calls: 0,
             denial: Denial::default(),
+            pause: former.map_or_else(Pause::default, |former| former.pause),
             in_doubt: false,
             has_crashed: false,
             entry,
@@ -428,6 +452,7 @@
         self.remove_available(key);
         let endpoint = self.endpoints.remove(key)?;
         self.change_count += 1;
+        self.keep_former(&endpoint);
         self.by_name.remove(&endpoint.entry.name);
         self.lapsed.remove(&endpoint.entry.name);
         Some(EndpointChange {
@@ -437,6 +462,30 @@
         })
     }
 
+    /// Remembers what an incarnation has said of itself.
+    fn keep_former(&mut self, endpoint: &Endpoint) {
+        if endpoint.pause == Pause::default() {
+            return;
+        }
+        if self.former.len() >= MAX_FORMER {
+            self.former.pop_front();
+        }
+        self.former.push_back(FormerEndpoint {
+            name: endpoint.entry.name.clone(),
+            start_ms: endpoint.entry.start_ms,
+            pause: endpoint.pause,
+        });
+    }
+
+    /// Takes what the incarnation of an entry has said of itself before its entry was gone.
+    fn take_former(&mut self, entry: &EndpointEntry) -> Option<FormerEndpoint> {
+        let index = self
+            .former
+            .iter()
+            .position(|former| former.name == entry.name && former.start_ms == entry.start_ms)?;
+        self.former.remove(index)
+    }
+
     fn change(&self, key: EndpointKey, transition: Transition) -> EndpointChange {
         let name = self.endpoints[key].entry.name.clone();
         EndpointChange {
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -21,6 +21,7 @@
 mod limits;
 mod listing;
 mod membership;
+mod notices;
 mod outcome;
 mod placement;
 mod quarantine;
@@ -56,6 +57,8 @@
 #[cfg(test)]
 mod membership_tests;
 #[cfg(test)]
+mod notices_tests;
+#[cfg(test)]
 mod outcome_tests;
 #[cfg(test)]
 mod placement_tests;
@@ -97,6 +100,7 @@
 };
 pub use listing::{ListingSchedule, ListingView};
 pub use membership::{EngineWork, Heartbeat, Member, MemberRecord, Membership, Phase};
+pub use notices::{EndpointNotice, NamedPause, Pause};
 pub use outcome::{
     AttemptCounts, NextStep, Obstacle, Outcome, Verdict, next_step, obstacle, verdict,
 };
--- a/crates/ingress/src/placement.rs
+++ b/crates/ingress/src/placement.rs
@@ -86,7 +86,7 @@
     LeastLoaded,
     /// It can start the call soonest, though late.
     Late,
-    /// All endpoints of the service are ejected; this one may have recovered.
+    /// All endpoints of the service that want requests are ejected; this one may have recovered.
     AllEjected,
 }
 
@@ -161,7 +161,7 @@
             let health = &endpoint.health;
             !request.tried.contains(key)
                 && request.accepts(endpoint)
-                && !endpoint.denial.holds(now, request.rank)
+                && endpoint.kept_until(now, request.rank).is_none()
                 && !health.is_ejected(now)
                 && !health.is_full(now)
         };
@@ -190,13 +190,27 @@
         }
     }
 
-    /// When the first of the endpoints of a service whose limits keep calls of a rank back may be
-    /// asked again; none if there are none.
-    pub fn denied_until(&self, now: Time, service: &ServiceName, rank: u8) -> Option<Time> {
+    /// When a call of a rank that was refused may be sent to the first of the endpoints of a service
+    /// that limits or pauses keep it from; none if there are none. Pauses count only if each endpoint
+    /// is kept from the call; `software` is the version that the endpoints must have, if any.
+    pub fn kept_until(
+        &self,
+        now: Time,
+        service: &ServiceName,
+        rank: u8,
+        software: Option<&SoftwareVersion>,
+    ) -> Option<Time> {
         let endpoints = self.available(service).iter();
-        let denials = endpoints.map(|key| self.endpoint(*key).denial);
-        let denials = denials.filter(|denial| denial.holds(now, rank));
-        denials.map(|denial| denial.until).min()
+        let endpoints = endpoints
+            .map(|key| self.endpoint(*key))
+            .filter(|endpoint| software.is_none() || endpoint.entry.software.as_ref() == software);
+        let all_kept = endpoints
+            .clone()
+            .all(|endpoint| endpoint.kept_until(now, rank).is_some());
+        endpoints
+            .filter(|endpoint| all_kept || endpoint.denial.holds(now, rank))
+            .filter_map(|endpoint| endpoint.kept_until(now, rank))
+            .min()
     }
 
     /// Counts a call, so that some calls request the load of engines at a low load level too.
@@ -345,7 +359,7 @@
             let endpoint = self.endpoint(**key);
             !request.tried.contains(key)
                 && request.accepts(endpoint)
-                && !endpoint.denial.holds(now, request.rank)
+                && endpoint.kept_until(now, request.rank).is_none()
         });
         let endpoint = untried.min_by(|a, b| {
             let (a, b) = (self.endpoint(**a), self.endpoint(**b));
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -210,7 +210,7 @@
         new_connection: bool,
     ) -> Result<EndpointResponse, FailedAttempt> {
         let info = self.describe(placement).ok_or_else(|| {
-            let cause = "the endpoint was removed or is draining";
+            let cause = "the endpoint was removed, is draining or wants no requests";
             FailedAttempt::new(Outcome::NotSent, cause)
         })?;
         self.record_endpoint(&info);
@@ -221,7 +221,7 @@
         self.respond(pending, last_event_id).await
     }
 
-    /// The endpoint of a placement; none if it accepts no calls any more.
+    /// The endpoint of a placement; none if it wants no requests.
     pub(crate) fn describe(&self, placement: Placement) -> Option<AttemptInfo> {
         let (endpoint, address) = self.endpoint_address(placement.endpoint)?;
         Some(AttemptInfo {
@@ -254,6 +254,11 @@
             FailedAttempt::new(Outcome::NotSent, error.to_string())
         })?;
         let connection = if is_checked {
+            if self.endpoint_address(key).is_none() {
+                self.shared.return_connection(key, connection.sender, None);
+                let cause = "the endpoint changed while the connection was opened";
+                return Err(FailedAttempt::new(Outcome::NotSent, cause));
+            }
             let checked = self.check_incarnation(key, address, connection).await;
             checked.map_err(|cause| FailedAttempt::new(Outcome::NotSent, cause))?
         } else {
@@ -478,6 +483,7 @@
             &self.request.call.id,
         );
         self.observe_limit(key, &pending.info.endpoint, pending.sent, &info);
+        self.observe_notice(key, &info);
         if let Err(failed) = self.check_head(key, &head, &info) {
             if failed.outcome == Outcome::Refused {
                 pending.open_call.record_refusal();
@@ -534,12 +540,13 @@
         core.endpoints.get(key)?.entry.software.clone()
     }
 
-    /// Name and address of an endpoint, if it accepts calls.
+    /// Name and address of an endpoint, if it wants requests.
     pub(crate) fn endpoint_address(&self, key: EndpointKey) -> Option<(EndpointName, SocketAddr)> {
         let core = self.shared.core();
         let endpoint = core.endpoints.get(key)?;
         let ready = endpoint.entry.state == poplarswitch_ingress::EndpointState::Ready;
-        ready.then(|| (endpoint.entry.name.clone(), endpoint.entry.address))
+        let wants_requests = ready && !endpoint.pause.holds(clock::now());
+        wants_requests.then(|| (endpoint.entry.name.clone(), endpoint.entry.address))
     }
 
     fn build_request(
--- a/crates/relay/src/call_forwarder.rs
+++ b/crates/relay/src/call_forwarder.rs
@@ -156,11 +156,20 @@
 
     /// Records a refusal and returns the time after which the caller should retry.
     pub(crate) fn retry_after(&self, now: Time) -> Duration {
-        let time_left = self.request.deadline.since(now);
-        self.shared
-            .core()
+        let request = &self.request;
+        let time_left = request.deadline.since(now);
+        let mut core = self.shared.core();
+        let kept_until = core.endpoints.kept_until(
+            now,
+            &request.service,
+            request.priority,
+            request.pin.required(),
+        );
+        let kept = kept_until.map_or(Duration::ZERO, |until| until.since(now));
+        let spread = core
             .admission
-            .record_refusal(now, &self.request.call.id, time_left)
+            .record_refusal(now, &request.call.id, time_left);
+        spread.max(kept)
     }
 
     /// Failure that is reported to the caller after its deadline.
--- a/crates/relay/src/feed.rs
+++ b/crates/relay/src/feed.rs
@@ -196,7 +196,7 @@
             .await
             .context(BrokenSnafu { peer })
     };
-    let (_status, body) = timeout(MAX_WAIT + REPLY_MARGIN, exchange)
+    let (_head, body) = timeout(MAX_WAIT + REPLY_MARGIN, exchange)
         .await
         .unwrap_or(Err(FeedError::TimedOut { peer }))?;
     let unreadable = |reason| FeedError::Unreadable { peer, reason };
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -20,6 +20,7 @@
 mod listeners;
 mod logs;
 mod metrics;
+mod notices;
 mod open_call;
 mod origins;
 mod placement;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -47,6 +47,7 @@
     pub(crate) calls_held: Counter,
     pub(crate) limited_sends: Counter,
     pub(crate) tokens_denied: Counter,
+    pub(crate) pauses: Counter,
     pub(crate) vms_alive: Gauge,
     pub(crate) vms_unheard: Gauge,
 }
@@ -76,6 +77,7 @@
             calls_held: Counter::default(),
             limited_sends: Counter::default(),
             tokens_denied: Counter::default(),
+            pauses: Counter::default(),
             vms_alive: Gauge::default(),
             vms_unheard: Gauge::default(),
         };
@@ -136,6 +138,11 @@
                 "Requests that a limit kept from an endpoint",
                 &self.tokens_denied,
             ),
+            (
+                "endpoint_pauses",
+                "Responses by which an endpoint asked for a pause",
+                &self.pauses,
+            ),
             (
                 "sections_held",
                 "Requests and sections of prompts that were held",
--- /dev/null
+++ b/crates/relay/src/notices.rs
@@ -0,0 +1,95 @@
+//! What endpoints say of themselves in their responses, to calls and to requests for reports.
+
+use crate::{
+    ResponseInfo, ResponseKind,
+    call_forwarder::CallForwarder,
+    clock,
+    shared::{Core, Shared},
+};
+use core::net::SocketAddr;
+use poplarswitch_ingress::{EndpointKey, EndpointNotice, NamedPause};
+
+impl Core {
+    /// The endpoints at an address; with `start_ms`, only the incarnation that started then.
+    fn endpoints_at(&self, address: SocketAddr, start_ms: Option<u64>) -> Vec<EndpointKey> {
+        let endpoints = self.endpoints.iter();
+        let matching = endpoints.filter(|(_, endpoint)| {
+            let entry = &endpoint.entry;
+            entry.address == address && start_ms.is_none_or(|start| start == entry.start_ms)
+        });
+        matching.map(|(key, _)| key).collect()
+    }
+}
+
+impl Shared {
+    /// Takes in what the process at an address says of itself in a response to a request that is not
+    /// for a call; `start_ms` is the start of that process, if it is known.
+    pub(crate) fn record_notice_at(
+        &self,
+        address: SocketAddr,
+        start_ms: Option<u64>,
+        notice: EndpointNotice,
+    ) {
+        if notice == EndpointNotice::default() {
+            return;
+        }
+        let keys = self.core().endpoints_at(address, start_ms);
+        for key in keys {
+            self.record_notice(key, notice, None);
+        }
+    }
+
+    /// Takes in what an endpoint says of itself in a response; `call` is the identifier of the call.
+    fn record_notice(&self, key: EndpointKey, notice: EndpointNotice, call: Option<&str>) {
+        self.record_pause(key, notice.pause, call);
+    }
+
+    fn record_pause(&self, key: EndpointKey, pause: NamedPause, call: Option<&str>) {
+        let now = clock::now();
+        let mut core = self.core();
+        let Some(endpoint) = core.endpoints.get_mut(key) else {
+            return;
+        };
+        let endpoint_name = endpoint.entry.name.clone();
+        let endpoint_name = endpoint_name.as_str();
+        match pause {
+            NamedPause::None => {}
+            NamedPause::For(length) => {
+                let is_extended = endpoint.pause.extend(now, length);
+                let ms = endpoint.pause.until().since(now).as_millis() as u64;
+                drop(core);
+                self.metrics.pauses.inc();
+                if is_extended {
+                    tracing::info!(
+                        event = "paused",
+                        endpoint = endpoint_name,
+                        ms,
+                        id = call,
+                        "endpoint"
+                    );
+                }
+            }
+            NamedPause::Unreadable => {
+                drop(core);
+                tracing::info!(
+                    event = "pause_unreadable",
+                    endpoint = endpoint_name,
+                    id = call,
+                    "endpoint"
+                );
+            }
+        }
+    }
+}
+
+impl CallForwarder {
+    /// Takes in what the response to the call says of its endpoint.
+    pub(crate) fn observe_notice(&self, key: EndpointKey, info: &ResponseInfo) {
+        // Another process than this endpoint may have answered.
+        if matches!(info.kind, ResponseKind::OtherCall | ResponseKind::Displaced) {
+            return;
+        }
+        let call = Some(&*self.request.call.id);
+        self.shared.record_notice(key, info.notice, call);
+    }
+}
--- a/crates/relay/src/origins.rs
+++ b/crates/relay/src/origins.rs
@@ -334,6 +334,9 @@
         if !endpoint.in_doubt {
             return true;
         }
+        if endpoint.pause.holds(clock::now()) {
+            return false;
+        }
         let address = endpoint.entry.address;
         self.shared.metrics.probes.inc();
         self.shared.metrics.connections.inc();
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -87,17 +87,8 @@
     }
 
     fn refusal(&self, now: Time, code: ErrorCode) -> Failure {
-        let service = &self.request.service;
-        let rank = self.request.priority;
-        let denied_until = self
-            .shared
-            .core()
-            .endpoints
-            .denied_until(now, service, rank);
-        let limited = denied_until.map_or(Duration::ZERO, |until| until.since(now));
-        let retry_after = self.retry_after(now).max(limited);
         self.not_run_failure(code, self.request.service.as_str())
-            .with_retry_after(retry_after)
+            .with_retry_after(self.retry_after(now))
     }
 
     /// Requests the report of an engine; an engine without a timely report counts as full.
@@ -168,10 +159,14 @@
         .header(http::header::HOST, address.to_string())
         .body(Full::new(Bytes::new()))
         .map_err(|error| error.to_string())?;
-    let (_status, body) = tcp::exchange(&mut sender, request, MAX_REPORT_BYTES)
+    let (head, body) = tcp::exchange(&mut sender, request, MAX_REPORT_BYTES)
         .await
         .map_err(|error| error.to_string())?;
-    let report = shared.protocol.parse_report(&body)?;
+    let report = shared.protocol.parse_report(&body);
+    let notice = shared.protocol.parse_notice(head.status, &head.headers);
+    let start_ms = report.as_ref().ok().and_then(|report| report.start_ms);
+    shared.record_notice_at(address, start_ms, notice);
+    let report = report.map_err(|reason| format!("status {}: {reason}", head.status))?;
     Ok((report, sender))
 }
 
--- a/crates/relay/src/platform_client.rs
+++ b/crates/relay/src/platform_client.rs
@@ -97,7 +97,7 @@
                 .await
                 .context(UnreachedSnafu { operation })?,
         };
-        let (status, body) = tcp::exchange(&mut sender, self.build_request(call), MAX_REPLY_BYTES)
+        let (head, body) = tcp::exchange(&mut sender, self.build_request(call), MAX_REPLY_BYTES)
             .await
             .context(BrokenSnafu { operation, peer })?;
         let mut idle = self.lock();
@@ -106,7 +106,7 @@
         }
         drop(idle);
         self.protocol
-            .parse_platform_reply(call, status, &body)
+            .parse_platform_reply(call, head.status, &body)
             .map_err(|reason| PlatformError::Unreadable {
                 operation,
                 peer,
--- a/crates/relay/src/protocol.rs
+++ b/crates/relay/src/protocol.rs
@@ -7,7 +7,9 @@
 use core::{fmt, net::SocketAddr, time::Duration};
 use http::{HeaderMap, Method, StatusCode};
 use poplarswitch_entity::{EndpointName, VmName};
-use poplarswitch_ingress::{Call, Config, EndpointEntry, EngineReport, NamedLimit, VmEntry};
+use poplarswitch_ingress::{
+    Call, Config, EndpointEntry, EndpointNotice, EngineReport, NamedLimit, VmEntry,
+};
 use poplarswitch_platform::WireRequest;
 
 /// Error of a head that is not a valid call.
@@ -65,6 +67,8 @@
     pub idle_timeout: Option<Duration>,
     /// What the response says of the endpoint's limit on the rate of requests.
     pub limit: NamedLimit,
+    /// What the response says of the endpoint itself.
+    pub notice: EndpointNotice,
 }
 
 /// A request to this VM itself.
@@ -208,6 +212,9 @@
         call: &str,
     ) -> ResponseInfo;
 
+    /// Interprets what the head of any response of an endpoint says of the endpoint.
+    fn parse_notice(&self, status: StatusCode, headers: &HeaderMap) -> EndpointNotice;
+
     /// Path at which engines report their load.
     fn report_path(&self) -> &'static str;
 
