Take endpoints that say they leave for draining

An endpoint that leaves says so in all its answers. VMs learned of it from its entry only, and sent it calls until then: while the platform was down, or where the entry never says so, until it was gone.

Cause: the header wasn't read. EndpointNotice now tells of it, for calls and reports, at the head of a response; EndpointTable::record_leaving makes the endpoint drain. That is final for the incarnation, as for a draining entry, and is remembered past the entry, because the platform may bring back an entry that was gone.

--- a/crates/ingress/src/endpoints.rs
+++ b/crates/ingress/src/endpoints.rs
@@ -90,6 +90,8 @@
     pub denial: Denial,
     /// Time in which it wants no requests from this VM.
     pub pause: Pause,
+    /// Whether it has said that it leaves.
+    pub leaving: bool,
     /// Whether its process may have ended since it was last known to be this incarnation.
     pub in_doubt: bool,
     /// Whether it has crashed and has not begun an answer since.
@@ -122,6 +124,7 @@
     name: EndpointName,
     start_ms: u64,
     pause: Pause,
+    leaving: bool,
 }
 
 /// All endpoints.
@@ -133,7 +136,8 @@
     by_service: HashMap<ServiceName, Vec<EndpointKey>>,
     /// End of the grace period and revision of each entry that may only have lapsed.
     lapsed: BTreeMap<EndpointName, (Time, u64)>,
-    /// Incarnations whose entries are gone and that have asked for pauses; an entry may come back.
+    /// Incarnations whose entries are gone and that have said something of themselves; an entry may
+    /// come back.
     former: VecDeque<FormerEndpoint>,
     /// Latest removals with their revisions.
     removals: VecDeque<(EndpointName, u64)>,
@@ -210,7 +214,7 @@
     }
 
     /// Applies an entry that was read or has changed.
-    pub(crate) fn upsert(&mut self, entry: EndpointEntry) -> Vec<EndpointChange> {
+    pub(crate) fn upsert(&mut self, mut entry: EndpointEntry) -> Vec<EndpointChange> {
         let mut changes = Vec::new();
         let lapsed = self.lapsed.get(&entry.name);
         if lapsed.is_some_and(|(_, at)| entry.revision <= *at) {
@@ -246,9 +250,13 @@
             }
             changes.extend(self.drop_endpoint(key));
         }
+        let former = self.take_former(&entry);
+        let leaving = former.as_ref().is_some_and(|former| former.leaving);
+        if leaving {
+            entry.state = EndpointState::Draining;
+        }
         let ready = entry.state == EndpointState::Ready;
         let service = entry.service.clone();
-        let former = self.take_former(&entry);
         self.change_count += 1;
         let key = self.endpoints.insert(Endpoint {
             name_hash: hash_text(entry.name.as_str()),
@@ -258,6 +266,7 @@
             remote_calls: 0,
             denial: Denial::default(),
             pause: former.map_or_else(Pause::default, |former| former.pause),
+            leaving,
             in_doubt: false,
             has_crashed: false,
             entry,
@@ -271,6 +280,19 @@
         changes
     }
 
+    /// Records that an endpoint has said that it leaves: it drains, whatever its entry says.
+    pub fn record_leaving(&mut self, key: EndpointKey) -> Option<EndpointChange> {
+        let endpoint = self.endpoints.get_mut(key)?;
+        endpoint.leaving = true;
+        if endpoint.entry.state == EndpointState::Draining {
+            return None;
+        }
+        endpoint.entry.state = EndpointState::Draining;
+        self.change_count += 1;
+        self.remove_available(key);
+        Some(self.change(key, Transition::Draining))
+    }
+
     /// Applies the removal of an entry. With `grace_end`, the entry may have lapsed while the
     /// platform was unavailable, so a ready endpoint is kept until then.
     pub(crate) fn remove(
@@ -464,7 +486,7 @@
 
     /// Remembers what an incarnation has said of itself.
     fn keep_former(&mut self, endpoint: &Endpoint) {
-        if endpoint.pause == Pause::default() {
+        if endpoint.pause == Pause::default() && !endpoint.leaving {
             return;
         }
         if self.former.len() >= MAX_FORMER {
@@ -474,6 +496,7 @@
             name: endpoint.entry.name.clone(),
             start_ms: endpoint.entry.start_ms,
             pause: endpoint.pause,
+            leaving: endpoint.leaving,
         });
     }
 
--- a/crates/ingress/src/notices.rs
+++ b/crates/ingress/src/notices.rs
@@ -4,6 +4,9 @@
 //! the pause has ended, whatever they are for. The pause binds this VM alone and the incarnation that
 //! asked for it. Other reasons to spare an endpoint, such as an ejection, a limit or a full queue, hold
 //! beside it; an endpoint gets requests again when none of them holds.
+//!
+//! An endpoint that leaves says so too, perhaps long before its entry does. From then on this VM takes it
+//! for draining, which is final for the incarnation, whatever its entry says.
 
 use core::time::Duration;
 use poplarswitch_entity::Time;
@@ -29,6 +32,8 @@
 pub struct EndpointNotice {
     /// Pause that the endpoint asks for.
     pub pause: NamedPause,
+    /// Whether the endpoint leaves.
+    pub leaving: bool,
 }
 
 /// Time in which an endpoint wants no requests from this VM.
--- a/crates/ingress/src/notices_tests.rs
+++ b/crates/ingress/src/notices_tests.rs
@@ -1,6 +1,6 @@
 use crate::{
-    Denial, EndpointEntry, EndpointKey, EndpointTable, GroupSplit, PlacementDecision,
-    PlacementRequest, SoftwareVersion, endpoints_tests::entry,
+    Denial, EndpointChange, EndpointEntry, EndpointKey, EndpointState, EndpointTable, GroupSplit,
+    PlacementDecision, PlacementRequest, SoftwareVersion, Transition, endpoints_tests::entry,
 };
 use core::time::Duration;
 use googletest::prelude::*;
@@ -182,3 +182,93 @@
     expect_that!(choose(&endpoints, NOW), none());
     expect_that!(choose(&endpoints, NOW + PAUSE), some(eq("a")));
 }
+
+fn leave(endpoints: &mut EndpointTable, name: &str) -> Option<EndpointChange> {
+    let key = key(endpoints, name);
+    endpoints.record_leaving(key)
+}
+
+#[gtest]
+fn leaving_endpoint_drains() {
+    let mut endpoints = endpoints(&["a", "b"]);
+    let before = endpoints.change_count();
+    let change = leave(&mut endpoints, "a").unwrap();
+    expect_that!(change.transition, eq(Transition::Draining));
+    expect_that!(endpoints.change_count(), gt(before));
+    expect_that!(choose(&endpoints, NOW), some(eq("b")));
+    // Each of its answers says so.
+    expect_that!(leave(&mut endpoints, "a"), none());
+    let a = key(&endpoints, "a");
+    expect_that!(
+        endpoints.get(a).unwrap().entry.state,
+        eq(EndpointState::Draining)
+    );
+}
+
+/// The entry of an endpoint that leaves may still say that it accepts calls, and may be written again.
+#[gtest]
+fn later_entries_do_not_undo_that_an_endpoint_leaves() {
+    let mut endpoints = endpoints(&["a"]);
+    leave(&mut endpoints, "a");
+    expect_that!(endpoints.upsert(entry("a", 1)), is_empty());
+    expect_that!(endpoints.upsert(entry("a", 2)), is_empty());
+    expect_that!(choose(&endpoints, NOW), none());
+    endpoints.apply_listing(vec![entry("a", 3)], 3, None);
+    expect_that!(choose(&endpoints, NOW), none());
+}
+
+/// The platform may bring back an entry that was gone, from an older state of it.
+#[gtest]
+fn restored_entry_does_not_undo_that_an_endpoint_leaves() {
+    let mut endpoints = endpoints(&["a"]);
+    leave(&mut endpoints, "a");
+    for revision in [2, 4] {
+        endpoints.remove(&EndpointName::new("a"), revision, None);
+        expect_that!(endpoints.upsert(entry("a", revision + 1)), is_empty());
+        expect_that!(choose(&endpoints, NOW), none());
+    }
+}
+
+#[gtest]
+fn next_incarnation_of_a_leaving_endpoint_accepts_calls() {
+    let mut endpoints = endpoints(&["a"]);
+    leave(&mut endpoints, "a");
+    let next = |revision| EndpointEntry {
+        start_ms: 2,
+        ..entry("a", revision)
+    };
+    endpoints.upsert(next(2));
+    expect_that!(choose(&endpoints, NOW), some(eq("a")));
+    endpoints.remove(&EndpointName::new("a"), 3, None);
+    endpoints.upsert(next(4));
+    expect_that!(choose(&endpoints, NOW), some(eq("a")));
+}
+
+/// An endpoint that leaves ends while the platform is unavailable; its lapsed entry gets no grace.
+#[gtest]
+fn lapsed_entry_of_a_leaving_endpoint_is_removed_at_once() {
+    let mut endpoints = endpoints(&["a"]);
+    leave(&mut endpoints, "a");
+    let change = endpoints.remove(&EndpointName::new("a"), 2, Some(NOW + PAUSE));
+    expect_that!(change.unwrap().transition, eq(Transition::Left));
+}
+
+/// Endpoints leave all the time; what they said is kept for the latest ones only.
+#[gtest]
+fn number_of_former_incarnations_is_limited() {
+    let mut endpoints = EndpointTable::default();
+    let mut revision = 0;
+    let mut come_and_leave = |name: &str| {
+        revision += 1;
+        endpoints.upsert(entry(name, revision));
+        let was_forgotten = leave(&mut endpoints, name).is_some();
+        revision += 1;
+        endpoints.remove(&EndpointName::new(name), revision, None);
+        was_forgotten
+    };
+    for n in 0..600 {
+        come_and_leave(&format!("e{n}"));
+    }
+    expect_that!(come_and_leave("e599"), eq(false));
+    expect_that!(come_and_leave("e0"), eq(true));
+}
--- a/crates/relay/src/notices.rs
+++ b/crates/relay/src/notices.rs
@@ -9,6 +9,9 @@
 use core::net::SocketAddr;
 use poplarswitch_ingress::{EndpointKey, EndpointNotice, NamedPause};
 
+/// Source of changes, in logs, that endpoints tell of themselves.
+const NOTICE_SOURCE: &str = "endpoint";
+
 impl Core {
     /// The endpoints at an address; with `start_ms`, only the incarnation that started then.
     fn endpoints_at(&self, address: SocketAddr, start_ms: Option<u64>) -> Vec<EndpointKey> {
@@ -41,9 +44,17 @@
 
     /// Takes in what an endpoint says of itself in a response; `call` is the identifier of the call.
     fn record_notice(&self, key: EndpointKey, notice: EndpointNotice, call: Option<&str>) {
+        if notice.leaving {
+            self.record_leaving(key);
+        }
         self.record_pause(key, notice.pause, call);
     }
 
+    fn record_leaving(&self, key: EndpointKey) {
+        let change = self.core().endpoints.record_leaving(key);
+        self.handle_endpoint_changes(change.as_slice(), NOTICE_SOURCE);
+    }
+
     fn record_pause(&self, key: EndpointKey, pause: NamedPause, call: Option<&str>) {
         let now = clock::now();
         let mut core = self.core();
