Test pauses and leaving endpoints in the soak

From seed 400 on a seventh plan makes endpoints ask for pauses while they decline calls, and say that they leave while their entries don't tell of it; older seeds keep their plans.

--- a/crates/node/tests/relay_soak.rs
+++ b/crates/node/tests/relay_soak.rs
@@ -25,8 +25,9 @@
     checks::{Call, History, Runs},
     endpoint_checks::{culprit, culprit_path},
     plan::{
-        CRASHING_SECTION, Fault, Span, draw_fifth, draw_first, draw_fourth, draw_second,
-        draw_sixth, draw_third, excludes, is_planned_only, is_silence_only,
+        CRASHING_SECTION, Fault, SEVENTH_SEEDS, Span, draw_fifth, draw_first, draw_fourth,
+        draw_second, draw_seventh, draw_sixth, draw_third, excludes, is_planned_only,
+        is_silence_only,
     },
     routes::RouteShape,
 };
@@ -50,8 +51,9 @@
 ///   resumed at the version of that entry: a check of the engine from before still counted.
 const DEFAULT_SEEDS: &str = "1,5,7,13,21,42,205,206";
 /// Seeds that are run by default beside the others: 308 has silences and planned operations only, 319
-/// requests that crash endpoints and planned operations only.
-const ENDPOINT_SEEDS: &str = "308,319";
+/// requests that crash endpoints and planned operations only, and 416 endpoints that ask for pauses or
+/// leave, faults of the store and planned operations only.
+const ENDPOINT_SEEDS: &str = "308,319,416";
 /// Default length of the run of a seed, in seconds.
 const DEFAULT_SECONDS: u64 = 8;
 /// Default length for [`ENDPOINT_SEEDS`], in seconds; a request must crash three endpoints and be
@@ -174,6 +176,11 @@
                 self.configure(self.valid_keys());
             }
             Fault::Culprit(kind) => self.set_culprit(kind, true),
+            Fault::Pauses(n, seconds) => self.fleet.endpoints[n].update_behaviour(|b| {
+                b.decline = true;
+                b.retry_after = Some(seconds);
+            }),
+            Fault::Leaves(n) => self.fleet.endpoints[n].update_behaviour(|b| b.leaving = true),
             Fault::Revoke => {
                 self.configure(&KEYS[..1]);
                 self.history.revoked.push(Span::from_now());
@@ -235,6 +242,14 @@
             Fault::Shapes(n, _) => self.fleet.endpoints[n].update_behaviour(|b| b.shape = None),
             Fault::Crashes => self.crash_engines_on(&[]),
             Fault::Culprit(kind) => self.set_culprit(kind, false),
+            Fault::Pauses(n, _) => self.fleet.endpoints[n].update_behaviour(|b| {
+                b.decline = false;
+                b.retry_after = None;
+            }),
+            Fault::Leaves(n) => {
+                self.fleet.endpoints[n].update_behaviour(|b| b.leaving = false);
+                self.renew(n);
+            }
             Fault::Revoke => {
                 self.history.revoked.iter_mut().for_each(Span::end);
                 self.configure(&KEYS);
@@ -266,6 +281,7 @@
             .filter(|(endpoint, _)| *endpoint == n)
             .for_each(|(_, span)| span.end());
         self.incarnations[n] += 1;
+        self.history.renewals.push((n, Instant::now()));
         let incarnation = self.incarnations[n];
         self.fleet.endpoints[n].update_behaviour(|b| b.reported_start = Some(incarnation));
         self.fleet
@@ -341,6 +357,8 @@
         History::check_versions(calls, &runs);
         self.history.check_overlaps(calls, &runs);
         let held = History::check_refusals(calls);
+        let pauses = self.history.check_pauses(calls, &self.fleet.endpoints);
+        let left = self.history.check_leaving(calls, &runs);
         let (crashed, known_sends) = self.history.check_culprits(calls, &self.fleet.endpoints);
         let windows: usize = (0..self.fleet.endpoints.len())
             .map(|n| self.history.check_limits(n, &arrival_times(&self.fleet, n)))
@@ -358,7 +376,8 @@
             "soak: seed {seed}: {} calls, {} answered, {} late in a drain, {} during planned operations, \
              {taken_up} taken up, {gone_on} of them served, {windows} windows of limits, \
              {silenced} beside silences alone, {crashed} endpoints crashed by a request, {known_sends} sends \
-             after its third crash, {held} sound calls held",
+             after its third crash, {held} sound calls held, {pauses} pauses, {left} calls beside a leaving \
+             endpoint",
             calls.len(),
             answered.count(),
             self.history.count_late_in_drain(calls),
@@ -565,6 +584,7 @@
     let mut fifth_rng = Pcg64Mcg::seed_from_u64(seed.rotate_left(16));
     let mut sixth_rng = Pcg64Mcg::seed_from_u64(seed.rotate_left(48));
     let mut fourth_rng = Pcg64Mcg::seed_from_u64(!seed.rotate_left(32));
+    let mut seventh_rng = Pcg64Mcg::seed_from_u64(seed.rotate_left(8));
     let vms = soak.fleet.processes.len();
     let start = Instant::now();
     let mut open: Vec<(Instant, Fault)> = Vec::new();
@@ -601,6 +621,9 @@
         if sixth_rng.random_ratio(1, 2) {
             faults.push(draw_sixth(&mut sixth_rng));
         }
+        if seed >= SEVENTH_SEEDS && seventh_rng.random_ratio(2, 3) {
+            faults.push(draw_seventh(&mut seventh_rng));
+        }
         for (fault, duration) in faults {
             // The end of one fault would also end another one of the same kind at the same VM or
             // endpoint, so only one fault of each kind is open at a time.
--- a/crates/node/tests/soak/checks.rs
+++ b/crates/node/tests/soak/checks.rs
@@ -9,7 +9,7 @@
 /// Time after its revocation within which a key must stop working; `revoke_ms` in the settings.
 const REVOCATION_BOUND: Duration = Duration::from_secs(5);
 /// Time after the start of a drain within which calls must no longer reach the endpoint.
-const DRAIN_BOUND: Duration = Duration::from_secs(2);
+pub const DRAIN_BOUND: Duration = Duration::from_secs(2);
 /// Time before a drain or a call in which no fault may interfere, or the check does not apply.
 pub const QUIET_TIME: Duration = Duration::from_secs(3);
 /// Retries per call that all VMs together may spend in a window: `retry_budget_ratio`.
@@ -78,6 +78,8 @@
     pub revoked: Vec<Span>,
     /// Endpoints that drained, and the periods.
     pub drains: Vec<(usize, Span)>,
+    /// Endpoints that became new incarnations, and when.
+    pub renewals: Vec<(usize, Instant)>,
     /// All faults and planned operations, and their periods.
     pub faults: Vec<(Fault, Span)>,
 }
--- a/crates/node/tests/soak/mod.rs
+++ b/crates/node/tests/soak/mod.rs
@@ -2,5 +2,6 @@
 
 pub mod checks;
 pub mod endpoint_checks;
+pub mod notice_checks;
 pub mod plan;
 pub mod routes;
--- a/crates/node/tests/soak/plan.rs
+++ b/crates/node/tests/soak/plan.rs
@@ -66,6 +66,11 @@
     Reroutes(RouteShape),
     /// One request crashes each endpoint of a kind that begins to run it.
     Culprit(EndpointKind),
+    /// An endpoint declines all calls and asks for pauses of a number of seconds.
+    Pauses(usize, &'static str),
+    /// An endpoint says in its answers that it leaves, and is later registered as a new incarnation; its
+    /// entry doesn't tell of it.
+    Leaves(usize),
 }
 
 impl Fault {
@@ -102,7 +107,9 @@
             | Self::Storm
             | Self::Silences { .. }
             | Self::Reroutes(_)
-            | Self::Culprit(_) => false,
+            | Self::Culprit(_)
+            | Self::Pauses(..)
+            | Self::Leaves(_) => false,
         }
     }
 
@@ -193,12 +200,26 @@
     seed >= SIXTH_SEEDS && seed % 10 == 9
 }
 
+/// First seed of those that were added with the seventh plan.
+pub const SEVENTH_SEEDS: u64 = 400;
+
+/// Whether a seed has endpoints that ask for pauses or leave, faults of the store and planned operations
+/// only, so that most VMs run without a break.
+const fn is_notice_only(seed: u64) -> bool {
+    seed >= SEVENTH_SEEDS && seed % 10 == 6
+}
+
 /// Whether a seed leaves a fault out.
 pub const fn excludes(seed: u64, fault: Fault) -> bool {
     let other = if is_silence_only(seed) {
         !matches!(fault, Fault::Silences { .. })
     } else if is_culprit_only(seed) {
         !matches!(fault, Fault::Culprit(_))
+    } else if is_notice_only(seed) {
+        !matches!(
+            fault,
+            Fault::Pauses(..) | Fault::Leaves(_) | Fault::Store(_)
+        )
     } else {
         is_planned_only(seed)
     };
@@ -355,3 +376,19 @@
         _ => (Fault::Culprit(kind), crashing),
     }
 }
+
+/// The next fault of a seed's seventh plan: an endpoint that asks for pauses, or one that leaves.
+pub fn draw_seventh(rng: &mut Pcg64Mcg) -> (Fault, Duration) {
+    let endpoint = rng.random_range(0..4);
+    if rng.random() {
+        let seconds = *["0.8", "2", "3.5"].choose(rng).unwrap();
+        let millis = rng.random_range(200..1_500);
+        (
+            Fault::Pauses(endpoint, seconds),
+            Duration::from_millis(millis),
+        )
+    } else {
+        let millis = rng.random_range(3_000..7_000);
+        (Fault::Leaves(endpoint), Duration::from_millis(millis))
+    }
+}
