--- a/crates/ingress/src/endpoints.rs
+++ b/crates/ingress/src/endpoints.rs
@@ -12,6 +12,7 @@
     hash::hash_text,
     health::Health,
     limits::Denial,
+    notices::Pause,
     placement::GroupLoad,
 };
 use poplarswitch_entity::{EndpointName, ServiceName, Time};
@@ -29,6 +30,8 @@
 const IDLE_PER_SLOT: usize = 4;
 /// Maximum number of idle connections that a VM keeps to an endpoint; a VM never used more at once.
 const MAX_IDLE_PER_VM: usize = 6;
+/// Number of former incarnations that are remembered.
+const MAX_FORMER: usize = 512;
 /// Number of removals that are remembered to answer VMs that request changes.
 const MAX_REMOVALS: usize = 512;
 
@@ -85,6 +88,10 @@
     pub remote_calls: u32,
     /// Calls that its limit on the rate of requests keeps back.
     pub denial: Denial,
+    /// Time in which it wants no requests from this VM.
+    pub pause: Pause,
+    /// Whether it has said that it leaves.
+    pub leaving: bool,
     /// Whether its process may have ended since it was last known to be this incarnation.
     pub in_doubt: bool,
     /// Whether it has crashed and has not begun an answer since.
@@ -97,6 +104,13 @@
         self.open_calls + self.remote_calls
     }
 
+    /// Until when requests for calls of a rank are kept from the endpoint; none if they are not.
+    pub(crate) fn kept_until(&self, now: Time, rank: u8) -> Option<Time> {
+        let denied = self.denial.holds(now, rank).then_some(self.denial.until);
+        let paused = self.pause.holds(now).then(|| self.pause.until());
+        denied.max(paused)
+    }
+
     /// Maximum number of idle connections that each of `vms` VMs may keep to the endpoint.
     pub fn max_idle(&self, vms: usize) -> usize {
         let all = self.entry.slots as usize * IDLE_PER_SLOT;
@@ -104,6 +118,15 @@
     }
 }
 
+/// What an incarnation whose entry is gone has said of itself.
+#[derive(Debug)]
+struct FormerEndpoint {
+    name: EndpointName,
+    start_ms: u64,
+    pause: Pause,
+    leaving: bool,
+}
+
 /// All endpoints.
 #[derive(Debug, Default)]
 pub struct EndpointTable {
@@ -113,6 +136,9 @@
     by_service: HashMap<ServiceName, Vec<EndpointKey>>,
     /// End of the grace period and revision of each entry that may only have lapsed.
     lapsed: BTreeMap<EndpointName, (Time, u64)>,
+    /// Incarnations whose entries are gone and that have said something of themselves; an entry may
+    /// come back.
+    former: VecDeque<FormerEndpoint>,
     /// Latest removals with their revisions.
     removals: VecDeque<(EndpointName, u64)>,
     /// Revision since which all removals are remembered.
@@ -188,7 +214,7 @@
     }
 
     /// Applies an entry that was read or has changed.
-    pub(crate) fn upsert(&mut self, entry: EndpointEntry) -> Vec<EndpointChange> {
+    pub(crate) fn upsert(&mut self, mut entry: EndpointEntry) -> Vec<EndpointChange> {
         let mut changes = Vec::new();
         let lapsed = self.lapsed.get(&entry.name);
         if lapsed.is_some_and(|(_, at)| entry.revision <= *at) {
@@ -224,6 +250,11 @@
             }
             changes.extend(self.drop_endpoint(key));
         }
+        let former = self.take_former(&entry);
+        let leaving = former.as_ref().is_some_and(|former| former.leaving);
+        if leaving {
+            entry.state = EndpointState::Draining;
+        }
         let ready = entry.state == EndpointState::Ready;
         let service = entry.service.clone();
         self.change_count += 1;
@@ -234,6 +265,8 @@
             open_calls: 0,
             remote_calls: 0,
             denial: Denial::default(),
+            pause: former.map_or_else(Pause::default, |former| former.pause),
+            leaving,
             in_doubt: false,
             has_crashed: false,
             entry,
@@ -247,6 +280,19 @@
         changes
     }
 
+    /// Records that an endpoint has said that it leaves: it drains, whatever its entry says.
+    pub fn record_leaving(&mut self, key: EndpointKey) -> Option<EndpointChange> {
+        let endpoint = self.endpoints.get_mut(key)?;
+        endpoint.leaving = true;
+        if endpoint.entry.state == EndpointState::Draining {
+            return None;
+        }
+        endpoint.entry.state = EndpointState::Draining;
+        self.change_count += 1;
+        self.remove_available(key);
+        Some(self.change(key, Transition::Draining))
+    }
+
     /// Applies the removal of an entry. With `grace_end`, the entry may have lapsed while the
     /// platform was unavailable, so a ready endpoint is kept until then.
     pub(crate) fn remove(
@@ -428,6 +474,7 @@
         self.remove_available(key);
         let endpoint = self.endpoints.remove(key)?;
         self.change_count += 1;
+        self.keep_former(&endpoint);
         self.by_name.remove(&endpoint.entry.name);
         self.lapsed.remove(&endpoint.entry.name);
         Some(EndpointChange {
@@ -437,6 +484,31 @@
         })
     }
 
+    /// Remembers what an incarnation has said of itself.
+    fn keep_former(&mut self, endpoint: &Endpoint) {
+        if endpoint.pause == Pause::default() && !endpoint.leaving {
+            return;
+        }
+        if self.former.len() >= MAX_FORMER {
+            self.former.pop_front();
+        }
+        self.former.push_back(FormerEndpoint {
+            name: endpoint.entry.name.clone(),
+            start_ms: endpoint.entry.start_ms,
+            pause: endpoint.pause,
+            leaving: endpoint.leaving,
+        });
+    }
+
+    /// Takes what the incarnation of an entry has said of itself before its entry was gone.
+    fn take_former(&mut self, entry: &EndpointEntry) -> Option<FormerEndpoint> {
+        let index = self
+            .former
+            .iter()
+            .position(|former| former.name == entry.name && former.start_ms == entry.start_ms)?;
+        self.former.remove(index)
+    }
+
     fn change(&self, key: EndpointKey, transition: Transition) -> EndpointChange {
         let name = self.endpoints[key].entry.name.clone();
         EndpointChange {
