Read what has arrived before a connection of a caller times out

After a suspension of a VM, callers found connections closed on which they had sent a request in time: the time-out of an idle connection, or of a head, was judged by its timer alone, and the branch of the timer could be polled before the one that reads.

The connection is polled first, and a deadline that has passed counts only after one more turn of the driver, in which the connection reads.

--- a/crates/node/tests/relay_review.rs
+++ b/crates/node/tests/relay_review.rs
@@ -27,6 +27,8 @@
 const PAUSE: Duration = Duration::from_millis(150);
 /// Time for which a request is repeated after it must be known.
 const WATCHED_TIME: Duration = Duration::from_secs(10);
+/// Number of idle connections.
+const CONNECTION_COUNT: usize = 40;
 /// Time-out of idle connections of callers.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Limit for connection attempts and answers.
@@ -122,7 +124,9 @@
 fn suspended_vm_reads_requests_before_it_closes_idle_connections() {
     let timeout = IDLE_TIMEOUT.as_millis() as u64;
     let fleet = start_with_limits(121, &[("idle_timeout_ms", timeout)]);
-    let mut connections: Vec<Connection> = (0..40).map(|_| Connection::open(&fleet)).collect();
+    let mut connections: Vec<Connection> = (0..CONNECTION_COUNT)
+        .map(|_| Connection::open(&fleet))
+        .collect();
     for (number, connection) in connections.iter_mut().enumerate() {
         connection.send(&format!("first-{number}"), 0).unwrap();
         expect_that!(connection.receive(), starts_with("HTTP/1.1 200"));
@@ -137,7 +141,11 @@
     fleet.signal(0, Signal::CONT);
     let answers = connections.iter_mut().map(Connection::receive);
     let served = answers.filter(|answer| answer.starts_with("HTTP/1.1 200"));
-    expect_that!(served.count(), eq(connections.len()));
+    expect_that!(served.count(), eq(CONNECTION_COUNT));
+    // Connections that stay idle are closed as before.
+    let ended = connections.iter_mut();
+    let ended = ended.filter(|connection| matches!((&connection.0).read(&mut [0]), Ok(0)));
+    expect_that!(ended.count(), eq(CONNECTION_COUNT));
 }
 
 /// A request on an open connection was refused with 431, though a new configuration had raised the
--- a/crates/relay/src/activity.rs
+++ b/crates/relay/src/activity.rs
@@ -18,6 +18,7 @@
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
+    task::yield_now,
 };
 
 /// Activity on a connection.
@@ -70,13 +71,21 @@
     /// know a shorter one yet.
     pub(crate) async fn wait_for_timeout(&self, limits: impl Fn() -> Limits) {
         let mut idle_timeout = Duration::ZERO;
+        let mut confirmed = false;
         loop {
             let now = clock::now();
             idle_timeout = idle_timeout.max(limits().idle_timeout);
             let deadline = self.deadline(limits(), idle_timeout);
             if deadline <= now {
-                return;
+                if confirmed {
+                    return;
+                }
+                // After a suspension of the process, the connection has to read what has arrived.
+                confirmed = true;
+                yield_now().await;
+                continue;
             }
+            confirmed = false;
             let time_left = deadline.since(now);
             // A head may begin during the sleep, and its time-out is shorter than the idle
             // time-out.
--- a/crates/relay/src/listeners.rs
+++ b/crates/relay/src/listeners.rs
@@ -93,6 +93,7 @@
                 async move { Ok::<_, Infallible>(serve::serve(shared, request, guard).await) }
             });
             tokio::select! {
+                biased;
                 result = builder.serve_connection(io, service) => result,
                 () = activity.wait_for_timeout(limits) => Ok(()),
             }
@@ -108,6 +109,7 @@
                 }
             });
             tokio::select! {
+                biased;
                 result = builder.serve_connection(io, service) => result,
                 () = activity.wait_for_timeout(limits) => Ok(()),
             }
