Test that an unsent trial doesn't use up a new software version

`decide` records the version of the hold with the grant, and `end_trial` restores the numbers of trials of one that was not sent, but not the version. The next call is told to come back after the next delay, though no trial has run at the new version. Restoring the version alone would let full endpoints get more refused trials after a release, so it should come with the limit for trials_that_full_endpoints_refuse_are_limited.

--- a/crates/ingress/src/quarantine_trials_tests.rs
+++ b/crates/ingress/src/quarantine_trials_tests.rs
@@ -287,6 +287,26 @@
     expect_that!(granted, all![ge(2), le(3)]);
 }
 
+/// A request that a new software version had cured waited half a minute, because a trial that was not
+/// sent had used the version up.
+#[gtest]
+fn unsent_trial_doesn_t_use_up_a_new_software_version() {
+    let mut home = holding();
+    let mut end = |millis: u64, version: u64, outcome: TrialOutcome| {
+        let ask = ask(SUBJECT, millis as u32, version);
+        let verdict = verdict(&mut home, millis, &ask);
+        home.end_trial(time(millis + 60), Some(VM), &ended(ask.id(), outcome));
+        verdict
+    };
+    expect_that!(end(1_000, 1, TrialOutcome::Cut), eq(TrialVerdict::Granted));
+    for millis in [5_000, 5_500] {
+        expect_that!(
+            end(millis, 2, TrialOutcome::Unsent),
+            eq(TrialVerdict::Granted)
+        );
+    }
+}
+
 #[gtest]
 fn vm_without_contact_sends_no_trial() {
     let mut quarantine = holding();
