Limit trials that reach endpoints without deciding anything

A request that had crashed three endpoints was sent to endpoints again and again while they were all full, or cut its connection but lived: such a trial was given back to its home as unsent, without a limit, and one trial even went to several endpoints within its call. The operators' rule counts each send that reaches an endpoint.

A trial that has reached an endpoint and shows nothing is now undecided: it is over with that attempt, and is given back only within the time after the third crash in which sends are free; later it counts as one of the few trials.

--- a/crates/ingress/src/quarantine/trials.rs
+++ b/crates/ingress/src/quarantine/trials.rs
@@ -146,6 +146,8 @@
     Cut,
     /// It was not sent.
     Unsent,
+    /// It reached an endpoint that refused it, or lived when its connection broke.
+    Undecided,
 }
 
 /// Tells the home how a trial ended.
@@ -453,6 +455,13 @@
         running > target.endpoints / ENDPOINTS_PER_TRIAL
     }
 
+    fn history(&self, subject: Subject) -> History {
+        let suspect = self.suspects.get(&subject);
+        suspect
+            .map(|suspect| History::new(subject, suspect))
+            .unwrap_or_default()
+    }
+
     /// Decides on a trial as the subject's home.
     fn decide(
         &mut self,
@@ -476,9 +485,7 @@
             calm_from: self.last_crash + CALM_TIME,
             version,
         };
-        let history = self.suspects.get(&subject);
-        let history = history.map(|suspect| History::new(subject, suspect));
-        let history = history.unwrap_or_default();
+        let history = self.history(subject);
         let Some(hold) = self.held.get_mut(&subject) else {
             return TrialVerdict::Later(millis(UNANSWERED_DELAY));
         };
@@ -522,6 +529,7 @@
             subject,
             outcome,
         } = *ended;
+        let history = self.history(subject);
         let hold = self.held.get_mut(&subject)?;
         if from.is_none() {
             hold.pause = None;
@@ -532,7 +540,11 @@
         match outcome {
             TrialOutcome::Answered => return self.add_answer(now, subject, running.granted),
             TrialOutcome::Unsent => (hold.trials, hold.early) = running.before,
-            TrialOutcome::Cut => {}
+            // It has reached an endpoint, which is limited after the third crash.
+            TrialOutcome::Undecided if history.is_early(running.granted) => {
+                (hold.trials, hold.early) = running.before;
+            }
+            TrialOutcome::Cut | TrialOutcome::Undecided => {}
         }
         None
     }
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -474,7 +474,7 @@
             && !failed.outcome.may_have_run()
         {
             self.attempts.maybe_run -= 1;
-            self.record_trial(TrialOutcome::Unsent);
+            self.end_unrun_trial(failed.outcome);
         }
         accepted
     }
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -183,7 +183,7 @@
     // A broken connection to an endpoint that lives tells nothing of the subject.
     if !crashed {
         let trials = cuts.iter_mut().filter_map(|cut| cut.trial.as_mut());
-        trials.for_each(|trial| trial.outcome = TrialOutcome::Unsent);
+        trials.for_each(|trial| trial.outcome = TrialOutcome::Undecided);
     }
     tracing::info!(
         event = if crashed {
--- a/crates/relay/src/trials.rs
+++ b/crates/relay/src/trials.rs
@@ -17,9 +17,9 @@
 };
 use poplarswitch_entity::Time;
 use poplarswitch_ingress::{
-    AttemptCounts, Passage, SoftwareVersion, Subject, TRIAL_REPLY_TIMEOUT, TRIAL_WAIT, TrialAsk,
-    TrialEnded, TrialHome, TrialId, TrialMessage, TrialOutcome, TrialTarget, TrialVerdict,
-    hash_pair, hash_text,
+    AttemptCounts, Outcome, Passage, SoftwareVersion, Subject, TRIAL_REPLY_TIMEOUT, TRIAL_WAIT,
+    TrialAsk, TrialEnded, TrialHome, TrialId, TrialMessage, TrialOutcome, TrialTarget,
+    TrialVerdict, hash_pair, hash_text,
 };
 use poplarswitch_wire::ErrorCode;
 use std::{collections::HashMap, sync::Arc};
@@ -264,6 +264,17 @@
         trial.is_some_and(|trial| trial.outcome == TrialOutcome::Unsent)
     }
 
+    /// Takes in that no endpoint ran the call, which may be a trial. One that has reached an endpoint
+    /// is over.
+    pub(crate) fn end_unrun_trial(&mut self, outcome: Outcome) {
+        if outcome == Outcome::NotSent {
+            self.record_trial(TrialOutcome::Unsent);
+        } else {
+            self.record_trial(TrialOutcome::Undecided);
+            self.trial = None;
+        }
+    }
+
     /// Records the outcome of the call's trial, if it is one.
     pub(crate) fn record_trial(&mut self, outcome: TrialOutcome) {
         if let Some(trial) = &mut self.trial {
