Give back the software version of a trial that was not sent

A request that a release had cured waited half a minute more: the home recorded the version of the endpoints with the grant of a trial, and kept it when the trial was given back, so the next call found no new version.

--- a/crates/ingress/src/quarantine/trials.rs
+++ b/crates/ingress/src/quarantine/trials.rs
@@ -181,6 +181,8 @@
     granted: Time,
     /// Counts of the hold before the grant, which one that is not sent restores.
     before: (u8, u8),
+    /// Software version of the hold before the grant.
+    version: u64,
 }
 
 /// Why a VM doesn't ask again yet.
@@ -245,6 +247,12 @@
         running.map_or(self.trials, |running| running.before.0)
     }
 
+    /// Gives a trial back.
+    const fn restore(&mut self, trial: &RunningTrial) {
+        (self.trials, self.early) = trial.before;
+        self.version = trial.version;
+    }
+
     fn repeats_early(&self, now: Time, history: &History, is_answered: bool) -> bool {
         let is_early = history.known.is_some() && history.is_early(now);
         self.trials == 1 && is_early && is_answered && self.early < MAX_EARLY
@@ -504,16 +512,17 @@
         } else {
             hold.trials = hold.trials.saturating_add(1);
         }
-        if version != 0 {
-            hold.version = version;
-        }
         hold.last_trial = now;
         hold.running = Some(RunningTrial {
             key,
             service,
             granted: now,
             before,
+            version: hold.version,
         });
+        if version != 0 {
+            hold.version = version;
+        }
         TrialVerdict::Granted
     }
 
@@ -539,11 +548,9 @@
         hold.running = None;
         match outcome {
             TrialOutcome::Answered => return self.add_answer(now, subject, running.granted),
-            TrialOutcome::Unsent => (hold.trials, hold.early) = running.before,
+            TrialOutcome::Unsent => hold.restore(&running),
             // It has reached an endpoint, which is limited after the third crash.
-            TrialOutcome::Undecided if history.is_early(running.granted) => {
-                (hold.trials, hold.early) = running.before;
-            }
+            TrialOutcome::Undecided if history.is_early(running.granted) => hold.restore(&running),
             TrialOutcome::Cut | TrialOutcome::Undecided => {}
         }
         None
