--- a/crates/relay/src/notices.rs
+++ b/crates/relay/src/notices.rs
@@ -56,6 +56,9 @@
     }
 
     fn record_pause(&self, key: EndpointKey, pause: NamedPause, call: Option<&str>) {
+        if pause == NamedPause::None {
+            return;
+        }
         let now = clock::now();
         let mut core = self.core();
         let Some(endpoint) = core.endpoints.get_mut(key) else {
--- a/crates/relay/src/origins.rs
+++ b/crates/relay/src/origins.rs
@@ -334,6 +334,7 @@
         if !endpoint.in_doubt {
             return true;
         }
+        // A report would be a request too.
         if endpoint.pause.holds(clock::now()) {
             return false;
         }
