--- a/crates/ingress/src/endpoints.rs
+++ b/crates/ingress/src/endpoints.rs
@@ -3,16 +3,19 @@
 //! An endpoint that drains or is removed gets no more calls from that time on, and this is final:
 //! a new incarnation under the same name gets a new key. Entries that lapse while the platform is
 //! unavailable are kept for a short grace period after its return, because an endpoint that is
-//! still running has renewed its entry by then.
+//! still running has renewed its entry by then. The same holds for entries that the platform has lost
+//! when it comes back from a copy. The copy may also have entries of incarnations that have ended
+//! since; they don't come back.
 
 use crate::{
     engine::EngineLoad,
-    entry::{EndpointEntry, EndpointState, EntryChanges, LocalRemoval, Removal},
+    entry::{EndpointEntry, EndpointState, EntryChanges, LAPSE_GRACE, LocalRemoval, Removal},
     groups::EndpointGroup,
     hash::hash_text,
     health::Health,
     limits::Denial,
     placement::GroupLoad,
+    revision::Revision,
 };
 use poplarswitch_entity::{EndpointName, ServiceName, Time};
 use slotmap::{SlotMap, new_key_type};
@@ -104,6 +107,30 @@
     }
 }
 
+/// A removal that is remembered.
+#[derive(Debug)]
+struct PastRemoval {
+    name: EndpointName,
+    revision: Revision,
+    /// Start time of the incarnation that was removed and revision of its last entry; none if this
+    /// view didn't have it.
+    ended: Option<(u64, Revision)>,
+}
+
+impl PastRemoval {
+    /// Whether an entry of a later era was in the platform's copy before this removal, and is not of
+    /// a later incarnation.
+    fn covers(&self, entry: &EndpointEntry) -> bool {
+        self.ended.is_some_and(|(start_ms, last)| {
+            let at = entry.revision;
+            entry.start_ms < start_ms && at.era > last.era
+                || entry.start_ms == start_ms
+                    && at.era > self.revision.era
+                    && at.number <= last.number
+        })
+    }
+}
+
 /// All endpoints.
 #[derive(Debug, Default)]
 pub struct EndpointTable {
@@ -112,12 +139,12 @@
     /// Available endpoints of each service, ordered by the hashes of their names.
     by_service: HashMap<ServiceName, Vec<EndpointKey>>,
     /// End of the grace period and revision of each entry that may only have lapsed.
-    lapsed: BTreeMap<EndpointName, (Time, u64)>,
-    /// Latest removals with their revisions.
-    removals: VecDeque<(EndpointName, u64)>,
+    lapsed: BTreeMap<EndpointName, (Time, Revision)>,
+    /// Latest removals.
+    removals: VecDeque<PastRemoval>,
     /// Revision since which all removals are remembered.
-    history_start: u64,
-    revision: u64,
+    history_start: Revision,
+    revision: Revision,
     change_count: u64,
     relaxed: GroupLoad,
     strict: GroupLoad,
@@ -125,7 +152,7 @@
 
 impl EndpointTable {
     /// The platform revision up to which this view is complete.
-    pub const fn revision(&self) -> u64 {
+    pub const fn revision(&self) -> Revision {
         self.revision
     }
 
@@ -136,7 +163,7 @@
     }
 
     /// Marks all changes up to a revision as known.
-    pub(crate) fn advance_to(&mut self, revision: u64) {
+    pub(crate) fn advance_to(&mut self, revision: Revision) {
         self.revision = self.revision.max(revision);
     }
 
@@ -252,7 +279,7 @@
     pub(crate) fn remove(
         &mut self,
         name: &EndpointName,
-        revision: u64,
+        revision: Revision,
         grace_end: Option<Time>,
     ) -> Option<EndpointChange> {
         let key = self.by_name.get(name).copied();
@@ -277,16 +304,33 @@
 
     /// Removes an endpoint, if this view has it, and records the removal for VMs that request
     /// changes.
-    fn remove_now(&mut self, name: &EndpointName, revision: u64) -> Option<EndpointChange> {
+    fn remove_now(&mut self, name: &EndpointName, revision: Revision) -> Option<EndpointChange> {
         // A superseded removal must not hide a later removal of the same name from other VMs.
-        let lapsed = self.lapsed.remove(name).map_or(0, |(_, at)| at);
-        self.record_removal(name.clone(), revision.max(lapsed));
-        let &key = self.by_name.get(name)?;
-        self.drop_endpoint(key)
+        let lapsed = self.lapsed.remove(name).map(|(_, at)| at);
+        let key = self.by_name.get(name).copied();
+        let entry = key.map(|key| &self.endpoints[key].entry);
+        self.record_removal(PastRemoval {
+            name: name.clone(),
+            revision: lapsed.map_or(revision, |at| revision.max(at)),
+            ended: entry.map(|entry| (entry.start_ms, entry.revision)),
+        });
+        self.drop_endpoint(key?)
+    }
+
+    /// End of the grace period for entries that are missing from a listing as of `revision`, which
+    /// the platform may have lost; none if the listing is of the same era as this view, or the first
+    /// one.
+    pub fn era_grace(&self, revision: Revision, now: Time) -> Option<Time> {
+        let has_view = self.revision != Revision::default();
+        (has_view && revision.era > self.revision.era).then_some(now + LAPSE_GRACE)
     }
 
-    /// Applies changes of entries.
+    /// Applies changes of entries. Changes of a later era than that of this view are ignored: they
+    /// don't tell which entries the platform has lost.
     pub fn apply(&mut self, update: EntryChanges) -> Vec<EndpointChange> {
+        if update.revision.era > self.revision.era {
+            return Vec::new();
+        }
         let mut changes = self.upsert_all(update.entries, self.revision);
         for LocalRemoval {
             name,
@@ -301,13 +345,14 @@
     }
 
     /// Applies a complete listing as of `revision`. Entries that are missing from it are removed,
-    /// after `grace_end` if one is given.
+    /// after `grace_end` if one is given. Only a listing leads to a new era.
     pub fn apply_listing(
         &mut self,
-        entries: Vec<EndpointEntry>,
-        revision: u64,
+        mut entries: Vec<EndpointEntry>,
+        revision: Revision,
         grace_end: Option<Time>,
     ) -> Vec<EndpointChange> {
+        entries.retain(|entry| !self.has_ended(entry));
         let listed: HashSet<EndpointName> = entries.iter().map(|e| e.name.clone()).collect();
         let mut missing: Vec<EndpointName> = self.by_name.keys().cloned().collect();
         missing.retain(|name| !listed.contains(name));
@@ -316,14 +361,14 @@
         } else {
             // A listing doesn't show removals since the last view.
             self.history_start = revision;
-            0
+            Revision::default()
         };
         let mut changes = self.upsert_all(entries, covered);
-        changes.extend(
-            missing
-                .iter()
-                .filter_map(|name| self.remove(name, revision, grace_end)),
-        );
+        for name in &missing {
+            // The next listing must not end a grace period: the entry was missing before.
+            let lapsed = self.lapsed.get(name).map(|(until, _)| *until);
+            changes.extend(self.remove(name, revision, grace_end.or(lapsed)));
+        }
         self.advance_to(revision);
         changes
     }
@@ -331,22 +376,37 @@
     /// Applies all entries except those whose removal this view already covers. An entry that is
     /// missing from the view and not newer than `covered` has been removed, and a delayed reply
     /// must not restore it.
-    fn upsert_all(&mut self, entries: Vec<EndpointEntry>, covered: u64) -> Vec<EndpointChange> {
+    fn upsert_all(
+        &mut self,
+        entries: Vec<EndpointEntry>,
+        covered: Revision,
+    ) -> Vec<EndpointChange> {
         let mut changes = Vec::new();
         for entry in entries {
-            if entry.revision > covered || self.by_name.contains_key(&entry.name) {
+            let is_current = entry.revision > covered || self.by_name.contains_key(&entry.name);
+            if is_current && !self.has_ended(&entry) {
                 changes.extend(self.upsert(entry));
             }
         }
         changes
     }
 
+    /// Whether an entry is of an incarnation that ended before the platform came back from a copy.
+    fn has_ended(&self, entry: &EndpointEntry) -> bool {
+        if let Some(&key) = self.by_name.get(&entry.name) {
+            let known = &self.endpoints[key].entry;
+            return entry.revision.era > known.revision.era && entry.start_ms < known.start_ms;
+        }
+        let mut removals = self.removals.iter();
+        removals.any(|removal| removal.name == entry.name && removal.covers(entry))
+    }
+
     /// Removes the entries whose grace period has ended.
     pub fn expire_grace(&mut self, now: Time) -> Vec<EndpointChange> {
         if self.lapsed.is_empty() {
             return Vec::new();
         }
-        let expired: Vec<(EndpointName, u64)> = self
+        let expired: Vec<(EndpointName, Revision)> = self
             .lapsed
             .iter()
             .filter(|(_, (until, _))| *until <= now)
@@ -365,17 +425,17 @@
     pub fn changes_since(
         &self,
         now: Time,
-        revision: u64,
+        revision: Revision,
     ) -> Option<(Vec<EndpointEntry>, Vec<Removal>)> {
-        if revision < self.history_start || revision == 0 {
+        if revision < self.history_start || revision == Revision::default() {
             return None;
         }
         let entries = self.endpoints.values().map(|endpoint| &endpoint.entry);
         let newer = entries.filter(|entry| entry.revision > revision).cloned();
-        let removals = self.removals.iter().filter(|(_, at)| *at > revision);
-        let removals = removals.map(|(name, at)| Removal {
-            name: name.clone(),
-            revision: *at,
+        let removals = self.removals.iter().filter(|r| r.revision > revision);
+        let removals = removals.map(|removal| Removal {
+            name: removal.name.clone(),
+            revision: removal.revision,
             grace_ms: None,
         });
         let lapsed = self
@@ -400,12 +460,12 @@
         self.endpoints.values().map(|e| e.entry.clone()).collect()
     }
 
-    fn record_removal(&mut self, name: EndpointName, revision: u64) {
-        self.removals.push_back((name, revision));
+    fn record_removal(&mut self, removal: PastRemoval) {
+        self.removals.push_back(removal);
         if self.removals.len() > MAX_REMOVALS
-            && let Some((_, oldest)) = self.removals.pop_front()
+            && let Some(oldest) = self.removals.pop_front()
         {
-            self.history_start = self.history_start.max(oldest);
+            self.history_start = self.history_start.max(oldest.revision);
         }
     }
 
--- a/crates/ingress/src/endpoints_tests.rs
+++ b/crates/ingress/src/endpoints_tests.rs
@@ -1,9 +1,15 @@
 use crate::{
-    EndpointChange, EndpointEntry, EndpointState, EndpointTable, EntryChanges, Transition,
+    EndpointChange, EndpointEntry, EndpointState, EndpointTable, EntryChanges, LAPSE_GRACE,
+    Revision, Transition,
 };
 use googletest::prelude::*;
 use poplarswitch_entity::{DataCentre, EndpointName, ServiceName, Time};
 
+/// A revision of the first era.
+pub(crate) const fn at(number: u64) -> Revision {
+    Revision { era: 0, number }
+}
+
 pub(crate) fn entry(name: &str, revision: u64) -> EndpointEntry {
     EndpointEntry {
         name: EndpointName::new(name),
@@ -14,7 +20,7 @@
         state: EndpointState::Ready,
         start_ms: 1,
         software: None,
-        revision,
+        revision: at(revision),
     }
 }
 
@@ -54,18 +60,18 @@
 fn delayed_reply_does_not_restore_a_removed_endpoint() {
     let mut endpoints = EndpointTable::default();
     endpoints.upsert(entry("a", 90));
-    endpoints.remove(&EndpointName::new("a"), 100, None);
-    endpoints.advance_to(100);
+    endpoints.remove(&EndpointName::new("a"), at(100), None);
+    endpoints.advance_to(at(100));
     endpoints.apply(EntryChanges {
         entries: vec![entry("a", 96)],
         removed: Vec::new(),
-        revision: 97,
+        revision: at(97),
     });
     expect_that!(available_count(&endpoints), eq(0));
-    expect_that!(endpoints.revision(), eq(100));
-    endpoints.apply_listing(vec![entry("a", 96)], 98, None);
+    expect_that!(endpoints.revision(), eq(at(100)));
+    endpoints.apply_listing(vec![entry("a", 96)], at(98), None);
     expect_that!(available_count(&endpoints), eq(0));
-    endpoints.apply_listing(vec![entry("a", 101)], 102, None);
+    endpoints.apply_listing(vec![entry("a", 101)], at(102), None);
     expect_that!(available_count(&endpoints), eq(1));
 }
 
@@ -98,7 +104,7 @@
 fn removal_without_grace_takes_effect_at_once() {
     let mut endpoints = EndpointTable::default();
     endpoints.upsert(entry("a", 1));
-    endpoints.remove(&EndpointName::new("a"), 2, None);
+    endpoints.remove(&EndpointName::new("a"), at(2), None);
     expect_that!(available_count(&endpoints), eq(0));
 }
 
@@ -110,7 +116,7 @@
     endpoints.upsert(entry("a", 1));
     endpoints.upsert(entry("b", 2));
     let until = Time::from_millis(2_100);
-    endpoints.apply_listing(Vec::new(), 9, Some(until));
+    endpoints.apply_listing(Vec::new(), at(9), Some(until));
     expect_that!(available_count(&endpoints), eq(2));
     endpoints.upsert(entry("a", 10));
     endpoints.expire_grace(Time::from_millis(2_000));
@@ -123,7 +129,7 @@
 fn draining_endpoint_is_removed_without_grace() {
     let mut endpoints = EndpointTable::default();
     endpoints.upsert(draining("a", 1));
-    endpoints.remove(&EndpointName::new("a"), 2, Some(Time::MAX));
+    endpoints.remove(&EndpointName::new("a"), at(2), Some(Time::MAX));
     expect_that!(endpoints.iter().count(), eq(0));
 }
 
@@ -134,13 +140,13 @@
     for (revision, name) in ["a", "b", "c", "d"].iter().enumerate() {
         leader.upsert(entry(name, revision as u64 + 1));
     }
-    leader.advance_to(4);
+    leader.advance_to(at(4));
     let mut follower = EndpointTable::default();
     follower.apply_listing(leader.entries(), leader.revision(), None);
     leader.upsert(draining("b", 5));
-    leader.remove(&EndpointName::new("c"), 6, None);
-    leader.remove(&EndpointName::new("d"), 7, Some(Time::from_millis(500)));
-    leader.advance_to(7);
+    leader.remove(&EndpointName::new("c"), at(6), None);
+    leader.remove(&EndpointName::new("d"), at(7), Some(Time::from_millis(500)));
+    leader.advance_to(at(7));
     let (entries, removed) = leader
         .changes_since(Time::ZERO, follower.revision())
         .unwrap();
@@ -153,7 +159,7 @@
             .map(|left| Time::from_millis(u64::from(left)));
         follower.remove(&removal.name, removal.revision, grace);
     }
-    follower.advance_to(7);
+    follower.advance_to(at(7));
     expect_that!(available_count(&follower), eq(2));
     follower.expire_grace(Time::from_millis(500));
     expect_that!(available_count(&follower), eq(1));
@@ -182,9 +188,13 @@
 #[gtest]
 fn end_of_grace_period_changes_the_count_but_not_the_revision() {
     let mut endpoints = EndpointTable::default();
-    endpoints.apply_listing(vec![entry("a", 1), entry("b", 2)], 5, None);
-    endpoints.remove(&EndpointName::new("a"), 6, Some(Time::from_millis(2_000)));
-    endpoints.advance_to(6);
+    endpoints.apply_listing(vec![entry("a", 1), entry("b", 2)], at(5), None);
+    endpoints.remove(
+        &EndpointName::new("a"),
+        at(6),
+        Some(Time::from_millis(2_000)),
+    );
+    endpoints.advance_to(at(6));
     let (revision, changes) = (endpoints.revision(), endpoints.change_count());
     expect_that!(endpoints.entries().len(), eq(2));
     endpoints.expire_grace(Time::from_millis(3_000));
@@ -204,8 +214,137 @@
         });
         seen.push(endpoints.change_count());
     }
-    endpoints.remove(&EndpointName::new("a"), 3, None);
+    endpoints.remove(&EndpointName::new("a"), at(3), None);
     seen.push(endpoints.change_count());
     seen.dedup();
     expect_that!(seen.len(), eq(4));
 }
+
+const ERA_START: Time = Time::from_millis(10_000);
+
+/// A view as of number 100 of the first era, of endpoints with the numbers 90 and 95.
+fn view() -> EndpointTable {
+    let mut endpoints = EndpointTable::default();
+    endpoints.apply_listing(vec![entry("a", 90), entry("b", 95)], at(100), None);
+    endpoints
+}
+
+/// An entry of the second era.
+fn later(entry: EndpointEntry) -> EndpointEntry {
+    EndpointEntry {
+        revision: entry.revision.in_era(1),
+        ..entry
+    }
+}
+
+/// Applies a listing of the second era, with its grace period; returns the number of changes.
+fn list_in_new_era(
+    endpoints: &mut EndpointTable,
+    entries: Vec<EndpointEntry>,
+    number: u64,
+) -> usize {
+    let revision = at(number).in_era(1);
+    let grace_end = endpoints.era_grace(revision, ERA_START);
+    endpoints.apply_listing(entries, revision, grace_end).len()
+}
+
+/// Views ignored changes after the platform's return from a copy, because their revisions were lower.
+#[gtest]
+fn changes_of_a_later_era_are_applied_after_its_listing() {
+    let mut endpoints = view();
+    let update = || EntryChanges {
+        entries: vec![later(draining("a", 70))],
+        removed: Vec::new(),
+        revision: at(70).in_era(1),
+    };
+    endpoints.apply(update());
+    expect_that!(endpoints.revision(), eq(at(100)));
+    let listed = vec![later(entry("a", 50)), later(entry("b", 55))];
+    expect_that!(list_in_new_era(&mut endpoints, listed, 60), eq(0));
+    expect_that!(endpoints.apply(update()).len(), eq(1));
+    expect_that!(available_count(&endpoints), eq(1));
+    expect_that!(endpoints.revision(), eq(at(70).in_era(1)));
+}
+
+/// A reply of before the platform's return from a copy may arrive late.
+#[gtest]
+fn delayed_reply_of_an_earlier_era_changes_nothing() {
+    let mut endpoints = view();
+    list_in_new_era(&mut endpoints, vec![later(entry("a", 50))], 60);
+    endpoints.expire_grace(Time::MAX);
+    endpoints.apply(EntryChanges {
+        entries: vec![draining("a", 120), entry("c", 130)],
+        removed: Vec::new(),
+        revision: at(130),
+    });
+    endpoints.apply_listing(vec![entry("b", 140)], at(140), None);
+    expect_that!(endpoints.revision(), eq(at(60).in_era(1)));
+    let names = endpoints.entries().into_iter().map(|e| e.name);
+    expect_that!(names.collect::<Vec<_>>(), eq(&vec![EndpointName::new("a")]));
+    expect_that!(available_count(&endpoints), eq(1));
+}
+
+/// Endpoints that had registered after the copy was taken were removed all at once.
+#[gtest]
+fn entries_that_the_platform_has_lost_have_a_grace_period() {
+    let mut endpoints = view();
+    list_in_new_era(&mut endpoints, Vec::new(), 60);
+    expect_that!(available_count(&endpoints), eq(2));
+    endpoints.upsert(later(entry("a", 61)));
+    endpoints.expire_grace(ERA_START + LAPSE_GRACE);
+    expect_that!(available_count(&endpoints), eq(1));
+    expect_that!(endpoints.era_grace(at(80).in_era(1), ERA_START), none());
+}
+
+/// The first view of a VM has no entries that the platform could have lost.
+#[gtest]
+fn first_listing_has_no_grace_period() {
+    let endpoints = EndpointTable::default();
+    expect_that!(endpoints.era_grace(at(80).in_era(3), ERA_START), none());
+}
+
+/// The platform's copy has the former entries of endpoints that have drained, left, or been replaced
+/// since; calls were sent to them until their ends were written again.
+#[gtest]
+fn incarnations_that_have_ended_do_not_come_back_from_a_copy() {
+    let mut endpoints = view();
+    endpoints.upsert(EndpointEntry {
+        start_ms: 5,
+        ..entry("replaced", 98)
+    });
+    endpoints.upsert(draining("a", 101));
+    endpoints.remove(&EndpointName::new("b"), at(102), None);
+    endpoints.advance_to(at(102));
+    let copy = || {
+        let listed = [entry("a", 90), entry("b", 95), entry("replaced", 80)];
+        listed.map(later).to_vec()
+    };
+    list_in_new_era(&mut endpoints, copy(), 97);
+    list_in_new_era(&mut endpoints, copy(), 98);
+    let offered = |endpoints: &EndpointTable| -> Vec<(String, u64)> {
+        let keys = endpoints.available(&ServiceName::new("chat")).iter();
+        let entries = keys.map(|key| &endpoints.get(*key).unwrap().entry);
+        entries
+            .map(|e| (e.name.as_str().to_owned(), e.start_ms))
+            .collect()
+    };
+    expect_that!(offered(&endpoints), eq(&vec![("replaced".to_owned(), 5)]));
+    // The incarnation that replaced another one has not written its entry again in time.
+    endpoints.expire_grace(Time::MAX);
+    list_in_new_era(&mut endpoints, copy(), 99);
+    expect_that!(offered(&endpoints), is_empty());
+    // An endpoint that has written a new entry is running.
+    endpoints.upsert(later(entry("b", 100)));
+    expect_that!(offered(&endpoints), eq(&vec![("b".to_owned(), 1)]));
+}
+
+/// The changes since a revision of an earlier era don't tell which entries the platform has lost.
+#[gtest]
+fn vms_with_a_view_of_an_earlier_era_get_the_complete_list() {
+    let mut endpoints = view();
+    let listed = vec![later(entry("a", 50)), later(entry("b", 55))];
+    list_in_new_era(&mut endpoints, listed, 60);
+    let since = |revision| endpoints.changes_since(Time::ZERO, revision).is_some();
+    expect_that!(since(at(100)), eq(false));
+    expect_that!(since(at(60).in_era(1)), eq(true));
+}
--- a/crates/ingress/src/entry.rs
+++ b/crates/ingress/src/entry.rs
@@ -3,10 +3,15 @@
 //! VMs exchange entries and removals in this form. Grace periods are sent as durations, because
 //! clocks of different VMs are never compared.
 
+use crate::revision::Revision;
 use core::{net::SocketAddr, time::Duration};
 use poplarswitch_entity::{DataCentre, EndpointName, ServiceName, Time};
 use serde::{Deserialize, Serialize};
 
+/// Time after an outage of the platform, or after its return from a copy, within which live endpoints
+/// write their missing entries again.
+pub const LAPSE_GRACE: Duration = Duration::from_millis(2_100);
+
 /// State that an endpoint declares.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -66,7 +71,8 @@
     #[serde(default)]
     pub software: Option<SoftwareVersion>,
     /// Platform revision of the entry.
-    pub revision: u64,
+    #[serde(flatten)]
+    pub revision: Revision,
 }
 
 /// Removal of an entry, as sent between VMs.
@@ -75,7 +81,8 @@
     /// Name of the endpoint.
     pub name: EndpointName,
     /// Platform revision of the removal.
-    pub revision: u64,
+    #[serde(flatten)]
+    pub revision: Revision,
     /// Remaining time in milliseconds for which the endpoint is still used, if the entry may only
     /// have lapsed.
     #[serde(rename = "grace")]
@@ -103,7 +110,7 @@
     /// Entries that were removed or may have lapsed.
     pub removed: Vec<LocalRemoval>,
     /// Platform revision after these changes.
-    pub revision: u64,
+    pub revision: Revision,
 }
 
 /// Removal of an entry, with its grace period in terms of this VM's clock.
@@ -112,7 +119,7 @@
     /// Name of the endpoint.
     pub name: EndpointName,
     /// Platform revision of the removal.
-    pub revision: u64,
+    pub revision: Revision,
     /// Time until which the endpoint is still used, if the entry may only have lapsed.
     pub grace_end: Option<Time>,
 }
--- a/crates/ingress/src/feed.rs
+++ b/crates/ingress/src/feed.rs
@@ -12,6 +12,7 @@
 use crate::{
     config::Config,
     entry::{EndpointEntry, Removal},
+    revision::Revision,
 };
 use bytes::Bytes;
 use core::{net::Ipv4Addr, time::Duration};
@@ -49,7 +50,8 @@
     /// Version of the configuration.
     pub version: u64,
     /// Platform revision of the view of the endpoints.
-    pub revision: u64,
+    #[serde(flatten)]
+    pub revision: Revision,
 }
 
 /// Request to another VM for changes of the configuration and the endpoints.
@@ -60,6 +62,24 @@
     /// Maximum time to wait for a change before replying, in milliseconds.
     #[serde(rename = "wait")]
     pub wait_ms: u32,
+    /// Whether the requesting VM knows eras; VMs of an earlier version don't send it.
+    #[serde(default)]
+    pub has_eras: bool,
+}
+
+impl FeedRequest {
+    /// Versions that the requesting VM has; a revision without an era is taken as one of `era`.
+    pub const fn cursor_in(&self, era: u64) -> Cursor {
+        let Cursor { version, revision } = self.cursor;
+        Cursor {
+            version,
+            revision: if self.has_eras {
+                revision
+            } else {
+                revision.in_era(era)
+            },
+        }
+    }
 }
 
 /// Reply to a [`FeedRequest`].
@@ -89,6 +109,25 @@
     pub entries: Vec<EndpointEntry>,
     /// Removed or lapsed entries.
     pub removed: Vec<Removal>,
+    /// Whether the replying VM knows eras; VMs of an earlier version don't send it.
+    #[serde(default)]
+    pub has_eras: bool,
+}
+
+impl FeedReply {
+    /// Takes revisions that have no eras, including those of a decoded snapshot, as revisions of
+    /// `era`.
+    pub fn set_missing_eras(&mut self, snapshot: &mut [EndpointEntry], era: u64) {
+        if self.has_eras {
+            return;
+        }
+        let entries = self.entries.iter_mut().chain(snapshot);
+        let revisions = entries
+            .map(|entry| &mut entry.revision)
+            .chain(self.removed.iter_mut().map(|removal| &mut removal.revision))
+            .chain([&mut self.cursor.revision]);
+        revisions.for_each(|revision| revision.era = era);
+    }
 }
 
 /// Source of configuration and endpoints.
--- a/crates/ingress/src/feed_tests.rs
+++ b/crates/ingress/src/feed_tests.rs
@@ -1,7 +1,10 @@
-use crate::SourceSelector;
+use crate::{
+    Cursor, FeedReply, FeedRequest, Removal, SourceSelector,
+    endpoints_tests::{at, entry},
+};
 use core::{net::Ipv4Addr, time::Duration};
 use googletest::prelude::*;
-use poplarswitch_entity::Time;
+use poplarswitch_entity::{EndpointName, Time};
 
 const FRESH: Option<Duration> = Some(Duration::from_millis(500));
 const STALE: Option<Duration> = Some(Duration::from_secs(4));
@@ -156,3 +159,40 @@
     expect_that!(rate(&ip(1)), gt(1.4));
     expect_that!(order.iter().map(rate).sum::<f64>(), lt(6.0));
 }
+
+/// VMs of an earlier version send no eras; the revisions of such a VM would be older than all others,
+/// and it would be sent the complete list with each reply.
+#[gtest]
+fn revisions_without_eras_are_taken_as_of_the_era_of_the_receiver() {
+    let revision = at(7).in_era(0);
+    let mut request = FeedRequest {
+        cursor: Cursor {
+            version: 1,
+            revision,
+        },
+        wait_ms: 0,
+        has_eras: false,
+    };
+    expect_that!(request.cursor_in(3).revision, eq(at(7).in_era(3)));
+    request.has_eras = true;
+    expect_that!(request.cursor_in(3).revision, eq(revision));
+    let mut reply = FeedReply {
+        cursor: request.cursor,
+        entries: vec![entry("a", 5)],
+        removed: vec![Removal {
+            name: EndpointName::new("b"),
+            revision: at(6),
+            grace_ms: None,
+        }],
+        ..FeedReply::default()
+    };
+    let mut snapshot = [entry("c", 4)];
+    reply.set_missing_eras(&mut snapshot, 3);
+    expect_that!(reply.cursor.revision, eq(at(7).in_era(3)));
+    expect_that!(reply.entries[0].revision, eq(at(5).in_era(3)));
+    expect_that!(reply.removed[0].revision, eq(at(6).in_era(3)));
+    expect_that!(snapshot[0].revision, eq(at(4).in_era(3)));
+    reply.has_eras = true;
+    reply.set_missing_eras(&mut snapshot, 9);
+    expect_that!(reply.cursor.revision, eq(at(7).in_era(3)));
+}
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -24,6 +24,7 @@
 mod outcome;
 mod placement;
 mod quarantine;
+mod revision;
 mod shutdown;
 mod stale_vms;
 mod streams;
@@ -84,7 +85,7 @@
 pub use endpoints::{Endpoint, EndpointChange, EndpointKey, EndpointTable, Transition};
 pub use engine::{CallAverages, EngineLoad, EngineReport, engine_work_ms};
 pub use entry::{
-    EndpointEntry, EndpointState, EntryChanges, LocalRemoval, Removal, SoftwareVersion,
+    EndpointEntry, EndpointState, EntryChanges, LAPSE_GRACE, LocalRemoval, Removal, SoftwareVersion,
 };
 pub use feed::{Cursor, FeedReply, FeedRequest, Source, SourceSelector};
 pub use freshness::Freshness;
@@ -107,6 +108,7 @@
     TRIAL_REPLY_TIMEOUT, TRIAL_WAIT, TrialAsk, TrialEnded, TrialHome, TrialId, TrialMessage,
     TrialOutcome, TrialReply, TrialTarget, TrialVerdict,
 };
+pub use revision::Revision;
 pub use shutdown::{Shutdown, ShutdownStage};
 pub use stale_vms::{StaleVmDetector, VmEntry};
 pub use streams::{
--- a/crates/ingress/src/placement_tests.rs
+++ b/crates/ingress/src/placement_tests.rs
@@ -1,7 +1,7 @@
 use crate::{
     EndpointEntry, EndpointGroup, EndpointKey, EndpointTable, EngineReport, GroupSplit,
     PlacementDecision, PlacementReason, PlacementRequest, Prompt, PromptSection,
-    endpoints_tests::entry,
+    endpoints_tests::{at, entry},
 };
 use core::time::Duration;
 use googletest::prelude::*;
@@ -124,7 +124,7 @@
         .collect();
     let removed = before[0];
     let name = endpoints.get(removed).unwrap().entry.name.clone();
-    endpoints.remove(&name, 2, None);
+    endpoints.remove(&name, at(2), None);
     for (session, key) in before
         .iter()
         .enumerate()
--- a/crates/ingress/src/stale_vms.rs
+++ b/crates/ingress/src/stale_vms.rs
@@ -5,7 +5,7 @@
 //! has not been written in between; the removal is conditional on the entry's revision. A VM that is
 //! cut off receives no heartbeats, so nothing is removed unless most of the listed VMs are alive.
 
-use crate::{quarantine::HeldSubject, streams::KeptVersion};
+use crate::{quarantine::HeldSubject, revision::Revision, streams::KeptVersion};
 use core::{net::Ipv4Addr, time::Duration};
 use poplarswitch_entity::{Time, VmName};
 use std::collections::HashMap;
@@ -29,8 +29,9 @@
     pub data_centre: String,
     /// Start of its process in Unix milliseconds; each process writes its own entry.
     pub start_ms: u64,
-    /// Platform revision of the entry's last change; 0 in an entry that is yet to be written.
-    pub revision: u64,
+    /// Platform revision of the entry's last change; the default in an entry that is yet to be
+    /// written.
+    pub revision: Revision,
     /// Subjects that the VM holds, for VMs that start.
     pub held: Vec<HeldSubject>,
     /// Versions of the software of each service that the VM has seen, for VMs that start.
@@ -41,7 +42,7 @@
 /// revisions of their entries and the time of the first scan that found them so.
 #[derive(Clone, Debug, Default)]
 pub struct StaleVmDetector {
-    suspects: HashMap<VmName, (u64, Time)>,
+    suspects: HashMap<VmName, (Revision, Time)>,
 }
 
 impl StaleVmDetector {
--- a/crates/ingress/src/stale_vms_tests.rs
+++ b/crates/ingress/src/stale_vms_tests.rs
@@ -1,4 +1,4 @@
-use crate::{StaleVmDetector, VmEntry};
+use crate::{Revision, StaleVmDetector, VmEntry};
 use core::net::Ipv4Addr;
 use googletest::prelude::*;
 use poplarswitch_entity::{Time, VmName};
@@ -9,7 +9,10 @@
         ip: Ipv4Addr::new(10, 0, 0, n),
         data_centre: "bole".to_owned(),
         start_ms: 1,
-        revision: 100 + u64::from(n),
+        revision: Revision {
+            era: 0,
+            number: 100 + u64::from(n),
+        },
         held: Vec::new(),
         versions: Vec::new(),
     };
@@ -57,7 +60,7 @@
     let mut detector = StaleVmDetector::default();
     let mut all = listed(9);
     scan(&mut detector, 0, &all, 1);
-    all[8].revision += 50;
+    all[8].revision.number += 50;
     expect_that!(scan(&mut detector, 30, &all, 1), is_empty());
 }
 
@@ -78,3 +81,14 @@
     scan(&mut detector, 0, &all, 40);
     expect_that!(scan(&mut detector, 30, &all, 40).len(), eq(8));
 }
+
+/// The same number in another era is another entry; a removal of it would hit an entry that has been
+/// written again.
+#[gtest]
+fn entry_with_the_same_number_in_a_later_era_is_kept() {
+    let mut detector = StaleVmDetector::default();
+    let mut all = listed(9);
+    scan(&mut detector, 0, &all, 1);
+    all[8].revision.era += 1;
+    expect_that!(scan(&mut detector, 30, &all, 1), is_empty());
+}
--- a/crates/ingress/src/streams_tests.rs
+++ b/crates/ingress/src/streams_tests.rs
@@ -1,6 +1,8 @@
 use crate::{
     EndpointEntry, EndpointTable, KeptVersion, SoftwareVersion, StreamId, StreamOrigin,
-    StreamOrigins, VmEntry, asked_vms, copy_holders, endpoints_tests::entry, lacks_versions,
+    StreamOrigins, VmEntry, asked_vms, copy_holders,
+    endpoints_tests::{at, entry},
+    lacks_versions,
 };
 use core::{net::Ipv4Addr, time::Duration};
 use googletest::prelude::*;
@@ -149,7 +151,7 @@
         ip: Ipv4Addr::new(10, 0, 0, 1),
         data_centre: "bole".to_owned(),
         start_ms,
-        revision: 1,
+        revision: at(1),
         held: Vec::new(),
         versions,
     }
--- a/crates/relay/src/feed.rs
+++ b/crates/relay/src/feed.rs
@@ -18,7 +18,7 @@
 use http::{Request, Response};
 use http_body_util::Full;
 use poplarswitch_entity::Time;
-use poplarswitch_ingress::{Cursor, EntryChanges, FeedReply, FeedRequest};
+use poplarswitch_ingress::{Cursor, EntryChanges, FeedReply, FeedRequest, Revision};
 use snafu::{ResultExt as _, Snafu};
 use std::sync::Arc;
 use tokio::time::{sleep, timeout};
@@ -67,7 +67,7 @@
     let wait = sleep(Duration::from_millis(u64::from(request.wait_ms)).min(MAX_WAIT));
     tokio::pin!(wait);
     let before = confirmations(shared);
-    while shared.cursor() == request.cursor
+    while shared.cursor() == request.cursor_in(shared.cursor().revision.era)
         && confirmations(shared) == before
         && !shared.core().platform_failed
     {
@@ -76,7 +76,8 @@
             changed = receiver.changed() => if changed.is_err() { break },
         }
     }
-    let reply = reply(shared, arrived, request.cursor);
+    let cursor = request.cursor_in(shared.cursor().revision.era);
+    let reply = reply(shared, arrived, cursor);
     let mut bytes = Vec::new();
     if let Err(error) = ciborium::into_writer(&reply, &mut bytes) {
         tracing::warn!(event = "unwritable", %error, "feed");
@@ -121,6 +122,7 @@
         snapshot,
         entries,
         removed,
+        has_eras: true,
     }
 }
 
@@ -180,6 +182,7 @@
     let feed_request = FeedRequest {
         cursor: shared.cursor(),
         wait_ms: MAX_WAIT.as_millis() as u32,
+        has_eras: true,
     };
     let mut bytes = Vec::new();
     ciborium::into_writer(&feed_request, &mut bytes).map_err(|error| FeedError::Unreadable {
@@ -196,12 +199,12 @@
             .await
             .context(BrokenSnafu { peer })
     };
-    let (_status, body) = timeout(MAX_WAIT + REPLY_MARGIN, exchange)
+    let response = timeout(MAX_WAIT + REPLY_MARGIN, exchange)
         .await
         .unwrap_or(Err(FeedError::TimedOut { peer }))?;
     let unreadable = |reason| FeedError::Unreadable { peer, reason };
-    let reply: FeedReply =
-        ciborium::from_reader(body.as_ref()).map_err(|error| unreadable(error.to_string()))?;
+    let reply: FeedReply = ciborium::from_reader(response.body().as_ref())
+        .map_err(|error| unreadable(error.to_string()))?;
     let is_usable =
         apply_reply(shared, sent, reply).map_err(|error| unreadable(error.to_string()))?;
     Ok((sender, is_usable))
@@ -210,18 +213,27 @@
 /// Applies the reply to a request that was sent at `sent`. Returns whether the peer is usable as a
 /// source: its last call to the platform has not failed, and this VM's view is not stale after the
 /// reply.
-fn apply_reply(shared: &Shared, sent: Time, reply: FeedReply) -> Result<bool, SnapshotError> {
+fn apply_reply(shared: &Shared, sent: Time, mut reply: FeedReply) -> Result<bool, SnapshotError> {
     let platform_failed = reply.platform_failed;
-    let entries = reply
+    let mut entries = reply
         .snapshot
         .as_deref()
         .map(snapshot::decode)
         .transpose()?;
     let mut core = shared.core();
+    let era = core.endpoints.revision().era;
+    reply.set_missing_eras(entries.as_deref_mut().unwrap_or_default(), era);
     let revision = reply.cursor.revision;
+    if reply.has_eras && revision != Revision::default() {
+        shared.record_era(revision.era, "peer");
+    }
     let outdated = revision < core.endpoints.revision();
     let mut changes = match entries {
-        Some(entries) => core.endpoints.apply_listing(entries, revision, None),
+        Some(entries) => {
+            // The peer may not know entries that the platform has lost.
+            let grace_end = core.endpoints.era_grace(revision, clock::now());
+            core.endpoints.apply_listing(entries, revision, grace_end)
+        }
         None => Vec::new(),
     };
     changes.extend(
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -50,8 +50,8 @@
 pub use clock::now;
 pub use logs::{LogWriter, init_logs};
 pub use protocol::{
-    ForwardMetadata, HeaderError, PlatformCall, PlatformReply, Protocol, Query, ResponseInfo,
-    ResponseKind,
+    ForwardMetadata, HeaderError, PlatformAnswer, PlatformCall, PlatformReply, Protocol, Query,
+    ResponseInfo, ResponseKind,
 };
 pub use run::{StartError, run};
 pub use settings::{Bounds, Listen, RelaySettings};
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -168,10 +168,10 @@
         .header(http::header::HOST, address.to_string())
         .body(Full::new(Bytes::new()))
         .map_err(|error| error.to_string())?;
-    let (_status, body) = tcp::exchange(&mut sender, request, MAX_REPORT_BYTES)
+    let response = tcp::exchange(&mut sender, request, MAX_REPORT_BYTES)
         .await
         .map_err(|error| error.to_string())?;
-    let report = shared.protocol.parse_report(&body)?;
+    let report = shared.protocol.parse_report(response.body())?;
     Ok((report, sender))
 }
 
--- a/crates/relay/src/platform_client.rs
+++ b/crates/relay/src/platform_client.rs
@@ -4,7 +4,7 @@
 //! connection on which a call failed is not reused.
 
 use crate::{
-    PlatformCall, PlatformReply, Protocol,
+    PlatformAnswer, PlatformCall, Protocol,
     tcp::{self, ConnectError, ExchangeError, Sender},
 };
 use bytes::Bytes;
@@ -75,7 +75,7 @@
     }
 
     /// Sends a call and reads its reply.
-    pub(crate) async fn call(&self, call: &PlatformCall) -> Result<PlatformReply, PlatformError> {
+    pub(crate) async fn call(&self, call: &PlatformCall) -> Result<PlatformAnswer, PlatformError> {
         let operation = call.name();
         let peer = self.peer;
         let time_limit = if call.wait().is_zero() {
@@ -88,7 +88,7 @@
             .unwrap_or(Err(PlatformError::TimedOut { operation, peer }))
     }
 
-    async fn exchange(&self, call: &PlatformCall) -> Result<PlatformReply, PlatformError> {
+    async fn exchange(&self, call: &PlatformCall) -> Result<PlatformAnswer, PlatformError> {
         let (operation, peer) = (call.name(), self.peer);
         let idle = self.lock().pop();
         let mut sender = match idle.filter(Sender::is_ready) {
@@ -97,7 +97,7 @@
                 .await
                 .context(UnreachedSnafu { operation })?,
         };
-        let (status, body) = tcp::exchange(&mut sender, self.build_request(call), MAX_REPLY_BYTES)
+        let response = tcp::exchange(&mut sender, self.build_request(call), MAX_REPLY_BYTES)
             .await
             .context(BrokenSnafu { operation, peer })?;
         let mut idle = self.lock();
@@ -106,7 +106,7 @@
         }
         drop(idle);
         self.protocol
-            .parse_platform_reply(call, status, &body)
+            .parse_platform_reply(call, response.status(), response.headers(), response.body())
             .map_err(|reason| PlatformError::Unreadable {
                 operation,
                 peer,
--- a/crates/relay/src/platform_reader.rs
+++ b/crates/relay/src/platform_reader.rs
@@ -9,7 +9,8 @@
 use core::time::Duration;
 use poplarswitch_entity::{EndpointName, Time};
 use poplarswitch_ingress::{
-    Config, EndpointEntry, EntryChanges, LocalRemoval, RoutingTable, SourceSelector,
+    Config, EndpointEntry, EntryChanges, LAPSE_GRACE, LocalRemoval, Revision, RoutingTable,
+    SourceSelector,
 };
 use poplarswitch_platform::Backoff;
 use std::sync::{
@@ -28,8 +29,6 @@
 const CHANGE_BATCH_DELAY: Duration = Duration::from_millis(50);
 /// Interval between checks whether this VM should read the platform.
 const POLL_INTERVAL: Duration = Duration::from_millis(150);
-/// Time after an outage of the platform within which live endpoints renew their lapsed entries.
-const LAPSE_GRACE: Duration = Duration::from_millis(2_100);
 
 /// Detects outages of the platform from the results of this VM's calls.
 #[derive(Debug, Default)]
@@ -53,6 +52,12 @@
         }
     }
 
+    /// Records that the platform has come back from a copy, also if no call of this VM has failed.
+    fn record_restore(&self) {
+        self.record_failure();
+        self.record_success();
+    }
+
     /// End of the grace period in which a missing entry may only have lapsed; none if no outage is
     /// recent.
     fn grace_end(&self, now: Time) -> Option<Time> {
@@ -102,7 +107,7 @@
 
     /// Keeps the configuration up to date.
     pub(crate) async fn follow_config(self: Arc<Self>) {
-        let mut last_revision = None;
+        let mut last_revision: Option<Revision> = None;
         let mut backoff = Backoff::new(self.shared.random_number());
         loop {
             if !self.should_read() {
@@ -120,12 +125,18 @@
             };
             let sent = clock::now();
             match self.call(&call).await {
+                // A watch from a revision of another era doesn't show all changes.
+                Some(PlatformReply::Set { revision, .. })
+                    if last_revision.is_some_and(|after| after.era != revision.era) =>
+                {
+                    last_revision = None;
+                }
                 Some(PlatformReply::Set { declared, revision }) => {
                     backoff.reset();
                     last_revision = Some(revision);
                     // The platform is reachable, so the open watch would have reported a change.
                     if self.watch_open.load(Ordering::Relaxed) {
-                        self.confirm_endpoints(sent);
+                        self.confirm_endpoints(sent, revision.era);
                     }
                     apply_config(&self.shared, declared.map(|c| *c), sent, "platform");
                 }
@@ -148,12 +159,13 @@
                 self.shared.wait_for_change(POLL_INTERVAL).await;
                 continue;
             }
-            let succeeded = if listed && self.shared.core().endpoints.revision() > 0 {
-                self.watch_endpoints(&mut listed).await
-            } else {
-                listed = self.list_endpoints().await;
-                listed
-            };
+            let succeeded =
+                if listed && self.shared.core().endpoints.revision() != Revision::default() {
+                    self.watch_endpoints(&mut listed).await
+                } else {
+                    listed = self.list_endpoints().await;
+                    listed
+                };
             if succeeded {
                 backoff.reset();
             } else {
@@ -170,7 +182,10 @@
         };
         let sent = clock::now();
         self.watch_open.store(true, Ordering::Relaxed);
-        let reply = self.call(&call).await;
+        let reply = tokio::select! {
+            reply = self.call(&call) => reply,
+            () = self.shared.wait_for_era_after(Some(after.era)) => Some(PlatformReply::HistoryGone),
+        };
         self.watch_open.store(false, Ordering::Relaxed);
         match reply {
             Some(PlatformReply::Endpoints {
@@ -179,7 +194,7 @@
                 errors,
                 revision,
                 ..
-            }) => {
+            }) if revision.era == after.era => {
                 log_errors(&errors);
                 let unchanged = self.apply_changes(entries, removed, sent, revision);
                 if !unchanged {
@@ -187,8 +202,10 @@
                 }
                 true
             }
-            Some(PlatformReply::HistoryGone) => {
-                tracing::info!(event = "history_gone", after, "platform");
+            // A watch from a revision of another era doesn't show all changes.
+            Some(PlatformReply::HistoryGone | PlatformReply::Endpoints { .. }) => {
+                let Revision { era, number } = after;
+                tracing::info!(event = "history_gone", after = number, era, "platform");
                 *listed = false;
                 true
             }
@@ -200,9 +217,9 @@
     fn apply_changes(
         &self,
         entries: Vec<EndpointEntry>,
-        removed: Vec<(EndpointName, u64)>,
+        removed: Vec<(EndpointName, Revision)>,
         sent: Time,
-        revision: u64,
+        revision: Revision,
     ) -> bool {
         let unchanged = entries.is_empty() && removed.is_empty();
         let grace_end = self.outage.grace_end(clock::now());
@@ -245,32 +262,45 @@
             all.extend(entries);
             // Changes between two pages are reported by a watch from the revision of the first
             // page.
-            let first_revision = *first_revision.get_or_insert(revision);
+            let first_revision: Revision = *first_revision.get_or_insert(revision);
+            if revision.era != first_revision.era {
+                return false;
+            }
             if more.is_some() {
                 after = more;
                 continue;
             }
-            let grace_end = self.outage.grace_end(clock::now());
-            let changes =
-                self.shared
-                    .core()
-                    .endpoints
-                    .apply_listing(all, first_revision, grace_end);
-            self.confirm_endpoints(sent);
+            let now = clock::now();
+            let mut core = self.shared.core();
+            let era_grace = core.endpoints.era_grace(first_revision, now);
+            if era_grace.is_some() {
+                self.outage.record_restore();
+            }
+            let grace_end = self.outage.grace_end(now).max(era_grace);
+            let changes = core.endpoints.apply_listing(all, first_revision, grace_end);
+            drop(core);
+            self.confirm_endpoints(sent, first_revision.era);
             self.shared.handle_endpoint_changes(&changes, "platform");
             return true;
         }
     }
 
-    fn confirm_endpoints(&self, sent: Time) {
+    /// Records a confirmation of the view by the platform in an era.
+    fn confirm_endpoints(&self, sent: Time, era: u64) {
         let mut core = self.shared.core();
-        core.endpoints_confirmed = core.endpoints_confirmed.max(Some(sent));
+        if core.endpoints.revision().era == era {
+            core.endpoints_confirmed = core.endpoints_confirmed.max(Some(sent));
+        }
     }
 
     async fn call(&self, call: &PlatformCall) -> Option<PlatformReply> {
         self.shared.metrics.platform_calls.inc();
         let in_outage = self.outage.grace_end(clock::now()).is_some();
-        match self.client.call(call).await {
+        let answer = self.client.call(call).await;
+        if let Ok(answer) = &answer {
+            self.shared.record_era(answer.era, "platform");
+        }
+        match answer.map(|answer| answer.reply) {
             Ok(PlatformReply::Refused(status)) => {
                 self.record_failed_call(call, in_outage, &format!("status {status}"));
                 None
--- a/crates/relay/src/protocol.rs
+++ b/crates/relay/src/protocol.rs
@@ -7,7 +7,9 @@
 use core::{fmt, net::SocketAddr, time::Duration};
 use http::{HeaderMap, Method, StatusCode};
 use poplarswitch_entity::{EndpointName, VmName};
-use poplarswitch_ingress::{Call, Config, EndpointEntry, EngineReport, NamedLimit, VmEntry};
+use poplarswitch_ingress::{
+    Call, Config, EndpointEntry, EngineReport, NamedLimit, Revision, VmEntry,
+};
 use poplarswitch_platform::WireRequest;
 
 /// Error of a head that is not a valid call.
@@ -87,7 +89,7 @@
     /// Wait for a change of the configuration after a revision.
     WatchSet {
         /// The revision.
-        after: u64,
+        after: Revision,
         /// Maximum wait.
         wait: Duration,
     },
@@ -99,7 +101,7 @@
     /// Wait for changes of endpoints after a revision.
     WatchEndpoints {
         /// The revision.
-        after: u64,
+        after: Revision,
         /// Maximum wait.
         wait: Duration,
     },
@@ -116,8 +118,9 @@
     RemoveVm {
         /// Name of the VM.
         name: VmName,
-        /// Revision that the entry must have.
-        revision: u64,
+        /// Revision that the entry must have. The platform compares the number only, so the caller
+        /// compares the era.
+        revision: Revision,
     },
 }
 
@@ -145,6 +148,15 @@
     }
 }
 
+/// Reply of the platform, and its era.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PlatformAnswer {
+    /// Era of the platform: rises each time that it comes back from a copy; 0 if it names none.
+    pub era: u64,
+    /// The reply, whose revisions are of that era.
+    pub reply: PlatformReply,
+}
+
 /// Reply of the platform.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum PlatformReply {
@@ -153,20 +165,20 @@
         /// The configuration; none if a watch has ended without a change.
         declared: Option<Box<Config>>,
         /// Revision of the platform.
-        revision: u64,
+        revision: Revision,
     },
     /// Endpoints as of a revision.
     Endpoints {
         /// Entries that are listed, new or changed.
         entries: Vec<EndpointEntry>,
         /// Names whose entries have been removed or are unusable, with the revision of that change.
-        removed: Vec<(EndpointName, u64)>,
+        removed: Vec<(EndpointName, Revision)>,
         /// Errors of unusable entries.
         errors: Vec<String>,
         /// Last name of this page, if there is another page.
         more: Option<String>,
         /// Revision of the platform.
-        revision: u64,
+        revision: Revision,
     },
     /// A page of entry VMs.
     Vms {
@@ -236,6 +248,7 @@
         &self,
         call: &PlatformCall,
         status: StatusCode,
+        headers: &HeaderMap,
         body: &[u8],
-    ) -> Result<PlatformReply, String>;
+    ) -> Result<PlatformAnswer, String>;
 }
--- a/crates/relay/src/registry.rs
+++ b/crates/relay/src/registry.rs
@@ -8,10 +8,11 @@
 //! when it shuts down; the first VMs of each data centre write theirs again when holds or versions
 //! change. In each data centre, one VM removes the entries of dead VMs. Each process writes its own
 //! entry, and a removal contains the revision of the entry, so that a delayed removal can't delete the
-//! entry of the next process of that VM.
+//! entry of the next process of that VM. An entry that was read before the platform came back from a
+//! copy is not removed, because its revision may have been given out again.
 
 use crate::{
-    PlatformCall, PlatformReply, clock,
+    PlatformAnswer, PlatformCall, PlatformReply, clock,
     platform_client::{PlatformClient, PlatformError},
     quarantine,
     shared::Shared,
@@ -20,8 +21,8 @@
 use http::StatusCode;
 use poplarswitch_entity::Time;
 use poplarswitch_ingress::{
-    HeldSubject, HoldChange, KeptVersion, ListingSchedule, ListingView, StaleVmDetector, VmEntry,
-    lacks_versions,
+    HeldSubject, HoldChange, KeptVersion, ListingSchedule, ListingView, Revision, StaleVmDetector,
+    VmEntry, lacks_versions,
 };
 use poplarswitch_platform::Backoff;
 use snafu::{ResultExt as _, Snafu};
@@ -47,8 +48,10 @@
     #[snafu(display("{operation}: unexpected reply from the platform: {reply:?}"))]
     Refused {
         operation: &'static str,
-        reply: PlatformReply,
+        reply: Box<PlatformReply>,
     },
+    #[snafu(display("{operation}: the platform has come back from a copy"))]
+    Restored { operation: &'static str },
 }
 
 /// Registers this VM, learns of the other VMs, keeps this VM's entry up to date, and regularly
@@ -137,7 +140,7 @@
         ip,
         data_centre: settings.data_centre.to_string(),
         start_ms: clock::unix_millis(),
-        revision: 0,
+        revision: Revision::default(),
         held: held_subjects(shared),
         versions: kept_versions(shared),
     }
@@ -177,12 +180,12 @@
 }
 
 /// Writes this VM's entry again if its held sections or versions have changed and it is among the
-/// first VMs of its data centre, or if the last write failed.
+/// first VMs of its data centre, or if `is_due` in any case.
 async fn update_entry(
     shared: &Shared,
     client: &PlatformClient,
     local_vm: &mut VmEntry,
-    write_failed: bool,
+    is_due: bool,
 ) -> Result<(), RegistryError> {
     // A VM that shuts down removes its entry.
     if shared.core().shutdown.has_started() {
@@ -213,14 +216,14 @@
     };
     let is_changed = writes_held && !is_held_known
         || writes_versions && lacks_versions(&local_vm.versions, &versions);
-    if !is_changed && !write_failed {
+    if !is_changed && !is_due {
         return Ok(());
     }
     local_vm.held = held;
     local_vm.versions = versions;
     let write = PlatformCall::PutVm(local_vm.clone());
-    match call(shared, client, &write).await? {
-        // Others have taken this VM for dead.
+    match call(shared, client, &write).await?.reply {
+        // Others have taken this VM for dead, or the platform has lost the entry.
         PlatformReply::Refused(StatusCode::NOT_FOUND) => {
             tracing::info!(event = "entry_missing", "member");
             register(shared, client, local_vm).await
@@ -271,9 +274,11 @@
     shared: &Shared,
     client: &PlatformClient,
     call: &PlatformCall,
-) -> Result<PlatformReply, RegistryError> {
+) -> Result<PlatformAnswer, RegistryError> {
     shared.metrics.platform_calls.inc();
-    client.call(call).await.context(PlatformSnafu)
+    let answer = client.call(call).await.context(PlatformSnafu)?;
+    shared.record_era(answer.era, "platform");
+    Ok(answer)
 }
 
 async fn register(
@@ -282,28 +287,37 @@
     local_vm: &VmEntry,
 ) -> Result<(), RegistryError> {
     let mut write = PlatformCall::AddVm(local_vm.clone());
-    let mut reply = call(shared, client, &write).await?;
-    if reply == PlatformReply::Conflict {
+    let mut answer = call(shared, client, &write).await?;
+    if answer.reply == PlatformReply::Conflict {
         write = PlatformCall::PutVm(local_vm.clone());
-        reply = call(shared, client, &write).await?;
+        answer = call(shared, client, &write).await?;
     }
-    expect_done(&write, reply)
+    expect_done(&write, answer.reply)
 }
 
 fn expect_done(write: &PlatformCall, reply: PlatformReply) -> Result<(), RegistryError> {
     let operation = write.name();
     match reply {
         PlatformReply::Done => Ok(()),
-        reply => RefusedSnafu { operation, reply }.fail(),
+        reply => {
+            let reply = Box::new(reply);
+            RefusedSnafu { operation, reply }.fail()
+        }
     }
 }
 
 async fn list(shared: &Shared, client: &PlatformClient) -> Result<Vec<VmEntry>, RegistryError> {
     let mut all = Vec::new();
     let mut after = None;
+    let mut first_era = None;
     loop {
         let list_call = PlatformCall::ListVms { after };
-        match call(shared, client, &list_call).await? {
+        let operation = list_call.name();
+        let PlatformAnswer { era, reply } = call(shared, client, &list_call).await?;
+        if *first_era.get_or_insert(era) != era {
+            return RestoredSnafu { operation }.fail();
+        }
+        match reply {
             PlatformReply::Vms { vms, more } => {
                 all.extend(vms);
                 if more.is_none() {
@@ -312,7 +326,7 @@
                 after = more;
             }
             reply => {
-                let operation = list_call.name();
+                let reply = Box::new(reply);
                 return RefusedSnafu { operation, reply }.fail();
             }
         }
@@ -360,7 +374,8 @@
             event = "removed",
             vm = vm.name.as_str(),
             ip = %vm.ip,
-            revision = vm.revision,
+            revision = vm.revision.number,
+            era = vm.revision.era,
             "member"
         );
     }
@@ -376,7 +391,7 @@
     }
 }
 
-/// Removes an entry, unless it has been written again.
+/// Removes an entry, unless it has been written again or the platform has come back from a copy.
 async fn remove(
     shared: &Shared,
     client: &PlatformClient,
@@ -386,7 +401,13 @@
         name: vm.name.clone(),
         revision: vm.revision,
     };
-    match call(shared, client, &removal).await? {
+    if shared.era().is_some_and(|era| era > vm.revision.era) {
+        return RestoredSnafu {
+            operation: removal.name(),
+        }
+        .fail();
+    }
+    match call(shared, client, &removal).await?.reply {
         PlatformReply::Conflict => Ok(()),
         reply => expect_done(&removal, reply),
     }
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -148,6 +148,8 @@
     in_flight: AtomicUsize,
     core: Mutex<Core>,
     changes: watch::Sender<u64>,
+    /// Latest era of the platform that this VM knows.
+    eras: watch::Sender<Option<u64>>,
     /// Whether calls without an answer get one now, because the process exits soon.
     exiting: watch::Sender<bool>,
 }
@@ -214,6 +216,7 @@
             in_flight: AtomicUsize::new(0),
             core: Mutex::new(core),
             changes: watch::Sender::new(0),
+            eras: watch::Sender::new(None),
             exiting: watch::Sender::new(false),
         }
     }
@@ -254,6 +257,34 @@
         let _ended = tokio::time::timeout(time_limit, self.subscribe().changed()).await;
     }
 
+    /// Records an era of the platform. A later one than before means that the platform has come back
+    /// from a copy.
+    pub(crate) fn record_era(&self, era: u64, source: &'static str) {
+        let mut before = None;
+        self.eras.send_if_modified(|known| {
+            let is_later = known.is_none_or(|known| era > known);
+            if is_later {
+                before = known.replace(era);
+            }
+            is_later
+        });
+        if let Some(before) = before {
+            tracing::warn!(event = "restored", era, before, source, "platform");
+        }
+    }
+
+    /// Latest era of the platform that this VM knows.
+    pub(crate) fn era(&self) -> Option<u64> {
+        *self.eras.borrow()
+    }
+
+    /// Waits until the platform has a later era than `known`.
+    pub(crate) async fn wait_for_era_after(&self, known: Option<u64>) {
+        let mut eras = self.eras.subscribe();
+        // The sender is not dropped during the wait.
+        let _later = eras.wait_for(|era| *era > known).await;
+    }
+
     /// Versions of the configuration and the endpoints that this VM has.
     pub(crate) fn cursor(&self) -> Cursor {
         Cursor {
@@ -332,7 +363,8 @@
                     event = transition.as_str(),
                     endpoint = names.join(","),
                     count = names.len(),
-                    revision,
+                    revision = revision.number,
+                    era = revision.era,
                     source,
                     "endpoint"
                 );
--- a/crates/relay/src/snapshot_tests.rs
+++ b/crates/relay/src/snapshot_tests.rs
@@ -2,7 +2,7 @@
 use core::{cell::Cell, net::SocketAddr};
 use googletest::prelude::*;
 use poplarswitch_entity::{DataCentre, EndpointName, ServiceName};
-use poplarswitch_ingress::{EndpointEntry, EndpointState, SoftwareVersion};
+use poplarswitch_ingress::{EndpointEntry, EndpointState, Revision, SoftwareVersion};
 use serde::{Deserialize, Serialize};
 
 fn list(count: u64) -> Vec<EndpointEntry> {
@@ -15,7 +15,7 @@
         state: EndpointState::Ready,
         start_ms: n,
         software: None,
-        revision: n,
+        revision: Revision { era: 1, number: n },
     };
     (0..count).map(entry).collect()
 }
@@ -77,9 +77,12 @@
     let mut entries = decode(&bytes).unwrap();
     expect_that!(entries[0].software, none());
     expect_that!(entries[0].start_ms, eq(7));
+    expect_that!(entries[0].revision, eq(Revision { era: 0, number: 3 }));
+    entries[0].revision.era = 2;
     entries[0].software = Some(SoftwareVersion::new("v1"));
     let mut bytes = Vec::new();
     ciborium::into_writer(&entries, &mut bytes).unwrap();
     let earlier: Vec<EarlierEntry> = ciborium::from_reader(&*bytes).unwrap();
     expect_that!(earlier[0].born, eq(7));
+    expect_that!(earlier[0].revision, eq(3));
 }
--- a/crates/relay/src/tcp.rs
+++ b/crates/relay/src/tcp.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use core::{net::SocketAddr, time::Duration};
-use http::{Request, StatusCode};
+use http::{Request, Response};
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -86,16 +86,14 @@
     sender: &mut Sender,
     request: Request<Full<Bytes>>,
     max_bytes: usize,
-) -> Result<(StatusCode, Bytes), ExchangeError> {
+) -> Result<Response<Bytes>, ExchangeError> {
     let response = sender.send_request(request).await.context(BrokenSnafu)?;
-    let status = response.status();
-    let body = Limited::new(response.into_body(), max_bytes)
-        .collect()
-        .await;
+    let (head, body) = response.into_parts();
+    let body = Limited::new(body, max_bytes).collect().await;
     let body = body.map_err(|error| ExchangeError::Body {
         reason: error.to_string(),
     })?;
-    Ok((status, body.to_bytes()))
+    Ok(Response::from_parts(head, body.to_bytes()))
 }
 
 fn set_options(stream: &TcpStream) -> std::io::Result<()> {
