Write the entries of VMs again when the platform comes back from a copy

The entries of VMs that had started after the copy was taken, and what the others had written since of their holds and versions, were missing until the next read of the list, up to thirty seconds later. VMs that start in between would not find the others, and not learn what they hold.

A VM that learns of a later era, from the platform or from another VM, now writes its entry again. The writes are spread at random over 20 ms for each VM that is alive.

--- a/crates/relay/src/registry.rs
+++ b/crates/relay/src/registry.rs
@@ -6,7 +6,8 @@
 //! only after they have written theirs; [`ListingSchedule`] tells when further reads follow, some of
 //! them because VMs are parted and can learn of each other's holds here only. A VM removes its entry
 //! when it shuts down; the first VMs of each data centre write theirs again when holds or versions
-//! change. In each data centre, one VM removes the entries of dead VMs. Each process writes its own
+//! change. When the platform comes back from a copy, which may lack entries, every VM writes its own
+//! again. In each data centre, one VM removes the entries of dead VMs. Each process writes its own
 //! entry, and a removal contains the revision of the entry, so that a delayed removal can't delete the
 //! entry of the next process of that VM. An entry that was read before the platform came back from a
 //! copy is not removed, because its revision may have been given out again.
@@ -34,6 +35,8 @@
 const ENTRY_WRITE_DELAY: Duration = Duration::from_millis(350);
 /// Delay after a failed write of this VM's entry.
 const ENTRY_RETRY_DELAY: Duration = Duration::from_secs(2);
+/// Time for each VM over which all VMs spread their writes when the platform has come back from a copy.
+const RESTORE_WRITE_SPREAD: Duration = Duration::from_millis(20);
 /// Time after the start of the process in which it may not have heard of all VMs.
 const STARTUP_TIME: Duration = Duration::from_secs(5);
 /// Number of VMs of each data centre that write holds and versions; more than one, because one
@@ -62,16 +65,21 @@
     restore(&shared, &listed);
     add_members(&shared, &listed);
     let mut local_vm = local_entry(&shared);
-    while let Err(error) = register(&shared, &client, &local_vm).await {
-        tracing::warn!(event = "failed", call = "register", %error, "platform");
-        sleep(backoff.next_wait()).await;
-    }
+    let era = loop {
+        match register(&shared, &client, &local_vm).await {
+            Ok(era) => break era,
+            Err(error) => {
+                tracing::warn!(event = "failed", call = "register", %error, "platform");
+                sleep(backoff.next_wait()).await;
+            }
+        }
+    };
     backoff.reset();
     let listed = list_until_read(&shared, &client, &mut backoff).await;
     add_members(&shared, &listed);
     shared.core().sources.mark_listed();
     shared.notify_change();
-    maintain(&shared, &client, &mut local_vm).await;
+    maintain(&shared, &client, &mut local_vm, era).await;
 }
 
 /// Reads the list of VMs, as often as it takes.
@@ -94,8 +102,9 @@
     }
 }
 
-/// Keeps this VM's entry and the list of members up to date until the process exits.
-async fn maintain(shared: &Shared, client: &PlatformClient, local_vm: &mut VmEntry) {
+/// Keeps this VM's entry, which was written in `era`, and the list of members up to date until the
+/// process exits.
+async fn maintain(shared: &Shared, client: &PlatformClient, local_vm: &mut VmEntry, mut era: u64) {
     let mut detector = StaleVmDetector::default();
     let mut schedule = ListingSchedule::new(clock::now());
     let mut was_isolated = false;
@@ -110,7 +119,11 @@
         tokio::select! {
             () = sleep(wait) => {}
             () = shared.holds_changed.notified() => sleep(ENTRY_WRITE_DELAY).await,
+            () = shared.wait_for_era_after(Some(era)) => sleep(restore_write_delay(shared)).await,
         }
+        let known_era = shared.era().unwrap_or(era);
+        let is_restored = known_era > era;
+        era = known_era;
         let now = clock::now();
         let view = listing_view(shared, now);
         if schedule.decide(now, view)
@@ -124,7 +137,7 @@
             schedule.hurry(now);
         }
         was_isolated = is_isolated;
-        let written = update_entry(shared, client, local_vm, write_failed).await;
+        let written = update_entry(shared, client, local_vm, write_failed || is_restored).await;
         write_failed = written.is_err();
         if let Err(error) = written {
             tracing::warn!(event = "failed", call = "put_vm", %error, "platform");
@@ -132,6 +145,13 @@
     }
 }
 
+/// Random delay of the write of this VM's entry after the platform has come back from a copy.
+fn restore_write_delay(shared: &Shared) -> Duration {
+    let vms = shared.core().membership.alive_count(clock::now());
+    let longest = RESTORE_WRITE_SPREAD * vms as u32;
+    Duration::from_micros(shared.random_number() % longest.as_micros().max(1) as u64)
+}
+
 fn local_entry(shared: &Shared) -> VmEntry {
     let settings = &shared.settings;
     let ip = shared.core().membership.local_ip();
@@ -226,7 +246,7 @@
         // Others have taken this VM for dead, or the platform has lost the entry.
         PlatformReply::Refused(StatusCode::NOT_FOUND) => {
             tracing::info!(event = "entry_missing", "member");
-            register(shared, client, local_vm).await
+            register(shared, client, local_vm).await.map(drop)
         }
         reply => expect_done(&write, reply),
     }
@@ -281,18 +301,20 @@
     Ok(answer)
 }
 
+/// Writes this VM's entry; returns the era of the platform in which it was written.
 async fn register(
     shared: &Shared,
     client: &PlatformClient,
     local_vm: &VmEntry,
-) -> Result<(), RegistryError> {
+) -> Result<u64, RegistryError> {
     let mut write = PlatformCall::AddVm(local_vm.clone());
     let mut answer = call(shared, client, &write).await?;
     if answer.reply == PlatformReply::Conflict {
         write = PlatformCall::PutVm(local_vm.clone());
         answer = call(shared, client, &write).await?;
     }
-    expect_done(&write, answer.reply)
+    expect_done(&write, answer.reply)?;
+    Ok(answer.era)
 }
 
 fn expect_done(write: &PlatformCall, reply: PlatformReply) -> Result<(), RegistryError> {
