Test VMs that start while the platform has an older configuration

The first VM of a data centre, restarted after the platform's return from a copy, serves with the copy's configuration until the operator has written the lost one again: 142 calls with a revoked key were answered 200 in 1.5 s at VM 0.

--- a/crates/node/tests/relay_eras.rs
+++ b/crates/node/tests/relay_eras.rs
@@ -228,3 +228,32 @@
     });
     expect_that!(has_joined, eq(true));
 }
+
+/// A VM that starts between the restore and the moment at which the operator has written the lost
+/// configuration again must not serve with the older one of the copy, which has revoked keys.
+#[gtest]
+fn vm_that_starts_after_a_restore_does_not_go_back_to_the_copied_configuration() {
+    let mut fleet = Fleet::start(117, VM_COUNT);
+    let copy = fleet.store.copy();
+    fleet.store.configure(&Configuration::sample(4, &KEYS[..1]));
+    let has_followed = holds_on_all(&fleet, CHANGE_LIMIT, |vm| {
+        status(&fleet, vm, KEYS[1]) == 401
+    });
+    assert_that!(has_followed, eq(true));
+    fleet.store.restore(copy, AWAY_TIME);
+    for index in [0, 1] {
+        fleet.kill(index);
+        fleet.start_process(index);
+    }
+    let start = Instant::now();
+    while start.elapsed() < Duration::from_millis(1_500) {
+        for vm in 0..fleet.processes.len() {
+            expect_that!(status(&fleet, vm, KEYS[1]), not(eq(200)), "VM {vm}");
+        }
+    }
+    fleet.store.configure(&Configuration::sample(4, &KEYS[..1]));
+    let has_followed = holds_on_all(&fleet, CHANGE_LIMIT, |vm| {
+        status(&fleet, vm, KEYS[0]) == 200
+    });
+    expect_that!(has_followed, eq(true));
+}
