Ask another VM for its configuration after a start

The first VM of a data centre reads the platform and asks nobody. If it starts after the platform has come back from a copy, and before the operator has written the lost configuration again, it served with the older one of the copy: keys that had been revoked worked again at that VM.

Such a VM now also asks another one for changes in its first 3 s, one that is listed if it has heard of nobody yet. A few milliseconds between the platform's reply and that of the other VM remain.

--- a/crates/ingress/src/feed.rs
+++ b/crates/ingress/src/feed.rs
@@ -33,6 +33,9 @@
 /// Time after the start in which a VM of a higher rank waits for heartbeats before it reads the
 /// platform.
 const STARTUP_WAIT: Duration = Duration::from_millis(350);
+/// Time after the start in which the first VM also asks another one, which may have a newer
+/// configuration than the platform if that has come back from a copy.
+const STARTUP_ASK_TIME: Duration = Duration::from_secs(3);
 /// Increase of the maximum backoff per rank; it is also the maximum backoff of the first VM, which
 /// must notice the platform's return within its bounds.
 const BACKOFF_PER_RANK: Duration = Duration::from_millis(700);
@@ -205,8 +208,8 @@
 
     /// The VM to ask for changes: the parent in the tree, or its nearest ancestor that hasn't
     /// failed, or else any earlier VM of `order`. With a stale view, the first VM of `order` and
-    /// `others` that hasn't failed. Returns none if this VM is the first of `order` and its view is
-    /// fresh.
+    /// `others` that hasn't failed. If this VM is the first of `order` and its view is fresh, any of
+    /// `others` while it has just started, then none.
     pub fn upstream_peer(
         &self,
         now: Time,
@@ -221,6 +224,9 @@
             return order.iter().chain(others).find(usable).copied();
         }
         let rank = order.iter().position(|ip| *ip == local_ip)?;
+        if rank == 0 && now.since(self.started) < STARTUP_ASK_TIME {
+            return others.iter().find(usable).copied();
+        }
         let mut parent = rank;
         while parent > 0 {
             parent = (parent - 1) / TREE_FANOUT;
--- a/crates/ingress/src/feed_tests.rs
+++ b/crates/ingress/src/feed_tests.rs
@@ -196,3 +196,13 @@
     reply.set_missing_eras(&mut snapshot, 9);
     expect_that!(reply.cursor.revision, eq(at(7).in_era(3)));
 }
+
+/// The platform may come back from a copy with an older configuration, which has revoked keys; the
+/// first VM of a data centre served with it after a restart, and heard of the newer one from nobody.
+#[gtest]
+fn first_vm_asks_another_one_while_it_has_just_started() {
+    let sources = SourceSelector::new(Time::ZERO);
+    let asked = |now| sources.upstream_peer(now, ip(1), &order(), &[ip(9)], FRESH);
+    expect_that!(asked(Time::from_millis(1_000)), some(eq(ip(9))));
+    expect_that!(asked(Time::from_millis(4_000)), none());
+}
--- a/crates/relay/src/feed.rs
+++ b/crates/relay/src/feed.rs
@@ -159,6 +159,10 @@
     let local_ip = core.membership.local_ip();
     let order = core.source_order(now);
     let mut others: Vec<Ipv4Addr> = core.membership.alive(now).map(|member| member.ip).collect();
+    if others.is_empty() {
+        // This VM may have just started, and has heard of nobody yet.
+        others = core.membership.listed_local_vms(now);
+    }
     // The order differs between VMs, so that VMs with stale views don't all ask the same VM.
     others.sort_unstable_by_key(|ip| ip.to_bits() ^ local_ip.to_bits().rotate_left(7));
     core.sources
