--- a/crates/ingress/src/feed.rs
+++ b/crates/ingress/src/feed.rs
@@ -12,6 +12,7 @@
 use crate::{
     config::Config,
     entry::{EndpointEntry, Removal},
+    revision::Revision,
 };
 use bytes::Bytes;
 use core::{net::Ipv4Addr, time::Duration};
@@ -32,6 +33,9 @@
 /// Time after the start in which a VM of a higher rank waits for heartbeats before it reads the
 /// platform.
 const STARTUP_WAIT: Duration = Duration::from_millis(350);
+/// Time after the start in which the first VM also asks another one, which may have a newer
+/// configuration than the platform if that has come back from a copy.
+const STARTUP_ASK_TIME: Duration = Duration::from_secs(3);
 /// Increase of the maximum backoff per rank; it is also the maximum backoff of the first VM, which
 /// must notice the platform's return within its bounds.
 const BACKOFF_PER_RANK: Duration = Duration::from_millis(700);
@@ -49,7 +53,8 @@
     /// Version of the configuration.
     pub version: u64,
     /// Platform revision of the view of the endpoints.
-    pub revision: u64,
+    #[serde(flatten)]
+    pub revision: Revision,
 }
 
 /// Request to another VM for changes of the configuration and the endpoints.
@@ -60,6 +65,24 @@
     /// Maximum time to wait for a change before replying, in milliseconds.
     #[serde(rename = "wait")]
     pub wait_ms: u32,
+    /// Whether the requesting VM knows eras; VMs of an earlier version don't send it.
+    #[serde(default)]
+    pub has_eras: bool,
+}
+
+impl FeedRequest {
+    /// Versions that the requesting VM has; a revision without an era is taken as one of `era`.
+    pub const fn cursor_in(&self, era: u64) -> Cursor {
+        let Cursor { version, revision } = self.cursor;
+        Cursor {
+            version,
+            revision: if self.has_eras {
+                revision
+            } else {
+                revision.in_era(era)
+            },
+        }
+    }
 }
 
 /// Reply to a [`FeedRequest`].
@@ -89,6 +112,25 @@
     pub entries: Vec<EndpointEntry>,
     /// Removed or lapsed entries.
     pub removed: Vec<Removal>,
+    /// Whether the replying VM knows eras; VMs of an earlier version don't send it.
+    #[serde(default)]
+    pub has_eras: bool,
+}
+
+impl FeedReply {
+    /// Takes revisions that have no eras, including those of a decoded snapshot, as revisions of
+    /// `era`.
+    pub fn set_missing_eras(&mut self, snapshot: &mut [EndpointEntry], era: u64) {
+        if self.has_eras {
+            return;
+        }
+        let entries = self.entries.iter_mut().chain(snapshot);
+        let revisions = entries
+            .map(|entry| &mut entry.revision)
+            .chain(self.removed.iter_mut().map(|removal| &mut removal.revision))
+            .chain([&mut self.cursor.revision]);
+        revisions.for_each(|revision| revision.era = era);
+    }
 }
 
 /// Source of configuration and endpoints.
@@ -166,8 +208,8 @@
 
     /// The VM to ask for changes: the parent in the tree, or its nearest ancestor that hasn't
     /// failed, or else any earlier VM of `order`. With a stale view, the first VM of `order` and
-    /// `others` that hasn't failed. Returns none if this VM is the first of `order` and its view is
-    /// fresh.
+    /// `others` that hasn't failed. If this VM is the first of `order` and its view is fresh, any of
+    /// `others` while it has just started, then none.
     pub fn upstream_peer(
         &self,
         now: Time,
@@ -182,6 +224,9 @@
             return order.iter().chain(others).find(usable).copied();
         }
         let rank = order.iter().position(|ip| *ip == local_ip)?;
+        if rank == 0 && now.since(self.started) < STARTUP_ASK_TIME {
+            return others.iter().find(usable).copied();
+        }
         let mut parent = rank;
         while parent > 0 {
             parent = (parent - 1) / TREE_FANOUT;
--- a/crates/ingress/src/notices_tests.rs
+++ b/crates/ingress/src/notices_tests.rs
@@ -1,6 +1,7 @@
 use crate::{
     Denial, EndpointChange, EndpointEntry, EndpointKey, EndpointState, EndpointTable, GroupSplit,
-    PlacementDecision, PlacementRequest, SoftwareVersion, Transition, endpoints_tests::entry,
+    PlacementDecision, PlacementRequest, SoftwareVersion, Transition,
+    endpoints_tests::{at, entry},
 };
 use core::time::Duration;
 use googletest::prelude::*;
@@ -177,7 +178,7 @@
 fn pause_outlasts_the_entry_of_its_incarnation() {
     let mut endpoints = endpoints(&["a"]);
     pause(&mut endpoints, "a", NOW, PAUSE);
-    endpoints.remove(&EndpointName::new("a"), 2, None);
+    endpoints.remove(&EndpointName::new("a"), at(2), None);
     endpoints.upsert(entry("a", 3));
     expect_that!(choose(&endpoints, NOW), none());
     expect_that!(choose(&endpoints, NOW + PAUSE), some(eq("a")));
@@ -213,7 +214,7 @@
     expect_that!(endpoints.upsert(entry("a", 1)), is_empty());
     expect_that!(endpoints.upsert(entry("a", 2)), is_empty());
     expect_that!(choose(&endpoints, NOW), none());
-    endpoints.apply_listing(vec![entry("a", 3)], 3, None);
+    endpoints.apply_listing(vec![entry("a", 3)], at(3), None);
     expect_that!(choose(&endpoints, NOW), none());
 }
 
@@ -223,7 +224,7 @@
     let mut endpoints = endpoints(&["a"]);
     leave(&mut endpoints, "a");
     for revision in [2, 4] {
-        endpoints.remove(&EndpointName::new("a"), revision, None);
+        endpoints.remove(&EndpointName::new("a"), at(revision), None);
         expect_that!(endpoints.upsert(entry("a", revision + 1)), is_empty());
         expect_that!(choose(&endpoints, NOW), none());
     }
@@ -239,7 +240,7 @@
     };
     endpoints.upsert(next(2));
     expect_that!(choose(&endpoints, NOW), some(eq("a")));
-    endpoints.remove(&EndpointName::new("a"), 3, None);
+    endpoints.remove(&EndpointName::new("a"), at(3), None);
     endpoints.upsert(next(4));
     expect_that!(choose(&endpoints, NOW), some(eq("a")));
 }
@@ -249,7 +250,7 @@
 fn lapsed_entry_of_a_leaving_endpoint_is_removed_at_once() {
     let mut endpoints = endpoints(&["a"]);
     leave(&mut endpoints, "a");
-    let change = endpoints.remove(&EndpointName::new("a"), 2, Some(NOW + PAUSE));
+    let change = endpoints.remove(&EndpointName::new("a"), at(2), Some(NOW + PAUSE));
     expect_that!(change.unwrap().transition, eq(Transition::Left));
 }
 
@@ -263,7 +264,7 @@
         endpoints.upsert(entry(name, revision));
         let was_forgotten = leave(&mut endpoints, name).is_some();
         revision += 1;
-        endpoints.remove(&EndpointName::new(name), revision, None);
+        endpoints.remove(&EndpointName::new(name), at(revision), None);
         was_forgotten
     };
     for n in 0..600 {
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -159,14 +159,15 @@
         .header(http::header::HOST, address.to_string())
         .body(Full::new(Bytes::new()))
         .map_err(|error| error.to_string())?;
-    let (head, body) = tcp::exchange(&mut sender, request, MAX_REPORT_BYTES)
+    let response = tcp::exchange(&mut sender, request, MAX_REPORT_BYTES)
         .await
         .map_err(|error| error.to_string())?;
-    let report = shared.protocol.parse_report(&body);
-    let notice = shared.protocol.parse_notice(head.status, &head.headers);
+    let report = shared.protocol.parse_report(response.body());
+    let status = response.status();
+    let notice = shared.protocol.parse_notice(status, response.headers());
     let start_ms = report.as_ref().ok().and_then(|report| report.start_ms);
     shared.record_notice_at(address, start_ms, notice);
-    let report = report.map_err(|reason| format!("status {}: {reason}", head.status))?;
+    let report = report.map_err(|reason| format!("status {status}: {reason}"))?;
     Ok((report, sender))
 }
 
--- a/crates/relay/src/registry.rs
+++ b/crates/relay/src/registry.rs
@@ -6,12 +6,14 @@
 //! only after they have written theirs; [`ListingSchedule`] tells when further reads follow, some of
 //! them because VMs are parted and can learn of each other's holds here only. A VM removes its entry
 //! when it shuts down; the first VMs of each data centre write theirs again when holds or versions
-//! change. In each data centre, one VM removes the entries of dead VMs. Each process writes its own
+//! change. When the platform comes back from a copy, which may lack entries, every VM writes its own
+//! again. In each data centre, one VM removes the entries of dead VMs. Each process writes its own
 //! entry, and a removal contains the revision of the entry, so that a delayed removal can't delete the
-//! entry of the next process of that VM.
+//! entry of the next process of that VM. An entry that was read before the platform came back from a
+//! copy is not removed, because its revision may have been given out again.
 
 use crate::{
-    PlatformCall, PlatformReply, clock,
+    PlatformAnswer, PlatformCall, PlatformReply, clock,
     platform_client::{PlatformClient, PlatformError},
     quarantine,
     shared::Shared,
@@ -20,8 +22,8 @@
 use http::StatusCode;
 use poplarswitch_entity::Time;
 use poplarswitch_ingress::{
-    HeldSubject, HoldChange, KeptVersion, ListingSchedule, ListingView, StaleVmDetector, VmEntry,
-    lacks_versions,
+    HeldSubject, HoldChange, KeptVersion, ListingSchedule, ListingView, Revision, StaleVmDetector,
+    VmEntry, lacks_versions,
 };
 use poplarswitch_platform::Backoff;
 use snafu::{ResultExt as _, Snafu};
@@ -33,6 +35,8 @@
 const ENTRY_WRITE_DELAY: Duration = Duration::from_millis(350);
 /// Delay after a failed write of this VM's entry.
 const ENTRY_RETRY_DELAY: Duration = Duration::from_secs(2);
+/// Time for each VM over which all VMs spread their writes when the platform has come back from a copy.
+const RESTORE_WRITE_SPREAD: Duration = Duration::from_millis(20);
 /// Time after the start of the process in which it may not have heard of all VMs.
 const STARTUP_TIME: Duration = Duration::from_secs(5);
 /// Number of VMs of each data centre that write holds and versions; more than one, because one
@@ -47,8 +51,10 @@
     #[snafu(display("{operation}: unexpected reply from the platform: {reply:?}"))]
     Refused {
         operation: &'static str,
-        reply: PlatformReply,
+        reply: Box<PlatformReply>,
     },
+    #[snafu(display("{operation}: the platform has come back from a copy"))]
+    Restored { operation: &'static str },
 }
 
 /// Registers this VM, learns of the other VMs, keeps this VM's entry up to date, and regularly
@@ -59,16 +65,21 @@
     restore(&shared, &listed);
     add_members(&shared, &listed);
     let mut local_vm = local_entry(&shared);
-    while let Err(error) = register(&shared, &client, &local_vm).await {
-        tracing::warn!(event = "failed", call = "register", %error, "platform");
-        sleep(backoff.next_wait()).await;
-    }
+    let era = loop {
+        match register(&shared, &client, &local_vm).await {
+            Ok(era) => break era,
+            Err(error) => {
+                tracing::warn!(event = "failed", call = "register", %error, "platform");
+                sleep(backoff.next_wait()).await;
+            }
+        }
+    };
     backoff.reset();
     let listed = list_until_read(&shared, &client, &mut backoff).await;
     add_members(&shared, &listed);
     shared.core().sources.mark_listed();
     shared.notify_change();
-    maintain(&shared, &client, &mut local_vm).await;
+    maintain(&shared, &client, &mut local_vm, era).await;
 }
 
 /// Reads the list of VMs, as often as it takes.
@@ -91,8 +102,9 @@
     }
 }
 
-/// Keeps this VM's entry and the list of members up to date until the process exits.
-async fn maintain(shared: &Shared, client: &PlatformClient, local_vm: &mut VmEntry) {
+/// Keeps this VM's entry, which was written in `era`, and the list of members up to date until the
+/// process exits.
+async fn maintain(shared: &Shared, client: &PlatformClient, local_vm: &mut VmEntry, mut era: u64) {
     let mut detector = StaleVmDetector::default();
     let mut schedule = ListingSchedule::new(clock::now());
     let mut was_isolated = false;
@@ -107,7 +119,11 @@
         tokio::select! {
             () = sleep(wait) => {}
             () = shared.holds_changed.notified() => sleep(ENTRY_WRITE_DELAY).await,
+            () = shared.wait_for_era_after(Some(era)) => sleep(restore_write_delay(shared)).await,
         }
+        let known_era = shared.era().unwrap_or(era);
+        let is_restored = known_era > era;
+        era = known_era;
         let now = clock::now();
         let view = listing_view(shared, now);
         if schedule.decide(now, view)
@@ -121,7 +137,7 @@
             schedule.hurry(now);
         }
         was_isolated = is_isolated;
-        let written = update_entry(shared, client, local_vm, write_failed).await;
+        let written = update_entry(shared, client, local_vm, write_failed || is_restored).await;
         write_failed = written.is_err();
         if let Err(error) = written {
             tracing::warn!(event = "failed", call = "put_vm", %error, "platform");
@@ -129,6 +145,13 @@
     }
 }
 
+/// Random delay of the write of this VM's entry after the platform has come back from a copy.
+fn restore_write_delay(shared: &Shared) -> Duration {
+    let vms = shared.core().membership.alive_count(clock::now());
+    let longest = RESTORE_WRITE_SPREAD * vms as u32;
+    Duration::from_micros(shared.random_number() % longest.as_micros().max(1) as u64)
+}
+
 fn local_entry(shared: &Shared) -> VmEntry {
     let settings = &shared.settings;
     let ip = shared.core().membership.local_ip();
@@ -137,7 +160,7 @@
         ip,
         data_centre: settings.data_centre.to_string(),
         start_ms: clock::unix_millis(),
-        revision: 0,
+        revision: Revision::default(),
         held: held_subjects(shared),
         versions: kept_versions(shared),
     }
@@ -177,12 +200,12 @@
 }
 
 /// Writes this VM's entry again if its held sections or versions have changed and it is among the
-/// first VMs of its data centre, or if the last write failed.
+/// first VMs of its data centre, or if `is_due` in any case.
 async fn update_entry(
     shared: &Shared,
     client: &PlatformClient,
     local_vm: &mut VmEntry,
-    write_failed: bool,
+    is_due: bool,
 ) -> Result<(), RegistryError> {
     // A VM that shuts down removes its entry.
     if shared.core().shutdown.has_started() {
@@ -213,17 +236,17 @@
     };
     let is_changed = writes_held && !is_held_known
         || writes_versions && lacks_versions(&local_vm.versions, &versions);
-    if !is_changed && !write_failed {
+    if !is_changed && !is_due {
         return Ok(());
     }
     local_vm.held = held;
     local_vm.versions = versions;
     let write = PlatformCall::PutVm(local_vm.clone());
-    match call(shared, client, &write).await? {
-        // Others have taken this VM for dead.
+    match call(shared, client, &write).await?.reply {
+        // Others have taken this VM for dead, or the platform has lost the entry.
         PlatformReply::Refused(StatusCode::NOT_FOUND) => {
             tracing::info!(event = "entry_missing", "member");
-            register(shared, client, local_vm).await
+            register(shared, client, local_vm).await.map(drop)
         }
         reply => expect_done(&write, reply),
     }
@@ -271,39 +294,52 @@
     shared: &Shared,
     client: &PlatformClient,
     call: &PlatformCall,
-) -> Result<PlatformReply, RegistryError> {
+) -> Result<PlatformAnswer, RegistryError> {
     shared.metrics.platform_calls.inc();
-    client.call(call).await.context(PlatformSnafu)
+    let answer = client.call(call).await.context(PlatformSnafu)?;
+    shared.record_era(answer.era, "platform");
+    Ok(answer)
 }
 
+/// Writes this VM's entry; returns the era of the platform in which it was written.
 async fn register(
     shared: &Shared,
     client: &PlatformClient,
     local_vm: &VmEntry,
-) -> Result<(), RegistryError> {
+) -> Result<u64, RegistryError> {
     let mut write = PlatformCall::AddVm(local_vm.clone());
-    let mut reply = call(shared, client, &write).await?;
-    if reply == PlatformReply::Conflict {
+    let mut answer = call(shared, client, &write).await?;
+    if answer.reply == PlatformReply::Conflict {
         write = PlatformCall::PutVm(local_vm.clone());
-        reply = call(shared, client, &write).await?;
+        answer = call(shared, client, &write).await?;
     }
-    expect_done(&write, reply)
+    expect_done(&write, answer.reply)?;
+    Ok(answer.era)
 }
 
 fn expect_done(write: &PlatformCall, reply: PlatformReply) -> Result<(), RegistryError> {
     let operation = write.name();
     match reply {
         PlatformReply::Done => Ok(()),
-        reply => RefusedSnafu { operation, reply }.fail(),
+        reply => {
+            let reply = Box::new(reply);
+            RefusedSnafu { operation, reply }.fail()
+        }
     }
 }
 
 async fn list(shared: &Shared, client: &PlatformClient) -> Result<Vec<VmEntry>, RegistryError> {
     let mut all = Vec::new();
     let mut after = None;
+    let mut first_era = None;
     loop {
         let list_call = PlatformCall::ListVms { after };
-        match call(shared, client, &list_call).await? {
+        let operation = list_call.name();
+        let PlatformAnswer { era, reply } = call(shared, client, &list_call).await?;
+        if *first_era.get_or_insert(era) != era {
+            return RestoredSnafu { operation }.fail();
+        }
+        match reply {
             PlatformReply::Vms { vms, more } => {
                 all.extend(vms);
                 if more.is_none() {
@@ -312,7 +348,7 @@
                 after = more;
             }
             reply => {
-                let operation = list_call.name();
+                let reply = Box::new(reply);
                 return RefusedSnafu { operation, reply }.fail();
             }
         }
@@ -360,7 +396,8 @@
             event = "removed",
             vm = vm.name.as_str(),
             ip = %vm.ip,
-            revision = vm.revision,
+            revision = vm.revision.number,
+            era = vm.revision.era,
             "member"
         );
     }
@@ -376,7 +413,7 @@
     }
 }
 
-/// Removes an entry, unless it has been written again.
+/// Removes an entry, unless it has been written again or the platform has come back from a copy.
 async fn remove(
     shared: &Shared,
     client: &PlatformClient,
@@ -386,7 +423,13 @@
         name: vm.name.clone(),
         revision: vm.revision,
     };
-    match call(shared, client, &removal).await? {
+    if shared.era().is_some_and(|era| era > vm.revision.era) {
+        return RestoredSnafu {
+            operation: removal.name(),
+        }
+        .fail();
+    }
+    match call(shared, client, &removal).await?.reply {
         PlatformReply::Conflict => Ok(()),
         reply => expect_done(&removal, reply),
     }
