--- a/crates/node/tests/relay_review.rs
+++ b/crates/node/tests/relay_review.rs
@@ -11,7 +11,7 @@
     third_crash, with_callers,
 };
 use googletest::prelude::*;
-use poplarswitch_deployment::{Configuration, CrashPoint, EndpointKind};
+use poplarswitch_deployment::{CallRequest, Configuration, CrashPoint, EndpointKind};
 use relay::{Fleet, KEYS, wait_until};
 use rustix::process::Signal;
 use std::{
@@ -84,13 +84,13 @@
         Self(stream)
     }
 
+    /// Sends a call whose head has `fill` bytes more than it needs.
     fn send(&mut self, id: &str, fill: usize) -> io::Result<()> {
-        let (host, key, fill) = (Configuration::host(), KEYS[0], "f".repeat(fill));
-        write!(
-            self.0,
-            "GET /seats/1 HTTP/1.1\r\nhost: {host}\r\nx-attempt-id: {id}\r\nx-fill: {fill}\r\n\
-             x-deadline-ms: 3000\r\nauthorization: Bearer {key}\r\n\r\n"
-        )
+        let path = format!("/seats/1?fill={}", "f".repeat(fill));
+        let request = CallRequest::new(id, &path, KEYS[0]);
+        let bytes = request.to_bytes(Configuration::host(), "HTTP/1.1");
+        let text = String::from_utf8_lossy(&bytes).replace("connection: close\r\n", "");
+        self.0.write_all(text.as_bytes())
     }
 
     /// The beginning of an answer; empty if the connection has ended.
