Show that a VM that has just started holds a sound section that all calls share

It knows no answers, so four crashes are enough for it, while the other VMs know answers.

Settings of the simulation are new for it: the number of first sections, the time for which an engine is down, and the time without contact after a restart.

--- a/crates/ingress/src/quarantine_tests.rs
+++ b/crates/ingress/src/quarantine_tests.rs
@@ -210,12 +210,17 @@
     bad_rate: f64,
     /// Calls a second, with one of a few first sections and one of many sessions.
     sound_rate: f64,
+    first_sections: u64,
     /// Range of the time from the beginning of an answer to its end, in milliseconds.
     answer_ms: (u64, u64),
     /// Engines that crash of a common cause, and the interval between their crashes.
     common_crashes: (usize, u64),
+    /// Range of the time for which an engine that has crashed is down.
+    down_ms: (u64, u64),
     /// Interval between restarts of a random VM, in milliseconds; 0 for none.
     restart_ms: u64,
+    /// Time after a restart for which the VM is cut off from the others.
+    start_cut_ms: u64,
     /// Interval at which another VM is cut off from the others for 4 s; 0 for none.
     cut_ms: u64,
     /// Share of datagrams that are lost.
@@ -232,9 +237,12 @@
             bad_sections: 1,
             bad_rate: 4.0,
             sound_rate: 100.0,
+            first_sections: 3,
             answer_ms: (100, 2_000),
             common_crashes: (0, 0),
+            down_ms: (2_000, 5_000),
             restart_ms: 0,
+            start_cut_ms: 0,
             cut_ms: 0,
             loss: 0.02,
             answered_before: false,
@@ -270,6 +278,8 @@
     crashes: Vec<Vec<u64>>,
     sound: usize,
     refused: usize,
+    /// Holds of the first sections, which are sound.
+    first_holds: usize,
 }
 
 struct Simulation {
@@ -349,6 +359,7 @@
         let Scenario {
             common_crashes: (count, interval),
             restart_ms,
+            start_cut_ms,
             cut_ms,
             engines,
             ..
@@ -367,7 +378,8 @@
         if restart_ms > 0 && now > 0 && now.is_multiple_of(restart_ms) {
             let vm = self.rng.random_range(0..self.vms.len());
             self.vms[vm] = Quarantine::default();
-            self.touched[vm] = now;
+            self.touched[vm] = now + start_cut_ms;
+            self.cut_until[vm] = self.cut_until[vm].max(self.touched[vm]);
             self.calls.retain(|call| call.vm != vm);
             // Its first heartbeat is answered at once.
             for other in 0..self.vms.len() {
@@ -385,7 +397,8 @@
     }
 
     fn tell(&mut self, now: u64, vm: usize) {
-        self.vms[vm].expire(Time::from_millis(now));
+        let changes = self.vms[vm].expire(Time::from_millis(now));
+        self.count_holds(&changes);
         let digest = self.vms[vm].digest(Time::from_millis(now));
         if digest.is_empty() || now < self.cut_until[vm] {
             return;
@@ -411,7 +424,8 @@
             if arrival > now {
                 self.digests.push((arrival, receiver, digest));
             } else if now >= self.cut_until[receiver] {
-                let (is_new, _) = self.vms[receiver].merge(Time::from_millis(now), &digest);
+                let (is_new, changes) = self.vms[receiver].merge(Time::from_millis(now), &digest);
+                self.count_holds(&changes);
                 if is_new && !news.contains(&receiver) {
                     news.push(receiver);
                 }
@@ -424,6 +438,15 @@
         }
     }
 
+    fn count_holds(&mut self, changes: &[HoldChange]) {
+        let first = 1..=self.scenario.first_sections;
+        let holds = changes.iter().filter(|change| match change {
+            HoldChange::Held { subject, .. } => first.contains(&subject.id()),
+            HoldChange::Released { .. } => false,
+        });
+        self.figures.first_holds += holds.count();
+    }
+
     fn end_trial(&mut self, now: u64, vm: usize, trial: Option<TrialId>, outcome: TrialOutcome) {
         let Some(TrialId { subject, serial }) = trial else {
             return;
@@ -459,7 +482,7 @@
 
     fn send(&mut self, now: u64, bad: Option<u64>) {
         let vm = self.rng.random_range(0..self.vms.len());
-        let first = self.rng.random_range(1..4);
+        let first = self.rng.random_range(1..=self.scenario.first_sections);
         let session = 1_000 + self.rng.random_range(0..200);
         let sections = match bad {
             Some(bad) => vec![first, BAD + bad],
@@ -550,7 +573,8 @@
     }
 
     fn crash_engine(&mut self, now: u64, engine: usize) {
-        self.down_until[engine] = now + 2_000 + self.rng.next_u64() % 3_000;
+        let (least, most) = self.scenario.down_ms;
+        self.down_until[engine] = now + least + self.rng.next_u64() % (most - least);
         let calls = core::mem::take(&mut self.calls);
         let (cut, open): (Vec<_>, Vec<_>) =
             calls.into_iter().partition(|call| call.engine == engine);
@@ -567,7 +591,8 @@
                 request: None,
                 sections: call.sections,
             };
-            self.vms[call.vm].record_crash(Time::from_millis(now), &cut);
+            let changes = self.vms[call.vm].record_crash(Time::from_millis(now), &cut);
+            self.count_holds(&changes);
         }
     }
 }
@@ -708,3 +733,27 @@
         }
     }
 }
+
+/// Guards against a VM that has just started and holds a sound section that all calls share: it knows no
+/// answers yet, while engines crash of a common cause.
+#[gtest]
+fn vm_that_starts_without_contact_holds_no_shared_section() {
+    for (interval, down_ms) in [(500, (300, 400)), (600, (600, 700))] {
+        let scenario = Scenario {
+            vms: 4,
+            engines: 2,
+            bad_sections: 0,
+            first_sections: 1,
+            answer_ms: (300, 900),
+            common_crashes: (40, interval),
+            down_ms,
+            restart_ms: 4_000,
+            start_cut_ms: 3_000,
+            ..Scenario::default()
+        };
+        for seed in 0..10 {
+            let figures = Simulation::run(seed, scenario, 25_000);
+            expect_that!(figures.first_holds, eq(0), "seed {seed}, {scenario:?}");
+        }
+    }
+}
