--- a/crates/ingress/src/quarantine_sim_tests.rs
+++ b/crates/ingress/src/quarantine_sim_tests.rs
@@ -175,6 +175,25 @@
     }
 }
 
+/// Guards against a section that goes on to crash engines because VMs that have just started wait for
+/// answers on it.
+#[gtest]
+fn bad_section_is_stopped_by_vms_that_have_just_started() {
+    for bad_rate in [0.5, 4.0, 10.0] {
+        let scenario = Scenario {
+            endpoints: 18,
+            engines: true,
+            fault: Fault::Section,
+            bad_rate,
+            popular: 0.0,
+            answer_ms: (100, 2_000),
+            kill_ms: 4_500,
+            ..Scenario::default()
+        };
+        check(scenario, 8);
+    }
+}
+
 #[gtest]
 fn bad_request_is_stopped_with_one_or_three_vms() {
     for vms in [1, 3] {
