Grant the next trials of requests that were answered lately after one calm second

What callers saw: while three requests that were answered well before crashed three endpoints, each 10 times a second, 254 of 21,846 sound calls were refused (allowed 1 in 1,000): popular requests that had been beside the crashes were held until no endpoint had crashed for 2.5 s, up to 8 s after their last trial.

Their calls may wait 1.5 s only, so long waits between trials refuse calls; a sound call runs for 0.2 s here, and needs an endpoint that stays up for about that, not 2.5 s. The next trial now comes after 1 s without a crash, and 3 s after the one before at the latest. The number of trials is as before (two within an hour), so a request that does crash endpoints has no more late sends.

--- a/crates/ingress/src/quarantine/trials.rs
+++ b/crates/ingress/src/quarantine/trials.rs
@@ -31,9 +31,9 @@
 const MAX_EARLY: u8 = 3;
 /// Time without a crash after which a subject that was answered recently has its next trials, which a
 /// crash of another cause is not likely to cut.
-const CALM_TIME: Duration = Duration::from_millis(2_500);
+const CALM_TIME: Duration = Duration::from_secs(1);
 /// Longest time for which such a trial waits for calm.
-const MAX_CALM_WAIT: Duration = Duration::from_secs(8);
+const MAX_CALM_WAIT: Duration = Duration::from_secs(3);
 /// Time after the third crash from which further crashes count as trials.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
 /// Time since a call asked for a subject in which its first trial goes before those of others.
