--- a/crates/ingress/src/quarantine/evidence.rs
+++ b/crates/ingress/src/quarantine/evidence.rs
@@ -52,7 +52,7 @@
 /// The same for an answer that clears a crash; longer than it takes a record to come back.
 pub(super) const CLEARING_NEWS_STEP: Duration = Duration::from_millis(100);
 /// Time after its start in which a VM may not know of answers that others know.
-const WATCH_TIME: Duration = Duration::from_secs(5);
+const WATCH_TIME: Duration = Duration::from_secs(4);
 /// Time for which an answer counts as recent.
 pub(super) const ANSWER_TTL: Duration = Duration::from_mins(1);
 
