Fuzz requests that crash endpoints against simple records

Five VMs with a quarantine each, three endpoints and four requests that come again, in virtual time: messages are lost, repeated, delayed and reordered; VMs are killed, start, freeze and are cut off from each other; endpoints come back under new names. Checked after each event: late sends, two trials of a request at once, and requests that stay held though they were answered in calm. A second machine passes one quarantine inputs of any kind and checks sizes, digests and that nothing panics; it reads two new counts (suspect_count, answered_count).

Planted faults, each found: VMs that count alone, that ignore answers, that all take themselves for the home; bounds on parts of the subjects, trusted ages, two digests in one datagram.

--- a/crates/ingress/src/quarantine.rs
+++ b/crates/ingress/src/quarantine.rs
@@ -129,4 +129,14 @@
     pub fn held_count(&self) -> usize {
         self.held.len()
     }
+
+    /// Number of subjects with crashes.
+    pub fn suspect_count(&self) -> usize {
+        self.suspects.len()
+    }
+
+    /// Number of subjects whose answers are kept.
+    pub fn answered_count(&self) -> usize {
+        self.answered.len()
+    }
 }
--- a/crates/oracle/src/lib.rs
+++ b/crates/oracle/src/lib.rs
@@ -2,8 +2,9 @@
 //!
 //! `scheduler_sim` and `cell_sim` drive one scheduler and the pools of one cell; `call_oracle`
 //! checks their outputs. The `cluster_*` modules simulate several VMs, their links and the
-//! platform in virtual time, and check keyed calls, membership, orders and publication. Each
-//! oracle is verified by deliberate faults that it has to detect.
+//! platform in virtual time, and check keyed calls, membership, orders and publication. The
+//! `quarantine_*` modules simulate requests that crash endpoints, and pass one VM's quarantine inputs of
+//! any kind. Each oracle is verified by deliberate faults that it has to detect.
 
 pub mod call_oracle;
 pub mod calls;
@@ -23,6 +24,10 @@
 pub mod cluster_search;
 pub mod fixture;
 pub mod mutation;
+pub mod quarantine_inputs;
+pub mod quarantine_oracle;
+pub mod quarantine_sim;
+pub mod quarantine_steps;
 pub mod runner;
 pub mod scheduler_machine;
 pub mod scheduler_sim;
