Fuzz the limits that endpoints name

Five VMs share the limits of two endpoints in virtual time, with messages lost, repeated, delayed and reordered, VMs that are killed, start, freeze and are cut off, so that owners change, and limits that are named, change and end. Any 4 s at an endpoint must keep to the operators' figure (1.5 times the limit, and 5 more), from 3 s after the last disturbance and after the first answer that names the limit.

--- a/crates/oracle/src/lib.rs
+++ b/crates/oracle/src/lib.rs
@@ -23,6 +23,8 @@
 pub mod cluster_publish;
 pub mod cluster_search;
 pub mod fixture;
+pub mod limits_sim;
+pub mod limits_steps;
 pub mod mutation;
 pub mod quarantine_inputs;
 pub mod quarantine_oracle;
