Fuzz the versions at which streams go on

Five VMs begin streams and take them up in virtual time, with or without the attempt that brought the first event; endpoints are replaced by other or unknown versions that VMs see late, messages are lost, VMs are killed, one or all, and start from what was kept in the platform. A stream must not go on at another or an unknown version than that of its first event. VMs that let streams go on at any version, or that assume one, are found.

--- a/crates/oracle/src/lib.rs
+++ b/crates/oracle/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod runner;
 pub mod scheduler_machine;
 pub mod scheduler_sim;
+pub mod streams_sim;
 
 #[cfg(test)]
 mod cell_tests;
