Show broken streams and held calls in the load tool, and send equal requests

The client measures the pauses; ChatCall gets a shared message.

Calls refused for an endpoint's limit are not shown: their refusals have the same codes as others.

poplarctl's tests named load, stats, broken, pause and shares, and the client's, passed; the whole suite was not run.

--- a/crates/client/src/client.rs
+++ b/crates/client/src/client.rs
@@ -28,7 +28,9 @@
     pub class: Option<String>,
     /// Name of the model.
     pub model: String,
-    /// Text of the only message.
+    /// Text of a message that other calls may have too, before the prompt.
+    pub shared: Option<String>,
+    /// Text of the last message.
     pub prompt: String,
     /// Limit on the tokens of the answer.
     pub max_tokens: u32,
@@ -74,6 +76,9 @@
     pub first_output: Option<Duration>,
     /// Time from the start of the call to its end.
     pub total: Duration,
+    /// Longest time between two texts of the answer; of one that was broken off, also the time from the
+    /// last text to its end. None before the first text, and for service calls.
+    pub longest_pause: Option<Duration>,
     /// Number of events with text in the stream; 1 for the answer to a service call.
     pub text_events: u32,
     /// Text of the answer, as far as it was received.
@@ -89,12 +94,27 @@
             outcome: Outcome::Unreached,
             first_output: None,
             total: Duration::ZERO,
+            longest_pause: None,
             text_events: 0,
             text: String::new(),
             retry_after: None,
         }
     }
 
+    /// Whether an answer began and was not received to its end.
+    pub fn is_broken_off(&self) -> bool {
+        self.outcome != Outcome::Answered && self.text_events > 0
+    }
+
+    /// Adds the time from the last text, if any, to `at`.
+    fn add_pause(&mut self, last: &mut Option<Duration>, at: Duration) {
+        let pause = at.saturating_sub(last.replace(at).unwrap_or(at));
+        self.longest_pause = Some(
+            self.longest_pause
+                .map_or(pause, |longest| longest.max(pause)),
+        );
+    }
+
     fn new(outcome: Outcome, started: Instant) -> Self {
         Self {
             outcome,
@@ -147,11 +167,14 @@
 
     /// Sends a chat call and reads the streamed answer to its end.
     pub fn chat(&self, call: &ChatCall) -> CallReport {
+        let message = |role, content: &str| json!({"role": role, "content": content});
+        let shared = call.shared.iter().map(|text| message("system", text));
+        let messages: Vec<_> = shared.chain([message("user", &call.prompt)]).collect();
         let body = json!({
             "model": call.model,
             "stream": true,
             "max_tokens": call.max_tokens,
-            "messages": [{"role": "user", "content": call.prompt}],
+            "messages": messages,
         })
         .to_string();
         let outgoing = OutgoingCall {
@@ -245,13 +268,16 @@
     }
 }
 
-fn read_stream(response: Response<Body>, started: Instant) -> CallReport {
+pub(crate) fn read_stream(response: Response<Body>, started: Instant) -> CallReport {
     let mut report = CallReport::new(Outcome::Lost, started);
+    let mut last = None;
     let lines = BufReader::new(response.into_body().into_reader()).lines();
     for line in lines.map_while(Result::ok) {
         match parse_line(&line) {
             Some(StreamEvent::Text(text)) => {
-                report.first_output.get_or_insert_with(|| started.elapsed());
+                let at = started.elapsed();
+                report.first_output.get_or_insert(at);
+                report.add_pause(&mut last, at);
                 report.text_events += 1;
                 report.text.push_str(&text);
             }
@@ -261,6 +287,10 @@
         }
     }
     report.total = started.elapsed();
+    if report.outcome != Outcome::Answered && last.is_some() {
+        let end = report.total;
+        report.add_pause(&mut last, end);
+    }
     report
 }
 
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -151,6 +151,7 @@
     ChatCall {
         class: None,
         model: "assistant".to_owned(),
+        shared: None,
         prompt: prompt.to_owned(),
         max_tokens: 64,
     }
--- a/crates/util/src/commands/demo/stats_tests.rs
+++ b/crates/util/src/commands/demo/stats_tests.rs
@@ -15,6 +15,7 @@
         outcome,
         first_output: Some(Duration::from_millis(first_ms)),
         total: Duration::from_millis(total_ms),
+        longest_pause: None,
         text_events: 11,
         text: String::new(),
         retry_after: None,
--- a/crates/util/src/commands/demo/traffic.rs
+++ b/crates/util/src/commands/demo/traffic.rs
@@ -143,6 +143,7 @@
             let call = ChatCall {
                 class: Some(profile.class.name.to_string()),
                 model: model.clone(),
+                shared: None,
                 prompt: prompt(profile, caller, planned, *words),
                 max_tokens: *max_tokens,
             };
--- a/crates/util/src/commands/load/mod.rs
+++ b/crates/util/src/commands/load/mod.rs
@@ -52,6 +52,13 @@
     /// Size of the generated text in each prompt or body, in bytes
     #[arg(long, default_value_t = 200, value_parser = clap::value_parser!(u32).range(1..=1_048_576))]
     input_bytes: u32,
+    /// Share of equal requests, with the same path and body, in per cent; without it, the bodies of chat
+    /// calls differ and those of service calls don't
+    #[arg(long, value_parser = clap::value_parser!(u8).range(0..=100))]
+    equal: Option<u8>,
+    /// Share of chat calls whose prompts have a section in common, in per cent
+    #[arg(long, default_value_t = 0, value_parser = clap::value_parser!(u8).range(0..=100))]
+    shared: u8,
     /// Maximum number of output tokens of a chat call
     #[arg(long, default_value_t = 64)]
     max_tokens: u32,
--- a/crates/util/src/commands/load/run.rs
+++ b/crates/util/src/commands/load/run.rs
@@ -16,6 +16,11 @@
 use snafu::ResultExt;
 use std::{fs, thread, time::Instant};
 
+/// Section that the prompts of some calls have in common.
+const SHARED_TEXT: &str = "You answer questions about the snow on the roads of the region.";
+/// Step between the hundredths of successive calls; has no factor in common with 100.
+const PERCENT_STRIDE: u64 = 37;
+
 /// A call and its scheduled start.
 #[derive(Clone, Copy, Debug)]
 struct ScheduledCall {
@@ -84,21 +89,39 @@
 
 fn send(args: &Args, client: &Client, number: u64, nonce: u64) -> CallReport {
     let text = "snow ".repeat(args.input_bytes.div_ceil(5) as usize);
+    let is_equal = args.equal.map(|percent| is_among(number, percent));
     if let Some(path) = &args.route.service {
         let Some(key) = client.new_key(&format!("load-{nonce:016x}-{number}")) else {
             return CallReport::unreached();
         };
+        let body = if is_equal == Some(false) {
+            format!("call {number}: {text}")
+        } else {
+            text
+        };
         return client.invoke(&ServiceCall {
             class: args.class.clone(),
             path: path.clone(),
-            body: text,
+            body,
             key: Some(key),
         });
     }
+    let is_equal = is_equal == Some(true);
+    let is_shared = is_among(number, args.shared);
     client.chat(&ChatCall {
         class: args.class.clone(),
         model: args.route.model.clone().unwrap_or_default(),
-        prompt: format!("call {number}: {text}"),
+        shared: (is_shared && !is_equal).then(|| SHARED_TEXT.to_owned()),
+        prompt: if is_equal {
+            text
+        } else {
+            format!("call {number}: {text}")
+        },
         max_tokens: args.max_tokens,
     })
 }
+
+/// Whether a call is among a share of all calls, which is spread evenly over them.
+pub(super) const fn is_among(number: u64, percent: u8) -> bool {
+    number.wrapping_mul(PERCENT_STRIDE) % 100 < percent as u64
+}
--- a/crates/util/src/commands/load/stats.rs
+++ b/crates/util/src/commands/load/stats.rs
@@ -22,8 +22,12 @@
     failed: BTreeMap<ErrorCode, u64>,
     in_doubt: BTreeMap<ErrorCode, u64>,
     text_events: u64,
+    broken_off: u64,
+    held: u64,
     first: Histogram<u64>,
     total: Histogram<u64>,
+    /// Longest pauses of the streams that were broken off.
+    pauses: Histogram<u64>,
 }
 
 impl Default for CallStats {
@@ -40,8 +44,11 @@
             failed: BTreeMap::new(),
             in_doubt: BTreeMap::new(),
             text_events: 0,
+            broken_off: 0,
+            held: 0,
             first: histogram(),
             total: histogram(),
+            pauses: histogram(),
         }
     }
 }
@@ -57,6 +64,12 @@
             Outcome::Unreached => self.unreached += 1,
             Outcome::Lost => self.lost += 1,
         }
+        self.held += u64::from(is_held(report.outcome));
+        if report.is_broken_off() {
+            self.broken_off += 1;
+            let pause = report.longest_pause.unwrap_or_default();
+            self.pauses.saturating_record(micros(pause));
+        }
     }
 
     fn add_answered(&mut self, report: &CallReport, delay: Duration) {
@@ -74,12 +87,15 @@
         self.unreached += other.unreached;
         self.lost += other.lost;
         self.text_events += other.text_events;
+        self.broken_off += other.broken_off;
+        self.held += other.held;
         merge_counts(&mut self.not_run, &other.not_run);
         merge_counts(&mut self.failed, &other.failed);
         merge_counts(&mut self.in_doubt, &other.in_doubt);
         // Adding can't fail, since all histograms have the same bounds.
         let _ = self.first.add(&other.first);
         let _ = self.total.add(&other.total);
+        let _ = self.pauses.add(&other.pauses);
     }
 
     /// Summarises the calls of a run that took `elapsed`.
@@ -96,6 +112,9 @@
             pieces: self.text_events,
             first_ms: Percentiles::new(&self.first),
             total_ms: Percentiles::new(&self.total),
+            broken_off: self.broken_off,
+            broken_pause_ms: Percentiles::new(&self.pauses),
+            held: self.held,
         }
     }
 }
@@ -157,6 +176,19 @@
     pieces: u64,
     first_ms: Percentiles,
     total_ms: Percentiles,
+    /// Streams that were broken off, and their longest pauses between two texts or before the end.
+    broken_off: u64,
+    broken_pause_ms: Percentiles,
+    /// Calls that were refused because their request or a section of their prompt is held.
+    held: u64,
+}
+
+/// Whether a call was refused because its request or a section of its prompt is held.
+const fn is_held(outcome: Outcome) -> bool {
+    matches!(
+        outcome,
+        Outcome::NotRun(ErrorCode::PromptHeld | ErrorCode::RequestHeld)
+    )
 }
 
 impl LoadReport {
@@ -183,9 +215,17 @@
             "not started {}, because all callers were busy",
             self.not_started
         )?;
+        writeln!(
+            f,
+            "refused for a held request or section {}; streams broken off {}",
+            self.held, self.broken_off
+        )?;
         let mut rows = table(&["MS", "P50", "P90", "P99", "MAX"]);
         rows.add_row(self.first_ms.row("first output"));
         rows.add_row(self.total_ms.row("complete answer"));
+        if self.broken_off > 0 {
+            rows.add_row(self.broken_pause_ms.row("longest pause, broken off"));
+        }
         writeln!(f, "{rows}")
     }
 }
--- a/crates/util/src/node_tests.rs
+++ b/crates/util/src/node_tests.rs
@@ -150,6 +150,17 @@
     expect_that!(begins.count(), eq(answered + refused));
 }
 
+#[gtest]
+fn load_sends_equal_requests_and_shared_sections() {
+    let fixture = Fixture::new();
+    let shares = ["--equal", "50", "--shared", "100"];
+    let class = ["--model", "assistant", "--class", "availability-check"];
+    let report = fixture.load(&[&class[..], &shares].concat());
+    expect_that!(count(&report, "answered"), gt(0), "{report}");
+    expect_that!(count(&report, "broken_off"), eq(0), "{report}");
+    expect_that!(count(&report, "held"), eq(0), "{report}");
+}
+
 #[gtest]
 fn service_load_runs_each_key_once() {
     let fixture = Fixture::new();
