--- a/crates/oracle/src/streams_sim.rs
+++ b/crates/oracle/src/streams_sim.rs
@@ -8,7 +8,7 @@
 use core::{net::Ipv4Addr, time::Duration};
 use poplarswitch_entity::{DataCentre, EndpointName, ServiceName, Time, VmName};
 use poplarswitch_ingress::{
-    EndpointEntry, EndpointState, EndpointTable, SoftwareVersion, StreamId, StreamOrigin,
+    EndpointEntry, EndpointState, EndpointTable, Revision, SoftwareVersion, StreamId, StreamOrigin,
     StreamOrigins, VmEntry, asked_vms, copy_holders,
 };
 use proptest::{prelude::*, sample::select};
@@ -150,7 +150,7 @@
     vms: Vec<Vm>,
     /// The present endpoints, with their versions.
     endpoints: Vec<(EndpointEntry, Option<u8>)>,
-    revision: u64,
+    revision: Revision,
     streams: Vec<Stream>,
     fault: Option<Fault>,
 }
@@ -184,7 +184,7 @@
                 ip: ip(vm),
                 data_centre: "a".to_owned(),
                 start_ms: UNIX_MS + START.0 / 1_000,
-                revision: 1,
+                revision: Revision { era: 0, number: 1 },
                 held: Vec::new(),
                 versions: Vec::new(),
             },
@@ -195,7 +195,7 @@
             loss_percent: 0,
             vms: (0..VM_COUNT).map(vm).collect(),
             endpoints: Vec::new(),
-            revision: 0,
+            revision: Revision::default(),
             streams: Vec::new(),
             fault,
         };
@@ -211,7 +211,7 @@
     }
 
     fn new_entry(&mut self, endpoint: usize, version: Option<u8>) -> EndpointEntry {
-        self.revision += 1;
+        self.revision.number += 1;
         EndpointEntry {
             name: EndpointName::new(format!("e{endpoint}")),
             service: ServiceName::new(SERVICE),
@@ -220,7 +220,7 @@
             slots: 4,
             state: EndpointState::Ready,
             // Distinguishes processes of the same millisecond.
-            start_ms: self.unix_ms() + self.revision,
+            start_ms: self.unix_ms() + self.revision.number,
             software: Some(software(version)),
             revision: self.revision,
         }
