Hold sections at VMs that have just started as others do again

Cause: asked of VMs that had just started for the weight that an answered section needs; when all VMs start together nobody holds the section in time.

--- a/crates/ingress/src/quarantine.rs
+++ b/crates/ingress/src/quarantine.rs
@@ -51,8 +51,6 @@
     expired_at: Time,
     /// Latest crash that this VM has learned of.
     last_crash: Time,
-    /// First call of [`Self::expire`], about when this VM started.
-    started: Option<Time>,
 }
 
 impl Quarantine {
@@ -109,7 +107,6 @@
     /// Removes what has expired, and holds subjects that have not been answered for a time after their
     /// crashes. To be called several times a second.
     pub fn expire(&mut self, now: Time) -> Vec<HoldChange> {
-        self.started.get_or_insert(now);
         let changes = self.hold_convicted(now);
         if now.since(self.expired_at) < EXPIRY_INTERVAL {
             return changes;
--- a/crates/ingress/src/quarantine/evidence.rs
+++ b/crates/ingress/src/quarantine/evidence.rs
@@ -51,8 +51,6 @@
 pub(super) const ANSWER_NEWS_STEP: Duration = Duration::from_millis(500);
 /// The same for an answer that clears a crash; longer than it takes a record to come back.
 pub(super) const CLEARING_NEWS_STEP: Duration = Duration::from_millis(100);
-/// Time after its start in which a VM may not know of answers that others know.
-const WATCH_TIME: Duration = Duration::from_secs(4);
 /// Time for which an answer counts as recent.
 pub(super) const ANSWER_TTL: Duration = Duration::from_mins(1);
 
@@ -340,14 +338,6 @@
         }
     }
 
-    /// Whether the crashes began when this VM had just started, and others may know answers.
-    fn is_young(&self, suspect: &Suspect) -> bool {
-        let first = suspect.crashes.first().map(|crash| crash.at);
-        self.started
-            .zip(first)
-            .is_some_and(|(started, first)| first < started + WATCH_TIME)
-    }
-
     /// Any of the thresholds suffices.
     fn thresholds(&self, subject: Subject, suspect: &Suspect) -> [Option<Threshold>; 2] {
         let is_answered = self.answered.contains_key(&subject);
@@ -356,18 +346,17 @@
         } else {
             REQUEST_LIMIT
         };
-        let span = if is_answered {
-            ANSWERED_SPAN
-        } else {
-            UNKNOWN_SPAN
-        };
         match (subject, is_answered) {
-            (Subject::Section(_), false) if !self.is_young(suspect) => [
-                Some(Threshold::new(UNKNOWN_LIMIT, span, Duration::ZERO)),
+            (Subject::Section(_), false) => [
+                Some(Threshold::new(UNKNOWN_LIMIT, UNKNOWN_SPAN, Duration::ZERO)),
                 None,
             ],
-            (Subject::Section(_), _) => [
-                Some(Threshold::new(ANSWERED_LIMIT, span, Duration::ZERO)),
+            (Subject::Section(_), true) => [
+                Some(Threshold::new(
+                    ANSWERED_LIMIT,
+                    ANSWERED_SPAN,
+                    Duration::ZERO,
+                )),
                 Some(Threshold::new(
                     UNANSWERED_LIMIT,
                     ANSWERED_SPAN,
