--- a/crates/ingress/src/quarantine.rs
+++ b/crates/ingress/src/quarantine.rs
@@ -6,8 +6,8 @@
 //! in both directions and holds are exchanged between all VMs.
 //!
 //! Sound calls are on endpoints that crash, too, so a hold is no verdict. One VM, the home, grants trials;
-//! the first one at once. If the trial is answered, the subject is
-//! released on all VMs; if it is cut, the next one is granted much later.
+//! the first one at once. If the trial is answered, the subject is released on all VMs; if it is cut, the
+//! next one is granted much later.
 
 mod evidence;
 mod exchange;
--- a/crates/ingress/src/quarantine/trials.rs
+++ b/crates/ingress/src/quarantine/trials.rs
@@ -1,9 +1,10 @@
 //! Trials of held subjects: one call is sent to find out whether a subject still crashes endpoints.
 //!
-//! The home, one of the VMs that are alive, grants trials to itself and to other VMs, one at a time for
-//! each subject, and few at a time for each service: one that is cut beside another shows nothing. The first one is granted at once: most subjects that are held were beside a crash
-//! that another one caused. Each further trial of a subject that crashes endpoints costs one, so they are
-//! rare and their number is limited; crashes soon after the third one are not avoidable anyway.
+//! The home, one of the VMs that are alive, grants trials to itself and to other VMs: one at a time for
+//! each subject, and few at a time for each service, since one that is cut beside another shows nothing.
+//! The first one is granted at once: most subjects that are held were beside a crash that another one
+//! caused. Each further trial of a subject that crashes endpoints costs one, so they are rare and their
+//! number is limited; crashes soon after the third one are not avoidable anyway.
 
 use super::{HoldChange, Passage, Quarantine, Subject, evidence::Suspect, holds::Hold};
 use core::time::Duration;
--- a/crates/relay/src/handover.rs
+++ b/crates/relay/src/handover.rs
@@ -39,6 +39,7 @@
 /// Time for which a stream whose endpoint has broken it off waits for another endpoint; callers wait
 /// for at least as long for the next event.
 const BROKEN_WAIT: Duration = Duration::from_secs(2);
+
 /// An endpoint whose answer is awaited.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Awaited<'a> {
