Log which services a VM reaches and which addresses it names

Callers of VMs that had lost their links to all endpoints got 503.

New lines `service` (unreachable, reachable) and `directory` (named), and a counter of connections that could not be opened. Nothing is decided by them yet.

--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -25,6 +25,7 @@
 mod outcome;
 mod placement;
 mod quarantine;
+mod reach;
 mod revision;
 mod shutdown;
 mod stale_vms;
@@ -70,6 +71,8 @@
 #[cfg(test)]
 mod quarantine_trials_tests;
 #[cfg(test)]
+mod reach_tests;
+#[cfg(test)]
 mod shutdown_tests;
 #[cfg(test)]
 mod stale_vms_tests;
@@ -112,6 +115,7 @@
     TRIAL_REPLY_TIMEOUT, TRIAL_WAIT, TrialAsk, TrialEnded, TrialHome, TrialId, TrialMessage,
     TrialOutcome, TrialReply, TrialTarget, TrialVerdict,
 };
+pub use reach::{Reach, Reachability};
 pub use revision::Revision;
 pub use shutdown::{Shutdown, ShutdownStage};
 pub use stale_vms::{StaleVmDetector, VmEntry};
--- a/crates/relay/src/heartbeats.rs
+++ b/crates/relay/src/heartbeats.rs
@@ -21,6 +21,8 @@
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
 /// Time for which the open calls in a heartbeat of another VM are used.
 const REMOTE_CALLS_TTL: Duration = Duration::from_millis(1_200);
+/// Maximum number of addresses in a log line.
+const MAX_LOGGED_ADDRESSES: usize = 16;
 /// Maximum size of a datagram.
 const MAX_DATAGRAM_BYTES: usize = 8 << 10;
 /// Maximum number of endpoints whose open calls a heartbeat contains, so that it fits into one
@@ -37,9 +39,11 @@
     tokio::spawn(origins::tell(Arc::clone(&shared), Arc::clone(&socket)));
     tokio::spawn(limits::tell(Arc::clone(&shared), Arc::clone(&socket)));
     let mut last_phase = None;
+    let mut last_named = Vec::new();
     loop {
         let now = clock::now();
         let phase = tick(&shared, now);
+        log_named(&shared, now, phase, &mut last_named);
         if last_phase != Some(phase) {
             let age = shared
                 .core()
@@ -62,6 +66,20 @@
     }
 }
 
+/// Logs the addresses that callers of this VM's data centre get, if they have changed.
+fn log_named(shared: &Shared, now: Time, phase: Phase, last: &mut Vec<Ipv4Addr>) {
+    let dc_index = shared
+        .settings
+        .data_centre_index(shared.settings.data_centre.as_str());
+    let is_ready = phase == Phase::Ready;
+    let membership = &shared.core().membership;
+    let named = membership.caller_addresses(now, dc_index, is_ready, MAX_LOGGED_ADDRESSES);
+    if named != *last {
+        tracing::info!(event = "named", addresses = ?named, "directory");
+        *last = named;
+    }
+}
+
 /// Waits for the next heartbeat; a change of the phase ends the wait.
 async fn wait_for_heartbeat(shared: &Shared, phase: Phase) {
     let mut receiver = shared.subscribe();
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -30,6 +30,7 @@
 mod protocol;
 mod quarantine;
 mod queries;
+mod reach;
 mod registry;
 mod reply;
 mod run;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -37,6 +37,7 @@
     first_byte: Histograms,
     duration: Histograms,
     pub(crate) connections: Counter,
+    pub(crate) connects_failed: Counter,
     pub(crate) probes: Counter,
     pub(crate) retries_denied: Counter,
     pub(crate) platform_calls: Counter,
@@ -67,6 +68,7 @@
             first_byte: Histograms::new_with_constructor(buckets),
             duration: Histograms::new_with_constructor(buckets),
             connections: Counter::default(),
+            connects_failed: Counter::default(),
             probes: Counter::default(),
             retries_denied: Counter::default(),
             platform_calls: Counter::default(),
@@ -102,6 +104,11 @@
                 "New connections to endpoints",
                 &self.connections,
             ),
+            (
+                "endpoint_connects_failed",
+                "Connections to endpoints that could not be opened",
+                &self.connects_failed,
+            ),
             ("reports", "Reports asked of engines", &self.probes),
             (
                 "repeats_unpaid",
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -23,8 +23,8 @@
 use poplarswitch_entity::Time;
 use poplarswitch_ingress::{
     AdmissionControl, Cursor, Demand, EndpointChange, EndpointKey, EndpointTable, Freshness,
-    GroupSplit, Membership, Phase, Quarantine, RateLimits, RetryBudget, RetryLimit, RoutingTable,
-    Shutdown, ShutdownStage, SourceSelector, StreamOrigins, Transition,
+    GroupSplit, Membership, Phase, Quarantine, RateLimits, Reach, RetryBudget, RetryLimit,
+    RoutingTable, Shutdown, ShutdownStage, SourceSelector, StreamOrigins, Transition,
 };
 use rand::{Rng as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
@@ -67,6 +67,8 @@
     pub(crate) admission: AdmissionControl,
     pub(crate) membership: Membership,
     pub(crate) groups: GroupSplit,
+    /// Services that this VM reaches.
+    pub(crate) reach: Reach,
     pub(crate) demand: Demand,
     pub(crate) shutdown: Shutdown,
     pub(crate) sources: SourceSelector,
@@ -184,6 +186,7 @@
             admission: AdmissionControl::new(settings.memory),
             membership,
             groups: GroupSplit::default(),
+            reach: Reach::default(),
             demand: Demand::default(),
             shutdown: Shutdown::new(settings.grace(), ADDRESS_TTL * ADDRESS_TTL_FACTOR),
             sources: SourceSelector::new(clock::now()),
@@ -383,11 +386,16 @@
         if self.pool.remove_closed(key) {
             self.mark_in_doubt(key);
         }
-        let connection = self.pool.acquire(key, address, new_connection).await?;
-        if !connection.reused {
-            self.record_connection(key);
+        let acquired = self.pool.acquire(key, address, new_connection).await;
+        match &acquired {
+            Ok(connection) if connection.reused => {}
+            Ok(_) => {
+                self.record_connection(key);
+                self.record_connected(key);
+            }
+            Err(_) => self.record_unconnected(key),
         }
-        Ok(connection)
+        acquired
     }
 
     /// Returns a connection to the pool after a complete response.
