Test VMs that lose their links to endpoints

Stand-ins: each VM may have links of its own to the endpoints, with addresses that only its view of the store has; links hang, are reset, or live on while new connections are refused.

--- a/crates/node/tests/relay/mod.rs
+++ b/crates/node/tests/relay/mod.rs
@@ -9,7 +9,7 @@
 };
 use poplarswitch_deployment::{
     CallError, CallRequest, CallResponse, Caller, Configuration, Deployment, Endpoint,
-    EndpointKind, Proxy, Run, Store, TakenUp, Vm,
+    EndpointKind, LinkMode, Proxy, Run, Store, StoreView, TakenUp, Vm,
 };
 use rustix::process::{Pid, Signal, kill_process};
 use std::{
@@ -37,6 +37,9 @@
 /// Time after a crash after which the entry of an endpoint lapses.
 const LAPSE_TIME: Duration = Duration::from_secs(1);
 
+/// Time after its start in which a VM may get entries of endpoints from VMs of other data centres.
+const FEED_TIME: Duration = Duration::from_millis(3_500);
+
 /// API keys of the only workspace.
 pub const KEYS: [&str; 2] = ["k1", "k2"];
 
@@ -58,6 +61,10 @@
     pub proxies: Vec<Proxy>,
     /// The proxy between each VM and the store.
     pub store_proxies: Vec<Proxy>,
+    /// The links between each VM and each endpoint, if VMs have links of their own.
+    pub links: Vec<Vec<Proxy>>,
+    /// The store as each VM sees it, if VMs have links of their own.
+    views: Vec<StoreView>,
     pub processes: Vec<Process>,
     pub caller: Caller,
     /// Name of the registered incarnation of each endpoint, empty while it is down.
@@ -113,6 +120,8 @@
             endpoints: Vec::new(),
             proxies: Vec::new(),
             store_proxies,
+            links: Vec::new(),
+            views: Vec::new(),
             processes,
             caller: Caller::new(Configuration::host()),
             registered: Vec::new(),
@@ -128,6 +137,61 @@
         fleet
     }
 
+    /// Starts VMs as [`Self::start`] does, each with links of its own to the endpoints and in a data
+    /// centre of its own, so that it reads the addresses of its links from the platform.
+    pub fn start_linked(net: u8, vms: u8) -> Self {
+        let mut fleet = Self::new(net, vms);
+        fleet.deployment.data_centres = (1..=vms).map(|n| format!("dc-{n}")).collect();
+        for (index, process) in fleet.processes.iter_mut().enumerate() {
+            process
+                .vm
+                .data_centre
+                .clone_from(&fleet.deployment.data_centres[index]);
+            let view = fleet.store.view().unwrap();
+            fleet.store_proxies[index] = Proxy::start(view.address()).unwrap();
+            let links = fleet.proxies.iter().map(|proxy| {
+                let link = Proxy::start(proxy.address()).unwrap();
+                view.replace(proxy.address(), link.address());
+                link
+            });
+            fleet.links.push(links.collect());
+            fleet.views.push(view);
+        }
+        fleet.start_all();
+        fleet.await_ready();
+        // A VM that has just started gets entries, with other links, from other VMs.
+        thread::sleep(FEED_TIME);
+        let before: Vec<Vec<u32>> = (0..fleet.links.len())
+            .map(|vm| fleet.accepted(vm))
+            .collect();
+        for index in 0..fleet.endpoints.len() {
+            let kind = fleet.endpoints[index].kind();
+            fleet.register(index, kind, 2, false);
+        }
+        for (vm, before) in before.iter().enumerate() {
+            for (path, kind) in [("/brief/1", 0..2), ("/seats/1", 2..4)] {
+                wait_until("the VM uses its links", || {
+                    let response = fleet.call(vm, path).1;
+                    response.is_ok_and(|response| response.status == 200)
+                        && fleet.accepted(vm)[kind.clone()] != before[kind.clone()]
+                });
+            }
+        }
+        fleet
+    }
+
+    /// Number of connections that each link of a VM has accepted.
+    pub fn accepted(&self, vm: usize) -> Vec<u32> {
+        self.links[vm].iter().map(Proxy::accepted).collect()
+    }
+
+    /// Changes the links between a VM and all endpoints.
+    pub fn set_links(&self, vm: usize, mode: LinkMode) {
+        for link in &self.links[vm] {
+            link.set_mode(mode);
+        }
+    }
+
     /// Starts the processes of all VMs at once; does not wait until they are ready.
     pub fn start_all(&mut self) {
         for index in 0..self.processes.len() {
--- /dev/null
+++ b/crates/node/tests/relay_reach.rs
@@ -0,0 +1,185 @@
+//! VMs that lose their links to endpoints while callers and the other VMs reach them.
+
+mod relay;
+
+use core::time::Duration;
+use googletest::prelude::*;
+use poplarswitch_deployment::{CallRequest, CallResponse, Endpoint, LinkMode};
+use relay::{Fleet, KEYS, wait_until};
+use std::{collections::HashMap, thread, time::Instant};
+
+/// Time after which a VM that is cut off must serve its callers; from the operators' bounds.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+/// Time limit of each call.
+const DEADLINE: Duration = Duration::from_secs(4);
+/// Paths of calls of each kind: not idempotent, idempotent, and streams.
+const PATHS: [&str; 4] = ["/book/1", "/seats/1", "/chat/1", "/brief/1"];
+/// Calls of each kind that are made at a VM that is cut off.
+const ROUNDS: usize = 6;
+
+/// Results of calls.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+struct Tally {
+    served: usize,
+    not_run: usize,
+    in_doubt: usize,
+    /// Identifiers of calls with the most runs that they may have.
+    max_runs: Vec<(String, usize)>,
+}
+
+/// Makes calls of all kinds at a VM, one after the other.
+fn call_all(fleet: &Fleet, vm: usize, rounds: usize) -> Tally {
+    let mut tally = Tally::default();
+    for path in PATHS.iter().cycle().take(PATHS.len() * rounds) {
+        let request = CallRequest {
+            deadline: DEADLINE,
+            ..CallRequest::new("", path, KEYS[0])
+        };
+        let (id, response) = fleet.request(vm, &request);
+        let is_not_run = response.as_ref().is_ok_and(CallResponse::not_run);
+        let max_runs = match *path {
+            _ if is_not_run => 0,
+            "/seats/1" | "/brief/1" => 2,
+            _ => 1,
+        };
+        tally.max_runs.push((id, max_runs));
+        match response {
+            Ok(response) if response.status == 200 => tally.served += 1,
+            _ if is_not_run => tally.not_run += 1,
+            _ => tally.in_doubt += 1,
+        }
+    }
+    tally
+}
+
+/// Makes calls at a VM for a time, as its callers do from the start of a cut on.
+fn call_for(fleet: &Fleet, vm: usize, length: Duration) {
+    let start = Instant::now();
+    while start.elapsed() < length {
+        let tally = call_all(fleet, vm, 1);
+        expect_allowed_runs(fleet, &tally);
+    }
+}
+
+/// Checks that no call has run more often than it may, and that none has run whose caller was told
+/// that it has not.
+fn expect_allowed_runs(fleet: &Fleet, tally: &Tally) {
+    let mut runs: HashMap<String, usize> = HashMap::new();
+    for run in fleet.endpoints.iter().flat_map(Endpoint::runs) {
+        *runs.entry(run.call_id).or_default() += 1;
+    }
+    for (id, max_runs) in &tally.max_runs {
+        let count = runs.get(id).copied().unwrap_or_default();
+        expect_that!(count, le(*max_runs), "call {id}");
+    }
+}
+
+fn expect_served_during(net: u8, mode: LinkMode) {
+    let fleet = Fleet::start_linked(net, 3);
+    fleet.set_links(0, mode);
+    call_for(&fleet, 0, CONTACT_TIME);
+    let tally = call_all(&fleet, 0, ROUNDS);
+    expect_that!(tally.served, eq(PATHS.len() * ROUNDS), "{tally:?}");
+    expect_allowed_runs(&fleet, &tally);
+}
+
+/// A VM whose connections to all endpoints hung answered 503 while the other VMs served.
+#[gtest]
+fn vm_whose_links_hang_serves_calls_through_other_vms() {
+    expect_served_during(171, LinkMode::Hangs);
+}
+
+/// A VM whose connections to all endpoints were reset answered 503 while the other VMs served.
+#[gtest]
+fn vm_whose_links_are_reset_serves_calls_through_other_vms() {
+    expect_served_during(172, LinkMode::Resets);
+}
+
+/// A VM that could open no connection answered 503 although its open ones lived on.
+#[gtest]
+fn vm_that_can_open_no_connection_serves_calls_through_other_vms() {
+    expect_served_during(173, LinkMode::RefusesNew);
+}
+
+/// A VM that had lost the endpoints of one service refused the calls to it.
+#[gtest]
+fn vm_that_has_lost_one_service_serves_its_calls_through_other_vms() {
+    let fleet = Fleet::start_linked(174, 3);
+    for link in &fleet.links[0][2..] {
+        link.set_mode(LinkMode::Hangs);
+    }
+    call_for(&fleet, 0, CONTACT_TIME);
+    let tally = call_all(&fleet, 0, ROUNDS);
+    expect_that!(tally.served, eq(PATHS.len() * ROUNDS), "{tally:?}");
+    expect_that!(fleet.addresses(1), contains(eq(&fleet.address(0))));
+}
+
+/// Most VMs were cut off at once, and the calls of their callers were refused.
+#[gtest]
+fn single_vm_with_links_serves_the_calls_of_all_others() {
+    let fleet = Fleet::start_linked(175, 4);
+    for vm in 0..3 {
+        fleet.set_links(vm, LinkMode::Hangs);
+    }
+    thread::scope(|scope| {
+        for vm in 0..3 {
+            let fleet = &fleet;
+            scope.spawn(move || call_for(fleet, vm, CONTACT_TIME));
+        }
+    });
+    for vm in 0..3 {
+        let tally = call_all(&fleet, vm, ROUNDS);
+        expect_that!(tally.served, eq(PATHS.len() * ROUNDS), "{tally:?}");
+        expect_allowed_runs(&fleet, &tally);
+    }
+}
+
+/// The VMs went on naming a VM that reached no endpoint to callers.
+#[gtest]
+fn vm_without_links_is_not_named_to_callers_until_it_returns() {
+    let fleet = Fleet::start_linked(176, 3);
+    fleet.set_links(0, LinkMode::Hangs);
+    call_for(&fleet, 0, CONTACT_TIME);
+    expect_that!(fleet.addresses(1), not(contains(eq(&fleet.address(0)))));
+    expect_that!(fleet.is_ready(0), eq(true));
+    fleet.set_links(0, LinkMode::Passes);
+    wait_until("the VM is named again", || {
+        fleet.addresses(1).contains(&fleet.address(0))
+    });
+}
+
+/// Endpoints that were down for all VMs must not make calls go in circles.
+#[gtest]
+fn calls_are_refused_soon_if_no_vm_reaches_an_endpoint() {
+    let fleet = Fleet::start_linked(177, 3);
+    for vm in 0..3 {
+        fleet.set_links(vm, LinkMode::Resets);
+    }
+    for vm in 0..3 {
+        call_for(&fleet, vm, CONTACT_TIME);
+    }
+    let addresses = fleet.addresses(1);
+    expect_that!(addresses.len(), eq(3));
+    let start = Instant::now();
+    let tally = call_all(&fleet, 0, ROUNDS);
+    expect_that!(tally.not_run, eq(PATHS.len() * ROUNDS), "{tally:?}");
+    expect_allowed_runs(&fleet, &tally);
+    expect_that!(start.elapsed(), lt(CONTACT_TIME));
+}
+
+/// After a cut, a VM must use its own links again without opening many connections at once.
+#[gtest]
+fn vm_sends_calls_itself_again_after_a_cut() {
+    let fleet = Fleet::start_linked(178, 3);
+    fleet.set_links(0, LinkMode::Hangs);
+    call_for(&fleet, 0, CONTACT_TIME);
+    fleet.set_links(0, LinkMode::Passes);
+    thread::sleep(Duration::from_secs(1));
+    let accepted = |vm| -> u32 { fleet.accepted(vm).iter().sum() };
+    let (own, others) = (accepted(0), accepted(1) + accepted(2));
+    let tally = call_all(&fleet, 0, ROUNDS);
+    expect_that!(tally.served, eq(PATHS.len() * ROUNDS), "{tally:?}");
+    expect_that!(accepted(1) + accepted(2), eq(others));
+    expect_that!(accepted(0), gt(own));
+    expect_that!(accepted(0) - own, le((PATHS.len() * ROUNDS) as u32));
+}
