Forward calls to other VMs while this VM reaches no endpoint

Callers of VMs that had lost their links to all endpoints got 503 while the other VMs served theirs.

Cause: a VM could serve a call only by its own connections to endpoints, and the VMs went on naming it to callers, because nothing told them that it reached none.

A VM now collects evidence on new connections per service. A service whose endpoints all fail counts as lost; a few connections settle doubts soon, and find the return. Calls to a lost service go to a VM that has not lost it, at the port for other VMs, which serves them as a caller's: it checks, charges and sends them, and forwards them no further. The VM that forwards takes its count for the retry budget back. A VM that reaches no service announces the phase `Isolated`, which VMs of earlier versions read as one that accepts no calls, and is named to callers only if no other VM is ready. A call is sent on only if nothing was written or its route allows a repeat.

--- a/crates/ingress/src/budget.rs
+++ b/crates/ingress/src/budget.rs
@@ -55,6 +55,12 @@
         self.bucket(now, service).calls += 1;
     }
 
+    /// Takes back a call that another VM counts.
+    pub fn uncount_call(&mut self, now: Time, service: &ServiceName) {
+        let bucket = self.bucket(now, service);
+        bucket.calls = bucket.calls.saturating_sub(1);
+    }
+
     /// Counts a retry and returns true if the budget allows it; `vms` is the number of VMs that
     /// share the allowance.
     pub fn try_take(&mut self, now: Time, service: &ServiceName, vms: usize) -> bool {
--- a/crates/ingress/src/endpoints.rs
+++ b/crates/ingress/src/endpoints.rs
@@ -235,6 +235,13 @@
         endpoints.any(|endpoint| endpoint.entry.software.is_none())
     }
 
+    /// Services that have endpoints which accept calls.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceName> {
+        let services = self.by_service.iter();
+        let in_use = services.filter(|(_, endpoints)| !endpoints.is_empty());
+        in_use.map(|(service, _)| service)
+    }
+
     /// The endpoints of a service that accept calls, in an order that is the same on all VMs.
     pub fn available(&self, service: &ServiceName) -> &[EndpointKey] {
         self.by_service.get(service).map_or(&[], Vec::as_slice)
--- a/crates/ingress/src/health.rs
+++ b/crates/ingress/src/health.rs
@@ -54,6 +54,12 @@
         self.eject(now);
     }
 
+    /// Records a connection that was opened after others had failed, and ends the ejection.
+    pub fn record_reachable(&mut self) {
+        self.ejected_until = Time::default();
+        self.ejections = 0;
+    }
+
     /// Records a refusal because the endpoint is full.
     pub fn record_full(&mut self, now: Time) {
         self.full_until = now + FULL_BACKOFF;
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -18,6 +18,7 @@
 mod groups;
 mod hash;
 mod health;
+mod helpers;
 mod limits;
 mod listing;
 mod membership;
@@ -53,6 +54,8 @@
 #[cfg(test)]
 mod health_tests;
 #[cfg(test)]
+mod helpers_tests;
+#[cfg(test)]
 mod limits_tests;
 #[cfg(test)]
 mod listing_tests;
@@ -98,6 +101,7 @@
 pub use groups::{Demand, EndpointGroup, GroupSplit};
 pub use hash::{hash_pair, hash_text};
 pub use health::Health;
+pub use helpers::{Helpers, PeerReport};
 pub use limits::{
     Denial, LimitChange, LimitId, LimitMessage, LimitRecord, LimitShare, NamedLimit, Permit,
     RateLimits, TokenReply, TokenRequest,
--- a/crates/ingress/src/membership.rs
+++ b/crates/ingress/src/membership.rs
@@ -44,6 +44,15 @@
     Ready,
     /// The VM is shutting down.
     Leaving,
+    /// The VM accepts calls and reaches no endpoint, so it forwards them to other VMs.
+    Isolated,
+}
+
+impl Phase {
+    /// Whether the VM accepts calls.
+    pub const fn accepts_calls(self) -> bool {
+        matches!(self, Self::Ready | Self::Isolated)
+    }
 }
 
 /// State of a member as sent in heartbeats.
@@ -74,6 +83,7 @@
             Phase::Starting => 0,
             Phase::Ready => 1,
             Phase::Leaving => 2,
+            Phase::Isolated => 3,
         };
         (ip.to_bits(), dc_index, seq, phase, relaxed, strict)
     }
@@ -85,6 +95,7 @@
         let phase = match phase {
             1 => Phase::Ready,
             2 => Phase::Leaving,
+            3 => Phase::Isolated,
             _ => Phase::Starting,
         };
         Self(
@@ -116,6 +127,10 @@
     /// number of calls.
     #[serde(rename = "open")]
     pub open_calls: Vec<(u32, u16)>,
+    /// Short hashes of the services whose endpoints the sender doesn't reach; none from VMs of an
+    /// earlier version, which take no forwarded calls.
+    #[serde(rename = "lost", default)]
+    pub lost_services: Option<Vec<u32>>,
     /// Newest states of other members that the sender has received.
     #[serde(rename = "known")]
     pub members: Vec<MemberRecord>,
@@ -216,6 +231,7 @@
         let version = |index: usize| Heartbeat {
             own: MemberRecord(self.local_ip, self.dc_index, self.seq, phase, work),
             open_calls: Vec::new(),
+            lost_services: None,
             members: newest
                 .iter()
                 .skip(index * MAX_GOSSIP_MEMBERS)
@@ -284,21 +300,26 @@
     }
 
     /// Addresses for a caller, at most `max_count`: the ready VMs of the data centre `dc_index`, or
-    /// all ready VMs if fewer than 2 of them are in it. `ready` tells whether this VM is ready.
+    /// all ready VMs if fewer than 2 of them are in it, or the isolated ones if no VM is ready. `phase`
+    /// is that of this VM.
     pub fn caller_addresses(
         &self,
         now: Time,
         dc_index: Option<u8>,
-        ready: bool,
+        phase: Phase,
         max_count: usize,
     ) -> Vec<Ipv4Addr> {
-        let mut all: Vec<(Ipv4Addr, u8)> = self
-            .alive(now)
-            .filter(|member| member.phase == Phase::Ready)
-            .map(|member| (member.ip, member.dc_index))
-            .collect();
-        if ready {
-            all.push((self.local_ip, self.dc_index));
+        let local = (self.local_ip, self.dc_index, phase);
+        let in_phase = |wanted: Phase| -> Vec<(Ipv4Addr, u8)> {
+            let members = self.alive(now);
+            let members = members.map(|member| (member.ip, member.dc_index, member.phase));
+            let all = members.chain([local]);
+            let wanted = all.filter(|(_, _, phase)| *phase == wanted);
+            wanted.map(|(ip, dc_index, _)| (ip, dc_index)).collect()
+        };
+        let mut all = in_phase(Phase::Ready);
+        if all.is_empty() {
+            all = in_phase(Phase::Isolated);
         }
         let local: Vec<(Ipv4Addr, u8)> = all
             .iter()
--- a/crates/ingress/src/membership_tests.rs
+++ b/crates/ingress/src/membership_tests.rs
@@ -69,7 +69,7 @@
 
     fn caller_addresses(&self, vm: usize) -> Vec<Ipv4Addr> {
         let membership = self.vms[vm].as_ref().unwrap();
-        membership.caller_addresses(self.now, None, true, 400)
+        membership.caller_addresses(self.now, None, Phase::Ready, 400)
     }
 }
 
@@ -167,7 +167,7 @@
         cluster.vms[0]
             .as_ref()
             .unwrap()
-            .caller_addresses(cluster.now, Some(1), true, 64)
+            .caller_addresses(cluster.now, Some(1), Phase::Ready, 64)
     };
     expect_that!(local(&cluster), eq(&vec![ip(1), ip(4), ip(7)]));
     cluster.vms[1] = None;
--- a/crates/ingress/src/reach.rs
+++ b/crates/ingress/src/reach.rs
@@ -40,12 +40,19 @@
 #[derive(Clone, Debug, Default)]
 pub struct Reach {
     services: HashMap<ServiceName, Failures>,
+    /// When the last connection to an endpoint of each service was tried.
+    tried: HashMap<ServiceName, Time>,
 }
 
 impl Reach {
     /// Records a new connection to an endpoint of a service. If the service was cut off, returns the
     /// endpoints that could not be reached.
-    pub fn record_connected(&mut self, service: &ServiceName) -> Option<Vec<EndpointKey>> {
+    pub fn record_connected(
+        &mut self,
+        now: Time,
+        service: &ServiceName,
+    ) -> Option<Vec<EndpointKey>> {
+        self.tried.insert(service.clone(), now);
         let failures = self.services.remove(service)?;
         failures
             .is_cut
@@ -61,6 +68,7 @@
         key: EndpointKey,
         available: &[EndpointKey],
     ) -> bool {
+        self.tried.insert(service.clone(), now);
         let failures = self.services.entry(service.clone()).or_default();
         if !failures.is_cut {
             failures
@@ -96,6 +104,11 @@
         }
     }
 
+    /// Whether a connection to an endpoint of a service has been tried since `start`.
+    pub fn is_tried_since(&self, start: Time, service: &ServiceName) -> bool {
+        self.tried.get(service).is_some_and(|at| *at >= start)
+    }
+
     /// Endpoints among `available` to which no connection has failed since the last successful one to
     /// their service.
     pub fn untested(&self, service: &ServiceName, available: &[EndpointKey]) -> Vec<EndpointKey> {
--- a/crates/ingress/src/reach_tests.rs
+++ b/crates/ingress/src/reach_tests.rs
@@ -63,7 +63,7 @@
     let available = keys(4);
     let mut reach = Reach::default();
     fail(&mut reach, START, &available[..3], &available);
-    expect_that!(reach.record_connected(&service()), none());
+    expect_that!(reach.record_connected(START, &service()), none());
     expect_that!(
         reach.state(START, &service(), &available),
         eq(Reachability::Reached)
@@ -77,7 +77,7 @@
     let available = keys(3);
     let mut reach = Reach::default();
     fail(&mut reach, START, &available, &available);
-    let mut lost = reach.record_connected(&service()).unwrap();
+    let mut lost = reach.record_connected(START, &service()).unwrap();
     lost.sort_unstable();
     expect_that!(lost, eq(&available));
     expect_that!(
--- a/crates/node/tests/relay_reach.rs
+++ b/crates/node/tests/relay_reach.rs
@@ -53,10 +53,18 @@
 }
 
 /// Makes calls at a VM for a time, as its callers do from the start of a cut on.
-fn call_for(fleet: &Fleet, vm: usize, length: Duration) {
+fn call_for(fleet: &Fleet, vm: usize, length: Duration) -> Vec<Tally> {
     let start = Instant::now();
+    let mut tallies = Vec::new();
     while start.elapsed() < length {
-        let tally = call_all(fleet, vm, 1);
+        tallies.push(call_all(fleet, vm, 1));
+    }
+    tallies
+}
+
+/// Makes calls at a VM for as long as it may take to serve them again.
+fn call_until_contact(fleet: &Fleet, vm: usize) {
+    for tally in call_for(fleet, vm, CONTACT_TIME) {
         expect_allowed_runs(fleet, &tally);
     }
 }
@@ -77,7 +85,7 @@
 fn expect_served_during(net: u8, mode: LinkMode) {
     let fleet = Fleet::start_linked(net, 3);
     fleet.set_links(0, mode);
-    call_for(&fleet, 0, CONTACT_TIME);
+    call_until_contact(&fleet, 0);
     let tally = call_all(&fleet, 0, ROUNDS);
     expect_that!(tally.served, eq(PATHS.len() * ROUNDS), "{tally:?}");
     expect_allowed_runs(&fleet, &tally);
@@ -108,7 +116,7 @@
     for link in &fleet.links[0][2..] {
         link.set_mode(LinkMode::Hangs);
     }
-    call_for(&fleet, 0, CONTACT_TIME);
+    call_until_contact(&fleet, 0);
     let tally = call_all(&fleet, 0, ROUNDS);
     expect_that!(tally.served, eq(PATHS.len() * ROUNDS), "{tally:?}");
     expect_that!(fleet.addresses(1), contains(eq(&fleet.address(0))));
@@ -121,12 +129,14 @@
     for vm in 0..3 {
         fleet.set_links(vm, LinkMode::Hangs);
     }
-    thread::scope(|scope| {
-        for vm in 0..3 {
-            let fleet = &fleet;
-            scope.spawn(move || call_for(fleet, vm, CONTACT_TIME));
-        }
+    let tallies = thread::scope(|scope| {
+        let fleet = &fleet;
+        let calls = [0, 1, 2].map(|vm| scope.spawn(move || call_for(fleet, vm, CONTACT_TIME)));
+        calls.map(|calls| calls.join().unwrap())
     });
+    for tally in tallies.iter().flatten() {
+        expect_allowed_runs(&fleet, tally);
+    }
     for vm in 0..3 {
         let tally = call_all(&fleet, vm, ROUNDS);
         expect_that!(tally.served, eq(PATHS.len() * ROUNDS), "{tally:?}");
@@ -139,7 +149,7 @@
 fn vm_without_links_is_not_named_to_callers_until_it_returns() {
     let fleet = Fleet::start_linked(176, 3);
     fleet.set_links(0, LinkMode::Hangs);
-    call_for(&fleet, 0, CONTACT_TIME);
+    call_until_contact(&fleet, 0);
     expect_that!(fleet.addresses(1), not(contains(eq(&fleet.address(0)))));
     expect_that!(fleet.is_ready(0), eq(true));
     fleet.set_links(0, LinkMode::Passes);
@@ -156,7 +166,7 @@
         fleet.set_links(vm, LinkMode::Resets);
     }
     for vm in 0..3 {
-        call_for(&fleet, vm, CONTACT_TIME);
+        call_until_contact(&fleet, vm);
     }
     let addresses = fleet.addresses(1);
     expect_that!(addresses.len(), eq(3));
@@ -172,7 +182,7 @@
 fn vm_sends_calls_itself_again_after_a_cut() {
     let fleet = Fleet::start_linked(178, 3);
     fleet.set_links(0, LinkMode::Hangs);
-    call_for(&fleet, 0, CONTACT_TIME);
+    call_until_contact(&fleet, 0);
     fleet.set_links(0, LinkMode::Passes);
     thread::sleep(Duration::from_secs(1));
     let accepted = |vm| -> u32 { fleet.accepted(vm).iter().sum() };
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -4,6 +4,7 @@
     ForwardMetadata, ResponseInfo, ResponseKind,
     call_forwarder::CallForwarder,
     clock,
+    forwarding::ForwardedResponse,
     framing::framing_of,
     handover::{Awaited, Handover},
     open_call::OpenCall,
@@ -38,7 +39,10 @@
 const STREAM_TIMEOUT_FACTOR: u32 = 5;
 /// Maximum size of a response that is buffered before it is forwarded, so that the call can be
 /// retried if the response is incomplete.
-const MAX_BUFFERED_BYTES: u64 = 128 << 10;
+pub(crate) const MAX_BUFFERED_BYTES: u64 = 128 << 10;
+
+/// Cause of an attempt that ended because this VM doesn't reach the service.
+const LOST: &str = "no data, and the endpoints of the service can't be reached";
 
 /// Maximum number of interim responses (status 1xx) to a request.
 const MAX_INTERIM: u32 = 16;
@@ -132,6 +136,8 @@
     Buffered(response::Parts, Bytes),
     /// The body is forwarded as it arrives.
     Streaming(Box<UnreadResponse>),
+    /// Another VM passes the response on; the body is forwarded as it arrives.
+    Forwarded(Box<ForwardedResponse>),
 }
 
 /// Result of an attempt without a usable response.
@@ -167,7 +173,7 @@
 }
 
 /// Sends a request on a connection and awaits its response; returns the connection too.
-async fn exchange(mut sender: Sender, request: Request<Full<Bytes>>) -> Answer {
+pub(crate) async fn exchange(mut sender: Sender, request: Request<Full<Bytes>>) -> Answer {
     let (request, too_many) = limit_interim(request);
     let response = tokio::select! {
         biased;
@@ -255,6 +261,7 @@
         let connection = connection.map_err(|error| {
             self.record_health(key, Health::record_unreachable);
             self.shared.mark_in_doubt(key);
+            self.unconnected = true;
             FailedAttempt::new(Outcome::NotSent, error.to_string())
         })?;
         let is_reported = is_checked || is_trial && self.is_model_call();
@@ -378,6 +385,7 @@
             Handover::Begun(unread) => return Ok(Stage::Body(*unread)),
             Handover::Sent(next) => return Ok(Stage::Head(*next)),
             Handover::Failed => return Err(FailedAttempt::new(Outcome::Doubtful, silence)),
+            Handover::Lost => return Err(FailedAttempt::new(Outcome::Doubtful, LOST)),
         };
         self.accept(pending, result).map(Stage::Body)
     }
@@ -413,6 +421,7 @@
             Handover::Begun(unread) => return Ok(Err(Stage::Body(*unread))),
             Handover::Sent(next) => return Ok(Err(Stage::Head(*next))),
             Handover::Failed => return Err(FailedAttempt::new(Outcome::Doubtful, silence)),
+            Handover::Lost => return Err(FailedAttempt::new(Outcome::Doubtful, LOST)),
         };
         match result {
             Ok(body) => {
@@ -449,6 +458,7 @@
         let status = match &response {
             EndpointResponse::Buffered(head, _) => head.status,
             EndpointResponse::Streaming(unread) => unread.head.status,
+            EndpointResponse::Forwarded(forwarded) => forwarded.head.status,
         };
         if !status.is_server_error() {
             self.record_health(key, |health, _| health.record_success());
--- a/crates/relay/src/call_forwarder.rs
+++ b/crates/relay/src/call_forwarder.rs
@@ -5,12 +5,13 @@
     attempt::{EndpointResponse, FailedAttempt},
     call_record::CallRecord,
     clock,
+    forwarding::{Forwarded, Hop},
     reply::Failure,
     shared::Shared,
     trials::Trial,
 };
 use bytes::Bytes;
-use core::time::Duration;
+use core::{net::Ipv4Addr, time::Duration};
 use http::{HeaderMap, Method, Uri};
 use poplarswitch_entity::{ServiceName, Time};
 use poplarswitch_ingress::{
@@ -40,6 +41,9 @@
     pub(crate) pin: VersionPin,
     /// Identifies the request, whichever attempt of its caller this is.
     pub(crate) id: RequestId,
+    pub(crate) hop: Hop,
+    /// Whether the call counts for the retry budget of this VM.
+    pub(crate) is_counted: bool,
 }
 
 /// Forwards one call.
@@ -51,6 +55,12 @@
     pub(crate) tried: Vec<EndpointKey>,
     /// Endpoints that could not get the call at the moment of a handover.
     pub(crate) skipped: Vec<EndpointKey>,
+    /// VMs to which the call was forwarded.
+    pub(crate) helpers: Vec<Ipv4Addr>,
+    /// Whether a connection for the call could not be opened.
+    pub(crate) unconnected: bool,
+    /// Whether the next attempt is a retry that has not been charged to the retry budget.
+    pub(crate) is_uncharged: bool,
     /// Whether the head of a response has been forwarded.
     pub(crate) has_begun: bool,
     /// The trial of a held subject that the call is.
@@ -74,6 +84,28 @@
             }
             self.reroute();
             self.recheck(now)?;
+            if self.is_lost() {
+                match self.forward(last_event_id).await {
+                    Forwarded::Answered(response) => return Ok(response),
+                    Forwarded::Untaken => {}
+                    Forwarded::Refused { retry_after } => {
+                        let delay = retry_after.unwrap_or_else(|| self.retry_after(now));
+                        let failure = self.forward_failure(ErrorCode::NoEndpoint);
+                        return Err(failure.with_retry_after(delay));
+                    }
+                    Forwarded::Failed(code) => return Err(self.forward_failure(code)),
+                    Forwarded::Broken if self.can_take_up() => {
+                        self.is_uncharged = true;
+                        continue;
+                    }
+                    Forwarded::Broken => return Err(self.forward_failure(ErrorCode::Failed)),
+                }
+            }
+            if self.is_uncharged && !self.charge_retry(now) {
+                self.record.add_cause("the retry budget is used");
+                return Err(self.verdict_failure(now, Verdict::InDoubt));
+            }
+            self.is_uncharged = false;
             let placement = self.choose().await?;
             if self.pass_quarantine().await? {
                 // The wait may have outlasted the placement.
@@ -121,6 +153,11 @@
             self.record.cause = cause;
             let verdict = match next {
                 NextStep::Repeat { paid: false } => continue,
+                // The VM that sends the call charges the retry.
+                NextStep::Repeat { paid: true } if self.can_forward() => {
+                    self.is_uncharged = true;
+                    continue;
+                }
                 NextStep::Repeat { paid: true } if self.charge_retry(now) => continue,
                 NextStep::Repeat { .. } => {
                     self.record.add_cause("the retry budget is used");
--- a/crates/relay/src/handover.rs
+++ b/crates/relay/src/handover.rs
@@ -25,6 +25,7 @@
     obstacle,
 };
 use tokio::{
+    sync::watch,
     task::yield_now,
     time::{Instant, sleep_until},
 };
@@ -40,6 +41,9 @@
 /// for at least as long for the next event.
 const BROKEN_WAIT: Duration = Duration::from_secs(2);
 
+/// Silence after which an endpoint is left if this VM doesn't reach its service.
+const LOST_SILENCE: Duration = Duration::from_millis(600);
+
 /// An endpoint whose answer is awaited.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Awaited<'a> {
@@ -69,6 +73,8 @@
     Begun(Box<UnreadResponse>),
     /// Another endpoint has the call and must be awaited instead.
     Sent(Box<PendingAttempt>),
+    /// This VM doesn't reach the service, and another VM may take the call.
+    Lost,
     /// Nothing has gone on before the deadline, or before a broken-off stream was given up.
     Failed,
 }
@@ -101,10 +107,13 @@
     where
         F: Future + ?Sized,
     {
+        let lost_at = Instant::now() + LOST_SILENCE;
+        let losses = self.shared.losses.subscribe();
         tokio::select! {
             biased;
             output = answer.as_mut() => return Handover::Continued(output),
             () = sleep_until(awaited.silent_at) => {}
+            () = self.await_loss(losses, lost_at) => {}
         }
         // After a suspension of the process, the tasks of connections have to read what has arrived.
         tokio::select! {
@@ -147,6 +156,9 @@
             self.tried.push(key);
         }
         self.skipped.clear();
+        if matches!(left, Left::Silent(_)) && self.can_be_taken_up() {
+            return Handover::Lost;
+        }
         let mut wait = MIN_RETRY_INTERVAL;
         let mut asked: Vec<PendingAttempt> = Vec::new();
         loop {
@@ -163,6 +175,9 @@
                     asked.push(next);
                     (Instant::now() + overlap, true)
                 }
+                Ok(Err(_)) if asked.is_empty() && self.can_be_taken_up() => {
+                    return Handover::Lost;
+                }
                 Ok(Err(obstacle)) => {
                     if wait == MIN_RETRY_INTERVAL && obstacle != Obstacle::NotIdempotent {
                         self.log_obstacle(left, obstacle);
@@ -210,6 +225,20 @@
         }
     }
 
+    /// Waits until the service of the call is lost and another VM may take the call, but at least until
+    /// `lost_at`.
+    async fn await_loss(&self, mut losses: watch::Receiver<()>, lost_at: Instant) {
+        sleep_until(lost_at).await;
+        // The sender is not dropped during the wait.
+        while !self.can_be_taken_up() && losses.changed().await.is_ok() {}
+    }
+
+    /// Whether this VM doesn't reach the service of the call, which another VM may take, although an
+    /// endpoint has it.
+    fn can_be_taken_up(&self) -> bool {
+        self.can_take_up() && self.can_forward()
+    }
+
     /// Takes in the answer of an endpoint that has the call besides a silent one; none if the silent
     /// one has to be awaited further.
     fn accept_other(&mut self, next: PendingAttempt, result: Answer) -> Option<UnreadResponse> {
--- a/crates/relay/src/heartbeats.rs
+++ b/crates/relay/src/heartbeats.rs
@@ -1,7 +1,9 @@
 //! Heartbeats between VMs, and the periodic work that is done at the same interval.
 
 use crate::{
-    clock, limits, origins, quarantine,
+    clock,
+    forwarding::short_service_hash,
+    limits, origins, quarantine,
     shared::{Core, Shared},
     trials,
 };
@@ -11,7 +13,8 @@
 };
 use poplarswitch_entity::Time;
 use poplarswitch_ingress::{
-    Heartbeat, LimitMessage, MemberRecord, Phase, QuarantineDigest, StreamMessage, TrialMessage,
+    Heartbeat, LimitMessage, MemberRecord, PeerReport, Phase, QuarantineDigest, StreamMessage,
+    TrialMessage,
 };
 use rand::Rng as _;
 use std::{collections::HashMap, sync::Arc};
@@ -19,8 +22,6 @@
 
 /// Interval between heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
-/// Time for which the open calls in a heartbeat of another VM are used.
-const REMOTE_CALLS_TTL: Duration = Duration::from_millis(1_200);
 /// Maximum number of addresses in a log line.
 const MAX_LOGGED_ADDRESSES: usize = 16;
 /// Maximum size of a datagram.
@@ -71,9 +72,8 @@
     let dc_index = shared
         .settings
         .data_centre_index(shared.settings.data_centre.as_str());
-    let is_ready = phase == Phase::Ready;
     let membership = &shared.core().membership;
-    let named = membership.caller_addresses(now, dc_index, is_ready, MAX_LOGGED_ADDRESSES);
+    let named = membership.caller_addresses(now, dc_index, phase, MAX_LOGGED_ADDRESSES);
     if named != *last {
         tracing::info!(event = "named", addresses = ?named, "directory");
         *last = named;
@@ -103,14 +103,9 @@
     let unheard = core.membership.silent_count(now);
     shared.metrics.vms_alive.set(alive.cast_signed() as i64);
     shared.metrics.vms_unheard.set(unheard.cast_signed() as i64);
-    core.remote_calls
-        .retain(|_, (at, _)| now.since(*at) < REMOTE_CALLS_TTL);
+    core.helpers.expire(now);
     let mut remote_calls: HashMap<u32, u32> = HashMap::new();
-    for (hash, count) in core
-        .remote_calls
-        .values()
-        .flat_map(|(_, open_calls)| open_calls)
-    {
+    for (hash, count) in core.helpers.reports().flat_map(|report| &report.open_calls) {
         *remote_calls.entry(*hash).or_default() += u32::from(*count);
     }
     for (_, endpoint) in core.endpoints.iter_mut() {
@@ -195,12 +190,15 @@
             core.membership.receivers(now, || rng.next_u64())
         };
         core.rng = rng;
+        let lost_services = core.lost_services(now);
+        let lost_services: Vec<u32> = lost_services.iter().map(short_service_hash).collect();
         let work = demand.engine_work();
         let mut heartbeats = core
             .membership
             .next_heartbeats(now, phase, work, receivers.len());
         for heartbeat in &mut heartbeats {
             heartbeat.open_calls.clone_from(&open_calls);
+            heartbeat.lost_services = Some(lost_services.clone());
         }
         (heartbeats, receivers)
     };
@@ -291,7 +289,12 @@
         .map(|member| member.phase);
     drop(alive);
     core.membership.receive(now, &heartbeat);
-    core.remote_calls.insert(ip, (now, heartbeat.open_calls));
+    let report = PeerReport {
+        at: now,
+        open_calls: heartbeat.open_calls,
+        lost_services: heartbeat.lost_services,
+    };
+    core.helpers.record(ip, report);
     before
 }
 
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -13,6 +13,8 @@
 mod clock;
 mod events;
 mod feed;
+mod forwarded_stream;
+mod forwarding;
 mod framing;
 mod handover;
 mod heartbeats;
--- a/crates/relay/src/limits.rs
+++ b/crates/relay/src/limits.rs
@@ -17,7 +17,7 @@
 };
 use poplarswitch_entity::{EndpointName, Time};
 use poplarswitch_ingress::{
-    Denial, EndpointKey, LimitChange, LimitId, LimitMessage, LimitShare, Permit, Phase, TokenReply,
+    Denial, EndpointKey, LimitChange, LimitId, LimitMessage, LimitShare, Permit, TokenReply,
     TokenRequest, hash_pair,
 };
 use rand::Rng as _;
@@ -55,7 +55,7 @@
             return None;
         }
         let ready = self.membership.alive(now);
-        let ready = ready.filter(|member| member.phase == Phase::Ready);
+        let ready = ready.filter(|member| member.phase.accepts_calls());
         let others = ready.map(|member| member.ip);
         let local = Some(self.membership.local_ip()).filter(|_| !self.shutdown.has_started());
         others
--- a/crates/relay/src/listeners.rs
+++ b/crates/relay/src/listeners.rs
@@ -2,13 +2,15 @@
 
 use crate::{
     activity::{Activity, MonitoredStream},
-    clock, feed, queries, serve,
+    clock, feed,
+    forwarding::Hop,
+    queries, serve,
     shared::Shared,
 };
 use bytes::Bytes;
 use core::{convert::Infallible, net::SocketAddr, time::Duration};
 use http::Request;
-use http_body_util::{BodyExt as _, Full, Limited};
+use http_body_util::{BodyExt as _, Either, Full, Limited};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
 use snafu::{ResultExt as _, Snafu};
@@ -24,6 +26,8 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Minimum buffer size that `hyper` accepts.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
+/// Maximum size of the headers that a VM adds to a call that it forwards.
+const MAX_ADDED_HEAD_BYTES: usize = 1 << 10;
 /// Maximum size of a feed request from another VM.
 const MAX_FEED_REQUEST_BYTES: usize = 4 << 10;
 
@@ -42,12 +46,22 @@
     Callers,
     /// Queries for this VM's readiness and for the addresses of VMs.
     Questions,
-    /// Feed requests from other VMs.
+    /// Feed requests and forwarded calls from other VMs.
     Peers,
     /// Requests for metrics.
     Metrics,
 }
 
+impl Port {
+    /// Size of what may be added to the heads of callers' requests.
+    const fn extra_head_bytes(self) -> usize {
+        match self {
+            Self::Peers => MAX_ADDED_HEAD_BYTES,
+            Self::Callers | Self::Questions | Self::Metrics => 0,
+        }
+    }
+}
+
 /// Opens a listener.
 pub(crate) fn listen(address: SocketAddr) -> Result<TcpListener, ListenError> {
     let open = || {
@@ -84,13 +98,35 @@
     let mut builder = http1::Builder::new();
     builder
         .header_read_timeout(None)
-        .max_buf_size(limits().head_bytes.max(MIN_BUFFER_BYTES));
+        .max_buf_size(limits().head_bytes.max(MIN_BUFFER_BYTES) + port.extra_head_bytes());
     let result = match port {
         Port::Callers => {
             let service = service_fn(|request| {
                 let guard = activity.begin_request();
                 let shared = Arc::clone(&shared);
-                async move { Ok::<_, Infallible>(serve::serve(shared, request, guard).await) }
+                async move {
+                    Ok::<_, Infallible>(serve::serve(shared, request, guard, Hop::Caller).await)
+                }
+            });
+            tokio::select! {
+                biased;
+                result = builder.serve_connection(io, service) => result,
+                () = activity.wait_for_timeout(limits) => Ok(()),
+            }
+        }
+        Port::Peers => {
+            let service = service_fn(|mut request| {
+                let guard = activity.begin_request();
+                let shared = Arc::clone(&shared);
+                async move {
+                    let Some(hop) = Hop::take(&mut request) else {
+                        let response = respond(&shared, request, port).await;
+                        drop(guard);
+                        return Ok::<_, Infallible>(response.map(Either::Right));
+                    };
+                    let response = serve::serve(shared, request, guard, hop).await;
+                    Ok(response.map(Either::Left))
+                }
             });
             tokio::select! {
                 biased;
@@ -98,7 +134,7 @@
                 () = activity.wait_for_timeout(limits) => Ok(()),
             }
         }
-        Port::Questions | Port::Peers | Port::Metrics => {
+        Port::Questions | Port::Metrics => {
             let service = service_fn(|request| {
                 let guard = activity.begin_request();
                 let shared = Arc::clone(&shared);
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -38,6 +38,7 @@
     duration: Histograms,
     pub(crate) connections: Counter,
     pub(crate) connects_failed: Counter,
+    pub(crate) calls_forwarded: Counter,
     pub(crate) probes: Counter,
     pub(crate) retries_denied: Counter,
     pub(crate) platform_calls: Counter,
@@ -69,6 +70,7 @@
             duration: Histograms::new_with_constructor(buckets),
             connections: Counter::default(),
             connects_failed: Counter::default(),
+            calls_forwarded: Counter::default(),
             probes: Counter::default(),
             retries_denied: Counter::default(),
             platform_calls: Counter::default(),
@@ -109,6 +111,11 @@
                 "Connections to endpoints that could not be opened",
                 &self.connects_failed,
             ),
+            (
+                "calls_forwarded",
+                "Calls sent to other VMs because their service could not be reached",
+                &self.calls_forwarded,
+            ),
             ("reports", "Reports asked of engines", &self.probes),
             (
                 "repeats_unpaid",
--- a/crates/relay/src/protocol.rs
+++ b/crates/relay/src/protocol.rs
@@ -214,6 +214,16 @@
     /// Adds the metadata for the endpoint.
     fn add_metadata(&self, headers: &mut HeaderMap, metadata: &ForwardMetadata<'_>);
 
+    /// Completes the headers of a call for another VM, which parses them as those of a caller: adds the
+    /// caller's key and, for a stream that continues, the identifiers of its last event and, unless the
+    /// headers name it, of its first attempt.
+    fn prepare_forward(
+        &self,
+        headers: &mut HeaderMap,
+        key: Option<&str>,
+        resumed: Option<(&str, Option<&str>)>,
+    );
+
     /// Interprets the head of an endpoint's response; `call` is the identifier of the call.
     fn classify_response(
         &self,
--- a/crates/relay/src/queries.rs
+++ b/crates/relay/src/queries.rs
@@ -5,7 +5,6 @@
 use core::net::SocketAddr;
 use http::{Request, Response, StatusCode, header};
 use http_body_util::Full;
-use poplarswitch_ingress::Phase;
 
 /// Maximum number of addresses in a response.
 const MAX_ADDRESSES: usize = 64;
@@ -18,19 +17,19 @@
         .protocol
         .parse_query(request.method(), uri.path(), uri.query())
     {
-        Some(Query::Ready) => empty(if shared.phase(now) == Phase::Ready {
+        Some(Query::Ready) => empty(if shared.phase(now).accepts_calls() {
             StatusCode::OK
         } else {
             StatusCode::SERVICE_UNAVAILABLE
         }),
         Some(Query::Addresses { data_centre }) => {
-            let ready = shared.phase(now) == Phase::Ready;
+            let phase = shared.phase(now);
             let dc_index = data_centre.and_then(|name| shared.settings.data_centre_index(&name));
             let addresses =
                 shared
                     .core()
                     .membership
-                    .caller_addresses(now, dc_index, ready, MAX_ADDRESSES);
+                    .caller_addresses(now, dc_index, phase, MAX_ADDRESSES);
             if addresses.is_empty() {
                 return empty(StatusCode::SERVICE_UNAVAILABLE);
             }
--- a/crates/relay/src/reply.rs
+++ b/crates/relay/src/reply.rs
@@ -1,6 +1,6 @@
 //! Responses to callers.
 
-use crate::{activity::ActivityGuard, clock, shared::InFlight};
+use crate::{activity::ActivityGuard, clock, forwarding::ForwardResult, shared::InFlight};
 use bytes::Bytes;
 use core::{
     fmt,
@@ -160,6 +160,15 @@
         self
     }
 
+    /// What the failure is to the VM that has forwarded the call.
+    pub(crate) fn forward_result(&self) -> ForwardResult {
+        if self.may_have_run || self.code.ran() != Ran::NotRun {
+            ForwardResult::Failed
+        } else {
+            ForwardResult::NotRun
+        }
+    }
+
     pub(crate) fn status(&self) -> StatusCode {
         StatusCode::from_u16(self.code.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR)
     }
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -5,7 +5,7 @@
     listeners::{self, ListenError, Port},
     platform_client::PlatformClient,
     platform_reader::PlatformReader,
-    registry,
+    reach, registry,
     shared::Shared,
 };
 use core::time::Duration;
@@ -130,6 +130,7 @@
     tokio::spawn(Arc::clone(&reader).follow_config());
     tokio::spawn(reader.follow_endpoints());
     tokio::spawn(feed::follow(Arc::clone(shared)));
+    tokio::spawn(reach::watch(Arc::clone(shared)));
     tokio::spawn(heartbeats::run(Arc::clone(shared), heartbeat_socket));
     tokio::spawn(registry::run(Arc::clone(shared), Arc::clone(client)));
     tracing::info!(
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -5,8 +5,10 @@
     attempt::EndpointResponse,
     call_forwarder::{CallForwarder, CallRequest},
     call_record::CallRecord,
-    clock, origins,
-    reply::{Failure, Guards, ReplyBody},
+    clock,
+    forwarding::{ForwardResult, Hop},
+    origins,
+    reply::{BodyParts, Failure, Guards, ReplyBody},
     shared::Shared,
     stream,
 };
@@ -17,8 +19,8 @@
 use hyper::body::{Body as _, Incoming};
 use poplarswitch_entity::{Time, WorkspaceName};
 use poplarswitch_ingress::{
-    Access, Admission, AttemptCounts, Call, EndpointGroup, Framing, Prompt, RequestId,
-    RequestParts, Route, RoutingTable, ShutdownStage, VersionPin, engine_work_ms,
+    Access, Admission, AttemptCounts, Call, EndpointGroup, Framing, Prompt, Reachability,
+    RequestId, RequestParts, Route, RoutingTable, ShutdownStage, VersionPin, engine_work_ms,
 };
 use poplarswitch_wire::ErrorCode;
 use std::sync::Arc;
@@ -43,11 +45,12 @@
 /// Maximum number of sections of a prompt that the log line of a call names.
 const MAX_LOGGED_SECTIONS: usize = 8;
 
-/// Serves one call.
+/// Serves one call, and marks the response if another VM has forwarded it.
 pub(crate) async fn serve(
     shared: Arc<Shared>,
     request: Request<Incoming>,
     guard: ActivityGuard,
+    hop: Hop,
 ) -> Response<ReplyBody> {
     let arrived = clock::now();
     let in_flight = shared.count_call();
@@ -60,17 +63,23 @@
     let caller_version = request.version();
     let accepted = tokio::select! {
         biased;
-        accepted = accept_call(&shared, request, arrived, &mut record) => accepted,
+        accepted = accept_call(&shared, request, arrived, hop, &mut record) => accepted,
         () = shared.exit_announced() => Err(leaving_failure(&shared)),
     };
-    let mut response = match accepted {
+    let (mut response, result) = match accepted {
         Ok(request) => {
             let mut forwarder = CallForwarder {
                 shared: Arc::clone(&shared),
                 request,
-                attempts: AttemptCounts::default(),
+                attempts: AttemptCounts {
+                    maybe_run: hop.maybe_run(),
+                    total: 0,
+                },
                 tried: Vec::new(),
                 skipped: Vec::new(),
+                helpers: Vec::new(),
+                unconnected: false,
+                is_uncharged: hop.maybe_run() > 0,
                 has_begun: false,
                 trial: None,
                 record,
@@ -81,12 +90,24 @@
                 () = shared.exit_announced() => None,
             };
             match response.unwrap_or_else(|| Err(forwarder.exit_failure())) {
-                Ok(response) => into_response(forwarder, response, caller_version, guards),
-                Err(failure) => failure_response(&failure, &mut forwarder.record, guards),
+                Ok(response) => (
+                    into_response(forwarder, response, caller_version, guards),
+                    ForwardResult::Answer,
+                ),
+                Err(failure) => (
+                    failure_response(&failure, &mut forwarder.record, guards),
+                    failure.forward_result(),
+                ),
             }
         }
-        Err(failure) => failure_response(&failure, &mut record, guards),
+        Err(failure) => (
+            failure_response(&failure, &mut record, guards),
+            failure.forward_result(),
+        ),
     };
+    if hop != Hop::Caller {
+        result.mark(response.headers_mut());
+    }
     if shutting_down {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
@@ -129,11 +150,15 @@
     shared: &Arc<Shared>,
     request: Request<Incoming>,
     arrived: Time,
+    hop: Hop,
     record: &mut CallRecord,
 ) -> Result<CallRequest, Failure> {
     let vm = shared.settings.vm.as_str();
     let (mut head, body) = request.into_parts();
-    let call = shared.protocol.parse_call(&head.headers);
+    let mut call = shared.protocol.parse_call(&head.headers);
+    if let (Ok(call), Hop::Vm { time_left, .. }) = (&mut call, hop) {
+        call.deadline = Some(call.deadline.unwrap_or(time_left).min(time_left));
+    }
     if let Ok(call) = &call {
         record.call_id.clone_from(&call.id);
         record.deadline = call.deadline;
@@ -191,7 +216,7 @@
         .cloned()
         .ok_or_else(|| Failure::new(ErrorCode::NoEndpoint, vm))?;
     let engine = table.service(&service).and_then(|service| service.engine);
-    admit(
+    let is_counted = admit(
         shared,
         &service,
         &call,
@@ -217,6 +242,8 @@
         priority: record.priority,
         deadline: arrived + wait,
         id,
+        hop,
+        is_counted,
         pin: origin.map_or(VersionPin::Any, |origin| VersionPin::Only(origin.software)),
         call,
     })
@@ -274,20 +301,24 @@
     Ok(())
 }
 
-/// Records the demand of the call and checks that the number of calls in flight allows it.
+/// Records the demand of the call, unless another VM will send it, and checks that the number of calls
+/// in flight allows it. Returns whether the call counts for the retry budget of this VM.
 fn admit(
     shared: &Shared,
     service: &poplarswitch_entity::ServiceName,
     call: &Call,
     objective: Option<Duration>,
     slots: u32,
-) -> Result<(), Failure> {
+) -> Result<bool, Failure> {
     let now = clock::now();
+    let is_sent_here = shared.reachability(service) != Reachability::Cut;
     let time_left = call.deadline.unwrap_or(DEFAULT_TIMEOUT);
     let in_flight = shared.in_flight();
     let mut core = shared.core();
-    core.retry_budget.record_call(now, service);
-    if let Some(prompt) = &call.prompt {
+    if is_sent_here {
+        core.retry_budget.record_call(now, service);
+    }
+    if let Some(prompt) = call.prompt.as_ref().filter(|_| is_sent_here) {
         let group = EndpointGroup::of(objective);
         // The session of a relaxed call is assumed to be cached, that of a strict call is not.
         let tokens = prompt.uncached_tokens(group == EndpointGroup::Relaxed);
@@ -299,7 +330,7 @@
         core.endpoints.count_call(group);
     }
     match core.admission.admit(now, in_flight, &call.id, time_left) {
-        Admission::Admitted => Ok(()),
+        Admission::Admitted => Ok(is_sent_here),
         Admission::Refused { retry_after } => {
             let vm = shared.settings.vm.as_str();
             Err(Failure::new(ErrorCode::Busy, vm).with_retry_after(retry_after))
@@ -393,26 +424,58 @@
             response
         }
         EndpointResponse::Streaming(unread) => {
-            let framing = unread.framing;
-            // A stream may end inside an event or be resumed, so its length is not known.
-            let has_events = stream::has_events(forwarder.request.route.kind, &unread.head);
-            let length = unread.body.size_hint().exact().filter(|_| !has_events);
-            let has_chunks = framing != Framing::Close && caller_version >= Version::HTTP_11;
-            let close_framed = length.is_none() && !has_chunks;
-            let (mut head, parts) = stream::start(forwarder, *unread);
-            if has_events {
-                head.headers.remove(header::CONTENT_LENGTH);
-            }
-            let body = ReplyBody::parts(parts, length, close_framed, guards);
-            let mut response = build_response(head, body);
-            if framing == Framing::Close {
-                // `hyper` adds chunks to a response of a later version.
-                *response.version_mut() = Version::HTTP_10;
-                let close = HeaderValue::from_static("close");
-                response.headers_mut().insert(header::CONNECTION, close);
-            }
-            response
+            let shape = BodyShape {
+                framing: unread.framing,
+                has_events: stream::has_events(forwarder.request.route.kind, &unread.head),
+                length: unread.body.size_hint().exact(),
+            };
+            let (head, parts) = stream::start(forwarder, *unread);
+            shape.into_response(head, parts, caller_version, guards)
+        }
+        EndpointResponse::Forwarded(answer) => {
+            let shape = BodyShape {
+                framing: answer.framing,
+                has_events: stream::has_events(forwarder.request.route.kind, &answer.head),
+                length: answer.body.size_hint().exact(),
+            };
+            let (head, parts) = stream::start_forwarded(forwarder, *answer);
+            shape.into_response(head, parts, caller_version, guards)
+        }
+    }
+}
+
+/// Properties of a body that is forwarded as it arrives.
+#[derive(Clone, Copy, Debug)]
+struct BodyShape {
+    framing: Framing,
+    has_events: bool,
+    length: Option<u64>,
+}
+
+impl BodyShape {
+    fn into_response(
+        self,
+        mut head: response::Parts,
+        parts: BodyParts,
+        caller_version: Version,
+        guards: Guards,
+    ) -> Response<ReplyBody> {
+        // A stream may end inside an event or be resumed, so its length is not known.
+        let length = self.length.filter(|_| !self.has_events);
+        let has_chunks = self.framing != Framing::Close && caller_version >= Version::HTTP_11;
+        let close_framed = length.is_none() && !has_chunks;
+        if self.has_events {
+            head.headers.remove(header::CONTENT_LENGTH);
+        }
+        let body = ReplyBody::parts(parts, length, close_framed, guards);
+        let mut response = build_response(head, body);
+        if self.framing == Framing::Close {
+            // `hyper` adds chunks to a response of a later version.
+            *response.version_mut() = Version::HTTP_10;
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(header::CONNECTION, close);
         }
+        response
     }
 }
 
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -23,17 +23,14 @@
 use poplarswitch_entity::Time;
 use poplarswitch_ingress::{
     AdmissionControl, Cursor, Demand, EndpointChange, EndpointKey, EndpointTable, Freshness,
-    GroupSplit, Membership, Phase, Quarantine, RateLimits, Reach, RetryBudget, RetryLimit,
+    GroupSplit, Helpers, Membership, Phase, Quarantine, RateLimits, Reach, RetryBudget, RetryLimit,
     RoutingTable, Shutdown, ShutdownStage, SourceSelector, StreamOrigins, Transition,
 };
 use rand::{Rng as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
-use std::{
-    collections::HashMap,
-    sync::{
-        Arc, Mutex, MutexGuard, OnceLock, PoisonError,
-        atomic::{AtomicUsize, Ordering},
-    },
+use std::sync::{
+    Arc, Mutex, MutexGuard, OnceLock, PoisonError,
+    atomic::{AtomicUsize, Ordering},
 };
 use tokio::{
     net::UdpSocket,
@@ -73,9 +70,8 @@
     pub(crate) shutdown: Shutdown,
     pub(crate) sources: SourceSelector,
     pub(crate) rng: Pcg64Mcg,
-    /// For each other VM, the time of its last heartbeat, and the open calls in it: short hash of
-    /// the endpoint's name, number of calls.
-    pub(crate) remote_calls: HashMap<Ipv4Addr, (Time, Vec<(u32, u16)>)>,
+    /// Reports of the other VMs, and the calls that are forwarded to them.
+    pub(crate) helpers: Helpers,
     /// Limits that endpoints name in their answers.
     pub(crate) limits: RateLimits,
     /// Requests for tokens whose replies are awaited.
@@ -146,6 +142,10 @@
     pub(crate) holds_changed: Notify,
     /// Changes when a held subject is released.
     pub(crate) released: watch::Sender<()>,
+    /// Changes when this VM loses its links to the endpoints of a service.
+    pub(crate) losses: watch::Sender<()>,
+    /// Notified when connections to endpoints fail, so that others are checked.
+    pub(crate) reach_news: Notify,
     pub(crate) started: Time,
     in_flight: AtomicUsize,
     core: Mutex<Core>,
@@ -191,7 +191,7 @@
             shutdown: Shutdown::new(settings.grace(), ADDRESS_TTL * ADDRESS_TTL_FACTOR),
             sources: SourceSelector::new(clock::now()),
             rng: Pcg64Mcg::seed_from_u64(start_ms ^ u64::from(local_ip.to_bits())),
-            remote_calls: HashMap::new(),
+            helpers: Helpers::default(),
             limits: RateLimits::default(),
             token_requests: TokenRequests::new(),
             origins: StreamOrigins::default(),
@@ -215,6 +215,8 @@
             quarantine_news: Notify::new(),
             holds_changed: Notify::new(),
             released: watch::Sender::new(()),
+            losses: watch::Sender::new(()),
+            reach_news: Notify::new(),
             started: clock::now(),
             in_flight: AtomicUsize::new(0),
             core: Mutex::new(core),
@@ -302,7 +304,11 @@
         if core.shutdown.has_started() {
             Phase::Leaving
         } else if self.has_usable_view(&core, now) {
-            Phase::Ready
+            if core.is_isolated(now) {
+                Phase::Isolated
+            } else {
+                Phase::Ready
+            }
         } else {
             Phase::Starting
         }
@@ -378,7 +384,7 @@
 
     /// Takes an idle connection to an endpoint, or opens one; see [`Pool::acquire`].
     pub(crate) async fn acquire(
-        &self,
+        self: &Arc<Self>,
         key: EndpointKey,
         address: SocketAddr,
         new_connection: bool,
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -17,12 +17,13 @@
     call_forwarder::CallForwarder,
     clock,
     events::{BodyContent, EventBuffer, ResumePoint},
+    forwarding::ForwardedResponse,
     handover::{Awaited, Handover},
     reply::{BodyPart, BodyParts},
     serve::outcome_of,
 };
 use core::{pin::pin, time::Duration};
-use http::{header, response};
+use http::{StatusCode, header, response};
 use http_body_util::BodyExt as _;
 use poplarswitch_ingress::{
     EndedBody, EndpointKey, EventScanner, Framing, RouteKind, SURVIVAL_TIME,
@@ -45,41 +46,37 @@
 
 /// Starts to forward a response; returns its head and the parts of its body.
 pub(crate) fn start(
-    mut forwarder: CallForwarder,
+    forwarder: CallForwarder,
     mut unread: UnreadResponse,
 ) -> (response::Parts, BodyParts) {
-    let (sender, parts) = mpsc::channel(QUEUE_LEN);
-    let (mut head, ()) = http::Response::new(()).into_parts();
-    core::mem::swap(&mut head, &mut unread.head);
-    forwarder.record.status = head.status.as_u16();
-    forwarder.has_begun = true;
-    let outcome = outcome_of(head.status);
-    let content = content_of(forwarder.request.route.kind, &head);
-    let framing = unread.framing;
+    let head = take_head(&mut unread.head);
+    let (mut stream, parts) = StreamForwarder::new(forwarder, &head, unread.framing);
     tokio::spawn(async move {
-        if !matches!(content, BodyContent::Resumable(_)) {
-            forwarder.release_request();
-        }
-        let mut stream = StreamForwarder {
-            forwarder,
-            sender,
-            content,
-            framing,
-        };
-        let status = stream.forwarder.record.status;
-        match stream.run(unread).await {
-            StreamEnd::Complete => {
-                stream.forwarder.record.set_outcome(outcome, status);
-                // Fails if the caller has closed its connection.
-                let _closed = stream.sender.send(BodyPart::End).await;
-            }
-            StreamEnd::CallerLeft => {}
-            StreamEnd::Broken => stream.forwarder.record.set_outcome("broken_off", status),
-        }
+        let end = stream.run(unread).await;
+        stream.finish(end).await;
+    });
+    (head, parts)
+}
+
+/// Starts to forward a response that another VM passes on.
+pub(crate) fn start_forwarded(
+    forwarder: CallForwarder,
+    mut response: ForwardedResponse,
+) -> (response::Parts, BodyParts) {
+    let head = take_head(&mut response.head);
+    let (mut stream, parts) = StreamForwarder::new(forwarder, &head, response.framing);
+    tokio::spawn(async move {
+        let end = stream.run_forwarded(response).await;
+        stream.finish(end).await;
     });
     (head, parts)
 }
 
+fn take_head(head: &mut response::Parts) -> response::Parts {
+    let (empty, ()) = http::Response::new(()).into_parts();
+    core::mem::replace(head, empty)
+}
+
 /// Whether the body of a response consists of events.
 pub(crate) fn has_events(kind: RouteKind, head: &response::Parts) -> bool {
     let other_type = head
@@ -101,7 +98,7 @@
 
 /// How the forwarding of a response ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum StreamEnd {
+pub(crate) enum StreamEnd {
     Complete,
     CallerLeft,
     Broken,
@@ -109,7 +106,7 @@
 
 /// How the forwarding of the data from one endpoint ended.
 #[derive(Debug)]
-enum SegmentEnd {
+pub(crate) enum SegmentEnd {
     Complete,
     CallerLeft,
     DeadlineExceeded,
@@ -117,19 +114,58 @@
     Replaced(Box<UnreadResponse>),
     /// Another endpoint has been asked to continue the stream.
     Moved(Box<PendingAttempt>),
+    /// This VM doesn't reach the endpoints, and another one may continue the stream.
+    Lost,
     Broken(String),
 }
 
 #[derive(Debug)]
-struct StreamForwarder {
-    forwarder: CallForwarder,
-    sender: mpsc::Sender<BodyPart>,
-    content: BodyContent,
+pub(crate) struct StreamForwarder {
+    pub(crate) forwarder: CallForwarder,
+    pub(crate) sender: mpsc::Sender<BodyPart>,
+    pub(crate) content: BodyContent,
     /// Framing of the response to the caller.
     framing: Framing,
 }
 
 impl StreamForwarder {
+    fn new(
+        mut forwarder: CallForwarder,
+        head: &response::Parts,
+        framing: Framing,
+    ) -> (Self, BodyParts) {
+        let (sender, parts) = mpsc::channel(QUEUE_LEN);
+        forwarder.record.status = head.status.as_u16();
+        forwarder.has_begun = true;
+        let content = content_of(forwarder.request.route.kind, head);
+        if !matches!(content, BodyContent::Resumable(_)) {
+            forwarder.release_request();
+        }
+        let stream = Self {
+            forwarder,
+            sender,
+            content,
+            framing,
+        };
+        (stream, parts)
+    }
+
+    /// Records how the forwarding has ended, and ends the response if it is complete.
+    async fn finish(&mut self, end: StreamEnd) {
+        let record = &mut self.forwarder.record;
+        let status = record.status;
+        match end {
+            StreamEnd::Complete => {
+                let code = StatusCode::from_u16(status).unwrap_or_default();
+                record.set_outcome(outcome_of(code), status);
+                // Fails if the caller has closed its connection.
+                let _closed = self.sender.send(BodyPart::End).await;
+            }
+            StreamEnd::CallerLeft => {}
+            StreamEnd::Broken => record.set_outcome("broken_off", status),
+        }
+    }
+
     async fn run(&mut self, mut unread: UnreadResponse) -> StreamEnd {
         loop {
             let key = unread.open_call.key();
@@ -154,6 +190,7 @@
                 }
                 SegmentEnd::Replaced(next) => Ok(*next),
                 SegmentEnd::Moved(pending) => Err(Some(*pending)),
+                SegmentEnd::Lost => Err(None),
                 SegmentEnd::Broken(cause) => {
                     record.cause = cause;
                     self.forwarder.record_cut(key, Some(unread.began));
@@ -166,6 +203,12 @@
             if let BodyContent::Resumable(events) = &mut self.content {
                 events.discard_partial();
             }
+            if let Err(None) = &next
+                && self.forwarder.can_forward()
+                && let Some(next) = self.take_up().await
+            {
+                return self.run_forwarded(next).await;
+            }
             unread = match next {
                 Ok(next) => next,
                 Err(pending) => {
@@ -226,6 +269,7 @@
                 Handover::Begun(next) => return SegmentEnd::Replaced(next),
                 Handover::Sent(pending) => return SegmentEnd::Moved(pending),
                 Handover::Failed => return SegmentEnd::DeadlineExceeded,
+                Handover::Lost => return SegmentEnd::Lost,
             };
             let bytes = match frame {
                 None => return self.check_end(unread.framing, received),
@@ -262,7 +306,7 @@
     }
 
     /// Decides whether a body that has ended by its framing is complete.
-    fn check_end(&self, framing: Framing, received: usize) -> SegmentEnd {
+    pub(crate) fn check_end(&self, framing: Framing, received: usize) -> SegmentEnd {
         let ended = EndedBody {
             framing,
             received,
@@ -299,7 +343,7 @@
                 match forwarder.replace_broken(key, last).await {
                     Handover::Begun(next) => return Some(*next),
                     Handover::Sent(asked) => *asked,
-                    Handover::Failed => return None,
+                    Handover::Failed | Handover::Lost => return None,
                     Handover::Continued(never) => match never {},
                 }
             };
