--- a/crates/node/tests/relay_reach.rs
+++ b/crates/node/tests/relay_reach.rs
@@ -193,3 +193,34 @@
     expect_that!(accepted(0), gt(own));
     expect_that!(accepted(0) - own, le((PATHS.len() * ROUNDS) as u32));
 }
+
+/// A VM whose links were reset took all endpoints for crashed, and sound calls were held at all VMs.
+#[gtest]
+fn links_that_are_reset_are_no_evidence_of_crashes() {
+    let fleet = Fleet::start_linked(179, 3);
+    for endpoint in &fleet.endpoints {
+        endpoint.update_behaviour(|behaviour| {
+            behaviour.run_time = Duration::from_millis(400);
+        });
+    }
+    for _ in 0..3 {
+        thread::scope(|scope| {
+            let calls = PATHS.iter().cycle().take(12);
+            for path in calls {
+                scope.spawn(|| fleet.call(0, path));
+            }
+            thread::sleep(Duration::from_millis(200));
+            fleet.set_links(0, LinkMode::Resets);
+            thread::sleep(Duration::from_millis(1_200));
+            fleet.set_links(0, LinkMode::Passes);
+        });
+        thread::sleep(Duration::from_millis(1_500));
+    }
+    for vm in 0..3 {
+        let log = fleet.log(vm);
+        expect_that!(log, not(contains_substring("\"event\":\"crashed\"")));
+        expect_that!(log, not(contains_substring("\"event\":\"held\"")));
+        let tally = call_all(&fleet, vm, 2);
+        expect_that!(tally.served, eq(PATHS.len() * 2), "{tally:?}");
+    }
+}
