Don't take endpoints for crashed when the VM has lost its links

Callers of all VMs could have sound calls held after the links of one VM were reset: that VM found each endpoint closed to new connections and counted a crash for each, with the sections of the calls that it had there.

Cause: a refused connection shows that an endpoint is down or that the VM doesn't reach it; only the former was considered.

Before a crash counts, the VM now opens connections to other endpoints of the service. If none succeeds, it waits for the reports of the other VMs, which check a service that another one has lost; if one of them still reaches it, the links were cut and nothing counts. If none does, the endpoints are down and the crashes count as before. The test failed before. In the stand-ins, all links of a VM refuse connections before the first one is reset.

--- a/crates/ingress/src/helpers.rs
+++ b/crates/ingress/src/helpers.rs
@@ -59,6 +59,18 @@
         self.reports.values()
     }
 
+    /// Whether a VM has reported that it doesn't reach a service with this short hash.
+    pub fn is_lost_by_any(&self, service: u32) -> bool {
+        let mut lost = self.reports.values().flat_map(|r| &r.lost_services);
+        lost.any(|lost| lost.contains(&service))
+    }
+
+    /// Whether a VM has reported since `start` that it has not lost a service with this short hash.
+    pub fn is_kept_by_any(&self, start: Time, service: u32) -> bool {
+        let mut reports = self.reports.values();
+        reports.any(|report| report.at >= start && report.takes_calls_for(service))
+    }
+
     /// Records that a call is forwarded to a VM.
     pub fn begin(&mut self, ip: Ipv4Addr) {
         *self.forwarded.entry(ip).or_default() += 1;
--- a/crates/node/tests/relay/mod.rs
+++ b/crates/node/tests/relay/mod.rs
@@ -187,6 +187,10 @@
 
     /// Changes the links between a VM and all endpoints.
     pub fn set_links(&self, vm: usize, mode: LinkMode) {
+        if mode == LinkMode::Resets {
+            // No link may accept connections when the first connection is reset.
+            self.set_links(vm, LinkMode::RefusesNew);
+        }
         for link in &self.links[vm] {
             link.set_mode(mode);
         }
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -3,7 +3,8 @@
 //!
 //! A connection that breaks doesn't show that its endpoint crashed. Before a broken call counts, a new
 //! connection is opened, on which an engine is asked for its report; only an endpoint that can't be
-//! reached or closes that connection too has crashed.
+//! reached or closes that connection too has crashed. A VM that reaches no other endpoint of the service
+//! either may have lost its links; then the evidence counts only if no other VM reaches the service.
 
 use crate::{
     call_forwarder::CallForwarder, clock, placement::fetch_report, pool::Connection,
@@ -165,7 +166,7 @@
     address: SocketAddr,
     is_engine: bool,
 ) {
-    let crashed = has_crashed(&shared, address, is_engine).await;
+    let crashed = has_crashed(&shared, address, is_engine).await && !shared.is_cut_off(key).await;
     let now = clock::now();
     let mut core = shared.core();
     let mut cuts = core.pending_cuts.remove(&key).unwrap_or_default();
--- a/crates/relay/src/reach.rs
+++ b/crates/relay/src/reach.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     clock,
+    forwarding::short_service_hash,
     shared::{Core, Shared},
 };
 use core::{iter, time::Duration};
@@ -23,6 +24,8 @@
 const CUT_CHECKED: usize = 2;
 /// Time after which a service without new connections is checked while another one is cut off.
 const UNTRIED_TIME: Duration = Duration::from_secs(1);
+/// Time in which VMs without traffic to a service find out that they have lost it too, and report it.
+const VERDICT_TIME: Duration = Duration::from_millis(1_200);
 /// Time after which a stopped check begins again if no connection has failed meanwhile.
 const IDLE_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -67,7 +70,9 @@
                     keys.extend(order.take(CUT_CHECKED.min(available.len())));
                 }
                 Reachability::Reached
-                    if has_cut && !self.reach.is_tried_since(tried_since, &service) =>
+                    if !self.reach.is_tried_since(tried_since, &service)
+                        && (has_cut
+                            || self.helpers.is_lost_by_any(short_service_hash(&service))) =>
                 {
                     keys.extend(untested.into_iter().take(MAX_CHECKED));
                 }
@@ -128,6 +133,32 @@
         }
     }
 
+    /// Whether an endpoint can't be reached because this VM has lost its service, which other VMs reach.
+    pub(crate) async fn is_cut_off(self: &Arc<Self>, key: EndpointKey) -> bool {
+        self.record_unconnected(key);
+        let others = {
+            let core = self.core();
+            let service = core.endpoints.get(key).map(|e| e.entry.service.clone());
+            let Some(service) = service else {
+                return false;
+            };
+            let others = core.endpoints.available(&service).iter();
+            let others = others.filter(|other| **other != key).copied();
+            (service, others.take(MAX_CHECKED).collect::<Vec<_>>())
+        };
+        let (service, others) = others;
+        let links = join_all(others.into_iter().map(|key| self.check_link(key))).await;
+        if links.contains(&true) {
+            return false;
+        }
+        let start = clock::now();
+        sleep(VERDICT_TIME).await;
+        let hash = short_service_hash(&service);
+        // Reports from the last part of the wait include what the others have found out meanwhile.
+        let late = start + VERDICT_TIME * 3 / 4;
+        self.core().helpers.is_kept_by_any(late, hash)
+    }
+
     /// Opens a connection to an endpoint and keeps it for calls; returns whether that succeeded.
     async fn check_link(self: &Arc<Self>, key: EndpointKey) -> bool {
         let address = {
