Bound the calls that are open at endpoints that bear few rejections

Endpoints that say how many rejections a second they bear crashed on those that all VMs together caused, and callers lost the calls that ran there.

Cause: each VM finds out that an endpoint is full by being rejected, at most every 100 ms and with all calls that it has in flight; nothing read the bound.

While endpoints of a service name a bound, each VM keeps no more calls open at one of them than its share of the slots, and sends none for a while after a rejection, so that the rejections of all VMs stay under half of the bound. New incarnations are treated as the other endpoints of their service.

--- a/crates/ingress/src/endpoints.rs
+++ b/crates/ingress/src/endpoints.rs
@@ -8,6 +8,7 @@
 //! since; they don't come back.
 
 use crate::{
+    brittle::RejectionBounds,
     engine::EngineLoad,
     entry::{EndpointEntry, EndpointState, EntryChanges, LAPSE_GRACE, LocalRemoval, Removal},
     groups::EndpointGroup,
@@ -174,6 +175,7 @@
     change_count: u64,
     relaxed: GroupLoad,
     strict: GroupLoad,
+    pub(crate) bounds: RejectionBounds,
 }
 
 impl EndpointTable {
@@ -540,6 +542,7 @@
     fn drop_endpoint(&mut self, key: EndpointKey) -> Option<EndpointChange> {
         self.remove_available(key);
         let endpoint = self.endpoints.remove(key)?;
+        self.bounds.remove(key);
         self.change_count += 1;
         self.keep_former(&endpoint);
         self.by_name.remove(&endpoint.entry.name);
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod admission;
 mod body_end;
+mod brittle;
 mod budget;
 mod call;
 mod config;
@@ -38,6 +39,8 @@
 #[cfg(test)]
 mod body_end_tests;
 #[cfg(test)]
+mod brittle_tests;
+#[cfg(test)]
 mod budget_tests;
 #[cfg(test)]
 mod endpoint_views_tests;
--- a/crates/ingress/src/notices.rs
+++ b/crates/ingress/src/notices.rs
@@ -28,12 +28,14 @@
 }
 
 /// What a response says of its endpoint, whatever the request was.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct EndpointNotice {
     /// Pause that the endpoint asks for.
     pub pause: NamedPause,
     /// Whether the endpoint leaves.
     pub leaving: bool,
+    /// Rejections in a second that the endpoint bears, from all VMs together; it crashes on more.
+    pub max_rejections: Option<f64>,
 }
 
 /// Time in which an endpoint wants no requests from this VM.
--- a/crates/ingress/src/placement.rs
+++ b/crates/ingress/src/placement.rs
@@ -164,6 +164,7 @@
                 && endpoint.kept_until(now, request.rank).is_none()
                 && !health.is_ejected(now)
                 && !health.is_full(now)
+                && self.has_room(now, *key)
         };
         let session = request
             .prompt
@@ -360,6 +361,7 @@
             !request.tried.contains(key)
                 && request.accepts(endpoint)
                 && endpoint.kept_until(now, request.rank).is_none()
+                && self.has_room(now, **key)
         });
         let endpoint = untried.min_by(|a, b| {
             let (a, b) = (self.endpoint(**a), self.endpoint(**b));
--- a/crates/node/tests/relay_brittle.rs
+++ b/crates/node/tests/relay_brittle.rs
@@ -74,7 +74,8 @@
     let crashes: usize = fleet.endpoints[2..].iter().map(|e| e.crashes().len()).sum();
     expect_that!(crashes, le(MAX_CRASHES));
     let capacity = 2.0 * f64::from(SLOTS) / RUN_TIME.as_secs_f64();
-    let runnable = capacity * (LOAD_TIME - CONTACT_TIME).as_secs_f64();
+    let loaded = LOAD_TIME.saturating_sub(CONTACT_TIME);
+    let runnable = capacity * loaded.as_secs_f64();
     expect_that!(served.into_inner() as f64, ge(runnable * MIN_USE));
     expect_that!(fleet.endpoints[2].kind(), eq(EndpointKind::Service));
 }
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -624,6 +624,10 @@
             }
             ResponseKind::NotRun => {
                 self.record_health(key, Health::record_full);
+                self.shared
+                    .core()
+                    .endpoints
+                    .record_rejection(clock::now(), key);
                 return Err(FailedAttempt::new(
                     Outcome::Refused,
                     format!("status {status}"),
--- a/crates/relay/src/heartbeats.rs
+++ b/crates/relay/src/heartbeats.rs
@@ -104,6 +104,7 @@
     shared.metrics.vms_alive.set(alive.cast_signed() as i64);
     shared.metrics.vms_unheard.set(unheard.cast_signed() as i64);
     core.helpers.expire(now);
+    core.endpoints.set_vm_count(alive + 1);
     let mut remote_calls: HashMap<u32, u32> = HashMap::new();
     for (hash, count) in core.helpers.reports().flat_map(|report| &report.open_calls) {
         *remote_calls.entry(*hash).or_default() += u32::from(*count);
--- a/crates/relay/src/notices.rs
+++ b/crates/relay/src/notices.rs
@@ -48,6 +48,20 @@
             self.record_leaving(key);
         }
         self.record_pause(key, notice.pause, call);
+        self.record_bound(key, notice.max_rejections);
+    }
+
+    fn record_bound(&self, key: EndpointKey, max_rejections: Option<f64>) {
+        let mut core = self.core();
+        let is_changed = core
+            .endpoints
+            .record_bound(clock::now(), key, max_rejections);
+        let name = core.endpoints.get(key).map(|e| e.entry.name.clone());
+        drop(core);
+        if let Some(name) = name.filter(|_| is_changed) {
+            let endpoint = name.as_str();
+            tracing::info!(event = "brittle", endpoint, max_rejections, "endpoint");
+        }
     }
 
     fn record_leaving(&self, key: EndpointKey) {
