Test a pause that is asked for at the deadline of a call

An endpoint whose queue turns a call away when its deadline passes answers at the moment at which the VM gives the call up.

--- a/crates/node/tests/relay_notices.rs
+++ b/crates/node/tests/relay_notices.rs
@@ -8,7 +8,9 @@
 };
 use googletest::prelude::*;
 use http::StatusCode;
-use poplarswitch_deployment::{Behaviour, CallError, CallResponse, EndpointKind, StoreFault};
+use poplarswitch_deployment::{
+    Behaviour, CallError, CallResponse, EndpointKind, LinkMode, StoreFault,
+};
 use relay::{Fleet, arrival_times, stream_body, wait_until};
 use std::{thread, time::Instant};
 
@@ -362,3 +364,43 @@
     expect_that!(late.count(), eq(0));
     expect_that!(calls.iter().all(Sent::is_answered), eq(true));
 }
+
+/// An endpoint that turned calls away at their deadline, when nobody read its answer any more, got
+/// further calls in the pause that it had asked for.
+#[gtest]
+fn pause_that_is_asked_for_at_the_deadline_of_a_call_holds() {
+    const PAUSE: Duration = Duration::from_secs(3);
+    let fleet = Fleet::start(84, 1);
+    fleet.register(BOOKING + 1, EndpointKind::Service, 1, true);
+    let line = "\"event\":\"draining\"";
+    wait_until("one endpoint is left", || fleet.log(0).contains(line));
+    let endpoint = &fleet.endpoints[BOOKING];
+    // As between data centres, an answer that is sent at the deadline arrives after it.
+    fleet.proxies[BOOKING].set_mode(LinkMode::Delays(Duration::from_millis(15)));
+    endpoint.set_room(1, 20);
+    endpoint.update_behaviour(|behaviour| {
+        behaviour.run_time = PAUSE * 2;
+        behaviour.retry_after = Some("3");
+    });
+    let call = |deadline| fleet.call_for(0, SEATS, "f1:100,aa:10", Duration::from_millis(deadline));
+    thread::scope(|scope| {
+        scope.spawn(|| call(8_000));
+        wait_until("the only slot is taken", || endpoint.runs().len() == 1);
+        for _ in 0..4 {
+            scope.spawn(|| call(600));
+        }
+        wait_until("calls are turned away", || {
+            !endpoint.asked_pauses().is_empty()
+        });
+        for _ in 0..20 {
+            scope.spawn(|| call(500));
+            thread::sleep(Duration::from_millis(100));
+        }
+    });
+    let asked = endpoint.asked_pauses()[0].at;
+    let arrivals = arrival_times(&fleet, BOOKING);
+    expect_that!(
+        count_in_pause(&arrivals, asked, PAUSE),
+        le(ALLOWED_IN_PAUSE)
+    );
+}
