Read answers that arrive just after the deadline of their calls

Endpoints that had asked for a pause got further calls from the same VM.

Cause: an endpoint turns a waiting call away when its deadline passes, and the VM gives the call up and closes the connection at that moment, so it doesn't read the answer that asks for the pause. Evidence: in the test with stand-ins, where the answer arrives 10 ms late, 15 calls reach the endpoint in its pause, and the VM logs no `paused`.

The connection of a call that ends at its deadline is now kept for 150 ms, and what its answer says of the endpoint counts. The endpoint works on nothing meanwhile, since its deadline has passed too. A call that ends earlier closes its connection at once, as before. The test failed before (15, allowed 2).

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -7,6 +7,7 @@
     forwarding::ForwardedResponse,
     framing::framing_of,
     handover::{Awaited, Handover},
+    late_answers::Exchange,
     open_call::OpenCall,
     placement::reason_name,
     pool::Connection,
@@ -70,6 +71,9 @@
     TooManyInterim,
 }
 
+/// A request that has been sent, until its response arrives.
+pub(crate) type ExchangeFuture = Pin<Box<dyn Future<Output = Answer> + Send>>;
+
 /// A connection to the endpoint of an attempt, on which nothing has been sent yet.
 #[derive(Debug)]
 pub(crate) struct ReadyAttempt {
@@ -82,7 +86,7 @@
 pub(crate) struct PendingAttempt {
     pub(crate) info: AttemptInfo,
     pub(crate) open_call: OpenCall,
-    pub(crate) exchange: Pin<Box<dyn Future<Output = Answer> + Send>>,
+    pub(crate) exchange: Exchange,
     /// When the request was sent.
     sent: Time,
     /// Whether the connection had been used before.
@@ -328,7 +332,13 @@
         Ok(PendingAttempt {
             info,
             open_call,
-            exchange: Box::pin(exchange(sender, request)),
+            exchange: Exchange::new(
+                Box::pin(exchange(sender, request)),
+                &self.shared,
+                key,
+                &self.request.call.id,
+                self.request.deadline,
+            ),
             sent: now,
             reused,
         })
@@ -379,7 +389,7 @@
             silent_at: Instant::now() + limit,
             silence: &silence,
         };
-        let answer = pending.exchange.as_mut();
+        let answer = Pin::new(&mut pending.exchange);
         let result = match self.await_answer(awaited, answer, last_event_id).await {
             Handover::Continued(result) => result,
             Handover::Begun(unread) => return Ok(Stage::Body(*unread)),
--- a/crates/relay/src/handover.rs
+++ b/crates/relay/src/handover.rs
@@ -85,10 +85,12 @@
     future::poll_fn(|context| {
         let mut answers = asked.iter_mut().enumerate();
         answers
-            .find_map(|(index, next)| match next.exchange.as_mut().poll(context) {
-                Poll::Ready(answer) => Some(Poll::Ready((index, answer))),
-                Poll::Pending => None,
-            })
+            .find_map(
+                |(index, next)| match Pin::new(&mut next.exchange).poll(context) {
+                    Poll::Ready(answer) => Some(Poll::Ready((index, answer))),
+                    Poll::Pending => None,
+                },
+            )
             .unwrap_or(Poll::Pending)
     })
     .await
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -18,6 +18,7 @@
 mod framing;
 mod handover;
 mod heartbeats;
+mod late_answers;
 mod limits;
 mod listeners;
 mod logs;
--- a/crates/relay/src/notices.rs
+++ b/crates/relay/src/notices.rs
@@ -43,7 +43,12 @@
     }
 
     /// Takes in what an endpoint says of itself in a response; `call` is the identifier of the call.
-    fn record_notice(&self, key: EndpointKey, notice: EndpointNotice, call: Option<&str>) {
+    pub(crate) fn record_notice(
+        &self,
+        key: EndpointKey,
+        notice: EndpointNotice,
+        call: Option<&str>,
+    ) {
         if notice.leaving {
             self.record_leaving(key);
         }
