Test endpoints that leave and answer through another VM

A VM that forwards a call passes on an answer whose endpoint says that it leaves, without reading that (DRAIN over two hops): after the cut, it sends the endpoint a call.

--- a/crates/node/tests/relay_reach.rs
+++ b/crates/node/tests/relay_reach.rs
@@ -224,3 +224,30 @@
         expect_that!(tally.served, eq(PATHS.len() * 2), "{tally:?}");
     }
 }
+
+/// A VM that had passed on the answer of an endpoint that leaves sent it calls after the cut, because only
+/// the VM in between had read that it leaves.
+#[gtest]
+fn endpoint_that_leaves_gets_no_calls_from_a_vm_that_has_passed_its_answer_on() {
+    let fleet = Fleet::start_linked(180, 2);
+    fleet.set_links(0, LinkMode::Hangs);
+    call_until_contact(&fleet, 0);
+    let answered_by = fleet.call(0, "/seats/1").1.unwrap().endpoint;
+    let mut endpoints = fleet.endpoints.iter();
+    let leaving = endpoints
+        .find(|endpoint| Some(endpoint.name()) == answered_by)
+        .unwrap();
+    leaving.update_behaviour(|behaviour| behaviour.leaving = true);
+    wait_until("the endpoint has said that it leaves", || {
+        let (_, response) = fleet.call(0, "/seats/1");
+        response.is_ok_and(|response| response.endpoint == Some(leaving.name()))
+    });
+    fleet.set_links(0, LinkMode::Passes);
+    thread::sleep(Duration::from_secs(1));
+    let before = leaving.arrivals().len();
+    for _ in 0..ROUNDS {
+        let tally = call_all(&fleet, 0, 1);
+        expect_that!(tally.served, eq(PATHS.len()), "{tally:?}");
+    }
+    expect_that!(leaving.arrivals().len(), eq(before));
+}
