Read that an endpoint leaves in answers that come through another VM

After a cut, a VM sent calls to an endpoint whose answer it had passed on with the notice that it leaves.

Cause: the notice was read only by the VM that had sent the call. The VM that sends a forwarded call now names the endpoint and its start beside the answer, and the VM that passes the answer on takes the endpoint for draining. Pauses bind the VM that has sent the call alone.

--- a/crates/ingress/src/endpoints.rs
+++ b/crates/ingress/src/endpoints.rs
@@ -205,6 +205,11 @@
         self.endpoints.get_mut(key)
     }
 
+    /// Key of the endpoint with this name.
+    pub fn key(&self, name: &EndpointName) -> Option<EndpointKey> {
+        self.by_name.get(name).copied()
+    }
+
     /// All endpoints.
     pub fn iter(&self) -> impl Iterator<Item = (EndpointKey, &Endpoint)> {
         self.endpoints.iter()
--- a/crates/relay/src/forwarding.rs
+++ b/crates/relay/src/forwarding.rs
@@ -24,7 +24,7 @@
 use http::{HeaderName, HeaderValue, Request, header, response};
 use http_body_util::{BodyExt as _, Full};
 use hyper::body::{Body as _, Incoming};
-use poplarswitch_entity::ServiceName;
+use poplarswitch_entity::{EndpointName, ServiceName};
 use poplarswitch_ingress::{Framing, Phase, Reachability, VersionPin, hash_text};
 use poplarswitch_wire::ErrorCode;
 use rand::Rng as _;
@@ -36,6 +36,8 @@
 const FORWARDED: HeaderName = HeaderName::from_static("poplarswitch-forwarded");
 /// Tells what the response to a forwarded call is.
 const FORWARD_RESULT: HeaderName = HeaderName::from_static("poplarswitch-forward-result");
+/// The endpoint whose answer is passed on: its start in milliseconds, and its name.
+const FORWARD_ENDPOINT: HeaderName = HeaderName::from_static("poplarswitch-forward-endpoint");
 /// Maximum number of VMs to which a call is forwarded one after the other.
 const MAX_HELPERS: usize = 3;
 /// Time limit for a connection to another VM.
@@ -119,6 +121,20 @@
     }
 }
 
+/// Names the endpoint whose answer to a forwarded call is passed on.
+pub(crate) fn name_endpoint(headers: &mut http::HeaderMap, name: &EndpointName, start_ms: u64) {
+    // A name that is no valid header value is left out; the answer counts all the same.
+    if let Ok(value) = HeaderValue::from_str(&format!("{start_ms} {}", name.as_str())) {
+        headers.insert(FORWARD_ENDPOINT, value);
+    }
+}
+
+fn take_endpoint(headers: &mut http::HeaderMap) -> Option<(EndpointName, u64)> {
+    let value = headers.remove(FORWARD_ENDPOINT)?;
+    let (start_ms, name) = value.to_str().ok()?.split_once(' ')?;
+    Some((EndpointName::new(name), start_ms.parse().ok()?))
+}
+
 /// Counts a call as forwarded to a VM until it is dropped.
 #[derive(Debug)]
 struct ForwardGuard {
@@ -334,7 +350,7 @@
         };
         let (mut head, body) = response.into_parts();
         match ForwardResult::take(&mut head.headers) {
-            Some(ForwardResult::Answer) => {}
+            Some(ForwardResult::Answer) => self.observe_forwarded(&mut head),
             Some(ForwardResult::Failed) => {
                 let code = if head.status == http::StatusCode::GATEWAY_TIMEOUT {
                     ErrorCode::InDoubt
@@ -381,6 +397,32 @@
         }
     }
 
+    /// Takes in that the endpoint whose answer another VM passes on leaves: this VM has passed it on too.
+    /// What else the answer says concerns the VM that has sent the call.
+    fn observe_forwarded(&self, head: &mut response::Parts) {
+        let Some((name, start_ms)) = take_endpoint(&mut head.headers) else {
+            return;
+        };
+        let notice = self
+            .shared
+            .protocol
+            .parse_notice(head.status, &head.headers);
+        if !notice.leaving {
+            return;
+        }
+        let key = {
+            let core = self.shared.core();
+            let key = core.endpoints.key(&name);
+            key.filter(|key| {
+                let endpoint = core.endpoints.get(*key);
+                endpoint.is_some_and(|e| e.entry.start_ms == start_ms)
+            })
+        };
+        if let Some(key) = key {
+            self.shared.record_leaving(key);
+        }
+    }
+
     /// Takes back that this VM has counted the call for the retry budget; the VM that sends it counts it.
     fn uncount(&mut self, now: poplarswitch_entity::Time) {
         if core::mem::take(&mut self.request.is_counted) {
--- a/crates/relay/src/notices.rs
+++ b/crates/relay/src/notices.rs
@@ -69,7 +69,7 @@
         }
     }
 
-    fn record_leaving(&self, key: EndpointKey) {
+    pub(crate) fn record_leaving(&self, key: EndpointKey) {
         let change = self.core().endpoints.record_leaving(key);
         self.handle_endpoint_changes(change.as_slice(), NOTICE_SOURCE);
     }
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -6,7 +6,7 @@
     call_forwarder::{CallForwarder, CallRequest},
     call_record::CallRecord,
     clock,
-    forwarding::{ForwardResult, Hop},
+    forwarding::{ForwardResult, Hop, name_endpoint},
     origins,
     reply::{BodyParts, Failure, Guards, ReplyBody},
     shared::Shared,
@@ -17,7 +17,7 @@
 use http::{HeaderValue, Request, Response, StatusCode, Version, header, request, response};
 use http_body_util::{BodyExt as _, Limited};
 use hyper::body::{Body as _, Incoming};
-use poplarswitch_entity::{Time, WorkspaceName};
+use poplarswitch_entity::{EndpointName, Time, WorkspaceName};
 use poplarswitch_ingress::{
     Access, Admission, AttemptCounts, Call, EndpointGroup, Framing, Prompt, Reachability,
     RequestId, RequestParts, Route, RoutingTable, ShutdownStage, VersionPin, engine_work_ms,
@@ -90,10 +90,17 @@
                 () = shared.exit_announced() => None,
             };
             match response.unwrap_or_else(|| Err(forwarder.exit_failure())) {
-                Ok(response) => (
-                    into_response(forwarder, response, caller_version, guards),
-                    ForwardResult::Answer,
-                ),
+                Ok(response) => {
+                    let endpoint = match hop {
+                        Hop::Caller => None,
+                        Hop::Vm { .. } => forwarder.answered_by(),
+                    };
+                    let mut response = into_response(forwarder, response, caller_version, guards);
+                    if let Some((name, start_ms)) = endpoint {
+                        name_endpoint(response.headers_mut(), &name, start_ms);
+                    }
+                    (response, ForwardResult::Answer)
+                }
                 Err(failure) => (
                     failure_response(&failure, &mut forwarder.record, guards),
                     failure.forward_result(),
@@ -122,6 +129,14 @@
 }
 
 impl CallForwarder {
+    /// Name and start in milliseconds of the endpoint that has answered, if it is still known.
+    fn answered_by(&self) -> Option<(EndpointName, u64)> {
+        let name = EndpointName::new(&*self.record.endpoint);
+        let core = self.shared.core();
+        let endpoint = core.endpoints.get(core.endpoints.key(&name)?)?;
+        Some((name, endpoint.entry.start_ms))
+    }
+
     /// Failure that is reported to the caller because this VM exits before the call has an answer.
     fn exit_failure(&self) -> Failure {
         if self.attempts.maybe_run > 0 {
