Split the classification of answers and the stand-ins' behaviour into modules

Tests of the phase of isolated VMs in lists of addresses and on the wire, and of the retry budget of forwarded calls.

--- a/crates/ingress/src/budget_tests.rs
+++ b/crates/ingress/src/budget_tests.rs
@@ -75,3 +75,23 @@
     expect_that!(taken, all![ge(1), le(LIMIT.allowance as usize)]);
     expect_that!(budget.allows(Time::ZERO, &service, 1), eq(false));
 }
+
+/// A call that went through another VM was counted at both, which allowed more retries than the limit.
+#[gtest]
+fn forwarded_call_counts_at_the_vm_that_sends_it_only() {
+    let service = ServiceName::new("chat");
+    let now = Time::from_millis(1_000);
+    let retries = |budget: &mut RetryBudget| {
+        (0..1_000)
+            .filter(|_| budget.try_take(now, &service, 1))
+            .count()
+    };
+    let mut unused = RetryBudget::new(LIMIT);
+    let mut forwarding = RetryBudget::new(LIMIT);
+    for _ in 0..200 {
+        forwarding.record_call(now, &service);
+        forwarding.uncount_call(now, &service);
+    }
+    forwarding.uncount_call(now, &service);
+    expect_that!(retries(&mut forwarding), eq(retries(&mut unused)));
+}
--- a/crates/ingress/src/helpers.rs
+++ b/crates/ingress/src/helpers.rs
@@ -11,7 +11,7 @@
 /// Time for which a report is used.
 const REPORT_TTL: Duration = Duration::from_millis(1_200);
 
-/// What a VM has told of itself in its latest heartbeat.
+/// Load and lost services of a VM, from its latest heartbeat.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PeerReport {
     /// When the heartbeat was received.
--- a/crates/ingress/src/membership_tests.rs
+++ b/crates/ingress/src/membership_tests.rs
@@ -1,4 +1,4 @@
-use crate::{EngineWork, Heartbeat, Membership, Phase};
+use crate::{EngineWork, Heartbeat, MemberRecord, Membership, Phase};
 use core::net::Ipv4Addr;
 use googletest::prelude::*;
 use poplarswitch_entity::Time;
@@ -278,3 +278,39 @@
         expect_that!(decoded, eq(&heartbeat));
     }
 }
+
+/// Callers were sent to VMs that reached no endpoint although other VMs did.
+#[gtest]
+fn isolated_vms_are_named_only_if_no_vm_is_ready() {
+    for count in [9, 60] {
+        let mut cluster = Cluster::new(count, 3);
+        for vm in 0..count - 2 {
+            cluster.phases[vm] = Phase::Isolated;
+        }
+        cluster.run(9_000);
+        let (observer, own) = (count - 1, Phase::Ready);
+        let membership = cluster.vms[observer].as_ref().unwrap();
+        let ready = [ip(count - 2), ip(count - 1)];
+        for dc_index in [None, Some(0), Some(2)] {
+            let named = membership.caller_addresses(cluster.now, dc_index, own, 400);
+            expect_that!(named, elements_are![eq(&ready[0]), eq(&ready[1])]);
+        }
+        cluster.phases = vec![Phase::Isolated; count];
+        cluster.run(9_000);
+        let membership = cluster.vms[observer].as_ref().unwrap();
+        let named = membership.caller_addresses(cluster.now, None, Phase::Isolated, 400);
+        expect_that!(named.len(), eq(count));
+    }
+}
+
+/// A VM of an earlier version, which knows no isolated VMs, must not send callers to one.
+#[gtest]
+fn isolated_phase_is_encoded_as_a_number_that_earlier_versions_do_not_know() {
+    let record = MemberRecord(ip(1), 0, 7, Phase::Isolated, EngineWork::default());
+    let mut bytes = Vec::new();
+    ciborium::into_writer(&record, &mut bytes).unwrap();
+    let row: (u32, u8, u64, u8, u16, u16) = ciborium::from_reader(&*bytes).unwrap();
+    expect_that!(row.3, gt(2));
+    let decoded: MemberRecord = ciborium::from_reader(&*bytes).unwrap();
+    expect_that!(decoded, eq(record));
+}
--- a/crates/relay/src/forwarding.rs
+++ b/crates/relay/src/forwarding.rs
@@ -48,7 +48,7 @@
 /// Interval at which the heartbeats of a VM that has a forwarded call are checked.
 const HELPER_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
-/// How a call has reached this VM.
+/// Origin of a call: its caller, or a VM that has forwarded it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Hop {
     /// From its caller.
@@ -87,7 +87,7 @@
     }
 }
 
-/// What the response to a forwarded call is.
+/// Kind of the response to a forwarded call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum ForwardResult {
     /// An endpoint's answer.
@@ -398,7 +398,7 @@
     }
 
     /// Takes in that the endpoint whose answer another VM passes on leaves: this VM has passed it on too.
-    /// What else the answer says concerns the VM that has sent the call.
+    /// Limits and pauses in the answer concern the VM that has sent the call.
     fn observe_forwarded(&self, head: &mut response::Parts) {
         let Some((name, start_ms)) = take_endpoint(&mut head.headers) else {
             return;
--- a/crates/relay/src/handover.rs
+++ b/crates/relay/src/handover.rs
@@ -275,7 +275,7 @@
     /// a further one gets the call too.
     fn max_overlap(&self, next: &PendingAttempt) -> Duration {
         match self.request.route.kind {
-            RouteKind::Safe => self.silence_limit(next.sent()),
+            RouteKind::Safe => self.silence_limit(next.sent),
             RouteKind::Unsafe | RouteKind::Stream { .. } => MAX_OVERLAP,
         }
     }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -10,6 +10,7 @@
 mod attempt;
 mod call_forwarder;
 mod call_record;
+mod classification;
 mod clock;
 mod events;
 mod feed;
--- a/crates/relay/src/reply.rs
+++ b/crates/relay/src/reply.rs
@@ -160,7 +160,7 @@
         self
     }
 
-    /// What the failure is to the VM that has forwarded the call.
+    /// Kind of the failure for the VM that has forwarded the call.
     pub(crate) fn forward_result(&self) -> ForwardResult {
         if self.may_have_run || self.code.ran() != Ran::NotRun {
             ForwardResult::Failed
