--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -23,7 +23,7 @@
 /// Size of the smallest pool in which endpoints are ejected.
 const MIN_EJECTION_POOL_SIZE: usize = 3;
 
-/// How the balancer orders endpoints.
+/// Order in which the balancer considers endpoints.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Strategy {
     /// Each endpoint in turn.
@@ -38,7 +38,7 @@
 /// Options of the balancer.
 #[derive(Clone, Copy, Debug)]
 pub struct Options {
-    /// How endpoints are ordered.
+    /// Order of the endpoints.
     pub strategy: Strategy,
     /// Whether calls with the same prefix prefer the same endpoint.
     pub affinity: bool,
--- a/crates/balance/src/choose.rs
+++ b/crates/balance/src/choose.rs
@@ -20,7 +20,7 @@
 /// Load level by which an endpoint in the caller's data centre may exceed the least loaded one.
 const DATA_CENTRE_ALLOWANCE: u32 = 8;
 
-/// What a call requires of its endpoint.
+/// Requirements of a call on its endpoint.
 #[derive(Clone, Copy, Debug)]
 pub struct Requirements<'a> {
     /// The endpoints that the call may use.
--- a/crates/balance/src/health.rs
+++ b/crates/balance/src/health.rs
@@ -29,7 +29,7 @@
 /// Good outcomes after which the next suspension has its initial length again.
 const BACKOFF_RESET_OUTCOMES: u32 = 50;
 
-/// What a dispatch shows about its endpoint.
+/// Evidence of a dispatch about its endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
     /// The endpoint produced output and was not measured to be slow.
@@ -68,7 +68,7 @@
 /// Which calls an endpoint may be sent.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Phase {
-    /// As many calls as it has slots.
+    /// Its slots bound its calls.
     #[default]
     Up,
     /// No calls until the given time.
--- a/crates/bench/src/events.rs
+++ b/crates/bench/src/events.rs
@@ -24,7 +24,7 @@
         call: usize,
         /// Number of the dispatch.
         attempt: Attempt,
-        /// Where in the answer the dispatch starts.
+        /// Position in the answer at which the dispatch starts.
         mode: Mode,
     },
     /// An endpoint receives the instruction to stop a dispatch.
--- a/crates/catalog/src/lookup.rs
+++ b/crates/catalog/src/lookup.rs
@@ -21,7 +21,7 @@
     pub struct RouteKey;
 }
 
-/// What a call requests; endpoints that serve the same route are interchangeable.
+/// Target of a call; endpoints that serve the same route are interchangeable.
 #[derive(
     Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
 )]
--- a/crates/ingress/src/body_end.rs
+++ b/crates/ingress/src/body_end.rs
@@ -4,7 +4,7 @@
 //! The end of a body with neither a length nor chunks is the end of its connection, which may also
 //! have failed. A stream that ends inside an event is incomplete, however its end is framed.
 
-/// How the end of a response's body is marked on its connection.
+/// Marking of the end of a response's body on its connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Framing {
     /// The head states the length.
@@ -29,7 +29,7 @@
 /// A body that has ended by its framing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct EndedBody {
-    /// How its end was marked.
+    /// Marking of its end.
     pub framing: Framing,
     /// Bytes that were received.
     pub received: usize,
--- a/crates/ingress/src/body_end_tests.rs
+++ b/crates/ingress/src/body_end_tests.rs
@@ -8,7 +8,7 @@
 const SEEDS: u64 = 20_000;
 const FRAMINGS: [Framing; 3] = [Framing::Length, Framing::Chunked, Framing::Close];
 
-/// How an answer looks to its receiver.
+/// Appearance of an answer to its receiver.
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct Answer {
     framing: Framing,
--- a/crates/ingress/src/endpoint_views_tests.rs
+++ b/crates/ingress/src/endpoint_views_tests.rs
@@ -35,7 +35,7 @@
 
 type Entries = BTreeMap<EndpointName, EndpointEntry>;
 
-/// What the platform would lose.
+/// Content that the platform would lose.
 #[derive(Clone, Default)]
 struct Content {
     revision: Revision,
--- a/crates/ingress/src/endpoints.rs
+++ b/crates/ingress/src/endpoints.rs
@@ -122,7 +122,7 @@
     }
 }
 
-/// What an incarnation whose entry is gone has said of itself.
+/// Notices of an incarnation whose entry is gone.
 #[derive(Debug)]
 struct FormerEndpoint {
     name: EndpointName,
--- a/crates/ingress/src/limits.rs
+++ b/crates/ingress/src/limits.rs
@@ -69,15 +69,15 @@
 /// Maximum number of calls of a VM that ask for tokens of one endpoint at the same time.
 const MAX_ASKING: u32 = 2;
 
-/// What an answer says of its endpoint's limit.
+/// Statement of an answer about its endpoint's limit.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum NamedLimit {
-    /// It names no limit.
+    /// No limit is named.
     #[default]
     Free,
     /// Requests per second from all VMs together.
     Rate(f64),
-    /// It names a limit that can't be read, so nothing changes.
+    /// The limit can't be read, so nothing changes.
     Unreadable,
 }
 
@@ -102,7 +102,7 @@
     Ended,
 }
 
-/// What a VM knows of a limit, for other VMs.
+/// A VM's knowledge of a limit, for other VMs.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct LimitRecord(
     /// Endpoint.
@@ -132,7 +132,7 @@
 pub struct TokenRequest {
     /// Number of the request, which the reply repeats.
     pub serial: u32,
-    /// What the requesting VM knows of the limit.
+    /// The requesting VM's knowledge of the limit.
     pub limit: LimitRecord,
     /// Rank of the call among all calls, 0 first.
     pub rank: u8,
@@ -224,7 +224,7 @@
     granted_until: Time,
     /// Calls of this VM that ask for tokens.
     asking: u32,
-    /// What this VM doesn't send.
+    /// Calls that this VM doesn't send.
     denial: Denial,
 }
 
--- a/crates/ingress/src/listing.rs
+++ b/crates/ingress/src/listing.rs
@@ -21,7 +21,7 @@
 /// Number of reads after the start while listed VMs haven't been heard of.
 const STARTUP_READS: u32 = 3;
 
-/// What a VM knows of the other VMs.
+/// A VM's knowledge of the other VMs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ListingView {
     /// Whether this VM reads the platform for its data centre.
--- a/crates/ingress/src/notices.rs
+++ b/crates/ingress/src/notices.rs
@@ -18,16 +18,16 @@
 /// Pause that a response asks for.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum NamedPause {
-    /// It asks for none.
+    /// No pause is asked for.
     #[default]
     None,
     /// The endpoint wants no requests from this VM for this time.
     For(Duration),
-    /// It names a time that can't be read, so nothing changes.
+    /// The time can't be read, so nothing changes.
     Unreadable,
 }
 
-/// What a response says of its endpoint, whatever the request was.
+/// Notice of a response about its endpoint, whatever the request was.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct EndpointNotice {
     /// Pause that the endpoint asks for.
--- a/crates/ingress/src/outcome.rs
+++ b/crates/ingress/src/outcome.rs
@@ -10,7 +10,7 @@
 use crate::{config::RouteKind, streams::VersionPin};
 use core::time::Duration;
 
-/// What is known about an attempt that has ended without a good answer.
+/// Knowledge about an attempt that has ended without a good answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
     /// No byte was written to the connection.
@@ -45,7 +45,7 @@
     InDoubt,
 }
 
-/// What to do after a failed attempt.
+/// Step after a failed attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NextStep {
     /// Retry on another endpoint; a retry that reaches an endpoint is charged to the retry budget.
@@ -63,7 +63,7 @@
 /// Remaining time below which a retry could not be answered.
 const MIN_RETRY_TIME: Duration = Duration::from_millis(20);
 
-/// What keeps a call from being sent to another endpoint.
+/// Obstacle to sending a call to another endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Obstacle {
     /// The call may run only once.
--- a/crates/ingress/src/placement.rs
+++ b/crates/ingress/src/placement.rs
@@ -78,13 +78,13 @@
 /// Reason for the choice of an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PlacementReason {
-    /// It is the first endpoint of the session's order.
+    /// The endpoint is the first of the session's order.
     Session,
-    /// It is a later endpoint of the session's order, because those before it are loaded.
+    /// The endpoint is a later one of the session's order; those before it are loaded.
     Spill,
-    /// It has the fewest open calls.
+    /// The endpoint has the fewest open calls.
     LeastLoaded,
-    /// It can start the call soonest, though late.
+    /// The endpoint can start the call soonest, though late.
     Late,
     /// All endpoints of the service that want requests are ejected; this one may have recovered.
     AllEjected,
--- a/crates/ingress/src/quarantine/evidence.rs
+++ b/crates/ingress/src/quarantine/evidence.rs
@@ -54,7 +54,7 @@
 /// Time for which an answer counts as recent.
 pub(super) const ANSWER_TTL: Duration = Duration::from_mins(1);
 
-/// What the weight of crashes depends on.
+/// Circumstances that determine the weight of crashes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Kind {
     Section,
--- a/crates/ingress/src/quarantine/exchange.rs
+++ b/crates/ingress/src/quarantine/exchange.rs
@@ -17,7 +17,7 @@
 const PLATFORM_DELAY: Duration = Duration::from_millis(300);
 
 impl Quarantine {
-    /// What to tell other VMs.
+    /// News for other VMs.
     pub fn digest(&mut self, now: Time) -> QuarantineDigest {
         let mut sections = SubjectRecords::default();
         let mut requests = SubjectRecords::default();
--- a/crates/ingress/src/quarantine/records.rs
+++ b/crates/ingress/src/quarantine/records.rs
@@ -58,7 +58,7 @@
     pub trials: u8,
 }
 
-/// What a VM tells others about the subjects of one kind.
+/// A VM's news about the subjects of one kind.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SubjectRecords {
     /// Crashes that this VM has learned of recently.
@@ -76,7 +76,7 @@
     }
 }
 
-/// What a VM tells others about subjects; the first three fields are of sections.
+/// A VM's news about subjects; the first three fields are of sections.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct QuarantineDigest {
     /// Crashes that this VM has learned of recently.
@@ -139,7 +139,7 @@
 pub enum Passage {
     /// None of its subjects is held.
     Free,
-    /// It is the trial of a held subject; its end is to be told with this identifier.
+    /// The call is the trial of a held subject; its end is to be told with this identifier.
     Trial(TrialId),
     /// The home decides.
     Ask(TrialAsk),
--- a/crates/ingress/src/quarantine/subject.rs
+++ b/crates/ingress/src/quarantine/subject.rs
@@ -9,7 +9,7 @@
 /// Time for which a crash counts against a request, which may come rarely.
 const REQUEST_CRASH_TTL: Duration = Duration::from_mins(10);
 
-/// What identifies a request, however often and wherever it comes.
+/// Identity of a request, however often and wherever it comes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RequestParts<'a> {
     /// Host of the route.
@@ -49,7 +49,7 @@
     }
 }
 
-/// What calls have in common that may crash endpoints.
+/// Property that calls have in common and that may crash endpoints.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Subject {
     /// A section of prompts.
--- a/crates/ingress/src/quarantine/trials.rs
+++ b/crates/ingress/src/quarantine/trials.rs
@@ -138,16 +138,16 @@
     pub verdict: TrialVerdict,
 }
 
-/// How a trial ended.
+/// End of a trial.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum TrialOutcome {
     /// Its answer is complete, or has survived [`super::SURVIVAL_TIME`].
     Answered,
     /// Its endpoint crashed, or it failed in another way after it may have run.
     Cut,
-    /// It was not sent.
+    /// The trial was not sent.
     Unsent,
-    /// It reached an endpoint that refused it, or lived when its connection broke.
+    /// The trial reached an endpoint that refused it, or lived when its connection broke.
     Undecided,
 }
 
@@ -225,7 +225,7 @@
     }
 }
 
-/// What bears on the trials of a subject beside its own crashes.
+/// Circumstances of the trials of a subject beside its own crashes.
 #[derive(Clone, Copy, Debug)]
 struct TrialState {
     is_answered: bool,
--- a/crates/ingress/src/quarantine_sim_tests/world.rs
+++ b/crates/ingress/src/quarantine_sim_tests/world.rs
@@ -114,7 +114,7 @@
     }
 }
 
-/// What one run showed.
+/// Findings of one run.
 #[derive(Default)]
 pub(super) struct Figures {
     /// Sends of each bad request or section: when, and whether their VM was in touch.
--- a/crates/keys/src/api.rs
+++ b/crates/keys/src/api.rs
@@ -30,7 +30,7 @@
     pub payload: Arc<[u8]>,
 }
 
-/// What the caller of a keyed call is told.
+/// Answer to the caller of a keyed call.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum CallOutcome {
@@ -62,7 +62,7 @@
     Malformed,
 }
 
-/// How a run ended, as reported by the scheduler and the dispatch.
+/// End of a run, as reported by the scheduler and the dispatch.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RunEnd {
@@ -160,7 +160,7 @@
     Ended {
         /// The call that ran.
         call: CallId,
-        /// How it ended.
+        /// Its end.
         end: RunEnd,
     },
     /// A message arrived over a link.
--- a/crates/node/src/callers/connection.rs
+++ b/crates/node/src/callers/connection.rs
@@ -25,7 +25,7 @@
 /// Minimum interval at which the time-out of a connection is checked.
 const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
-/// What a connection is used for.
+/// Use of a connection.
 #[derive(Clone, Copy, Debug)]
 enum Stage {
     /// The first head is awaited or being read, since the connection was accepted.
--- a/crates/node/src/callers/server.rs
+++ b/crates/node/src/callers/server.rs
@@ -73,7 +73,7 @@
     }
 }
 
-/// What the connections of a port share.
+/// State that the connections of a port share.
 struct Port {
     shared: Arc<Shared>,
     permits: Arc<Semaphore>,
--- a/crates/node/tests/relay_bodies.rs
+++ b/crates/node/tests/relay_bodies.rs
@@ -158,7 +158,7 @@
     fleet
 }
 
-/// What a caller may see of an answer that its first endpoint sent in a shape.
+/// Views that a caller may have of an answer that its first endpoint sent in a shape.
 fn check(route: RouteCase, shape: AnswerShape, id: &str, received: &Received) {
     let is_stream = route.kind == EndpointKind::Engine;
     let seen = received.whole_body(is_stream);
--- a/crates/objects/src/diff.rs
+++ b/crates/objects/src/diff.rs
@@ -20,7 +20,7 @@
     pub new: Option<Value>,
 }
 
-/// How an object was changed.
+/// Kind of change of an object.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Edit {
@@ -42,7 +42,7 @@
     pub kind: Kind,
     /// Name of the object.
     pub name: String,
-    /// How the object was changed.
+    /// Kind of change.
     pub edit: Edit,
 }
 
--- a/crates/objects/src/kinds.rs
+++ b/crates/objects/src/kinds.rs
@@ -216,7 +216,7 @@
     pub default_class: ClassName,
 }
 
-/// What an endpoint serves.
+/// Models or service that an endpoint serves.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", deny_unknown_fields)]
 pub enum Serves {
@@ -249,7 +249,7 @@
     /// Data centre of the endpoint.
     #[builder(into)]
     pub data_centre: DataCentre,
-    /// What the endpoint serves.
+    /// Models or service that the endpoint serves.
     pub serves: Serves,
     /// Number of calls that the endpoint serves concurrently.
     pub slots: u32,
--- a/crates/oracle/src/limits_sim.rs
+++ b/crates/oracle/src/limits_sim.rs
@@ -44,7 +44,7 @@
 /// Time without faults at the end.
 const CALM_TIME: Duration = Duration::from_secs(12);
 
-/// What happens at a VM or, for an arrival, at an endpoint.
+/// An event at a VM or, for an arrival, at an endpoint.
 #[derive(Clone, Copy, Debug)]
 enum VmEvent {
     /// The reply of the owner is not awaited longer.
--- a/crates/oracle/src/quarantine_oracle.rs
+++ b/crates/oracle/src/quarantine_oracle.rs
@@ -18,7 +18,7 @@
 /// Trials cut by crashes of another cause after which a sound request may stay held for long.
 const MAX_CUT_TRIALS: usize = 2;
 
-/// What happened to one request.
+/// Events of one request.
 #[derive(Clone, Debug, Default)]
 struct Record {
     is_bad: bool,
--- a/crates/oracle/src/quarantine_sim.rs
+++ b/crates/oracle/src/quarantine_sim.rs
@@ -75,7 +75,7 @@
     Trial(TrialMessage),
 }
 
-/// What happens to a call at its VM or, for the crash, at its endpoint.
+/// An event of a call at its VM or, for the crash, at its endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum CallEvent {
     /// The call asks for passage.
--- a/crates/publish/src/api.rs
+++ b/crates/publish/src/api.rs
@@ -188,7 +188,7 @@
     pub timeout: Duration,
 }
 
-/// How an object differs between two sets.
+/// Difference of an object between two sets.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum ChangeKind {
@@ -207,7 +207,7 @@
     pub kind: String,
     /// The name of the object.
     pub name: String,
-    /// How the object differs.
+    /// The difference.
     pub change: ChangeKind,
 }
 
--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -45,7 +45,7 @@
         }
     }
 
-    /// Where another endpoint may continue; none if it can't.
+    /// Position at which another endpoint may continue; none if it can't.
     pub(crate) fn resume_point(&self) -> Option<ResumePoint> {
         match self {
             Self::Opaque | Self::Events(_) => None,
--- a/crates/relay/src/handover.rs
+++ b/crates/relay/src/handover.rs
@@ -320,7 +320,7 @@
         Ok(pending)
     }
 
-    /// What keeps the call from being sent elsewhere, apart from endpoints.
+    /// Obstacle to sending the call elsewhere, apart from endpoints.
     fn obstacle(&self) -> Option<Obstacle> {
         let now = clock::now();
         let time_left = self.request.deadline.since(now);
--- a/crates/relay/src/origins.rs
+++ b/crates/relay/src/origins.rs
@@ -40,7 +40,7 @@
 /// Requests for origins whose replies are awaited, by their numbers.
 pub(crate) type OriginRequests = HashMap<u32, mpsc::Sender<OriginReply>>;
 
-/// What another VM knows of a stream.
+/// Another VM's knowledge of a stream.
 #[derive(Debug)]
 pub(crate) struct OriginReply {
     origin: Option<StreamOrigin>,
--- a/crates/relay/src/protocol.rs
+++ b/crates/relay/src/protocol.rs
@@ -65,9 +65,9 @@
     pub signed: bool,
     /// Idle time after which the endpoint closes the connection, if it announces one.
     pub idle_timeout: Option<Duration>,
-    /// What the response says of the endpoint's limit on the rate of requests.
+    /// The endpoint's limit on the rate of requests, as the response names it.
     pub limit: NamedLimit,
-    /// What the response says of the endpoint itself.
+    /// Notice of the response about the endpoint itself.
     pub notice: EndpointNotice,
 }
 
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -52,7 +52,7 @@
     sections.map(|section| section.id)
 }
 
-/// What a call has in common with others that may crash its endpoint.
+/// Subjects that a call shares with others and that may crash its endpoint.
 pub(crate) fn subjects(id: RequestId, call: &Call) -> impl Iterator<Item = Subject> {
     let sections = shared_sections(call).map(Subject::Section);
     iter::once(Subject::Request(id)).chain(sections)
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -96,7 +96,7 @@
     }
 }
 
-/// How the forwarding of a response ended.
+/// End of the forwarding of a response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum StreamEnd {
     Complete,
@@ -104,7 +104,7 @@
     Broken,
 }
 
-/// How the forwarding of the data from one endpoint ended.
+/// End of the forwarding of the data from one endpoint.
 #[derive(Debug)]
 pub(crate) enum SegmentEnd {
     Complete,
--- a/crates/scheduler/src/api.rs
+++ b/crates/scheduler/src/api.rs
@@ -154,7 +154,7 @@
     Cache(CacheEvent),
 }
 
-/// Where in the answer a dispatch starts.
+/// Position in the answer at which a dispatch starts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Mode {
@@ -176,7 +176,7 @@
     pub endpoint: EndpointName,
     /// Number of the dispatch, counted from 0 for each call.
     pub attempt: Attempt,
-    /// Where in the answer the dispatch starts.
+    /// Position in the answer at which the dispatch starts.
     pub mode: Mode,
 }
 
@@ -230,7 +230,7 @@
     pub retry_after: Duration,
 }
 
-/// How a call ended that was dispatched but has no complete answer.
+/// End of a call that was dispatched but has no complete answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum ConclusionKind {
@@ -275,7 +275,7 @@
     }
 }
 
-/// How queued calls are ordered and endpoints are chosen.
+/// Order of queued calls and choice of endpoints.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Policy {
--- a/crates/store/src/api.rs
+++ b/crates/store/src/api.rs
@@ -177,6 +177,6 @@
         /// Time after which to try again.
         retry_after: Duration,
     },
-    /// It is not known whether the write was done.
+    /// The write may or may not have been done.
     Unknown,
 }
--- a/crates/timeline/src/event.rs
+++ b/crates/timeline/src/event.rs
@@ -41,7 +41,7 @@
     Answered,
     /// The call ran and failed.
     Failed,
-    /// It is not known whether the call ran.
+    /// The call may or may not have run.
     InDoubt,
 }
 
--- a/crates/util/src/exit.rs
+++ b/crates/util/src/exit.rs
@@ -15,7 +15,7 @@
     Invalid = 3,
     /// Another set was published first; nothing was changed.
     Conflict = 4,
-    /// It is unknown whether the publication took effect.
+    /// The publication may or may not have taken effect.
     Undecided = 5,
     /// The platform or a VM could not be reached; nothing was changed.
     Unreachable = 6,
--- a/crates/util/src/publication_tests.rs
+++ b/crates/util/src/publication_tests.rs
@@ -13,7 +13,7 @@
 
 const TIMEOUT: Duration = Duration::from_secs(30);
 
-/// How the simulated platform handles a request.
+/// Treatment of a request by the simulated platform.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Fault {
     /// Executes it and replies.
--- a/crates/wire/src/error.rs
+++ b/crates/wire/src/error.rs
@@ -12,7 +12,7 @@
     NotRun,
     /// The call ran.
     Ran,
-    /// It is not known whether the call ran.
+    /// The call may or may not have run.
     InDoubt,
 }
 
