--- a/crates/relay/src/handover.rs
+++ b/crates/relay/src/handover.rs
@@ -25,7 +25,6 @@
     obstacle,
 };
 use tokio::{
-    sync::watch,
     task::yield_now,
     time::{Instant, sleep_until},
 };
@@ -110,12 +109,11 @@
         F: Future + ?Sized,
     {
         let lost_at = Instant::now() + LOST_SILENCE;
-        let losses = self.shared.losses.subscribe();
         tokio::select! {
             biased;
             output = answer.as_mut() => return Handover::Continued(output),
             () = sleep_until(awaited.silent_at) => {}
-            () = self.await_loss(losses, lost_at) => {}
+            () = self.await_loss(lost_at) => {}
         }
         // After a suspension of the process, the tasks of connections have to read what has arrived.
         tokio::select! {
@@ -229,8 +227,9 @@
 
     /// Waits until the service of the call is lost and another VM may take the call, but at least until
     /// `lost_at`.
-    async fn await_loss(&self, mut losses: watch::Receiver<()>, lost_at: Instant) {
+    async fn await_loss(&self, lost_at: Instant) {
         sleep_until(lost_at).await;
+        let mut losses = self.shared.losses.subscribe();
         // The sender is not dropped during the wait.
         while !self.can_be_taken_up() && losses.changed().await.is_ok() {}
     }
