Leave ejections alone when checking whether links are cut

The check whether a broken connection means a crash or a cut opened connections to other endpoints of the service, ended their ejections even if they were down behind a host that accepts connections, and waited for the slowest of them, which delays the evidence against requests that crash endpoints.

Only the links of a service that comes back end ejections now, and the first connection that opens settles the check.

--- a/crates/relay/src/reach.rs
+++ b/crates/relay/src/reach.rs
@@ -10,7 +10,7 @@
     shared::{Core, Shared},
 };
 use core::{iter, time::Duration};
-use futures_util::future::join_all;
+use futures_util::{StreamExt as _, future::join_all, stream::FuturesUnordered};
 use poplarswitch_entity::{ServiceName, Time};
 use poplarswitch_ingress::{EndpointKey, Health, Reachability};
 use std::{collections::HashSet, sync::Arc};
@@ -147,9 +147,12 @@
             (service, others.take(MAX_CHECKED).collect::<Vec<_>>())
         };
         let (service, others) = others;
-        let links = join_all(others.into_iter().map(|key| self.check_link(key))).await;
-        if links.contains(&true) {
-            return false;
+        let mut links: FuturesUnordered<_> =
+            others.into_iter().map(|key| self.check_link(key)).collect();
+        while let Some(is_open) = links.next().await {
+            if is_open {
+                return false;
+            }
         }
         let start = clock::now();
         sleep(VERDICT_TIME).await;
@@ -172,10 +175,16 @@
             return false;
         };
         self.return_connection(key, connection.sender, None);
-        if let Some(endpoint) = self.core().endpoints.get_mut(key) {
+        true
+    }
+
+    /// Opens a connection to an endpoint that was lost, and ends its ejection if that succeeds.
+    async fn restore_link(self: &Arc<Self>, key: EndpointKey) {
+        if self.check_link(key).await
+            && let Some(endpoint) = self.core().endpoints.get_mut(key)
+        {
             Health::record_reachable(&mut endpoint.health);
         }
-        true
     }
 }
 
@@ -204,6 +213,6 @@
             lost.remove(key);
         }
         let checks = iter::zip(&keys, iter::repeat(&shared));
-        join_all(checks.map(|(key, shared)| shared.check_link(*key))).await;
+        join_all(checks.map(|(key, shared)| shared.restore_link(*key))).await;
     }
 }
