Show streams that go on at another version of their replicas

Cause: a VM that is cut off takes the only version that it knows for that of a stream, although no other VM has answered its question and a newer version may have joined since its view was confirmed.

--- a/review/harness-2/cases/mod.rs
+++ b/review/harness-2/cases/mod.rs
@@ -3,6 +3,7 @@
 mod drain;
 mod helper;
 mod route;
+mod versions;
 mod zone;
 
 use crate::{fleet::Fleet, http::Message, record::Record, replica::Replica};
@@ -23,6 +24,7 @@
         "unreadable-name" => route::run(record, trouble, route::Foreign::UnreadableName),
         "unreadable-bytes" => drain::run(record, trouble),
         "stale-helper" => helper::run(record, trouble),
+        "two-versions" => versions::run(record, trouble),
         "late-version" => zone::run(record, trouble),
         _ => Err(io::Error::other("unknown case")),
     }
--- a/review/harness-2/fleet.rs
+++ b/review/harness-2/fleet.rs
@@ -22,7 +22,7 @@
 pub const DEADLINE: Duration = Duration::from_millis(2_000);
 /// First port of a VM's listeners.
 const PORT: u16 = 8_220;
-const INTERNAL_PORT: u16 = 7_340;
+pub const INTERNAL_PORT: u16 = 7_340;
 const READY_LIMIT: Duration = Duration::from_secs(20);
 
 /// Processes that run.
@@ -92,12 +92,20 @@
 
     /// Starts a VM in a zone.
     pub fn add_vm(&mut self, zone: &str) -> io::Result<()> {
+        self.add_vm_at(zone, INTERNAL_PORT)
+    }
+
+    /// Starts a VM whose port for other VMs is `internal_port`; VMs with other ports don't reach it.
+    pub fn add_vm_at(&mut self, zone: &str, internal_port: u16) -> io::Result<()> {
         let number = self.vms.len() as u8 + 1;
         let [a, b, c, _] = self.ip.octets();
         let ip = Ipv4Addr::new(a, b, c, number);
         let store = self.store.view(self.ip)?;
         let file = self.folder.join(format!("vm-{number}.yaml"));
-        fs::write(&file, settings(number, ip, zone, store.address))?;
+        fs::write(
+            &file,
+            settings(number, ip, zone, store.address, internal_port),
+        )?;
         let log = File::create(self.folder.join(format!("vm-{number}.log")))?;
         // The `run` of deploy/system.toml.
         let child = Command::new("target/release/poplarswitch")
@@ -135,9 +143,19 @@
         Ok(())
     }
 
+    /// Kills the process of a VM.
+    pub fn kill(&mut self, vm: usize) {
+        let _ended = self.vms[vm].child.kill();
+    }
+
+    /// Address at which a VM takes requests of clients.
+    pub fn frontend(&self, vm: usize) -> SocketAddr {
+        SocketAddr::new(self.vms[vm].ip.into(), PORT + 7)
+    }
+
     /// Sends a client's request to a VM.
     pub fn call(&self, vm: usize, method: &str, path: &str, id: &str) -> io::Result<Message> {
-        let address = SocketAddr::new(self.vms[vm].ip.into(), PORT + 7);
+        let address = self.frontend(vm);
         let pairs = [
             ("Host", HOST.to_owned()),
             ("X-Attempt-Id", id.to_owned()),
@@ -181,7 +199,7 @@
 }
 
 /// The settings file of a VM, as on page DEPLOY.md.
-fn settings(number: u8, ip: Ipv4Addr, zone: &str, store: SocketAddr) -> String {
+fn settings(number: u8, ip: Ipv4Addr, zone: &str, store: SocketAddr, internal_port: u16) -> String {
     let zones: String = ZONES
         .iter()
         .map(|zone| format!("  {zone}: \"addis\"\n"))
@@ -191,7 +209,7 @@
          serves:\n  - \"front\"\n  - \"directory\"\nip: \"{ip}\"\nzone: \"{zone}\"\n\
          region: \"addis\"\nzones:\n{zones}listen:\n  frontend: \"{ip}:{frontend}\"\n  \
          ready: \"{ip}:{PORT}\"\n  directory: \"{ip}:{directory}\"\n\
-         internal_ports:\n  - {INTERNAL_PORT}\n  - {last_port}\nseeds: []\nbootstrap: true\n\
+         internal_ports:\n  - {internal_port}\n  - {last_port}\nseeds: []\nbootstrap: true\n\
          counts_as_loss: false\nlimits:\n  cpu_share: 0.25\n  cores: 1\n  memory_mb: 260\n  \
          max_fds: 4200\n  link_mbps: 1000.0\n  disk_mb: 0\ndata_dir: null\n\
          discovery: \"platform\"\nentry: \"directory\"\nheartbeat_ms: 1200\n\
@@ -208,7 +226,7 @@
          reads_per_s: 2000\n  history_s: 20\n  value_bytes: 1048576\n  ttl_min_ms: 1000\n",
         frontend = PORT + 7,
         directory = PORT + 4,
-        last_port = INTERNAL_PORT + 15,
+        last_port = internal_port + 15,
     )
 }
 
--- a/review/harness-2/http.rs
+++ b/review/harness-2/http.rs
@@ -70,6 +70,45 @@
     }
 }
 
+/// Starts a server that writes its answers itself; it closes each connection after one request.
+pub fn serve_streams(
+    ip: Ipv4Addr,
+    handle: impl Fn(&Message, &mut TcpStream) -> io::Result<()> + Send + Sync + 'static,
+) -> io::Result<SocketAddr> {
+    let listener = TcpListener::bind((ip, 0))?;
+    let address = listener.local_addr()?;
+    let handle = Arc::new(handle);
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let handle = Arc::clone(&handle);
+            thread::spawn(move || {
+                stream.set_nodelay(true)?;
+                while let Some(request) = read_message(&mut stream, &mut Vec::new(), true)? {
+                    handle(&request, &mut stream)?;
+                }
+                io::Result::Ok(())
+            });
+        }
+    });
+    Ok(address)
+}
+
+/// Writes a request to a new connection.
+pub fn send(address: SocketAddr, request: &Message, time_limit: Duration) -> io::Result<TcpStream> {
+    let mut stream = TcpStream::connect_timeout(&address, time_limit)?;
+    stream.set_nodelay(true)?;
+    stream.set_read_timeout(Some(time_limit))?;
+    let mut out = format!("{} {} HTTP/1.1\r\n", request.method, request.target);
+    for (name, value) in &request.headers {
+        out.push_str(&format!("{name}: {value}\r\n"));
+    }
+    out.push_str(&format!("Content-Length: {}\r\n\r\n", request.body.len()));
+    let mut out = out.into_bytes();
+    out.extend(&request.body);
+    stream.write_all(&out)?;
+    Ok(stream)
+}
+
 fn serve(mut stream: TcpStream, handle: &impl Fn(&Message) -> Answer) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let mut rest = Vec::new();
@@ -96,17 +135,7 @@
     request: &Message,
     time_limit: Duration,
 ) -> io::Result<Message> {
-    let mut stream = TcpStream::connect_timeout(&address, time_limit)?;
-    stream.set_nodelay(true)?;
-    stream.set_read_timeout(Some(time_limit))?;
-    let mut out = format!("{} {} HTTP/1.1\r\n", request.method, request.target);
-    for (name, value) in &request.headers {
-        out.push_str(&format!("{name}: {value}\r\n"));
-    }
-    out.push_str(&format!("Content-Length: {}\r\n\r\n", request.body.len()));
-    let mut out = out.into_bytes();
-    out.extend(&request.body);
-    stream.write_all(&out)?;
+    let mut stream = send(address, request, time_limit)?;
     let answer = read_message(&mut stream, &mut Vec::new(), false)?;
     answer.ok_or_else(|| io::ErrorKind::UnexpectedEof.into())
 }
--- a/review/harness-2/link.rs
+++ b/review/harness-2/link.rs
@@ -2,7 +2,7 @@
 
 use std::{
     io::{self, Read, Write},
-    net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream},
+    net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream, UdpSocket},
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -21,7 +21,12 @@
 
 impl Link {
     pub fn start(ip: Ipv4Addr, target: SocketAddr) -> io::Result<Self> {
-        let listener = TcpListener::bind((ip, 0))?;
+        Self::start_at(SocketAddr::new(ip.into(), 0), target)
+    }
+
+    /// Starts a link that listens on an address.
+    pub fn start_at(address: SocketAddr, target: SocketAddr) -> io::Result<Self> {
+        let listener = TcpListener::bind(address)?;
         listener.set_nonblocking(true)?;
         let address = listener.local_addr()?;
         let is_cut = Arc::new(AtomicBool::new(false));
@@ -68,3 +73,24 @@
         to.write_all(&buffer[..count])?;
     }
 }
+
+/// Forwards the datagrams for a VM, until it is told to drop them. VM `from` sends them to `entry`; they
+/// go on to `target`, from an address of VM `from`.
+pub fn forward_datagrams(
+    from: Ipv4Addr,
+    entry: SocketAddr,
+    target: SocketAddr,
+    is_cut: Arc<AtomicBool>,
+) -> io::Result<()> {
+    let receiver = UdpSocket::bind(entry)?;
+    let sender = UdpSocket::bind((from, 0))?;
+    thread::spawn(move || {
+        let mut buffer = [0; 16 << 10];
+        while let Ok((length, _)) = receiver.recv_from(&mut buffer) {
+            if !is_cut.load(Ordering::Relaxed) {
+                let _lost = sender.send_to(&buffer[..length], target);
+            }
+        }
+    });
+    Ok(())
+}
--- a/review/harness-2/replica.rs
+++ b/review/harness-2/replica.rs
@@ -103,3 +103,23 @@
     let seal = ("X-Response-Seal".to_owned(), format!("seal-{own}-{id}"));
     Answer(200, vec![echo, seal], body.as_bytes().to_vec())
 }
+
+/// An entry of a replica of a software version.
+pub fn entry_of(
+    service: &str,
+    address: SocketAddr,
+    zone: &str,
+    version: &str,
+    sequence: u32,
+    born: u64,
+) -> String {
+    let entry = entry(
+        service,
+        address,
+        zone,
+        "ready",
+        sequence,
+        &format!(",\"born\":{born}"),
+    );
+    entry.replace("\"v1\"", &format!("\"{version}\""))
+}
