Log what decides on a stream that is taken up

Hypotheses, and what each predicts at the VM that takes the streams up: - it decides by its own view though nobody has answered: no record, none answered, a view that is younger than MAX_TRUSTED_AGE; - it has a wrong record of the stream: a record, of v1; - it knows the version and sends the stream elsewhere: a record, or none, of v2.

The line of a take-up named neither the call nor the answers nor the age of the view, and there was none for a stream with a record.

--- a/crates/relay/src/origins.rs
+++ b/crates/relay/src/origins.rs
@@ -92,6 +92,7 @@
 pub(crate) async fn find_origin(
     shared: &Shared,
     route: &Route,
+    call_id: &str,
     continues: &Continuation,
 ) -> Option<StreamOrigin> {
     let stream = continues.first_attempt.as_deref().map(StreamId::new);
@@ -100,8 +101,16 @@
         core.origins.get(clock::now(), stream).cloned()
     });
     let origin = match recorded {
-        Some(origin) => Some(origin),
-        None => ask(shared, route, stream).await,
+        Some(origin) => {
+            tracing::info!(
+                event = "recorded",
+                id = call_id,
+                software = origin.software.as_str(),
+                "stream"
+            );
+            Some(origin)
+        }
+        None => ask(shared, route, call_id, stream).await,
     };
     let is_target = |origin: &StreamOrigin| {
         let mut targets = route.targets.iter();
@@ -153,7 +162,12 @@
 }
 
 /// Asks other VMs for the origin of a stream, or for the versions that its service has had.
-async fn ask(shared: &Shared, route: &Route, stream: Option<StreamId>) -> Option<StreamOrigin> {
+async fn ask(
+    shared: &Shared,
+    route: &Route,
+    call_id: &str,
+    stream: Option<StreamId>,
+) -> Option<StreamOrigin> {
     if stream.is_none()
         && let Some(origin) = only_origin(shared, route, &[])
     {
@@ -184,10 +198,12 @@
     let deadline = Instant::now() + REPLY_TIMEOUT;
     let mut recorded = None;
     let mut told = Vec::new();
+    let mut answered = 0;
     for _ in &peers {
         let Ok(Some(reply)) = timeout_at(deadline, replies.recv()).await else {
             break;
         };
+        answered += 1;
         told.extend(reply.versions);
         if reply.origin.is_some() {
             recorded = reply.origin;
@@ -197,12 +213,20 @@
     drop(guard);
     let is_recorded = recorded.is_some();
     let origin = recorded.or_else(|| only_origin(shared, route, &told));
+    let view_age = {
+        let core = shared.core();
+        core.endpoints_confirmed
+            .map(|at| clock::now().since(at).as_millis() as u64)
+    };
     tracing::info!(
         event = "asked",
+        id = call_id,
         asked = peers.len(),
+        answered,
         histories = told.len(),
+        view_age_ms = view_age,
         recorded = is_recorded,
-        found = origin.is_some(),
+        software = origin.as_ref().map(|origin| origin.software.as_str()),
         "stream"
     );
     origin
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -222,7 +222,7 @@
     record.request = Some(id);
     let origin = match &call.continues {
         Some(continues) if route.kind.is_stream() => {
-            let origin = origins::find_origin(shared, route, continues).await;
+            let origin = origins::find_origin(shared, route, &call.id, continues).await;
             let unknown = || Failure::new(ErrorCode::NoEndpoint, "a stream of unknown version");
             Some(origin.ok_or_else(|| unknown().with_retry_after(UNKNOWN_STREAM_DELAY))?)
         }
