Let streams without a record go on only in a view confirmed since the caller asked

Their VM was killed, and they took 12 streams up at a VM that was cut off from the others and the platform. 4 had begun at a version that this VM had not seen and went on at the one that it knew.

Cause: without a record, a stream passed for one of the only version that the VM knew if its view of the endpoints had been confirmed within 1.5 s, whoever had answered. A VM that is cut off doesn't know it for as long. Evidence: 12 of 12 log lines have one VM asked, none answered, no record, and a view of 571 to 595 ms. Waiting longer for answers would move the window, and dead VMs answer never.

Change: the stream began before its caller asked, so the view decides only if a reply of the platform to a request sent since has shown the endpoints. The VM sends one if nothing else is missing, for all calls that wait, at most one each millisecond of all VMs. Without a reply within 600 ms, the caller gets 503, not run. The decision is a module of its own (only_version.rs), which the simulation uses too. The confirmation by the watch on the configuration doesn't count: it shows that the platform is reached.

The same cause on a related path: a VM that gets the endpoints from another one often has a view over 1.5 s old while VMs are dead, and refused all such streams.

Measured: relay_take_ups has three tests. Before: at the cut-off VM 6 streams of two versions (allowed 0) and 0 of 18 refused; with two of six VMs dead, 0 of 18 went on at two of four VMs.

--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -28,6 +28,7 @@
 mod membership;
 mod memory;
 mod notices;
+mod only_version;
 mod outcome;
 mod packed;
 mod placement;
@@ -144,6 +145,7 @@
 pub use membership::{EngineWork, Heartbeat, Member, MemberRecord, Membership, Phase, WideWork};
 pub use memory::{COVERED_BYTES, MemoryAccount, MemoryDecision, MemoryTicket};
 pub use notices::{EndpointNotice, NamedPause, Pause};
+pub use only_version::{NoVersion, VersionView};
 pub use outcome::{
     AttemptCounts, NextStep, Obstacle, Outcome, Verdict, next_step, obstacle, verdict,
 };
--- a/crates/ingress/src/streams.rs
+++ b/crates/ingress/src/streams.rs
@@ -27,7 +27,7 @@
 /// Maximum number of origins that are kept; the oldest are dropped first.
 const MAX_RECORDS: usize = 50_000;
 /// Time for which a service must have had one version for a stream without a record to be of it.
-const HISTORY_TIME: Duration = Duration::from_secs(30);
+pub(crate) const HISTORY_TIME: Duration = Duration::from_secs(30);
 /// Time for which no endpoint must have had a version before its end is kept; endpoints that are
 /// replaced leave gaps.
 const KEPT_GAP: Duration = Duration::from_secs(5);
@@ -426,37 +426,17 @@
         Some(versions.collect())
     }
 
-    /// The only version that a service has had for longer than a stream lasts, if there is one.
-    ///
-    /// A process that started at `started` hasn't seen what was before. Then `told`, the histories of
-    /// other VMs, or what VMs kept in the platform must show it, or `unix_ms`, the time of day: all
-    /// endpoints must be older than that.
-    pub fn only_version(
-        &self,
-        now: Time,
-        started: Time,
-        unix_ms: u64,
-        service: &ServiceName,
-        endpoints: &EndpointTable,
-        told: &[Vec<SoftwareVersion>],
-    ) -> Option<SoftwareVersion> {
+    /// The version that a service has had lately, if it has had a single one.
+    pub(crate) fn single_version(&self, service: &ServiceName) -> Option<&SoftwareVersion> {
         let [only] = self.versions.get(service)?.as_slice() else {
             return None;
         };
-        let only = only.software.as_ref().filter(|only| only.is_known())?;
-        let of_service = endpoints.iter().map(|(_, endpoint)| &endpoint.entry);
-        let mut of_service = of_service.filter(|entry| entry.service == *service);
-        let oldest_ms = unix_ms.saturating_sub(HISTORY_TIME.as_millis() as u64);
-        if told.iter().flatten().any(|version| version != only) {
-            return None;
-        }
-        let is_settled = now.since(started) >= HISTORY_TIME
-            || !told.is_empty()
-            || self.settled.contains(service);
-        let all_match = of_service.all(|entry| {
-            entry.software.as_ref() == Some(only) && (is_settled || entry.start_ms <= oldest_ms)
-        });
-        all_match.then(|| only.clone())
+        only.software.as_ref()
+    }
+
+    /// Whether another process has shown which versions a service had before this one started.
+    pub(crate) fn is_settled(&self, service: &ServiceName) -> bool {
+        self.settled.contains(service)
     }
 }
 
--- a/crates/ingress/src/streams_tests.rs
+++ b/crates/ingress/src/streams_tests.rs
@@ -1,6 +1,6 @@
 use crate::{
     EndpointEntry, EndpointTable, KeptVersion, SoftwareVersion, StreamId, StreamOrigin,
-    StreamOrigins, VmEntry, asked_vms, copy_holders,
+    StreamOrigins, VersionView, VmEntry, asked_vms, copy_holders,
     endpoints_tests::{at, entry},
     lacks_versions,
 };
@@ -55,7 +55,16 @@
     let started = now - uptime;
     let last = noted.last()?;
     let service = ServiceName::new("chat");
-    origins.only_version(now, started, UNIX_MS, &service, last, told)
+    let view = VersionView {
+        now,
+        asked: now,
+        confirmed: Some(now),
+        started,
+        unix_ms: UNIX_MS,
+        endpoints: last,
+        told,
+    };
+    origins.only_version(&service, &view).ok()
 }
 
 #[gtest]
@@ -173,7 +182,16 @@
     let now = START + uptime;
     let unix_ms = UNIX_MS + uptime.as_millis() as u64;
     let service = ServiceName::new("chat");
-    origins.only_version(now, START, unix_ms, &service, endpoints, &[])
+    let view = VersionView {
+        now,
+        asked: now,
+        confirmed: Some(now),
+        started: START,
+        unix_ms,
+        endpoints,
+        told: &[],
+    };
+    origins.only_version(&service, &view).ok()
 }
 
 /// After all VMs had ended, streams went on at the version that was left of two, and were refused
--- /dev/null
+++ b/crates/node/tests/relay_take_ups.rs
@@ -0,0 +1,166 @@
+//! Streams of which no VM that answers has a record: they go on only if the platform shows that their
+//! service has had one version.
+
+mod relay;
+
+use core::time::Duration;
+use googletest::prelude::*;
+use poplarswitch_deployment::{
+    CallError, CallResponse, EndpointKind, LinkMode, StoreFault, TakenUp,
+};
+use relay::{Fleet, last_event, wait_until};
+use std::{collections::HashMap, thread};
+
+/// Path of a stream that may be resumed.
+const BRIEF: &str = "/brief/1";
+/// Number of streams of a test.
+const STREAM_COUNT: usize = 18;
+/// Number of events of a whole stream, and the time between them.
+const EVENT_COUNT: u32 = 40;
+const EVENT_INTERVAL: Duration = Duration::from_millis(50);
+/// Index of an engine of the second version.
+const NEWER: usize = 4;
+
+/// Lets the endpoints send their events.
+fn set_events(fleet: &Fleet) {
+    for endpoint in &fleet.endpoints {
+        endpoint.update_behaviour(|b| {
+            b.event_count = EVENT_COUNT;
+            b.event_interval = EVENT_INTERVAL;
+        });
+    }
+}
+
+/// Begins streams at VM 0, kills it, and returns those that broke off, with their last events.
+fn break_streams(fleet: &mut Fleet) -> Vec<(String, String)> {
+    let shared: &Fleet = fleet;
+    let results: Vec<(String, Result<CallResponse, CallError>)> = thread::scope(|scope| {
+        let calls: Vec<_> = (0..STREAM_COUNT)
+            .map(|_| scope.spawn(|| shared.call(0, BRIEF)))
+            .collect();
+        thread::sleep(EVENT_INTERVAL * 6);
+        shared.signal(0, rustix::process::Signal::KILL);
+        calls.into_iter().map(|call| call.join().unwrap()).collect()
+    });
+    fleet.kill(0);
+    let broken = results.into_iter().filter_map(|(id, result)| {
+        let last = last_event(result.err()?.partial_body())?;
+        Some((id, last))
+    });
+    broken.collect()
+}
+
+/// Takes streams up at a VM at the same time, by their first attempts; returns the attempts with their
+/// statuses.
+fn take_up_all(
+    fleet: &Fleet,
+    vm: usize,
+    streams: &[(String, String)],
+) -> Vec<(String, String, Option<u16>)> {
+    thread::scope(|scope| {
+        let calls: Vec<_> = streams
+            .iter()
+            .map(|(first, last_event)| {
+                scope.spawn(move || {
+                    let stream = TakenUp {
+                        first_attempt: Some(first),
+                        last_event,
+                    };
+                    let (id, response) = fleet.take_up(vm, BRIEF, stream);
+                    (id, first.clone(), response.ok().map(|r| r.status))
+                })
+            })
+            .collect();
+        calls.into_iter().map(|call| call.join().unwrap()).collect()
+    })
+}
+
+/// Number of streams that ran at engines of both versions.
+fn count_mixed(fleet: &Fleet, taken_up: &[(String, String, Option<u16>)]) -> usize {
+    let firsts: HashMap<&str, &str> = taken_up
+        .iter()
+        .map(|(id, first, _)| (id.as_str(), first.as_str()))
+        .collect();
+    let mut versions: HashMap<String, [bool; 2]> = HashMap::new();
+    for (index, endpoint) in fleet.endpoints.iter().enumerate() {
+        for run in endpoint.runs() {
+            let id = run.call_id.as_str();
+            let first = firsts.get(id).copied().unwrap_or(id);
+            versions.entry(first.to_owned()).or_default()[usize::from(index == NEWER)] = true;
+        }
+    }
+    versions.values().filter(|ran| ran[0] && ran[1]).count()
+}
+
+/// A VM that was cut off from the others and the platform let streams of a version that it had not seen
+/// go on at the one that it knew (ORDER).
+#[gtest]
+fn stream_of_a_version_that_a_vm_has_not_seen_goes_on_nowhere_there() {
+    let mut fleet = Fleet::new(208, 2);
+    fleet.processes[1].cut_off = true;
+    fleet.start_all();
+    for vm in 0..2 {
+        wait_until("the VM is ready", || fleet.is_ready(vm));
+    }
+    set_events(&fleet);
+    thread::sleep(Duration::from_millis(500));
+    fleet.store_proxies[1].set_mode(LinkMode::Hangs);
+    fleet.add_endpoint("engine-3", EndpointKind::Engine);
+    set_events(&fleet);
+    fleet.endpoints[NEWER].set_software("v2".into());
+    fleet.register(NEWER, EndpointKind::Engine, 2, false);
+    thread::sleep(Duration::from_millis(150));
+    let broken = break_streams(&mut fleet);
+    expect_that!(broken.len(), ge(12));
+    let newer = fleet.endpoints[NEWER].runs().len();
+    expect_that!(newer, ge(3));
+    let taken_up = take_up_all(&fleet, 1, &broken);
+    expect_that!(count_mixed(&fleet, &taken_up), eq(0));
+    let refused = taken_up
+        .iter()
+        .filter(|(_, _, status)| *status == Some(503));
+    expect_that!(refused.count(), eq(broken.len()));
+}
+
+/// Guards the mend of the above: streams that no VM knows still go on at VMs that reach the platform, also
+/// at those that get the endpoints from others, while a third of the VMs is dead.
+#[gtest]
+fn streams_of_the_only_version_go_on_while_a_third_of_the_vms_are_dead() {
+    let mut fleet = Fleet::start(209, 6);
+    set_events(&fleet);
+    for endpoint in &fleet.endpoints {
+        endpoint.update_behaviour(|b| b.event_interval = Duration::from_millis(5));
+    }
+    for vm in [0, 1] {
+        fleet.kill(vm);
+    }
+    for round in 0..2 {
+        for vm in 2..6 {
+            let unknown = |n| (format!("never-sent-{round}-{vm}-{n}"), "3".to_owned());
+            let streams: Vec<_> = (0..STREAM_COUNT).map(unknown).collect();
+            let taken_up = take_up_all(&fleet, vm, &streams);
+            let served = taken_up
+                .iter()
+                .filter(|(_, _, status)| *status == Some(200));
+            expect_that!(served.count(), eq(STREAM_COUNT), "VM {vm}, round {round}");
+        }
+        // The dead VMs count as silent from now on.
+        thread::sleep(Duration::from_millis(1_500));
+    }
+}
+
+/// A take-up at a VM whose platform is slow waits for the confirmation.
+#[gtest]
+fn stream_of_the_only_version_goes_on_while_the_platform_is_slow() {
+    let fleet = Fleet::start(210, 2);
+    let slow = StoreFault::Slow(Duration::from_millis(350));
+    fleet.store.set_fault(slow);
+    for vm in 0..2 {
+        let stream = TakenUp {
+            first_attempt: Some("never-sent"),
+            last_event: "3",
+        };
+        let (_, response) = fleet.take_up(vm, BRIEF, stream);
+        expect_that!(response.map(|r| r.status), ok(eq(&200)));
+    }
+}
--- a/crates/oracle/src/streams_sim.rs
+++ b/crates/oracle/src/streams_sim.rs
@@ -8,8 +8,8 @@
 use core::{net::Ipv4Addr, time::Duration};
 use poplarswitch_entity::{DataCentre, EndpointName, ServiceName, Time, VmName};
 use poplarswitch_ingress::{
-    EndpointEntry, EndpointState, EndpointTable, Revision, SoftwareVersion, StreamId, StreamOrigin,
-    StreamOrigins, VmEntry, asked_vms, copy_holders, stream_keepers,
+    EndpointEntry, EndpointState, EndpointTable, NoVersion, Revision, SoftwareVersion, StreamId,
+    StreamOrigin, StreamOrigins, VersionView, VmEntry, asked_vms, copy_holders, stream_keepers,
 };
 use proptest::{prelude::*, sample::select};
 use proptest_state_machine::ReferenceStateMachine;
@@ -24,8 +24,6 @@
 const VIEW_SHARE: f64 = 0.5;
 /// Share of the ticks at which a VM reads the entries of all.
 const LIST_SHARE: f64 = 0.02;
-/// Age up to which a view shows all versions.
-const MAX_VIEW_AGE: Duration = Duration::from_millis(1_500);
 /// Time for which callers take a stream up, from its first event on.
 const STREAM_TIME: Duration = Duration::from_secs(25);
 /// VMs that write the versions that they have seen to the platform.
@@ -386,6 +384,21 @@
         self.record(vm, id, software);
     }
 
+    /// The only version that a VM knows for a service, once the platform has shown it the endpoints
+    /// if only that is missing.
+    fn confirmed_version(
+        &mut self,
+        vm: usize,
+        told: &[Vec<SoftwareVersion>],
+    ) -> Option<SoftwareVersion> {
+        let found = self.only_version(vm, told);
+        if found != Err(NoVersion::Unconfirmed) || self.now < self.vms[vm].blind_until {
+            return found.ok();
+        }
+        self.see(vm);
+        self.only_version(vm, told).ok()
+    }
+
     /// The version at which a VM lets a stream go on.
     fn find(&mut self, vm: usize, stream: Option<StreamId>) -> Option<SoftwareVersion> {
         let now = self.now;
@@ -396,7 +409,7 @@
         }
         let mut told = Vec::new();
         if stream.is_none()
-            && let Some(only) = self.only_version(vm, &told)
+            && let Some(only) = self.confirmed_version(vm, &told)
         {
             return Some(only);
         }
@@ -412,27 +425,36 @@
             }
             told.extend(other.origins.history(now, other.started, &service));
         }
-        self.only_version(vm, &told)
+        self.confirmed_version(vm, &told)
     }
 
-    fn only_version(&self, vm: usize, told: &[Vec<SoftwareVersion>]) -> Option<SoftwareVersion> {
+    fn only_version(
+        &self,
+        vm: usize,
+        told: &[Vec<SoftwareVersion>],
+    ) -> Result<SoftwareVersion, NoVersion> {
         let (now, unix_ms) = (self.now, self.unix_ms());
         let vm = &self.vms[vm];
         if self.fault == Some(Fault::AssumeFirst) {
-            let entries = vm.endpoints.entries();
-            return entries.into_iter().next().and_then(|entry| entry.software);
-        }
-        let confirmed = vm.confirmed?;
-        if now.since(confirmed) >= MAX_VIEW_AGE {
-            return None;
+            let mut entries = vm.endpoints.entries().into_iter();
+            let first = entries.next().and_then(|entry| entry.software);
+            return first.ok_or(NoVersion::SeveralVersions);
         }
-        let service = ServiceName::new(SERVICE);
-        let (started, endpoints) = (vm.started, &vm.endpoints);
-        vm.origins
-            .only_version(now, started, unix_ms, &service, endpoints, told)
+        let view = VersionView {
+            now,
+            asked: now,
+            confirmed: vm.confirmed,
+            started: vm.started,
+            unix_ms,
+            endpoints: &vm.endpoints,
+            told,
+        };
+        vm.origins.only_version(&ServiceName::new(SERVICE), &view)
     }
 
     fn resume(&mut self, vm: usize, back: usize, is_named: bool) -> Result<(), String> {
+        // What has happened at the same moment came before.
+        self.now = self.now + Duration::from_micros(1);
         let Some(index) = self.streams.len().checked_sub(back + 1) else {
             return Ok(());
         };
--- a/crates/relay/src/incarnations.rs
+++ b/crates/relay/src/incarnations.rs
@@ -20,7 +20,7 @@
 const CHECK_TIMEOUT: Duration = Duration::from_millis(150);
 /// Age of the view of the endpoints above which an endpoint may have been started again without an
 /// entry that tells of it.
-pub(crate) const MAX_TRUSTED_AGE: Duration = Duration::from_millis(1_500);
+const MAX_TRUSTED_AGE: Duration = Duration::from_millis(1_500);
 /// Time after which an endpoint without a report is checked again for the first time; doubles with each
 /// check.
 const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(150);
--- a/crates/relay/src/origins.rs
+++ b/crates/relay/src/origins.rs
@@ -4,7 +4,7 @@
 use crate::{
     call_forwarder::CallForwarder,
     clock,
-    incarnations::{MAX_TRUSTED_AGE, UnprovedStream},
+    incarnations::UnprovedStream,
     shared::{Core, Shared},
 };
 use core::{
@@ -13,8 +13,8 @@
 };
 use poplarswitch_entity::Time;
 use poplarswitch_ingress::{
-    Continuation, EndpointKey, Incarnation, Route, SoftwareVersion, StreamId, StreamMessage,
-    StreamOrigin, VersionPin, asked_vms, copy_holders, stream_keepers,
+    Continuation, EndpointKey, Incarnation, NoVersion, Route, SoftwareVersion, StreamId,
+    StreamMessage, StreamOrigin, VersionPin, VersionView, asked_vms, copy_holders, stream_keepers,
 };
 use std::{collections::HashMap, sync::Arc};
 use tokio::{
@@ -25,6 +25,8 @@
 
 /// Time limit for the replies of other VMs to a request for an origin.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(80);
+/// Time limit for a confirmation of the endpoints by the platform, which may be slow.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(600);
 /// Time in which origins are gathered into one datagram.
 const GATHER_TIME: Duration = Duration::from_millis(5);
 /// Maximum number of streams in a datagram.
@@ -100,17 +102,19 @@
         let core = shared.core();
         core.origins.get(clock::now(), stream).cloned()
     });
-    let origin = match recorded {
-        Some(origin) => {
-            tracing::info!(
-                event = "recorded",
-                id = call_id,
-                software = origin.software.as_str(),
-                "stream"
-            );
-            Some(origin)
-        }
-        None => ask(shared, route, call_id, stream).await,
+    let origin = if let Some(origin) = recorded {
+        let software = origin.software.as_str();
+        tracing::info!(event = "recorded", id = call_id, software, "stream");
+        Some(origin)
+    } else {
+        let stream = UnrecordedStream {
+            route,
+            call_id,
+            id: stream,
+            asked: clock::now(),
+            deadline: Instant::now() + CONFIRM_TIMEOUT,
+        };
+        ask(shared, &stream).await
     };
     let is_target = |origin: &StreamOrigin| {
         let mut targets = route.targets.iter();
@@ -119,34 +123,61 @@
     origin.filter(|origin| origin.software.is_known() && is_target(origin))
 }
 
-/// The only service and version of a route.
-fn only_origin(
-    shared: &Shared,
-    route: &Route,
-    told: &[Vec<SoftwareVersion>],
-) -> Option<StreamOrigin> {
-    let [target] = &*route.targets else {
-        return None;
-    };
-    let now = clock::now();
-    let core = shared.core();
-    // An old view may lack a version that has come since.
-    let confirmed = core.endpoints_confirmed?;
-    if now.since(confirmed) >= MAX_TRUSTED_AGE {
-        return None;
+/// A stream without a record that a caller takes up.
+#[derive(Clone, Copy, Debug)]
+struct UnrecordedStream<'a> {
+    route: &'a Route,
+    call_id: &'a str,
+    /// Its identifier, if the caller names its first attempt.
+    id: Option<StreamId>,
+    /// When this VM was asked to let it go on.
+    asked: Time,
+    /// When the wait for a confirmation of the endpoints ends.
+    deadline: Instant,
+}
+
+impl UnrecordedStream<'_> {
+    /// Its origin, if its route has a single service and that a single version. Waits until the
+    /// platform confirms the endpoints if only that is missing.
+    async fn only_origin(
+        &self,
+        shared: &Shared,
+        told: &[Vec<SoftwareVersion>],
+    ) -> Result<StreamOrigin, NoVersion> {
+        match self.try_only_origin(shared, told) {
+            Err(NoVersion::Unconfirmed) => {
+                shared.confirm_endpoints(self.asked, self.deadline).await;
+                self.try_only_origin(shared, told)
+            }
+            decided => decided,
+        }
+    }
+
+    fn try_only_origin(
+        &self,
+        shared: &Shared,
+        told: &[Vec<SoftwareVersion>],
+    ) -> Result<StreamOrigin, NoVersion> {
+        let [target] = &*self.route.targets else {
+            return Err(NoVersion::SeveralServices);
+        };
+        let confirmed = shared.endpoints_read();
+        let core = shared.core();
+        let view = VersionView {
+            now: clock::now(),
+            asked: self.asked,
+            confirmed,
+            started: shared.started,
+            unix_ms: clock::unix_millis(),
+            endpoints: &core.endpoints,
+            told,
+        };
+        let software = core.origins.only_version(&target.service, &view)?;
+        Ok(StreamOrigin {
+            service: target.service.clone(),
+            software,
+        })
     }
-    let software = core.origins.only_version(
-        now,
-        shared.started,
-        clock::unix_millis(),
-        &target.service,
-        &core.endpoints,
-        told,
-    )?;
-    Some(StreamOrigin {
-        service: target.service.clone(),
-        software,
-    })
 }
 
 /// Removes a request for an origin when it is dropped, also if its call is cancelled.
@@ -162,22 +193,17 @@
 }
 
 /// Asks other VMs for the origin of a stream, or for the versions that its service has had.
-async fn ask(
-    shared: &Shared,
-    route: &Route,
-    call_id: &str,
-    stream: Option<StreamId>,
-) -> Option<StreamOrigin> {
-    if stream.is_none()
-        && let Some(origin) = only_origin(shared, route, &[])
+async fn ask(shared: &Shared, stream: &UnrecordedStream<'_>) -> Option<StreamOrigin> {
+    if stream.id.is_none()
+        && let Ok(origin) = stream.only_origin(shared, &[]).await
     {
         return Some(origin);
     }
     let socket = shared.peer_socket.get()?;
-    let service = route.targets.first()?.service.clone();
+    let service = stream.route.targets.first()?.service.clone();
     let (peers, serial, mut replies) = {
         let mut core = shared.core();
-        let asked = stream.unwrap_or(StreamId(0));
+        let asked = stream.id.unwrap_or(StreamId(0));
         let known: Vec<Ipv4Addr> = core.membership.known().collect();
         let peers = asked_vms(asked, &core.other_vms(clock::now()), &known);
         let (sender, replies) = mpsc::channel(peers.len().max(1));
@@ -189,7 +215,7 @@
     let guard = FindGuard { shared, serial };
     let message = StreamMessage::Find {
         serial,
-        stream,
+        stream: stream.id,
         service,
     };
     for ip in &peers {
@@ -212,24 +238,26 @@
     }
     drop(guard);
     let is_recorded = recorded.is_some();
-    let origin = recorded.or_else(|| only_origin(shared, route, &told));
-    let view_age = {
-        let core = shared.core();
-        core.endpoints_confirmed
-            .map(|at| clock::now().since(at).as_millis() as u64)
+    let origin = match recorded {
+        Some(origin) => Ok(origin),
+        None => stream.only_origin(shared, &told).await,
     };
+    let view_age = shared
+        .endpoints_read()
+        .map(|at| clock::now().since(at).as_millis() as u64);
     tracing::info!(
         event = "asked",
-        id = call_id,
+        id = stream.call_id,
         asked = peers.len(),
         answered,
         histories = told.len(),
         view_age_ms = view_age,
         recorded = is_recorded,
-        software = origin.as_ref().map(|origin| origin.software.as_str()),
+        software = origin.as_ref().ok().map(|origin| origin.software.as_str()),
+        reason = origin.as_ref().err().map(|reason| reason.as_str()),
         "stream"
     );
-    origin
+    origin.ok()
 }
 
 async fn send(shared: &Shared, socket: &UdpSocket, message: &StreamMessage, ip: Ipv4Addr) {
--- a/crates/relay/src/platform_reader.rs
+++ b/crates/relay/src/platform_reader.rs
@@ -27,6 +27,11 @@
 /// Delay after changes of endpoints, so that one reply contains several changes that occur
 /// together.
 const CHANGE_BATCH_DELAY: Duration = Duration::from_millis(50);
+/// Time for each VM between two reads for decisions of this one, so that all VMs together read at a
+/// limited rate.
+const DEMAND_SPACING: Duration = Duration::from_millis(1);
+/// Delay after a read for a decision that failed.
+const DEMAND_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Interval between checks whether this VM should read the platform.
 const POLL_INTERVAL: Duration = Duration::from_millis(150);
 
@@ -237,7 +242,11 @@
         let mut core = self.shared.core();
         let changes = core.endpoints.apply(entry_changes);
         core.endpoints_confirmed = core.endpoints_confirmed.max(Some(sent));
+        let is_read = core.endpoints.revision().era == revision.era;
         drop(core);
+        if is_read {
+            self.shared.record_endpoints_read(sent);
+        }
         self.shared.handle_endpoint_changes(&changes, "platform");
         unchanged
     }
@@ -280,18 +289,85 @@
             let grace_end = self.outage.grace_end(now).max(era_grace);
             let changes = core.endpoints.apply_listing(all, first_revision, grace_end);
             drop(core);
-            self.confirm_endpoints(sent, first_revision.era);
+            if self.confirm_endpoints(sent, first_revision.era) {
+                self.shared.record_endpoints_read(sent);
+            }
             self.shared.handle_endpoint_changes(&changes, "platform");
             return true;
         }
     }
 
-    /// Records a confirmation of the view by the platform in an era.
-    fn confirm_endpoints(&self, sent: Time, era: u64) {
+    /// Records a confirmation of the view by the platform in an era; returns whether the view is of
+    /// that era.
+    fn confirm_endpoints(&self, sent: Time, era: u64) -> bool {
         let mut core = self.shared.core();
-        if core.endpoints.revision().era == era {
+        let is_same = core.endpoints.revision().era == era;
+        if is_same {
             core.endpoints_confirmed = core.endpoints_confirmed.max(Some(sent));
         }
+        is_same
+    }
+
+    /// Reads the endpoints whenever a decision needs them as of a later time than they are known,
+    /// once for all decisions that wait.
+    pub(crate) async fn read_on_demand(self: Arc<Self>) {
+        let mut tried = None;
+        loop {
+            tried = self.shared.wait_for_wanted(tried).await;
+            let vms = {
+                let core = self.shared.core();
+                core.membership.alive_count(clock::now())
+            };
+            match self.read_now().await {
+                Ok(()) => sleep(DEMAND_SPACING * vms as u32).await,
+                Err(reason) => {
+                    tracing::warn!(event = "failed", call = "confirm", reason, "platform");
+                    sleep(DEMAND_RETRY_DELAY).await;
+                }
+            }
+        }
+    }
+
+    /// Reads the endpoints once, also if another VM reads the platform for this one. A failure says
+    /// nothing about the VM's sources, so no outage is recorded.
+    async fn read_now(&self) -> Result<(), String> {
+        let after = self.shared.core().endpoints.revision();
+        if after == Revision::default() {
+            return self.list_or_fail().await;
+        }
+        let call = PlatformCall::WatchEndpoints {
+            after,
+            wait: Duration::ZERO,
+        };
+        self.shared.metrics.platform_calls.inc();
+        let sent = clock::now();
+        let answer = self.client.call(&call).await;
+        let answer = answer.map_err(|error| error.to_string())?;
+        self.shared.record_era(answer.era, "platform");
+        match answer.reply {
+            PlatformReply::Endpoints {
+                entries,
+                removed,
+                errors,
+                revision,
+                ..
+            } if revision.era == after.era => {
+                log_errors(&errors);
+                self.apply_changes(entries, removed, sent, revision);
+                Ok(())
+            }
+            PlatformReply::HistoryGone | PlatformReply::Endpoints { .. } => {
+                self.list_or_fail().await
+            }
+            reply => Err(format!("unexpected reply: {reply:?}")),
+        }
+    }
+
+    async fn list_or_fail(&self) -> Result<(), String> {
+        let is_listed = self.list_endpoints().await;
+        is_listed
+            .then_some(())
+            .ok_or_else(|| "the endpoints can't be listed".to_owned())
     }
 
     async fn call(&self, call: &PlatformCall) -> Option<PlatformReply> {
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -133,6 +133,10 @@
     let reader = Arc::new(PlatformReader::new(Arc::clone(shared), Arc::clone(client)));
     let config_reader = Arc::clone(&reader);
     keep_running("config", move || Arc::clone(&config_reader).follow_config());
+    let demand_reader = Arc::clone(&reader);
+    keep_running("demand", move || {
+        Arc::clone(&demand_reader).read_on_demand()
+    });
     keep_running("endpoints", move || Arc::clone(&reader).follow_endpoints());
     let owned = Arc::clone(shared);
     keep_running("feed", move || feed::follow(Arc::clone(&owned)));
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -42,6 +42,7 @@
 use tokio::{
     net::UdpSocket,
     sync::{Notify, watch},
+    time::{Instant, timeout_at},
 };
 
 /// Multiple of [`ADDRESS_TTL`] for which callers may use an address.
@@ -183,6 +184,10 @@
     in_flight: Arc<AtomicUsize>,
     core: Mutex<Core>,
     changes: watch::Sender<u64>,
+    /// When this VM sent the platform its latest request whose reply showed the endpoints.
+    endpoints_read: watch::Sender<Option<Time>>,
+    /// Time as of which this VM needs the endpoints from the platform.
+    endpoints_wanted: watch::Sender<Option<Time>>,
     /// Latest era of the platform that this VM knows.
     eras: watch::Sender<Option<u64>>,
     /// Whether calls without an answer get one now, because the process exits soon.
@@ -276,6 +281,8 @@
             in_flight: Arc::default(),
             core: Mutex::new(core),
             changes: watch::Sender::new(0),
+            endpoints_read: watch::Sender::new(None),
+            endpoints_wanted: watch::Sender::new(None),
             eras: watch::Sender::new(None),
             exiting: watch::Sender::new(false),
         }
@@ -345,6 +352,36 @@
         let _later = eras.wait_for(|era| *era > known).await;
     }
 
+    /// When this VM sent the platform its latest request whose reply showed the endpoints.
+    pub(crate) fn endpoints_read(&self) -> Option<Time> {
+        *self.endpoints_read.borrow()
+    }
+
+    /// Records that the endpoints are known as of a request to the platform that was sent at `sent`.
+    pub(crate) fn record_endpoints_read(&self, sent: Time) {
+        raise(&self.endpoints_read, sent);
+    }
+
+    /// Reads the endpoints from the platform unless they are known as of `since`; waits for that, at
+    /// most until `deadline`.
+    pub(crate) async fn confirm_endpoints(&self, since: Time, deadline: Instant) {
+        raise(&self.endpoints_wanted, since);
+        let mut read = self.endpoints_read.subscribe();
+        let read = read.wait_for(|at| *at >= Some(since));
+        // The sender is not dropped during the wait.
+        let _ended = timeout_at(deadline, read).await;
+    }
+
+    /// Waits until [`Self::confirm_endpoints`] needs the endpoints as of a later time than they are
+    /// known, and than `tried`; returns that time.
+    pub(crate) async fn wait_for_wanted(&self, tried: Option<Time>) -> Option<Time> {
+        let mut wanted = self.endpoints_wanted.subscribe();
+        let is_lacking = |since: &Option<Time>| *since > self.endpoints_read().max(tried);
+        // The sender is not dropped during the wait.
+        let since = wanted.wait_for(is_lacking).await.ok()?;
+        *since
+    }
+
     /// Versions of the configuration and the endpoints that this VM has.
     pub(crate) fn cursor(&self) -> Cursor {
         Cursor {
@@ -487,6 +524,17 @@
     }
 }
 
+/// Sets a time unless it is as late already.
+fn raise(time: &watch::Sender<Option<Time>>, at: Time) {
+    time.send_if_modified(|known| {
+        let is_later = *known < Some(at);
+        if is_later {
+            *known = Some(at);
+        }
+        is_later
+    });
+}
+
 /// Guard that counts a call as in flight until it is dropped, and then lets calls in line for memory
 /// try again.
 #[derive(Debug)]
