Log and count what decides on streams that are taken up after a loss of VMs

Hypotheses, and what each predicts: - a keeper's write failed or came late: no kept line with is_kept before the kill, restored with 0 streams and no entries, asked with reason several_versions; - nobody was the keeper, or the second version was learned late: no kept line at all; - the entries are there and aren't taken in: entries named, streams 0; - the version is known and no endpoint takes the stream: recorded, then attempts that miss.

The lines of a take-up now say how long the VM waited for answers and why no version follows; streams without a name have a line; relay_take_ups counts take-ups by what decided.

--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -28,6 +28,12 @@
     outcome: &'static str,
 }
 
+/// Label of streams that callers take up: what decided on their versions.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct OriginLabel {
+    pub(crate) origin: &'static str,
+}
+
 /// Labels of calls refused for lack of room: the rank, and whether the caller was refused before.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct RefusalLabel {
@@ -61,6 +67,7 @@
 pub(crate) struct Metrics {
     registry: Registry,
     calls: Family<OutcomeLabel, Counter>,
+    pub(crate) take_ups: Family<OriginLabel, Counter>,
     first_byte: Histograms,
     duration: Histograms,
     pub(crate) connections: Counter,
@@ -107,6 +114,7 @@
         let mut metrics = Self {
             registry: Registry::with_prefix("relay"),
             calls: Family::default(),
+            take_ups: Family::default(),
             first_byte: Histograms::new_with_constructor(buckets),
             duration: Histograms::new_with_constructor(buckets),
             connections: Counter::default(),
@@ -149,6 +157,11 @@
     fn register(&mut self) {
         let registry = &mut self.registry;
         registry.register("calls", "Calls that ended", self.calls.clone());
+        registry.register(
+            "take_ups",
+            "Streams that callers took up, by what decided on their versions",
+            self.take_ups.clone(),
+        );
         registry.register(
             "refusals",
             "Calls refused because no engine could start them soon enough",
--- a/crates/relay/src/origins.rs
+++ b/crates/relay/src/origins.rs
@@ -5,6 +5,7 @@
     call_forwarder::CallForwarder,
     clock,
     incarnations::UnprovedStream,
+    metrics::OriginLabel,
     shared::{Core, Shared},
 };
 use core::{
@@ -49,6 +50,13 @@
     origin: StreamOrigin,
 }
 
+impl Shared {
+    fn count_take_up(&self, origin: &'static str) {
+        let label = OriginLabel { origin };
+        self.metrics.take_ups.get_or_create(&label).inc();
+    }
+}
+
 impl Core {
     fn other_vms(&self, now: Time) -> Vec<Ipv4Addr> {
         self.membership.alive(now).map(|member| member.ip).collect()
@@ -105,6 +113,7 @@
     let origin = if let Some(origin) = recorded {
         let software = origin.software.as_str();
         tracing::info!(event = "recorded", id = call_id, software, "stream");
+        shared.count_take_up("recorded");
         Some(origin)
     } else {
         let stream = UnrecordedStream {
@@ -197,6 +206,9 @@
     if stream.id.is_none()
         && let Ok(origin) = stream.only_origin(shared, &[]).await
     {
+        let software = origin.software.as_str();
+        tracing::info!(event = "unnamed", id = stream.call_id, software, "stream");
+        shared.count_take_up("only_version");
         return Some(origin);
     }
     let socket = shared.peer_socket.get()?;
@@ -221,7 +233,8 @@
     for ip in &peers {
         send(shared, socket, &message, *ip).await;
     }
-    let deadline = Instant::now() + REPLY_TIMEOUT;
+    let sent = Instant::now();
+    let deadline = sent + REPLY_TIMEOUT;
     let mut recorded = None;
     let mut told = Vec::new();
     let mut answered = 0;
@@ -237,6 +250,7 @@
         }
     }
     drop(guard);
+    let waited = sent.elapsed().as_millis() as u64;
     let is_recorded = recorded.is_some();
     let origin = match recorded {
         Some(origin) => Ok(origin),
@@ -250,6 +264,7 @@
         id = stream.call_id,
         asked = peers.len(),
         answered,
+        waited_ms = waited,
         histories = told.len(),
         view_age_ms = view_age,
         recorded = is_recorded,
@@ -257,6 +272,11 @@
         reason = origin.as_ref().err().map(|reason| reason.as_str()),
         "stream"
     );
+    shared.count_take_up(match &origin {
+        Ok(_) if is_recorded => "told",
+        Ok(_) => "only_version",
+        Err(reason) => reason.as_str(),
+    });
     origin.ok()
 }
 
