Write streams into entries soon after a failed write, and beside other work

Cause, forced: after a failed write of its entry a VM wrote nothing for 2 s, longer than the streams had run. Both keepers write at the same moment, so one short fault of the platform is enough. The same wait stood behind a change of holds or versions (350 ms), a return of the platform from a copy (up to 20 ms for each VM) and a read of the list of VMs (up to 1.2 s), and a write on an idle connection that the platform closes just then failed.

Whether a write fails on the users' machines is not known; the line kept tells from now on.

Change: entry_writes.rs decides when the entry is written: streams at once, others after 350 ms, a failed write again after 100 ms, then at doubled intervals up to 2 s. The list is read beside it. A call that can be repeated is sent on a new connection if an idle one breaks. The lines kept and restored name the streams and entries.

--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -14,6 +14,7 @@
 mod endpoints;
 mod engine;
 mod entry;
+mod entry_writes;
 mod feed;
 mod former;
 mod freshness;
@@ -62,6 +63,8 @@
 #[cfg(test)]
 mod entry_fuzz_tests;
 #[cfg(test)]
+mod entry_writes_tests;
+#[cfg(test)]
 mod feed_tests;
 #[cfg(test)]
 mod freshness_tests;
@@ -127,6 +130,7 @@
 pub use entry::{
     EndpointEntry, EndpointState, EntryChanges, LAPSE_GRACE, LocalRemoval, Removal, SoftwareVersion,
 };
+pub use entry_writes::EntrySchedule;
 pub use feed::{
     BODY_SILENCE_LIMIT, Cursor, FEED_WAIT, FeedReply, FeedRequest, REPLY_MARGIN, Source,
     SourceSelector,
--- a/crates/node/tests/relay_take_ups.rs
+++ b/crates/node/tests/relay_take_ups.rs
@@ -43,6 +43,13 @@
         calls.into_iter().map(|call| call.join().unwrap()).collect()
     });
     fleet.kill(0);
+    broken_streams(results)
+}
+
+/// Streams that broke off after some events, with the last event.
+fn broken_streams(
+    results: Vec<(String, Result<CallResponse, CallError>)>,
+) -> Vec<(String, String)> {
     let broken = results.into_iter().filter_map(|(id, result)| {
         let last = last_event(result.err()?.partial_body())?;
         Some((id, last))
@@ -164,3 +171,67 @@
         expect_that!(response.map(|r| r.status), ok(eq(&200)));
     }
 }
+
+/// Starts VMs before engines of two versions.
+fn start_two_versions(net: u8) -> Fleet {
+    let mut fleet = Fleet::start(net, 3);
+    fleet.add_endpoint("engine-3", EndpointKind::Engine);
+    set_events(&fleet);
+    fleet.endpoints[NEWER].set_software("v2".into());
+    fleet.register(NEWER, EndpointKind::Engine, 2, false);
+    thread::sleep(Duration::from_secs(1));
+    fleet
+}
+
+/// Begins streams at all VMs, lets the store fail at first, kills all VMs, starts them again and takes all
+/// streams up; returns their number, how many went on, and how many of those at another version.
+fn play_failed_writes(net: u8, fault: StoreFault, fault_time: Duration) -> (usize, usize, usize) {
+    let mut fleet = start_two_versions(net);
+    let shared: &Fleet = &fleet;
+    let results: Vec<(String, Result<CallResponse, CallError>)> = thread::scope(|scope| {
+        shared.store.set_fault(fault);
+        let calls: Vec<_> = (0..STREAM_COUNT)
+            .map(|n| scope.spawn(move || shared.call(n % 3, BRIEF)))
+            .collect();
+        thread::sleep(fault_time);
+        shared.store.set_fault(StoreFault::None);
+        thread::sleep(Duration::from_millis(1_200).saturating_sub(fault_time));
+        for vm in 0..3 {
+            shared.signal(vm, rustix::process::Signal::KILL);
+        }
+        calls.into_iter().map(|call| call.join().unwrap()).collect()
+    });
+    let broken = broken_streams(results);
+    for vm in 0..3 {
+        fleet.kill(vm);
+        fleet.start_process(vm);
+    }
+    fleet.await_ready();
+    thread::sleep(Duration::from_millis(500));
+    let taken_up = take_up_all(&fleet, 1, &broken);
+    let served = taken_up
+        .iter()
+        .filter(|(_, _, status)| *status == Some(200));
+    (broken.len(), served.count(), count_mixed(&fleet, &taken_up))
+}
+
+/// One refused write of the entries that keep streams put the next one off by two seconds, and all streams
+/// of that time were lost with the VMs (LOST).
+#[gtest]
+fn streams_are_kept_soon_after_a_refused_write() {
+    let refusal = StoreFault::Refuses(503);
+    let (broken, gone_on, mixed) = play_failed_writes(211, refusal, Duration::from_millis(300));
+    expect_that!(broken, ge(12));
+    expect_that!(mixed, eq(0));
+    expect_that!(gone_on, ge(broken * 9 / 10));
+}
+
+/// The same after writes whose connections were cut, which may have been executed or not.
+#[gtest]
+fn streams_are_kept_soon_after_a_write_without_an_answer() {
+    let fault = StoreFault::LosesAnswers;
+    let (broken, gone_on, mixed) = play_failed_writes(212, fault, Duration::from_millis(300));
+    expect_that!(broken, ge(12));
+    expect_that!(mixed, eq(0));
+    expect_that!(gone_on, ge(broken * 9 / 10));
+}
--- a/crates/relay/src/platform_client.rs
+++ b/crates/relay/src/platform_client.rs
@@ -1,7 +1,8 @@
 //! Client for the platform.
 //!
 //! The time-out of a call starts after the time for which the platform may delay its reply. A
-//! connection on which a call failed is not reused.
+//! connection on which a call failed is not reused. The platform may close an idle connection at the
+//! moment at which it is used again; a call that can be repeated is then sent on a new one.
 
 use crate::{
     PlatformAnswer, PlatformCall, Protocol,
@@ -9,7 +10,7 @@
 };
 use bytes::Bytes;
 use core::{net::SocketAddr, time::Duration};
-use http::{Request, header, uri::InvalidUri};
+use http::{Request, Response, header, uri::InvalidUri};
 use http_body_util::Full;
 use poplarswitch_platform::WireRequest;
 use snafu::{ResultExt as _, Snafu};
@@ -99,16 +100,7 @@
         let (operation, peer) = (call.name(), self.peer);
         let wire = self.protocol.encode_platform_call(call);
         let request = build_request(wire, peer).context(UnsendableSnafu { operation })?;
-        let idle = self.lock().pop();
-        let mut sender = match idle.filter(Sender::is_ready) {
-            Some(sender) => sender,
-            None => tcp::open(peer, CONNECT_TIMEOUT)
-                .await
-                .context(UnreachedSnafu { operation })?,
-        };
-        let response = tcp::exchange(&mut sender, request, MAX_REPLY_BYTES)
-            .await
-            .context(BrokenSnafu { operation, peer })?;
+        let (sender, response) = self.send(call, request).await?;
         let mut idle = self.lock();
         if idle.len() < MAX_IDLE_CONNECTIONS && !sender.is_closed() {
             idle.push(sender);
@@ -123,6 +115,32 @@
             })
     }
 
+    /// Sends a request on an idle connection or a new one.
+    async fn send(
+        &self,
+        call: &PlatformCall,
+        request: Request<Full<Bytes>>,
+    ) -> Result<(Sender, Response<Bytes>), PlatformError> {
+        let (operation, peer) = (call.name(), self.peer);
+        let idle = self.lock().pop();
+        if let Some(mut sender) = idle.filter(Sender::is_ready) {
+            match tcp::exchange(&mut sender, request.clone(), MAX_REPLY_BYTES).await {
+                Ok(response) => return Ok((sender, response)),
+                Err(error) if call.is_repeatable() => {
+                    tracing::debug!(%peer, operation, %error, "repeat a call on a new connection");
+                }
+                Err(source) => return Err(source).context(BrokenSnafu { operation, peer }),
+            }
+        }
+        let mut sender = tcp::open(peer, CONNECT_TIMEOUT)
+            .await
+            .context(UnreachedSnafu { operation })?;
+        let response = tcp::exchange(&mut sender, request, MAX_REPLY_BYTES)
+            .await
+            .context(BrokenSnafu { operation, peer })?;
+        Ok((sender, response))
+    }
+
     fn lock(&self) -> std::sync::MutexGuard<'_, Vec<Sender>> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/relay/src/protocol.rs
+++ b/crates/relay/src/protocol.rs
@@ -162,6 +162,20 @@
         }
     }
 
+    /// Whether the call has the same effect if the platform executes it twice.
+    pub const fn is_repeatable(&self) -> bool {
+        match self {
+            Self::ReadSet
+            | Self::WatchSet { .. }
+            | Self::ListEndpoints { .. }
+            | Self::WatchEndpoints { .. }
+            | Self::ListVms { .. }
+            | Self::PutVm(_)
+            | Self::ReadRecord(_) => true,
+            Self::AddVm(_) | Self::RemoveVm { .. } | Self::WriteRecord { .. } => false,
+        }
+    }
+
     /// Name for logs.
     pub const fn name(&self) -> &'static str {
         match self {
--- a/crates/relay/src/registry.rs
+++ b/crates/relay/src/registry.rs
@@ -20,25 +20,25 @@
 };
 use core::{net::Ipv4Addr, time::Duration};
 use http::StatusCode;
-use poplarswitch_entity::Time;
+use poplarswitch_entity::{Time, VmName};
 use poplarswitch_ingress::{
-    HeldSubject, HoldChange, KeptVersion, ListingSchedule, ListingView, Revision, StaleVmDetector,
-    VmEntry, lacks_versions,
+    EntrySchedule, HeldSubject, HoldChange, KeptVersion, ListingSchedule, ListingView, Revision,
+    StaleVmDetector, VmEntry, lacks_versions,
 };
 use poplarswitch_platform::Backoff;
 use snafu::{ResultExt as _, Snafu};
 use std::{collections::HashSet, sync::Arc};
 use tokio::time::sleep;
 
-/// Delay before this VM's entry is written again, so that one write has changes that come together, and
-/// none of a hold that ends with its first trial.
-const ENTRY_WRITE_DELAY: Duration = Duration::from_millis(350);
-/// Delay after a failed write of this VM's entry.
-const ENTRY_RETRY_DELAY: Duration = Duration::from_secs(2);
+/// Interval between checks whether this VM's entry has to be written because others that wrote theirs
+/// have ended.
+const ENTRY_CHECK_INTERVAL: Duration = Duration::from_secs(2);
 /// Time for each VM over which all VMs spread their writes when the platform has come back from a copy.
 const RESTORE_WRITE_SPREAD: Duration = Duration::from_millis(20);
 /// Time after the start of the process in which it may not have heard of all VMs.
 pub(crate) const STARTUP_TIME: Duration = Duration::from_secs(5);
+/// Maximum number of entries that a log line names.
+const MAX_NAMED_ENTRIES: usize = 8;
 /// Number of VMs of each data centre that write holds and versions; more than one, because one
 /// may be cut off from the platform.
 const ENTRY_WRITERS: usize = 2;
@@ -79,7 +79,11 @@
     add_members(&shared, &listed);
     shared.core().sources.mark_listed();
     shared.notify_change();
-    maintain(&shared, &client, &mut local_vm, era).await;
+    // A slow read of the list must not hold back a write of the entry.
+    tokio::join!(
+        keep_entry(&shared, &client, &mut local_vm, era),
+        follow_list(&shared, &client, &shared.settings.vm),
+    );
 }
 
 /// Reads the list of VMs, as often as it takes.
@@ -102,33 +106,56 @@
     }
 }
 
-/// Keeps this VM's entry, which was written in `era`, and the list of members up to date until the
-/// process exits.
-async fn maintain(shared: &Shared, client: &PlatformClient, local_vm: &mut VmEntry, mut era: u64) {
+/// Keeps this VM's entry, which was written in `era`, up to date until the process exits.
+async fn keep_entry(
+    shared: &Shared,
+    client: &PlatformClient,
+    local_vm: &mut VmEntry,
+    mut era: u64,
+) {
+    let mut schedule = EntrySchedule::default();
+    loop {
+        tokio::select! {
+            () = sleep(ENTRY_CHECK_INTERVAL) => {}
+            () = wait_for_due(shared, &schedule) => {}
+            () = shared.holds_changed.notified() => {
+                schedule.note_change(clock::now());
+                continue;
+            }
+            () = shared.entry_missing.notified() => {
+                schedule.plan_rewrite(clock::now(), Duration::ZERO);
+                continue;
+            }
+            () = shared.wait_for_era_after(Some(era)) => {
+                era = shared.era().unwrap_or(era);
+                schedule.plan_rewrite(clock::now(), restore_write_delay(shared));
+                continue;
+            }
+        }
+        let is_due = schedule.begin(clock::now());
+        let written = update_entry(shared, client, local_vm, is_due).await;
+        schedule.end(clock::now(), written.is_ok());
+        if let Err(error) = written {
+            tracing::warn!(event = "failed", call = "put_vm", %error, "platform");
+        }
+    }
+}
+
+/// Keeps the list of members up to date until the process exits.
+async fn follow_list(shared: &Shared, client: &PlatformClient, local_name: &VmName) {
     let mut detector = StaleVmDetector::default();
     let mut schedule = ListingSchedule::new(clock::now());
     let mut was_isolated = false;
-    let mut write_failed = false;
     loop {
-        let mut wait = schedule.due().since(clock::now());
-        if write_failed {
-            wait = wait.min(ENTRY_RETRY_DELAY);
-        }
         let mut keeper_died = false;
         tokio::select! {
-            () = sleep(wait) => {}
+            () = sleep(schedule.due().since(clock::now())) => {}
             () = shared.keeper_died.notified() => keeper_died = true,
-            () = wait_for_streams(shared), if !write_failed => {}
-            () = shared.holds_changed.notified() => sleep(ENTRY_WRITE_DELAY).await,
-            () = shared.wait_for_era_after(Some(era)) => sleep(restore_write_delay(shared)).await,
         }
-        let known_era = shared.era().unwrap_or(era);
-        let is_restored = known_era > era;
-        era = known_era;
         let now = clock::now();
         let view = listing_view(shared, now);
         if (schedule.decide(now, view) || keeper_died)
-            && let Err(error) = relist(shared, client, &mut detector, local_vm, view).await
+            && let Err(error) = relist(shared, client, &mut detector, local_name, view).await
         {
             tracing::warn!(event = "failed", call = "sweep", %error, "platform");
             schedule.hurry(clock::now());
@@ -138,11 +165,6 @@
             schedule.hurry(now);
         }
         was_isolated = is_isolated;
-        let written = update_entry(shared, client, local_vm, write_failed || is_restored).await;
-        write_failed = written.is_err();
-        if let Err(error) = written {
-            tracing::warn!(event = "failed", call = "put_vm", %error, "platform");
-        }
     }
 }
 
@@ -177,13 +199,13 @@
     }
 }
 
-/// Reads the list, adds VMs that this VM doesn't know, and writes this VM's entry again if it is
+/// Reads the list, adds VMs that this VM doesn't know, and has this VM's entry written again if it is
 /// missing. The VM that reads the platform also removes the entries of dead VMs.
 async fn relist(
     shared: &Shared,
     client: &PlatformClient,
     detector: &mut StaleVmDetector,
-    local_vm: &VmEntry,
+    local_name: &VmName,
     view: ListingView,
 ) -> Result<(), RegistryError> {
     let listed = list(shared, client).await?;
@@ -192,9 +214,8 @@
     add_members(shared, &listed);
     // A VM that shuts down has removed its entry itself.
     let is_leaving = shared.core().shutdown.has_started();
-    if !is_leaving && !listed.iter().any(|vm| vm.name == local_vm.name) {
-        tracing::info!(event = "entry_missing", "member");
-        register(shared, client, local_vm).await?;
+    if !is_leaving && !listed.iter().any(|vm| vm.name == *local_name) {
+        shared.entry_missing.notify_one();
     }
     if view.is_reader {
         remove_stale(shared, client, detector, &listed).await?;
@@ -239,7 +260,7 @@
     };
     let is_changed = writes_held && !is_held_known
         || writes_versions && lacks_versions(&local_vm.versions, &versions)
-        || streams_wait(shared, now).is_some_and(|wait| wait.is_zero());
+        || streams_due(shared).is_some_and(|at| at <= now);
     if !is_changed && !is_due {
         return Ok(());
     }
@@ -247,7 +268,14 @@
     local_vm.versions = versions;
     local_vm.streams = shared.core().origins.write_streams(now);
     let write = PlatformCall::PutVm(local_vm.clone());
-    match call(shared, client, &write).await?.reply {
+    let streams = stream_count(local_vm);
+    let reply = call(shared, client, &write).await?.reply;
+    if streams > 0 {
+        let took_ms = clock::now().since(now).as_millis() as u64;
+        let is_kept = reply == PlatformReply::Done;
+        tracing::info!(event = "kept", streams, is_kept, took_ms, "stream");
+    }
+    match reply {
         // Others have taken this VM for dead, or the platform has lost the entry.
         PlatformReply::Refused(StatusCode::NOT_FOUND) => {
             tracing::info!(event = "entry_missing", "member");
@@ -257,10 +285,11 @@
     }
 }
 
-/// Waits until this VM's entry has to be written because it lacks streams.
-async fn wait_for_streams(shared: &Shared) {
+/// Waits until this VM's entry has to be written.
+async fn wait_for_due(shared: &Shared, schedule: &EntrySchedule) {
     loop {
-        let wait = streams_wait(shared, clock::now()).unwrap_or(Duration::MAX);
+        let due = schedule.due(streams_due(shared)).unwrap_or(Time::MAX);
+        let wait = due.since(clock::now());
         if wait.is_zero() {
             return;
         }
@@ -271,10 +300,8 @@
     }
 }
 
-/// Time until this VM's entry has to be written because it lacks streams; none if it lacks none.
-fn streams_wait(shared: &Shared, now: Time) -> Option<Duration> {
-    let due = shared.core().origins.streams_due();
-    due.map(|at| at.since(now))
+fn streams_due(shared: &Shared) -> Option<Time> {
+    shared.core().origins.streams_due()
 }
 
 fn kept_versions(shared: &Shared) -> Vec<KeptVersion> {
@@ -297,7 +324,24 @@
     core.origins.restore(now, unix_ms, local_vm, vms);
     let streams = core.origins.len();
     drop(core);
-    tracing::info!(event = "restored", streams, vms = vms.len(), "stream");
+    let keepers = vms.iter().filter(|vm| !vm.streams.is_empty());
+    let entries: Vec<String> = keepers
+        .take(MAX_NAMED_ENTRIES)
+        .map(|vm| format!("{}:{}", vm.name, stream_count(vm)))
+        .collect();
+    let entries = entries.join(",");
+    tracing::info!(
+        event = "restored",
+        streams,
+        vms = vms.len(),
+        entries,
+        "stream"
+    );
+}
+
+/// Number of streams in an entry.
+fn stream_count(vm: &VmEntry) -> usize {
+    vm.streams.iter().map(|kept| kept.streams.len()).sum()
 }
 
 /// Takes in the subjects that VMs hold.
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -157,6 +157,8 @@
     pub(crate) holds_changed: Notify,
     /// Notified when this VM has to learn what VMs kept that have died.
     pub(crate) keeper_died: Notify,
+    /// Notified when the platform lacks this VM's entry.
+    pub(crate) entry_missing: Notify,
     /// Notified when this VM's entry in the platform lacks a stream.
     pub(crate) streams_kept: Notify,
     /// Changes when a held subject is released.
@@ -267,6 +269,7 @@
             quarantine_news: Notify::new(),
             holds_changed: Notify::new(),
             keeper_died: Notify::new(),
+            entry_missing: Notify::new(),
             streams_kept: Notify::new(),
             released: watch::Sender::new(()),
             head_limit: watch::Sender::new(RoutingTable::default().limits().head_bytes),
