Accept calls of a VM that leaves only if they have time to end

Cause: until 80% of the grace all calls but streams were accepted, whatever time they take. Calls that run for 1.8 s and came 5.8 to 6.2 s after the signal of a grace of 8 s ran and got 502 at 7.4 s.

Change: a call other than a stream is accepted, and sent, only if it ends before calls without an answer get one: it takes at most until its deadline, and 1.25 times the longest call of its route of the last minute or two, or four times the route's objective if there was none. Otherwise it is refused as not run, and the connection is closed in order. Streams are as before: for 37% of the grace.

--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -37,6 +37,7 @@
 mod reach;
 mod removals;
 mod revision;
+mod run_times;
 mod service_work;
 mod shutdown;
 mod slots;
@@ -103,6 +104,8 @@
 #[cfg(test)]
 mod reach_tests;
 #[cfg(test)]
+mod run_times_tests;
+#[cfg(test)]
 mod service_work_tests;
 #[cfg(test)]
 mod shutdown_tests;
@@ -165,8 +168,9 @@
 };
 pub use reach::{Reach, Reachability};
 pub use revision::Revision;
+pub use run_times::RunTimes;
 pub use service_work::{ServiceDemand, ServiceWork, service_part};
-pub use shutdown::{Shutdown, ShutdownStage};
+pub use shutdown::{ExpectedTimes, Shutdown, ShutdownStage};
 pub use slots::{
     MAX_SLOT_RECORDS, SlotDecision, SlotFleet, SlotGrant, SlotMessage, SlotOutbox, SlotRequest,
 };
--- a/crates/ingress/src/shutdown.rs
+++ b/crates/ingress/src/shutdown.rs
@@ -2,8 +2,8 @@
 //!
 //! Callers keep an address for some time and connections for longer, so a VM that shuts down
 //! continues to serve them. Its address is no longer given to callers, it completes short calls,
-//! and it refuses calls that can't be completed before the process is killed; refused calls have
-//! not run.
+//! and it refuses calls that can't be completed before the process is killed, as the calls of the
+//! same route lately show; refused calls have not run.
 
 use core::time::Duration;
 use poplarswitch_entity::Time;
@@ -15,6 +15,10 @@
 /// Time before the end of the grace period at which the process exits in any case.
 const EXIT_MARGIN: Duration = Duration::from_millis(300);
 
+/// Percentage of the longest time of a route's calls lately for which another one may take.
+const RUN_TIME_PERCENT: u32 = 125;
+/// Multiple of a route's objective for which one of its calls may take if none was answered lately.
+const OBJECTIVE_FACTOR: u32 = 4;
 /// Time before the exit at which calls without an answer get one, so that it reaches their callers.
 const ANSWER_MARGIN: Duration = Duration::from_millis(300);
 
@@ -23,9 +27,9 @@
 pub enum ShutdownStage {
     /// No shutdown has started.
     Serving,
-    /// The shutdown has started; all calls are still accepted.
+    /// The shutdown has started; streams are accepted, and other calls that have time to end.
     Lingering,
-    /// Only short calls are accepted.
+    /// Only calls that have time to end are accepted, and no streams.
     ShortOnly,
     /// No calls are accepted.
     Closed,
@@ -33,6 +37,17 @@
     Finished,
 }
 
+/// What tells how long a call may take.
+#[derive(Clone, Copy, Debug)]
+pub struct ExpectedTimes {
+    /// Longest time of the calls of its route lately; none if none was answered.
+    pub longest: Option<Duration>,
+    /// Objective of its route, if there is one.
+    pub objective: Option<Duration>,
+    /// Time left until its deadline.
+    pub limit: Duration,
+}
+
 /// State of a graceful shutdown.
 #[derive(Clone, Copy, Debug)]
 pub struct Shutdown {
@@ -69,6 +84,19 @@
         Some(started_at + self.grace.saturating_sub(EXIT_MARGIN + ANSWER_MARGIN))
     }
 
+    /// Whether a call that begins now ends before the process exits, as far as `times` tell.
+    pub fn has_time(&self, now: Time, times: ExpectedTimes) -> bool {
+        let ExpectedTimes {
+            longest,
+            objective,
+            limit,
+        } = times;
+        let expected = longest.map(|longest| longest * RUN_TIME_PERCENT / 100);
+        let expected = expected.or_else(|| objective.map(|objective| objective * OBJECTIVE_FACTOR));
+        let needed = expected.map_or(limit, |expected| expected.min(limit));
+        self.answer_time().is_none_or(|at| now + needed <= at)
+    }
+
     /// The current stage, given the number of calls in flight.
     pub fn stage(&self, now: Time, in_flight: usize) -> ShutdownStage {
         let Some(started_at) = self.started_at else {
--- a/crates/ingress/src/shutdown_tests.rs
+++ b/crates/ingress/src/shutdown_tests.rs
@@ -1,4 +1,4 @@
-use crate::{Shutdown, ShutdownStage};
+use crate::{ExpectedTimes, Shutdown, ShutdownStage};
 use core::time::Duration;
 use googletest::prelude::*;
 use poplarswitch_entity::Time;
@@ -65,3 +65,38 @@
         eq(ShutdownStage::Finished)
     );
 }
+
+/// Calls that came late in the grace period ran and got a failure at its end.
+#[gtest]
+fn call_is_accepted_only_if_it_has_time_to_end() {
+    let (long, short) = (Duration::from_secs(15), Duration::from_millis(300));
+    let run_time = Some(Duration::from_secs(2));
+    let times = |longest, limit| ExpectedTimes {
+        longest,
+        objective: None,
+        limit,
+    };
+    let has_time = |millis: u64, longest, limit| {
+        let now = Time::from_millis(1_000 + millis);
+        shutdown().has_time(now, times(longest, limit))
+    };
+    // Answers have to be ready 600 ms before the end of the grace period.
+    expect_that!(has_time(4_900, run_time, long), eq(true));
+    expect_that!(has_time(4_901, run_time, long), eq(false));
+    expect_that!(has_time(7_100, run_time, short), eq(true));
+    expect_that!(has_time(7_101, run_time, short), eq(false));
+    expect_that!(has_time(0, None, long), eq(false));
+    expect_that!(has_time(7_100, None, short), eq(true));
+    let serving = Shutdown::new(GRACE, LINGER);
+    expect_that!(
+        serving.has_time(Time::ZERO, times(run_time, long)),
+        eq(true)
+    );
+    let unknown = ExpectedTimes {
+        objective: Some(Duration::from_millis(500)),
+        ..times(None, long)
+    };
+    let begins = |millis: u64| shutdown().has_time(Time::from_millis(1_000 + millis), unknown);
+    expect_that!(begins(5_400), eq(true));
+    expect_that!(begins(5_401), eq(false));
+}
--- a/crates/relay/src/call_forwarder.rs
+++ b/crates/relay/src/call_forwarder.rs
@@ -7,6 +7,7 @@
     clock,
     forwarding::{Forwarded, Hop},
     reply::Failure,
+    serve::leaving_failure,
     shared::Shared,
     slots::SlotGuard,
     trials::Trial,
@@ -275,10 +276,20 @@
         }
     }
 
-    /// Checks again, immediately before the call is sent, that the configuration is confirmed and
-    /// that the call and its key are allowed, because the process may have been suspended since the
-    /// last check.
+    /// Whether the call has time to end before this VM exits.
+    fn has_time(&self, now: Time) -> bool {
+        let request = &self.request;
+        self.shared.has_time(now, &request.route, request.deadline)
+    }
+
+    /// Checks again, immediately before the call is sent, that it has time to end, that the
+    /// configuration is confirmed and that the call and its key are allowed: the call may have waited,
+    /// or the process may have been suspended since the last check.
     pub(crate) fn recheck(&self, now: Time) -> Result<(), Failure> {
+        let is_unsent = self.attempts.maybe_run == 0 && !self.request.route.kind.is_stream();
+        if is_unsent && !self.has_time(now) {
+            return Err(leaving_failure(&self.shared));
+        }
         let Err(code) = self.check_allowed(now) else {
             return Ok(());
         };
--- a/crates/relay/src/call_record.rs
+++ b/crates/relay/src/call_record.rs
@@ -129,7 +129,13 @@
         self.shared
             .metrics
             .record_call(&self.route, self.outcome, duration.as_secs_f64());
-        let config_age = self.shared.core().freshness.age(now);
+        let config_age = {
+            let mut core = self.shared.core();
+            if self.first_byte.is_some() {
+                core.run_times.record(now, &self.route, duration);
+            }
+            core.freshness.age(now)
+        };
         let continues = self.continues.as_ref();
         tracing::info!(
             event = self.outcome,
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -124,7 +124,7 @@
 }
 
 /// Refusal of a call because this VM shuts down.
-fn leaving_failure(shared: &Shared) -> Failure {
+pub(crate) fn leaving_failure(shared: &Shared) -> Failure {
     let vm = shared.settings.vm.as_str();
     Failure::new(ErrorCode::Leaving, vm).with_retry_after(OTHER_VM_RETRY_DELAY)
 }
@@ -199,7 +199,11 @@
         Access::Open => None,
         Access::Granted(workspace) => Some(workspace),
     };
-    check_stage(shared, route, arrived)?;
+    let wait = call
+        .deadline
+        .unwrap_or(DEFAULT_TIMEOUT)
+        .min(route.timeout.unwrap_or(DEFAULT_TIMEOUT));
+    check_stage(shared, route, arrived, arrived + wait)?;
     let time_left = call.deadline.unwrap_or(DEFAULT_TIMEOUT);
     let body = match request_body::read(shared, body, table.limits(), time_left).await {
         Ok(body) => body,
@@ -240,10 +244,6 @@
     let group = EndpointGroup::of(route.objective, route.max_gap);
     let is_counted = record_demand(shared, &service, &call, group, slots);
     record.priority = rank;
-    let wait = call
-        .deadline
-        .unwrap_or(DEFAULT_TIMEOUT)
-        .min(route.timeout.unwrap_or(DEFAULT_TIMEOUT));
     shared.protocol.strip_headers(&mut head.headers);
     strip_request_headers(&mut head);
     Ok(CallRequest {
@@ -304,11 +304,14 @@
     Ok(())
 }
 
-/// Checks that this VM still accepts the call if it is shutting down.
-fn check_stage(shared: &Shared, route: &Route, now: Time) -> Result<(), Failure> {
+/// Checks that this VM still accepts the call if it is shutting down. Streams may be cut, since most of
+/// them can be taken up elsewhere; any other call must have time to end.
+fn check_stage(shared: &Shared, route: &Route, now: Time, deadline: Time) -> Result<(), Failure> {
+    let is_stream = route.kind.is_stream();
     let refused = match shared.stage(now) {
-        ShutdownStage::Serving | ShutdownStage::Lingering => false,
-        ShutdownStage::ShortOnly => route.kind.is_stream(),
+        ShutdownStage::Serving => false,
+        ShutdownStage::Lingering => !is_stream && !shared.has_time(now, route, deadline),
+        ShutdownStage::ShortOnly => is_stream || !shared.has_time(now, route, deadline),
         ShutdownStage::Closed | ShutdownStage::Finished => true,
     };
     if refused {
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -27,10 +27,10 @@
 };
 use poplarswitch_entity::Time;
 use poplarswitch_ingress::{
-    AdmissionControl, Cursor, Demand, EndpointChange, EndpointKey, EndpointTable, Freshness,
-    GroupSplit, Helpers, Membership, Phase, Quarantine, RateLimits, Rates, Reach, RetryBudget,
-    RetryLimit, RoutingTable, ServiceDemand, Shutdown, ShutdownStage, SourceSelector, StartupCheck,
-    StepTime, StreamOrigins, Transition, hash_pair,
+    AdmissionControl, Cursor, Demand, EndpointChange, EndpointKey, EndpointTable, ExpectedTimes,
+    Freshness, GroupSplit, Helpers, Membership, Phase, Quarantine, RateLimits, Rates, Reach,
+    RetryBudget, RetryLimit, Route, RoutingTable, RunTimes, ServiceDemand, Shutdown, ShutdownStage,
+    SourceSelector, StartupCheck, StepTime, StreamOrigins, Transition, hash_pair,
 };
 use poplarswitch_lease::Tenure;
 use rand::{Rng as _, SeedableRng as _};
@@ -82,6 +82,8 @@
     /// Time of a decoding step of the engines, as this VM's strict calls show it.
     pub(crate) step_time: StepTime,
     pub(crate) shutdown: Shutdown,
+    /// How long the calls of each route have taken lately.
+    pub(crate) run_times: RunTimes,
     pub(crate) sources: SourceSelector,
     /// Check whether other VMs have a newer configuration than the platform.
     pub(crate) startup: StartupCheck,
@@ -235,6 +237,7 @@
             rates: Rates::new(local_ip, start_ms),
             step_time: StepTime::default(),
             shutdown: Shutdown::new(settings.grace(), ADDRESS_TTL * ADDRESS_TTL_FACTOR),
+            run_times: RunTimes::default(),
             sources: SourceSelector::new(clock::now()),
             startup: StartupCheck::default(),
             rng: Pcg64Mcg::seed_from_u64(process),
@@ -433,6 +436,18 @@
         self.core().shutdown.stage(now, self.in_flight())
     }
 
+    /// Whether a call of a route that begins now, and whose time limit ends at `deadline`, ends before
+    /// this process exits.
+    pub(crate) fn has_time(&self, now: Time, route: &Route, deadline: Time) -> bool {
+        let core = self.core();
+        let times = ExpectedTimes {
+            longest: core.run_times.longest(now, &route.name),
+            objective: route.objective,
+            limit: deadline.since(now),
+        };
+        core.shutdown.has_time(now, times)
+    }
+
     /// Number of calls in flight.
     pub(crate) fn in_flight(&self) -> usize {
         self.in_flight.load(Ordering::Relaxed)
