--- a/crates/ingress/src/shutdown.rs
+++ b/crates/ingress/src/shutdown.rs
@@ -14,7 +14,6 @@
 const REFUSE_ALL_PERCENT: u32 = 80;
 /// Time before the end of the grace period at which the process exits in any case.
 const EXIT_MARGIN: Duration = Duration::from_millis(300);
-
 /// Percentage of the longest time of a route's calls lately for which another one may take.
 const RUN_TIME_PERCENT: u32 = 125;
 /// Multiple of a route's objective for which one of its calls may take if none was answered lately.
--- a/crates/relay/src/platform_reader.rs
+++ b/crates/relay/src/platform_reader.rs
@@ -328,8 +328,8 @@
         }
     }
 
-    /// Reads the endpoints once, also if another VM reads the platform for this one. A failure says
-    /// nothing about the VM's sources, so no outage is recorded.
+    /// Reads the endpoints once, also if another VM reads the platform for this one. A watch that fails
+    /// says nothing about this VM's sources, so it counts as no outage.
     async fn read_now(&self) -> Result<(), String> {
         let after = self.shared.core().endpoints.revision();
         if after == Revision::default() {
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -440,6 +440,9 @@
     /// this process exits.
     pub(crate) fn has_time(&self, now: Time, route: &Route, deadline: Time) -> bool {
         let core = self.core();
+        if !core.shutdown.has_started() {
+            return true;
+        }
         let times = ExpectedTimes {
             longest: core.run_times.longest(now, &route.name),
             objective: route.objective,
