Let a VM that shuts down stop writing its entry

Cause: a VM that shuts down writes its entry no more. While the entry lacked streams, the task that writes it found a write due and skipped it, again and again without a wait, on the only thread of the process; everything else stopped.

Change: the task ends when the shutdown starts.

--- a/crates/node/tests/relay_take_ups.rs
+++ b/crates/node/tests/relay_take_ups.rs
@@ -235,3 +235,26 @@
     expect_that!(mixed, eq(0));
     expect_that!(gone_on, ge(broken * 9 / 10));
 }
+
+/// A VM that was told to leave while its entry lacked streams did nothing else any more, and was killed at
+/// the end of its grace (soak seeds 1000, 1024 and 1035).
+#[gtest]
+fn vms_that_are_told_to_leave_while_streams_begin_exit_in_time() {
+    let mut fleet = start_two_versions(218);
+    thread::scope(|scope| {
+        let shared: &Fleet = &fleet;
+        for vm in 0..3 {
+            shared.signal(vm, rustix::process::Signal::TERM);
+        }
+        let calls: Vec<_> = (0..STREAM_COUNT)
+            .map(|n| scope.spawn(move || shared.call(n % 3, BRIEF)))
+            .collect();
+        for call in calls {
+            let (_, response) = call.join().unwrap();
+            expect_that!(response.map(|r| r.status), ok(eq(&200)));
+        }
+    });
+    for vm in 0..3 {
+        expect_that!(fleet.await_exit(vm), eq(true));
+    }
+}
--- a/crates/relay/src/registry.rs
+++ b/crates/relay/src/registry.rs
@@ -106,7 +106,7 @@
     }
 }
 
-/// Keeps this VM's entry, which was written in `era`, up to date until the process exits.
+/// Keeps this VM's entry, which was written in `era`, up to date until the VM shuts down.
 async fn keep_entry(
     shared: &Shared,
     client: &PlatformClient,
@@ -114,7 +114,7 @@
     mut era: u64,
 ) {
     let mut schedule = EntrySchedule::default();
-    loop {
+    while !shared.core().shutdown.has_started() {
         tokio::select! {
             () = sleep(ENTRY_CHECK_INTERVAL) => {}
             () = wait_for_due(shared, &schedule) => {}
