Refuse streams that can't be resumed, too, if a VM that leaves has no time for them

Callers: a stream that can't be resumed was accepted for 37% of the grace, and cut at its end; nobody can take it up. In the new test, the one of 5 s that came 2.8 s after the signal was lost.

Change: they follow the rule of other calls. The objective of a stream is that of its first event, so it doesn't tell how long one takes. Streams that can be resumed are accepted as before.

Tests, each run without what it guards: calls whose bodies come 1.2 s after their heads are lost (3) without the check before the send, which no test had shown; one stream is lost with the old rule.

--- a/crates/ingress/src/config.rs
+++ b/crates/ingress/src/config.rs
@@ -30,6 +30,11 @@
         matches!(self, Self::Safe | Self::Stream { resumable: true })
     }
 
+    /// Whether a call that is cut off can go on elsewhere where it stopped.
+    pub const fn is_resumable(self) -> bool {
+        matches!(self, Self::Stream { resumable: true })
+    }
+
     /// Whether answers are streams of events.
     pub const fn is_stream(self) -> bool {
         matches!(self, Self::Stream { .. })
--- a/crates/ingress/src/shutdown.rs
+++ b/crates/ingress/src/shutdown.rs
@@ -26,9 +26,10 @@
 pub enum ShutdownStage {
     /// No shutdown has started.
     Serving,
-    /// The shutdown has started; streams are accepted, and other calls that have time to end.
+    /// The shutdown has started; streams that can be resumed are accepted, and other calls that have
+    /// time to end.
     Lingering,
-    /// Only calls that have time to end are accepted, and no streams.
+    /// Only calls that have time to end are accepted, and no streams that can be resumed.
     ShortOnly,
     /// No calls are accepted.
     Closed,
@@ -41,7 +42,7 @@
 pub struct ExpectedTimes {
     /// Longest time of the calls of its route lately; none if none was answered.
     pub longest: Option<Duration>,
-    /// Objective of its route, if there is one.
+    /// Objective of its route for the whole answer, if there is one.
     pub objective: Option<Duration>,
     /// Time left until its deadline.
     pub limit: Duration,
--- a/crates/node/tests/relay/mod.rs
+++ b/crates/node/tests/relay/mod.rs
@@ -404,10 +404,12 @@
         has_exited
     }
 
-    /// Waits until the process of a VM exits; returns whether its exit status is success.
+    /// Waits until the process of a VM exits; returns whether its exit status is success. A process that
+    /// doesn't exit in time stays with the fleet, which ends it.
     pub fn await_exit(&mut self, index: usize) -> bool {
-        let mut child = self.processes[index].child.take().unwrap();
+        let child = self.processes[index].child.as_mut().unwrap();
         wait_until("the process exits", || child.try_wait().unwrap().is_some());
+        let mut child = self.processes[index].child.take().unwrap();
         child.wait().unwrap().success()
     }
 
--- a/crates/node/tests/relay_grace.rs
+++ b/crates/node/tests/relay_grace.rs
@@ -23,6 +23,9 @@
 /// Number of calls that are under way when the signal comes, and how long before it they were made.
 const EARLY_COUNT: usize = 6;
 const EARLY_TIME: Duration = Duration::from_millis(400);
+/// Time after the signal from which bodies come late. Slow calls that end before would show how long they
+/// take.
+const SLOW_FROM: Duration = Duration::from_millis(4_400);
 /// Time for which a caller reads.
 const READ_TIMEOUT: Duration = Duration::from_secs(9);
 
@@ -37,27 +40,55 @@
     Lost,
 }
 
-/// Sends a call on a connection that stays open; returns the answer. With `closes`, a refusal is read
-/// until the connection is closed.
-fn exchange(stream: &mut TcpStream, id: &str, path: &str, closes: bool) -> String {
+/// How a caller makes a call.
+#[derive(Clone, Copy, Debug)]
+struct Manner<'a> {
+    path: &'a str,
+    /// Whether a refusal is read until the connection is closed.
+    closes: bool,
+    /// Time between the head of the request and its body.
+    body_delay: Duration,
+}
+
+/// Whether an answer has a head and the whole body that it announces.
+fn is_whole(answer: &str) -> bool {
+    let Some((head, body)) = answer.split_once("\r\n\r\n") else {
+        return false;
+    };
+    let head = head.to_ascii_lowercase();
+    let length = head.split("content-length: ").nth(1);
+    match length.and_then(|text| text.lines().next()?.parse::<usize>().ok()) {
+        Some(length) => body.len() >= length,
+        None => body.ends_with("0\r\n\r\n"),
+    }
+}
+
+/// Sends a call on a connection that stays open; returns the answer, empty if it is not whole.
+fn exchange(stream: &mut TcpStream, id: &str, manner: Manner<'_>) -> String {
     let request = CallRequest {
         deadline: READ_TIMEOUT,
-        ..CallRequest::new(id, path, KEYS[0])
+        ..CallRequest::new(id, manner.path, KEYS[0])
     };
     let bytes = request.to_bytes(Configuration::host(), "HTTP/1.1");
     let text = String::from_utf8_lossy(&bytes).replace("connection: close\r\n", "");
-    let mut answer = String::new();
-    if stream.write_all(text.as_bytes()).is_err() {
-        return answer;
+    let (head, body) = text.split_at(text.len() - request.body.len());
+    let mut send = |part: &str| stream.write_all(part.as_bytes()).is_ok();
+    if !send(head) {
+        return String::new();
+    }
+    thread::sleep(manner.body_delay);
+    if !send(body) {
+        return String::new();
     }
+    let mut answer = String::new();
     let mut bytes = [0; 4_096];
-    while !answer.contains("\r\n\r\n") {
+    while !is_whole(&answer) {
         match stream.read(&mut bytes) {
-            Ok(0) | Err(_) => break,
+            Ok(0) | Err(_) => return String::new(),
             Ok(length) => answer.push_str(&String::from_utf8_lossy(&bytes[..length])),
         }
     }
-    while closes && answer.starts_with("HTTP/1.1 503") {
+    while manner.closes && answer.starts_with("HTTP/1.1 503") {
         match stream.read(&mut bytes) {
             Ok(0) => break,
             Ok(_) => {}
@@ -74,16 +105,32 @@
 }
 
 /// Makes calls at a VM through the whole grace of VM 0, in turns on a new connection and on one that was
-/// used before; returns when each was made after the signal, and how it ended. Calls that were under way
+/// used before, late ones with a `body_delay`; returns when each was made after the signal, and how it
+/// ended. Calls that were under way
 /// when the signal came must be served.
-fn play(fleet: &Fleet, vm: usize, path: &str) -> Vec<(Duration, String, End)> {
+fn play(
+    fleet: &Fleet,
+    vm: usize,
+    path: &str,
+    body_delay: Duration,
+) -> Vec<(Duration, String, End)> {
+    let early_manner = Manner {
+        path,
+        closes: false,
+        body_delay: Duration::ZERO,
+    };
+    let manner = Manner {
+        closes: vm == 0,
+        body_delay,
+        ..early_manner
+    };
     let count = (GRACE.as_millis() / INTERVAL.as_millis()) as usize - 1;
     let ends = thread::scope(|scope| {
         let kept: Vec<_> = (0..count)
             .map(|n| {
                 scope.spawn(move || {
                     let mut stream = (n % 2 == 0).then(|| connect(fleet, vm))??;
-                    let answer = exchange(&mut stream, &format!("before-{vm}-{n}"), path, false);
+                    let answer = exchange(&mut stream, &format!("before-{vm}-{n}"), early_manner);
                     answer.starts_with("HTTP/1.1 200").then_some(stream)
                 })
             })
@@ -94,7 +141,7 @@
                 scope.spawn(move || {
                     let stream = connect(fleet, vm);
                     let id = format!("early-{vm}-{n}");
-                    stream.map(|mut stream| exchange(&mut stream, &id, path, false))
+                    stream.map(|mut stream| exchange(&mut stream, &id, early_manner))
                 })
             })
             .collect();
@@ -110,7 +157,15 @@
                     thread::sleep(at.saturating_sub(signalled.elapsed()));
                     let id = format!("late-{vm}-{n}");
                     let stream = stream.or_else(|| connect(fleet, vm));
-                    let answer = stream.map(|mut stream| exchange(&mut stream, &id, path, vm == 0));
+                    let manner = if at < SLOW_FROM {
+                        Manner {
+                            body_delay: Duration::ZERO,
+                            ..manner
+                        }
+                    } else {
+                        manner
+                    };
+                    let answer = stream.map(|mut stream| exchange(&mut stream, &id, manner));
                     (at, id, answer.unwrap_or_default())
                 })
             })
@@ -167,8 +222,32 @@
     for (net, path) in [(213, "/book/1"), (214, "/seats/1")] {
         let fleet = Fleet::start(net, 2);
         set_run_time(&fleet, RUN_TIME);
-        check(&play(&fleet, 0, path), 20);
+        check(&play(&fleet, 0, path, Duration::ZERO), 20);
+    }
+}
+
+/// The same for calls that were in time when their heads arrived, and late when their bodies had.
+#[gtest]
+fn calls_that_have_waited_too_long_are_not_sent() {
+    let fleet = Fleet::start(219, 2);
+    set_run_time(&fleet, RUN_TIME);
+    check(
+        &play(&fleet, 0, "/book/1", Duration::from_millis(1_200)),
+        12,
+    );
+}
+
+/// Streams that can't be resumed were accepted and cut at the end of the grace (LOST).
+#[gtest]
+fn streams_that_can_not_be_resumed_are_accepted_only_if_they_end_in_time() {
+    let fleet = Fleet::start(220, 2);
+    for endpoint in &fleet.endpoints {
+        endpoint.update_behaviour(|b| {
+            b.event_count = 50;
+            b.event_interval = Duration::from_millis(100);
+        });
     }
+    check(&play(&fleet, 0, "/chat/1", Duration::ZERO), 5);
 }
 
 /// The same for calls that another VM forwards to the one that leaves; it stops as soon as it hears of that.
@@ -181,6 +260,5 @@
         response.is_ok_and(|response| response.status == 200) && fleet.run_count(&id) == 1
     });
     set_run_time(&fleet, RUN_TIME);
-    let ends = play(&fleet, 1, "/book/1");
-    check(&ends, 0);
+    check(&play(&fleet, 1, "/book/1", Duration::ZERO), 0);
 }
--- a/crates/relay/src/call_forwarder.rs
+++ b/crates/relay/src/call_forwarder.rs
@@ -286,7 +286,7 @@
     /// configuration is confirmed and that the call and its key are allowed: the call may have waited,
     /// or the process may have been suspended since the last check.
     pub(crate) fn recheck(&self, now: Time) -> Result<(), Failure> {
-        let is_unsent = self.attempts.maybe_run == 0 && !self.request.route.kind.is_stream();
+        let is_unsent = self.attempts.maybe_run == 0 && !self.request.route.kind.is_resumable();
         if is_unsent && !self.has_time(now) {
             return Err(leaving_failure(&self.shared));
         }
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -304,14 +304,14 @@
     Ok(())
 }
 
-/// Checks that this VM still accepts the call if it is shutting down. Streams may be cut, since most of
-/// them can be taken up elsewhere; any other call must have time to end.
+/// Checks that this VM still accepts the call if it is shutting down. Streams that can be resumed may be
+/// cut; any other call must have time to end.
 fn check_stage(shared: &Shared, route: &Route, now: Time, deadline: Time) -> Result<(), Failure> {
-    let is_stream = route.kind.is_stream();
+    let may_be_cut = route.kind.is_resumable();
     let refused = match shared.stage(now) {
         ShutdownStage::Serving => false,
-        ShutdownStage::Lingering => !is_stream && !shared.has_time(now, route, deadline),
-        ShutdownStage::ShortOnly => is_stream || !shared.has_time(now, route, deadline),
+        ShutdownStage::Lingering => !may_be_cut && !shared.has_time(now, route, deadline),
+        ShutdownStage::ShortOnly => may_be_cut || !shared.has_time(now, route, deadline),
         ShutdownStage::Closed | ShutdownStage::Finished => true,
     };
     if refused {
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -443,9 +443,11 @@
         if !core.shutdown.has_started() {
             return true;
         }
+        // The objective of a stream is that of its first event.
+        let objective = route.objective.filter(|_| !route.kind.is_stream());
         let times = ExpectedTimes {
             longest: core.run_times.longest(now, &route.name),
-            objective: route.objective,
+            objective,
             limit: deadline.since(now),
         };
         core.shutdown.has_time(now, times)
