Test that a write whose idle connection breaks is repeated at once

The store's new fault executes one write and cuts its connection. Without the repeat, one put_vm fails; with it, none. Still without a test of its own: that a slow read of the list doesn't hold back a write.

--- a/crates/node/tests/relay_take_ups.rs
+++ b/crates/node/tests/relay_take_ups.rs
@@ -258,3 +258,21 @@
         expect_that!(fleet.await_exit(vm), eq(true));
     }
 }
+
+/// A write of an entry failed because the platform closed the idle connection on which it was sent.
+#[gtest]
+fn write_whose_idle_connection_breaks_is_repeated_at_once() {
+    let fleet = start_two_versions(221);
+    fleet.store.set_fault(StoreFault::LosesAnswer);
+    for vm in 0..3 {
+        let (_, response) = fleet.call(vm, BRIEF);
+        expect_that!(response.map(|r| r.status), ok(eq(&200)));
+    }
+    let logs: Vec<String> = (0..3).map(|vm| fleet.log(vm)).collect();
+    let lines = |wanted: &str| {
+        let lines = logs.iter().flat_map(|log| log.lines());
+        lines.filter(|line| line.contains(wanted)).count()
+    };
+    expect_that!(lines(r#""event":"kept""#), ge(1));
+    expect_that!(lines(r#""call":"put_vm""#), eq(0));
+}
