Doubt an endpoint behind a new connection until the platform shows its entry again

Callers: a stream that began at an endpoint which had just been started again as another software version, under its name, was recorded as of the version before, and went on at others of that version (ORDER).

Where no connection had been open before, none ended that would have raised a doubt.

Change: the entry counts for a stream that begins on a new connection only if the view has been confirmed since the connection was opened; otherwise the endpoint is asked for a report, as after a connection that ended. It costs a report for some of the first streams on new connections.

Measured: the new test of relay_take_ups replaces the process of one of two engines behind a VM that has been cut off from the platform a moment before.

--- a/crates/ingress/src/endpoints.rs
+++ b/crates/ingress/src/endpoints.rs
@@ -104,6 +104,8 @@
     pub leaving: bool,
     /// When its process may have ended last, if it is not known to be this incarnation since.
     pub doubted: Option<Time>,
+    /// When a connection to it was opened last, if no report has shown since which incarnation serves.
+    pub opened: Option<Time>,
     /// Whether it has crashed and has not begun an answer since.
     pub has_crashed: bool,
     /// Identity that the last entries have stated in contradiction to the known one.
@@ -282,6 +284,7 @@
             pause: former.map_or_else(Pause::default, |former| former.pause),
             leaving,
             doubted: None,
+            opened: None,
             has_crashed: false,
             disputed: None,
             ready_again: None,
--- a/crates/ingress/src/version_pin.rs
+++ b/crates/ingress/src/version_pin.rs
@@ -5,7 +5,8 @@
 //! the first event is a proof however late it comes: incarnations follow each other, and an earlier one
 //! doesn't come back. Without a report nothing is decided, and the stream waits for one before it goes on.
 
-use crate::{engine::EngineReport, entry::SoftwareVersion};
+use crate::{endpoints::Endpoint, engine::EngineReport, entry::SoftwareVersion};
+use poplarswitch_entity::Time;
 
 /// The process behind the entry of an endpoint, as far as a check shows it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -97,3 +98,17 @@
         }
     }
 }
+
+impl Endpoint {
+    /// Whether another incarnation may serve than that of the entry, which the platform has shown as of
+    /// `confirmed`.
+    pub fn is_doubted(&self, confirmed: Option<Time>) -> bool {
+        self.doubted.is_some() || self.opened.is_some_and(|at| confirmed < Some(at))
+    }
+
+    /// Takes in a report of the entry's incarnation that was asked for at `asked`.
+    pub fn end_doubt(&mut self, asked: Time) {
+        self.doubted = self.doubted.filter(|at| *at > asked);
+        self.opened = self.opened.filter(|at| *at > asked);
+    }
+}
--- a/crates/node/tests/relay_take_ups.rs
+++ b/crates/node/tests/relay_take_ups.rs
@@ -276,3 +276,48 @@
     expect_that!(lines(r#""event":"kept""#), ge(1));
     expect_that!(lines(r#""call":"put_vm""#), eq(0));
 }
+
+/// Streams that began at an endpoint that had been started again as another version, a moment before its
+/// VM could know, were recorded as of the version before.
+#[gtest]
+fn stream_that_begins_at_an_unseen_incarnation_is_not_of_the_version_before() {
+    let mut fleet = Fleet::new(222, 2);
+    fleet.processes[1].cut_off = true;
+    fleet.start_all();
+    for vm in 0..2 {
+        wait_until("the VM is ready", || fleet.is_ready(vm));
+    }
+    for endpoint in &fleet.endpoints {
+        endpoint.update_behaviour(|b| {
+            b.event_count = EVENT_COUNT;
+            b.event_interval = Duration::from_millis(5);
+        });
+    }
+    thread::sleep(Duration::from_millis(500));
+    // The VM has no connection to the engine that is another process, of another version, from now on.
+    fleet.store_proxies[1].set_mode(LinkMode::Hangs);
+    fleet.endpoints[0].update_behaviour(|b| {
+        b.reported_start = Some(2);
+        b.cut_after = Some(3);
+    });
+    let begun: Vec<(String, String)> = (0..STREAM_COUNT)
+        .map(|n| {
+            let prompt = format!("f1:100,{:x}:50,{n:x}0:10", 0x700 + n);
+            let (id, _) = fleet.call_with_prompt(1, BRIEF, &prompt);
+            (id, "3".to_owned())
+        })
+        .collect();
+    let unseen = |id: &str| {
+        let runs = fleet.endpoints[0].runs();
+        runs.iter().filter(|run| run.call_id == id).count() > 0
+    };
+    let begun: Vec<_> = begun.into_iter().filter(|(id, _)| unseen(id)).collect();
+    expect_that!(begun.len(), ge(3));
+    for (id, _) in &begun {
+        let joined = fleet.runs_of(id).filter(|run| run.after_event > 0);
+        expect_that!(joined.count(), eq(0));
+    }
+    let taken_up = take_up_all(&fleet, 1, &begun);
+    let ran = taken_up.iter().filter(|(id, _, _)| fleet.run_count(id) > 0);
+    expect_that!(ran.count(), eq(0));
+}
--- a/crates/relay/src/incarnations.rs
+++ b/crates/relay/src/incarnations.rs
@@ -51,16 +51,20 @@
         }
     }
 
-    /// Records that a connection to an endpoint was opened. While the view of the endpoints is old,
-    /// another process than the entry tells of may have accepted it.
+    /// Records that a connection to an endpoint was opened. Another process than the entry tells of may
+    /// have accepted it, until the platform shows the entry again. While the view of the endpoints is
+    /// old, only a report ends the doubt.
     pub(crate) fn record_connection(&self, key: EndpointKey) {
         self.metrics.connections.inc();
         let now = clock::now();
         let mut core = self.core();
         let confirmed = core.endpoints_confirmed;
         let is_fresh = confirmed.is_some_and(|at| now.since(at) < MAX_TRUSTED_AGE);
-        if !is_fresh && let Some(endpoint) = core.endpoints.get_mut(key) {
-            endpoint.doubted = Some(now);
+        if let Some(endpoint) = core.endpoints.get_mut(key) {
+            endpoint.opened = Some(now);
+            if !is_fresh {
+                endpoint.doubted = Some(now);
+            }
         }
     }
 
@@ -106,9 +110,8 @@
         let mut core = self.core();
         if found == Incarnation::Known
             && let Some(endpoint) = core.endpoints.get_mut(key)
-            && endpoint.doubted.is_some_and(|doubted| doubted <= asked)
         {
-            endpoint.doubted = None;
+            endpoint.end_doubt(asked);
         }
         let Some(waiting) = core.unproved.get_mut(&key) else {
             return;
@@ -173,15 +176,15 @@
         key: EndpointKey,
         software: &SoftwareVersion,
     ) -> Incarnation {
-        let doubted = {
+        let is_doubted = {
             let core = self.shared.core();
             if core.is_replaced(key, &self.record.endpoint, software) {
                 return Incarnation::Other;
             }
             let endpoint = core.endpoints.get(key);
-            endpoint.and_then(|endpoint| endpoint.doubted)
+            endpoint.is_some_and(|endpoint| endpoint.is_doubted(core.endpoints_confirmed))
         };
-        if doubted.is_none() {
+        if !is_doubted {
             return Incarnation::Known;
         }
         self.shared.find_incarnation(key).await
