Log and count missing entries whose endpoints stay in use

The log told when an endpoint left, and by which source, but not that its entry had been missing before and that the VM had kept it in use as one that may only have lapsed. So a VM that keeps a removed endpoint on its own judgement, one that does so on another VM's word and one that learns of the removal late could not be told apart in a drain that comes too late.

The line `endpoint` `lapsed` names the entries and the source, `relay_lapses_total` counts them.

--- a/crates/ingress/src/endpoints.rs
+++ b/crates/ingress/src/endpoints.rs
@@ -17,6 +17,7 @@
     hash::hash_text,
     health::Health,
     identity::{DisputedIdentity, IdentityCheck, check_identity, has_returned},
+    lapses::Lapses,
     limits::Denial,
     notices::Pause,
     placement::GroupLoad,
@@ -146,8 +147,8 @@
     by_name: BTreeMap<EndpointName, EndpointKey>,
     /// Available endpoints of each service, ordered by the hashes of their names.
     by_service: HashMap<ServiceName, Vec<EndpointKey>>,
-    /// End of the grace period and revision of each entry that may only have lapsed.
-    lapsed: BTreeMap<EndpointName, (Time, Revision)>,
+    /// Entries that may only have lapsed.
+    lapses: Lapses,
     /// Incarnations whose entries are gone and that have said something of themselves; an entry may
     /// come back.
     former: FormerEndpoints,
@@ -241,11 +242,11 @@
     /// Applies an entry that was read or has changed.
     pub(crate) fn upsert(&mut self, mut entry: EndpointEntry) -> Vec<EndpointChange> {
         let mut changes = Vec::new();
-        let lapsed = self.lapsed.get(&entry.name);
-        if lapsed.is_some_and(|(_, at)| entry.revision <= *at) {
+        let lapsed = self.lapses.revision(&entry.name);
+        if lapsed.is_some_and(|at| entry.revision <= at) {
             return changes;
         }
-        self.lapsed.remove(&entry.name);
+        self.lapses.take(&entry.name);
         if let Some((key, known)) = self.known_mut(&entry.name) {
             if entry.revision < known.entry.revision {
                 return changes;
@@ -370,11 +371,7 @@
         }
         match grace_end {
             Some(until) if entry.is_none_or(|known| known.state == EndpointState::Ready) => {
-                // A repeated removal doesn't extend the grace period, but its revision is updated
-                // so that it is sent again to VMs that request changes.
-                let lapse = self.lapsed.entry(name.clone());
-                let (_, at) = lapse.or_insert((until, revision));
-                *at = revision.max(*at);
+                self.lapses.hold(name, until, revision);
                 None
             }
             _ => self.remove_now(name, revision),
@@ -385,7 +382,7 @@
     /// changes.
     fn remove_now(&mut self, name: &EndpointName, revision: Revision) -> Option<EndpointChange> {
         // A superseded removal must not hide a later removal of the same name from other VMs.
-        let lapsed = self.lapsed.remove(name).map(|(_, at)| at);
+        let lapsed = self.lapses.take(name);
         let known = self.known(name);
         let ended = known.map(|(_, known)| (known.entry.start_ms, known.entry.revision));
         let key = known.map(|(key, _)| key);
@@ -446,7 +443,7 @@
         let mut changes = self.upsert_all(entries, covered);
         for name in &missing {
             // The next listing must not end a grace period: the entry was missing before.
-            let lapsed = self.lapsed.get(name).map(|(until, _)| *until);
+            let lapsed = self.lapses.until(name);
             changes.extend(self.remove(name, revision, grace_end.or(lapsed)));
         }
         self.advance_to(revision);
@@ -482,21 +479,13 @@
 
     /// Removes the entries whose grace period has ended.
     pub fn expire_grace(&mut self, now: Time) -> Vec<EndpointChange> {
-        if self.lapsed.is_empty() {
-            return Vec::new();
-        }
-        let expired: Vec<(EndpointName, Revision)> = self
-            .lapsed
-            .iter()
-            .filter(|(_, (until, _))| *until <= now)
-            .map(|(name, (_, revision))| (name.clone(), *revision))
-            .collect();
-        let mut changes = Vec::new();
-        for (name, revision) in expired {
-            self.lapsed.remove(&name);
-            changes.extend(self.remove_now(&name, revision));
-        }
-        changes
+        self.end_grace(|until| until <= now)
+    }
+
+    fn end_grace(&mut self, is_over: impl Fn(Time) -> bool) -> Vec<EndpointChange> {
+        let ended = self.lapses.take_if(is_over).into_iter();
+        let changes = ended.filter_map(|(name, revision)| self.remove_now(&name, revision));
+        changes.collect()
     }
 
     /// Entries and removals since a revision; none if removals since then are no longer remembered,
@@ -526,12 +515,12 @@
 
     /// Entries that may only have lapsed, each with its remaining grace period.
     pub fn lapsed(&self, now: Time) -> Vec<Removal> {
-        let removals = self.lapsed.iter().map(|(name, (until, revision))| Removal {
-            name: name.clone(),
-            revision: *revision,
-            grace_ms: Some(until.since(now).as_millis() as u32),
-        });
-        removals.collect()
+        self.lapses.removals(now)
+    }
+
+    /// Names of the entries that may only have lapsed.
+    pub fn lapsed_names(&self) -> Vec<EndpointName> {
+        self.lapses.names().cloned().collect()
     }
 
     /// All entries.
@@ -579,7 +568,7 @@
         self.change_count += 1;
         self.former.keep(key, &endpoint);
         self.by_name.remove(&endpoint.entry.name);
-        self.lapsed.remove(&endpoint.entry.name);
+        self.lapses.take(&endpoint.entry.name);
         Some(EndpointChange {
             key,
             name: endpoint.entry.name,
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -24,6 +24,7 @@
 mod helpers;
 mod identity;
 mod kept_streams;
+mod lapses;
 mod limits;
 mod listing;
 mod membership;
--- a/crates/relay/src/feed.rs
+++ b/crates/relay/src/feed.rs
@@ -278,6 +278,7 @@
         shared.record_era(revision.era, "peer");
     }
     let outdated = revision < core.endpoints.revision();
+    let held_before = core.endpoints.lapsed_names();
     let mut changes = match entries {
         Some(entries) => {
             // The peer may not know entries that the platform has lost.
@@ -303,7 +304,9 @@
             .map(|offset| Time(sent.0.saturating_add_signed(offset)));
         core.endpoints_confirmed = core.endpoints_confirmed.max(confirmed_at);
     }
+    let held = core.endpoints.lapsed_names();
     drop(core);
+    shared.log_lapses(&held_before, &held, "peer");
     shared.handle_endpoint_changes(&changes, "peer");
     confirm_config(shared, sent, version, config_confirmed, config);
     let core = shared.core();
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -15,6 +15,7 @@
 mod duties;
 mod duty_client;
 mod duty_view;
+mod endpoint_changes;
 mod events;
 mod feed;
 mod forwarded_stream;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -78,6 +78,7 @@
     pub(crate) memory_refusals: Counter,
     pub(crate) platform_calls: Counter,
     pub(crate) platform_failures: Counter,
+    pub(crate) lapses: Counter,
     pub(crate) bad_datagrams: Counter,
     pub(crate) crashes: Counter,
     pub(crate) subjects_held: Counter,
@@ -125,6 +126,7 @@
             memory_refusals: Counter::default(),
             platform_calls: Counter::default(),
             platform_failures: Counter::default(),
+            lapses: Counter::default(),
             bad_datagrams: Counter::default(),
             crashes: Counter::default(),
             subjects_held: Counter::default(),
@@ -200,16 +202,6 @@
                 "Calls refused for lack of memory",
                 &self.memory_refusals,
             ),
-            (
-                "platform_calls",
-                "Calls to the platform",
-                &self.platform_calls,
-            ),
-            (
-                "platform_failures",
-                "Calls without an answer",
-                &self.platform_failures,
-            ),
             (
                 "bad_datagrams",
                 "Datagrams that aren't beats",
@@ -253,9 +245,32 @@
         ] {
             registry.register(name, help, counter.clone());
         }
+        self.register_platform();
         self.register_gauges();
     }
 
+    fn register_platform(&mut self) {
+        for (name, help, counter) in [
+            (
+                "platform_calls",
+                "Calls to the platform",
+                &self.platform_calls,
+            ),
+            (
+                "platform_failures",
+                "Calls without an answer",
+                &self.platform_failures,
+            ),
+            (
+                "lapses",
+                "Missing entries whose endpoints stayed in use, as they may only have lapsed",
+                &self.lapses,
+            ),
+        ] {
+            self.registry.register(name, help, counter.clone());
+        }
+    }
+
     fn register_gauges(&mut self) {
         for (name, help, gauge) in [
             ("vms_alive", "Other VMs that are alive", &self.vms_alive),
--- a/crates/relay/src/platform_reader.rs
+++ b/crates/relay/src/platform_reader.rs
@@ -240,10 +240,13 @@
             revision,
         };
         let mut core = self.shared.core();
+        let held_before = core.endpoints.lapsed_names();
         let changes = core.endpoints.apply(entry_changes);
+        let held = core.endpoints.lapsed_names();
         core.endpoints_confirmed = core.endpoints_confirmed.max(Some(sent));
         let is_read = core.endpoints.revision().era == revision.era;
         drop(core);
+        self.shared.log_lapses(&held_before, &held, "platform");
         if is_read {
             self.shared.record_endpoints_read(sent);
         }
@@ -287,8 +290,11 @@
                 self.outage.record_restore();
             }
             let grace_end = self.outage.grace_end(now).max(era_grace);
+            let held_before = core.endpoints.lapsed_names();
             let changes = core.endpoints.apply_listing(all, first_revision, grace_end);
+            let held = core.endpoints.lapsed_names();
             drop(core);
+            self.shared.log_lapses(&held_before, &held, "platform");
             if self.confirm_endpoints(sent, first_revision.era) {
                 self.shared.record_endpoints_read(sent);
             }
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -27,10 +27,10 @@
 };
 use poplarswitch_entity::Time;
 use poplarswitch_ingress::{
-    AdmissionControl, Cursor, Demand, EndpointChange, EndpointKey, EndpointTable, ExpectedTimes,
-    Freshness, GroupSplit, Helpers, Membership, Phase, Quarantine, RateLimits, Rates, Reach,
-    RetryBudget, RetryLimit, Route, RoutingTable, RunTimes, ServiceDemand, Shutdown, ShutdownStage,
-    SourceSelector, StartupCheck, StepTime, StreamOrigins, Transition, hash_pair,
+    AdmissionControl, Cursor, Demand, EndpointKey, EndpointTable, ExpectedTimes, Freshness,
+    GroupSplit, Helpers, Membership, Phase, Quarantine, RateLimits, Rates, Reach, RetryBudget,
+    RetryLimit, Route, RoutingTable, RunTimes, ServiceDemand, Shutdown, ShutdownStage,
+    SourceSelector, StartupCheck, StepTime, StreamOrigins, hash_pair,
 };
 use poplarswitch_lease::Tenure;
 use rand::{Rng as _, SeedableRng as _};
@@ -54,10 +54,6 @@
 /// Maximum time for which a VM that starts waits for the held sections in the platform.
 const HOLDS_WAIT: Duration = Duration::from_millis(300);
 
-/// Maximum number of endpoint names in a log line; a first listing of thousands of endpoints must
-/// stay within the rate limit of the log.
-const MAX_NAMES_PER_LINE: usize = 32;
-
 /// State of the decision logic.
 #[derive(Debug)]
 pub(crate) struct Core {
@@ -468,40 +464,6 @@
         ADDRESS_TTL.min(Duration::from_millis(self.settings.bounds.ttl_ms))
     }
 
-    /// Handles changes of the endpoint table: drops idle connections to removed endpoints, logs the
-    /// changes, and wakes the tasks that wait for them.
-    pub(crate) fn handle_endpoint_changes(&self, changes: &[EndpointChange], source: &'static str) {
-        if changes.is_empty() {
-            return;
-        }
-        let revision = self.core().endpoints.revision();
-        let with_transition = |transition| {
-            changes
-                .iter()
-                .filter(move |change| change.transition == transition)
-        };
-        for change in with_transition(Transition::Left) {
-            self.pool.remove(change.key);
-        }
-        for transition in Transition::ALL {
-            let names: Vec<&str> = with_transition(transition)
-                .map(|change| change.name.as_str())
-                .collect();
-            for names in names.chunks(MAX_NAMES_PER_LINE) {
-                tracing::info!(
-                    event = transition.as_str(),
-                    endpoint = names.join(","),
-                    count = names.len(),
-                    revision = revision.number,
-                    era = revision.era,
-                    source,
-                    "endpoint"
-                );
-            }
-        }
-        self.notify_change();
-    }
-
     /// Takes an idle connection to an endpoint, or opens one; see [`Pool::acquire`].
     pub(crate) async fn acquire(
         self: &Arc<Self>,
