Take an entry for lapsed only if no VM was served in the outage

Cause: a failed call opened an outage that only a later call of the same VM ended. A VM that was cut off alone, and then got its view from another VM, counted its first read many seconds later as the end of that outage, held removed endpoints in use for 2.1 s and told the other VMs so, which believed it.

VMs now tell each other since when the platform has served any of them without a gap. An outage counts only if a call failed in a gap of 1.2 s or more, ends with the first reply to any VM, and a grace period holds only while no VM is known to have been served meanwhile. So the word of a VM that was cut off alone decides nothing, whether it is this VM or another one.

--- a/crates/ingress/src/endpoints.rs
+++ b/crates/ingress/src/endpoints.rs
@@ -20,6 +20,7 @@
     lapses::Lapses,
     limits::Denial,
     notices::Pause,
+    outage::OutageTracker,
     placement::GroupLoad,
     removals::PastRemoval,
     revision::Revision,
@@ -482,6 +483,11 @@
         self.end_grace(|until| until <= now)
     }
 
+    /// Ends the grace periods that don't follow an outage.
+    pub fn end_unfounded_grace(&mut self, outage: &OutageTracker) -> Vec<EndpointChange> {
+        self.end_grace(|until| !outage.allows(until))
+    }
+
     fn end_grace(&mut self, is_over: impl Fn(Time) -> bool) -> Vec<EndpointChange> {
         let ended = self.lapses.take_if(is_over).into_iter();
         let changes = ended.filter_map(|(name, revision)| self.remove_now(&name, revision));
--- a/crates/ingress/src/feed.rs
+++ b/crates/ingress/src/feed.rs
@@ -13,6 +13,7 @@
     config::Config,
     entry::{EndpointEntry, Removal},
     membership::Membership,
+    outage::ServedAges,
     packed::Packed,
     revision::Revision,
     startup::PeerState,
@@ -138,6 +139,9 @@
     /// it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub is_checked: Option<bool>,
+    /// When the platform has served VMs, as of the reply; VMs of an earlier version don't send it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub served: Option<ServedAges>,
 }
 
 impl FeedReply {
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -31,6 +31,7 @@
 mod memory;
 mod notices;
 mod only_version;
+mod outage;
 mod outcome;
 mod packed;
 mod placement;
@@ -91,6 +92,8 @@
 #[cfg(test)]
 mod notices_tests;
 #[cfg(test)]
+mod outage_tests;
+#[cfg(test)]
 mod outcome_tests;
 #[cfg(test)]
 mod packed_tests;
@@ -154,6 +157,7 @@
 pub use memory::{COVERED_BYTES, MemoryAccount, MemoryDecision, MemoryTicket};
 pub use notices::{EndpointNotice, NamedPause, Pause};
 pub use only_version::{NoVersion, VersionView};
+pub use outage::{MIN_OUTAGE, OutageTracker, ServedAges};
 pub use outcome::{
     AttemptCounts, NextStep, Obstacle, Outcome, Verdict, next_step, obstacle, verdict,
 };
--- a/crates/ingress/src/membership.rs
+++ b/crates/ingress/src/membership.rs
@@ -11,6 +11,7 @@
 use crate::{
     brittle::BoundRecord,
     hash::{hash_pair, hash_text},
+    outage::ServedAges,
     service_work::ServiceWork,
 };
 use core::{net::Ipv4Addr, time::Duration};
@@ -179,6 +180,9 @@
     /// Work that the records can't hold.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub wide: Vec<WideWork>,
+    /// When the platform has served VMs; none from VMs of an earlier version.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub served: Option<ServedAges>,
 }
 
 impl Heartbeat {
@@ -210,6 +214,7 @@
         rates: Vec::new(),
         works: Vec::new(),
         members,
+        served: None,
     }
 }
 
--- /dev/null
+++ b/crates/node/tests/relay_outages.rs
@@ -0,0 +1,96 @@
+//! Endpoints that leave beside VMs that were cut off from the platform.
+
+mod relay;
+
+use core::time::Duration;
+use googletest::prelude::*;
+use poplarswitch_deployment::{EndpointKind, LinkMode};
+use relay::{Fleet, wait_until};
+use rustix::process::Signal;
+use std::{thread, time::Instant};
+
+/// Number of VMs of a fleet: one in the first data centre, two in the second.
+const VM_COUNT: u8 = 3;
+/// VMs of the second data centre; one of them reads the platform for the other.
+const PAIR: [usize; 2] = [0, 2];
+/// Time within which an endpoint that has left gets no calls any more, at VMs that reach the platform;
+/// less than the 2.1 s for which endpoints stay in use whose entries may have lapsed.
+const LEAVE_LIMIT: Duration = Duration::from_millis(1_200);
+/// Time within which a VM reads the platform in place of one whose process has ended.
+const TAKEOVER_TIME: Duration = Duration::from_millis(300);
+/// Time after its start in which a VM may get entries both from the platform and from another VM.
+const START_TIME: Duration = Duration::from_millis(3_500);
+/// Time in which a view is confirmed again, and all grace periods end.
+const CALM_TIME: Duration = Duration::from_secs(3);
+/// Length of an outage: less than the time for which a configuration is used without a confirmation.
+const OUTAGE_TIME: Duration = Duration::from_millis(2_500);
+
+/// Number of lines of a VM's log with all of the given texts.
+fn line_count(fleet: &Fleet, vm: usize, texts: &[&str]) -> usize {
+    let log = fleet.log(vm);
+    let lines = log.lines();
+    let named = lines.filter(|line| texts.iter().all(|text| line.contains(text)));
+    named.count()
+}
+
+/// The VM of the pair that reads the platform, and the other one.
+fn find_reader(fleet: &mut Fleet) -> (usize, usize) {
+    thread::sleep(START_TIME);
+    fleet.add_endpoint("booking-3", EndpointKind::Service);
+    let joined = |vm| line_count(fleet, vm, &["\"joined\"", "booking-3"]) > 0;
+    wait_until("the pair knows the endpoint", || {
+        PAIR.into_iter().all(joined)
+    });
+    let reads = |vm: &usize| {
+        let texts = ["\"joined\"", "booking-3", "\"source\":\"platform\""];
+        line_count(fleet, *vm, &texts) > 0
+    };
+    let (readers, others): (Vec<usize>, Vec<usize>) = PAIR.into_iter().partition(reads);
+    (readers[0], others[0])
+}
+
+/// Time from the removal of an entry until a VM takes its endpoint out of use.
+fn removal_time(fleet: &Fleet, name: &str, vms: &[usize]) -> Duration {
+    let start = Instant::now();
+    fleet.store.unregister(name);
+    let has_left = |vm: &usize| line_count(fleet, *vm, &["\"left\"", name]) > 0;
+    wait_until("the endpoint is out of use", || vms.iter().all(has_left));
+    start.elapsed()
+}
+
+/// A VM whose last call to the platform had failed took its next one, long after, for the end of an
+/// outage, and kept endpoints that had left (DRAIN).
+#[gtest]
+fn vm_that_reads_again_long_after_a_failure_lets_endpoints_leave() {
+    let mut fleet = Fleet::start(123, VM_COUNT);
+    let (reader, other) = find_reader(&mut fleet);
+    fleet.store_proxies[other].set_mode(LinkMode::Closes);
+    fleet.signal(reader, Signal::STOP);
+    wait_until("the other VM fails to read the platform", || {
+        line_count(&fleet, other, &["\"platform\"", "\"lost\""]) > 0
+    });
+    fleet.signal(reader, Signal::CONT);
+    thread::sleep(CALM_TIME);
+    fleet.store_proxies[other].set_mode(LinkMode::Passes);
+    thread::sleep(CALM_TIME);
+    fleet.kill(reader);
+    thread::sleep(TAKEOVER_TIME);
+    let time = removal_time(&fleet, "booking-2", &[other]);
+    expect_that!(time, lt(LEAVE_LIMIT));
+}
+
+/// VMs took the word of one that had been cut off from the platform, alone, that entries had lapsed
+/// (DRAIN).
+#[gtest]
+fn vm_that_was_cut_off_alone_holds_up_no_removal() {
+    let mut fleet = Fleet::start(124, VM_COUNT);
+    let (reader, other) = find_reader(&mut fleet);
+    fleet.store_proxies[reader].set_mode(LinkMode::Closes);
+    thread::sleep(OUTAGE_TIME);
+    fleet.store_proxies[reader].set_mode(LinkMode::Passes);
+    wait_until("the VM reads the platform again", || {
+        line_count(&fleet, reader, &["\"platform\"", "\"regained\""]) > 0
+    });
+    let time = removal_time(&fleet, "booking-2", &[reader, other]);
+    expect_that!(time, lt(LEAVE_LIMIT));
+}
--- a/crates/relay/src/feed.rs
+++ b/crates/relay/src/feed.rs
@@ -126,6 +126,7 @@
         removed,
         has_eras: true,
         is_checked: Some(core.startup.is_done()),
+        served: core.outage.ages(clock::now()),
     }
 }
 
@@ -271,6 +272,9 @@
     let version = reply.cursor.version;
     let config_confirmed = reply.config_confirmed;
     let mut core = shared.core();
+    if let Some(ages) = reply.served {
+        core.outage.receive(clock::now(), ages);
+    }
     let era = core.endpoints.revision().era;
     reply.set_missing_eras(entries.as_deref_mut().unwrap_or_default(), era);
     let revision = reply.cursor.revision;
@@ -279,6 +283,7 @@
     }
     let outdated = revision < core.endpoints.revision();
     let held_before = core.endpoints.lapsed_names();
+    core.outage.record_era(clock::now(), revision.era);
     let mut changes = match entries {
         Some(entries) => {
             // The peer may not know entries that the platform has lost.
@@ -287,17 +292,18 @@
         }
         None => Vec::new(),
     };
-    changes.extend(
-        core.endpoints.apply(EntryChanges {
-            entries: reply.entries,
-            removed: reply
-                .removed
-                .into_iter()
-                .map(|r| r.into_local(sent))
-                .collect(),
-            revision,
-        }),
-    );
+    let removed = reply.removed.into_iter().map(|removal| {
+        let mut removal = removal.into_local(sent);
+        // The peer may have been cut off alone.
+        removal.grace_end = removal.grace_end.filter(|end| core.outage.allows(*end));
+        removal
+    });
+    let entry_changes = EntryChanges {
+        entries: reply.entries,
+        removed: removed.collect(),
+        revision,
+    };
+    changes.extend(core.endpoints.apply(entry_changes));
     if !outdated {
         let confirmed_at = reply
             .endpoints_confirmed
--- a/crates/relay/src/heartbeats.rs
+++ b/crates/relay/src/heartbeats.rs
@@ -115,6 +115,10 @@
     let phase = shared.phase(now);
     let mut core = shared.core();
     let expired = core.endpoints.expire_grace(now);
+    let Core {
+        endpoints, outage, ..
+    } = &mut *core;
+    let unfounded = endpoints.end_unfounded_grace(outage);
     core.membership.prune(now);
     let alive = core.membership.alive(now).count();
     let unheard = core.membership.silent_count(now);
@@ -153,6 +157,7 @@
         shared.streams_kept.notify_one();
     }
     shared.handle_endpoint_changes(&expired, "lapse");
+    shared.handle_endpoint_changes(&unfounded, "no_outage");
     for key in shared.pool.evict_idle() {
         shared.mark_in_doubt(key);
     }
@@ -232,6 +237,7 @@
             .next_heartbeats(now, phase, work, receivers.len());
         let bounds = core.endpoints.bound_news(now);
         let rates = core.told_rates(now);
+        let served = core.outage.ages(now);
         let works = if tells_works {
             core.service_demand.works(now)
         } else {
@@ -242,6 +248,7 @@
             heartbeat.rates.clone_from(&rates);
             heartbeat.works.clone_from(&works);
             heartbeat.open_calls.clone_from(&open_calls);
+            heartbeat.served = served;
             heartbeat.lost_services = Some(lost_services.clone());
         }
         (heartbeats, receivers)
@@ -343,6 +350,9 @@
     core.membership.receive(now, &heartbeat);
     core.endpoints.merge_bounds(now, &heartbeat.bounds);
     core.rates.receive(now, ip, &heartbeat.rates);
+    if let Some(ages) = heartbeat.served {
+        core.outage.receive(now, ages);
+    }
     let report = PeerReport {
         at: now,
         open_calls: heartbeat.open_calls,
--- a/crates/relay/src/platform_reader.rs
+++ b/crates/relay/src/platform_reader.rs
@@ -5,17 +5,21 @@
 //! is watched with short waits, because a reply confirms the configuration as of the time at which
 //! the watch was sent. Endpoints are watched with longer waits.
 
-use crate::{PlatformCall, PlatformReply, clock, platform_client::PlatformClient, shared::Shared};
+use crate::{
+    PlatformAnswer, PlatformCall, PlatformReply, clock, platform_client::PlatformClient,
+    shared::Shared,
+};
 use core::time::Duration;
+use http::StatusCode;
 use poplarswitch_entity::{EndpointName, Time};
 use poplarswitch_ingress::{
-    Config, EndpointEntry, EntryChanges, LAPSE_GRACE, LocalRemoval, Packed, Revision, RoutingTable,
+    Config, EndpointEntry, EntryChanges, LocalRemoval, Packed, Revision, RoutingTable,
     SourceSelector,
 };
 use poplarswitch_platform::Backoff;
 use std::sync::{
     Arc,
-    atomic::{AtomicBool, AtomicU64, Ordering},
+    atomic::{AtomicBool, Ordering},
 };
 use tokio::time::sleep;
 
@@ -35,55 +39,11 @@
 /// Interval between checks whether this VM should read the platform.
 const POLL_INTERVAL: Duration = Duration::from_millis(150);
 
-/// Detects outages of the platform from the results of this VM's calls.
-#[derive(Debug, Default)]
-pub(crate) struct OutageTracker {
-    /// Time of the last failed call in microseconds; 0 if no call has failed.
-    failed_at: AtomicU64,
-    /// Time of the first successful call after the last failure in microseconds; 0 if there is
-    /// none.
-    recovered_at: AtomicU64,
-}
-
-impl OutageTracker {
-    fn record_failure(&self) {
-        self.failed_at.store(clock::now().0, Ordering::Relaxed);
-        self.recovered_at.store(0, Ordering::Relaxed);
-    }
-
-    fn record_success(&self) {
-        if self.recovered_at.load(Ordering::Relaxed) == 0 {
-            self.recovered_at.store(clock::now().0, Ordering::Relaxed);
-        }
-    }
-
-    /// Records that the platform has come back from a copy, also if no call of this VM has failed.
-    fn record_restore(&self) {
-        self.record_failure();
-        self.record_success();
-    }
-
-    /// End of the grace period in which a missing entry may only have lapsed; none if no outage is
-    /// recent.
-    fn grace_end(&self, now: Time) -> Option<Time> {
-        if self.failed_at.load(Ordering::Relaxed) == 0 {
-            return None;
-        }
-        let recovered_at = match self.recovered_at.load(Ordering::Relaxed) {
-            0 => now,
-            at => Time(at),
-        };
-        let grace_end = recovered_at + LAPSE_GRACE;
-        (grace_end > now).then_some(grace_end)
-    }
-}
-
 /// Reader of the configuration and the endpoints.
 #[derive(Debug)]
 pub(crate) struct PlatformReader {
     shared: Arc<Shared>,
     client: Arc<PlatformClient>,
-    outage: OutageTracker,
     /// Whether a watch on the endpoints is open.
     watch_open: AtomicBool,
 }
@@ -93,7 +53,6 @@
         Self {
             shared,
             client,
-            outage: OutageTracker::default(),
             watch_open: AtomicBool::new(false),
         }
     }
@@ -228,7 +187,7 @@
         revision: Revision,
     ) -> bool {
         let unchanged = entries.is_empty() && removed.is_empty();
-        let grace_end = self.outage.grace_end(clock::now());
+        let grace_end = self.shared.core().outage.grace_end(clock::now());
         let to_removal = |(name, revision)| LocalRemoval {
             name,
             revision,
@@ -286,10 +245,7 @@
             let now = clock::now();
             let mut core = self.shared.core();
             let era_grace = core.endpoints.era_grace(first_revision, now);
-            if era_grace.is_some() {
-                self.outage.record_restore();
-            }
-            let grace_end = self.outage.grace_end(now).max(era_grace);
+            let grace_end = core.outage.grace_end(now).max(era_grace);
             let held_before = core.endpoints.lapsed_names();
             let changes = core.endpoints.apply_listing(all, first_revision, grace_end);
             let held = core.endpoints.lapsed_names();
@@ -349,7 +305,7 @@
         let sent = clock::now();
         let answer = self.client.call(&call).await;
         let answer = answer.map_err(|error| error.to_string())?;
-        self.shared.record_era(answer.era, "platform");
+        self.record_answer(&answer);
         match answer.reply {
             PlatformReply::Endpoints {
                 entries,
@@ -378,33 +334,46 @@
 
     async fn call(&self, call: &PlatformCall) -> Option<PlatformReply> {
         self.shared.metrics.platform_calls.inc();
-        let in_outage = self.outage.grace_end(clock::now()).is_some();
-        let answer = self.client.call(call).await;
-        if let Ok(answer) = &answer {
-            self.shared.record_era(answer.era, "platform");
-        }
-        match answer.map(|answer| answer.reply) {
-            Ok(PlatformReply::Refused(status)) => {
-                self.record_failed_call(call, in_outage, &format!("status {status}"));
-                None
-            }
-            Ok(reply) => {
-                self.outage.record_success();
-                if core::mem::take(&mut self.shared.core().platform_failed) {
-                    tracing::info!(event = "regained", call = call.name(), "platform");
-                }
-                Some(reply)
-            }
+        let in_outage = self.shared.core().outage.grace_end(clock::now()).is_some();
+        let answer = match self.client.call(call).await {
+            Ok(answer) => answer,
             Err(error) => {
+                self.shared.core().outage.record_failure(clock::now());
                 self.record_failed_call(call, in_outage, &error.to_string());
-                None
+                return None;
+            }
+        };
+        let is_served = self.record_answer(&answer);
+        if let PlatformReply::Refused(status) = answer.reply {
+            if !is_served {
+                self.shared.core().outage.record_failure(clock::now());
             }
+            self.record_failed_call(call, in_outage, &format!("status {status}"));
+            return None;
+        }
+        if core::mem::take(&mut self.shared.core().platform_failed) {
+            tracing::info!(event = "regained", call = call.name(), "platform");
+        }
+        Some(answer.reply)
+    }
+
+    /// Records what an answer shows of the platform; returns whether the platform is in service.
+    fn record_answer(&self, answer: &PlatformAnswer) -> bool {
+        self.shared.record_era(answer.era, "platform");
+        let is_served = match answer.reply {
+            // A platform that limits the rate of calls is not out.
+            PlatformReply::Refused(status) => status == StatusCode::TOO_MANY_REQUESTS,
+            _ => true,
+        };
+        if is_served {
+            let now = clock::now();
+            self.shared.core().outage.record_served(now, answer.era);
         }
+        is_served
     }
 
     fn record_failed_call(&self, call: &PlatformCall, in_outage: bool, reason: &str) {
         self.shared.metrics.platform_failures.inc();
-        self.outage.record_failure();
         let had_failed = core::mem::replace(&mut self.shared.core().platform_failed, true);
         if !had_failed {
             // VMs that wait for a reply of this VM must switch to another source immediately.
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -28,8 +28,8 @@
 use poplarswitch_entity::Time;
 use poplarswitch_ingress::{
     AdmissionControl, Cursor, Demand, EndpointKey, EndpointTable, ExpectedTimes, Freshness,
-    GroupSplit, Helpers, Membership, Phase, Quarantine, RateLimits, Rates, Reach, RetryBudget,
-    RetryLimit, Route, RoutingTable, RunTimes, ServiceDemand, Shutdown, ShutdownStage,
+    GroupSplit, Helpers, Membership, OutageTracker, Phase, Quarantine, RateLimits, Rates, Reach,
+    RetryBudget, RetryLimit, Route, RoutingTable, RunTimes, ServiceDemand, Shutdown, ShutdownStage,
     SourceSelector, StartupCheck, StepTime, StreamOrigins, hash_pair,
 };
 use poplarswitch_lease::Tenure;
@@ -64,6 +64,8 @@
     pub(crate) endpoints_confirmed: Option<Time>,
     /// Whether this VM reads the platform and its last call to it failed.
     pub(crate) platform_failed: bool,
+    /// Whether entries may have lapsed because the platform was out.
+    pub(crate) outage: OutageTracker,
     pub(crate) retry_budget: RetryBudget,
     pub(crate) admission: AdmissionControl,
     pub(crate) membership: Membership,
@@ -223,6 +225,7 @@
             freshness: Freshness::new(revocation),
             endpoints_confirmed: None,
             platform_failed: false,
+            outage: OutageTracker::default(),
             retry_budget: RetryBudget::new(retry_limit),
             admission: AdmissionControl::default(),
             membership,
