Tell other VMs at once that entries are back within their grace

After an outage, VMs that get changes from another VM dropped endpoints whose entries were back in time, and callers there found none until the next change.

Cause: a VM that reads the platform wakes those that wait for changes only when endpoints join, drain or leave; an entry that is back within its grace is none of these, so the reply came up to 0.8 s later, after the grace had ended. Evidence: entries written at 11.948 s, `left` by `lapse` at the other VM at 12.460 s, `joined` by `peer` at 12.535 s.

Entries that are back now wake those VMs.

--- a/crates/node/tests/relay_outages.rs
+++ b/crates/node/tests/relay_outages.rs
@@ -1,4 +1,5 @@
-//! Endpoints that leave beside VMs that were cut off from the platform.
+//! Entries that are missing: endpoints that have left, beside VMs that were cut off from the platform,
+//! and entries that have lapsed in an outage of the platform.
 
 mod relay;
 
@@ -24,6 +25,10 @@
 const CALM_TIME: Duration = Duration::from_secs(3);
 /// Length of an outage: less than the time for which a configuration is used without a confirmation.
 const OUTAGE_TIME: Duration = Duration::from_millis(2_500);
+/// Time after an outage within which entries are back, or gone.
+const RETURN_TIME: Duration = Duration::from_millis(1_750);
+/// Number of VMs of a fleet in which most get changes from another one.
+const LARGE_VM_COUNT: u8 = 7;
 
 /// Number of lines of a VM's log with all of the given texts.
 fn line_count(fleet: &Fleet, vm: usize, texts: &[&str]) -> usize {
@@ -94,3 +99,44 @@
     let time = removal_time(&fleet, "booking-2", &[reader, other]);
     expect_that!(time, lt(LEAVE_LIMIT));
 }
+
+/// Entries of endpoints that are alive lapse while the platform is out. They must stay in use until they
+/// are back, also at VMs that learn it from another one: those learned it up to 0.8 s late (LOST).
+#[gtest]
+fn entries_that_lapse_in_an_outage_stay_in_use() {
+    let mut fleet = Fleet::start(125, LARGE_VM_COUNT);
+    thread::sleep(START_TIME);
+    fleet.add_endpoint("booking-3", EndpointKind::Service);
+    thread::sleep(Duration::from_secs(1));
+    for proxy in &fleet.store_proxies {
+        proxy.set_mode(LinkMode::Closes);
+    }
+    thread::sleep(OUTAGE_TIME);
+    let names = ["booking-1", "booking-2", "booking-3"];
+    for name in names {
+        fleet.store.unregister(name);
+    }
+    for proxy in &fleet.store_proxies {
+        proxy.set_mode(LinkMode::Passes);
+    }
+    wait_until("a VM reads the platform again", || {
+        (0..fleet.processes.len())
+            .any(|vm| line_count(&fleet, vm, &["\"platform\"", "\"regained\""]) > 0)
+    });
+    let returned = Instant::now();
+    while returned.elapsed() < RETURN_TIME {
+        for vm in 0..fleet.processes.len() {
+            let (_, response) = fleet.call(vm, "/seats/1");
+            let status = response.map(|response| response.status);
+            expect_that!(status, ok(eq(&200)), "VM {vm}");
+        }
+    }
+    for index in 2..4 {
+        fleet.register(index, EndpointKind::Service, 1, false);
+    }
+    thread::sleep(CALM_TIME);
+    for vm in 0..fleet.processes.len() {
+        let left = |name| line_count(&fleet, vm, &["\"left\"", name]);
+        expect_that!(names.map(left), eq([0, 0, 1]), "VM {vm}");
+    }
+}
--- a/crates/relay/src/endpoint_changes.rs
+++ b/crates/relay/src/endpoint_changes.rs
@@ -43,13 +43,18 @@
         self.notify_change();
     }
 
-    /// Logs the missing entries that are `held` in use, apart from those that were before.
-    pub(crate) fn log_lapses(
+    /// Logs the missing entries that are `held` in use, apart from those that were before. Wakes the
+    /// tasks that wait for changes if entries are back: other VMs must know it before they take the
+    /// endpoints out of use.
+    pub(crate) fn record_lapses(
         &self,
         before: &[EndpointName],
         held: &[EndpointName],
         source: &'static str,
     ) {
+        if before.iter().any(|name| !held.contains(name)) {
+            self.notify_change();
+        }
         let new = held.iter().filter(|name| !before.contains(name));
         let new: Vec<&str> = new.map(EndpointName::as_str).collect();
         self.metrics.lapses.inc_by(new.len() as u64);
--- a/crates/relay/src/feed.rs
+++ b/crates/relay/src/feed.rs
@@ -312,7 +312,7 @@
     }
     let held = core.endpoints.lapsed_names();
     drop(core);
-    shared.log_lapses(&held_before, &held, "peer");
+    shared.record_lapses(&held_before, &held, "peer");
     shared.handle_endpoint_changes(&changes, "peer");
     confirm_config(shared, sent, version, config_confirmed, config);
     let core = shared.core();
--- a/crates/relay/src/platform_reader.rs
+++ b/crates/relay/src/platform_reader.rs
@@ -205,7 +205,7 @@
         core.endpoints_confirmed = core.endpoints_confirmed.max(Some(sent));
         let is_read = core.endpoints.revision().era == revision.era;
         drop(core);
-        self.shared.log_lapses(&held_before, &held, "platform");
+        self.shared.record_lapses(&held_before, &held, "platform");
         if is_read {
             self.shared.record_endpoints_read(sent);
         }
@@ -250,7 +250,7 @@
             let changes = core.endpoints.apply_listing(all, first_revision, grace_end);
             let held = core.endpoints.lapsed_names();
             drop(core);
-            self.shared.log_lapses(&held_before, &held, "platform");
+            self.shared.record_lapses(&held_before, &held, "platform");
             if self.confirm_endpoints(sent, first_revision.era) {
                 self.shared.record_endpoints_read(sent);
             }
