Believe the end of an answer without length only when its request is written

Cause: hyper takes the end of the input for the end of such a body while it still writes the request, and drops the rest.

The socket of outgoing connections now holds the end of its input back until its output is written, and reports a failed write or a pending error in its place. An endpoint that answers early and reads on gets the rest of its request.

--- a/crates/node/tests/relay_bodies.rs
+++ b/crates/node/tests/relay_bodies.rs
@@ -6,10 +6,10 @@
 use core::{net::SocketAddr, time::Duration};
 use googletest::prelude::*;
 use poplarswitch_deployment::{
-    AnswerCut, AnswerEnd, AnswerFraming, AnswerShape, CallRequest, Configuration, EndpointKind,
-    SIGNATURE_HEADER, body_parts,
+    AnswerCut, AnswerEnd, AnswerFraming, AnswerShape, CallRequest, Configuration, EarlyEnd,
+    EarlyEndpoint, EarlyPlan, EndpointKind, SIGNATURE_HEADER, body_parts,
 };
-use relay::{Fleet, KEYS};
+use relay::{Fleet, KEYS, wait_until};
 use std::{
     io::{ErrorKind, Read as _, Write as _},
     net::TcpStream,
@@ -116,9 +116,13 @@
 
 /// Makes a call on a new connection and reads until the connection ends.
 fn raw_call(vm: SocketAddr, version: &str, path: &str, id: &str) -> Received {
+    raw_request(vm, version, &CallRequest::new(id, path, KEYS[0]))
+}
+
+fn raw_request(vm: SocketAddr, version: &str, request: &CallRequest<'_>) -> Received {
+    let id = request.id;
     let mut stream = TcpStream::connect(vm).unwrap();
     stream.set_read_timeout(Some(READ_TIMEOUT)).unwrap();
-    let request = CallRequest::new(id, path, KEYS[0]);
     let bytes = request.to_bytes(Configuration::host(), version);
     stream.write_all(&bytes).unwrap();
     let mut bytes = Vec::new();
@@ -228,3 +232,120 @@
 fn broken_answer_never_looks_whole_to_a_caller_without_chunks() {
     check_all_shapes(22, "HTTP/1.0");
 }
+
+/// Size of an upload; more than a connection takes whose receiver does not read.
+const UPLOAD_BYTES: usize = 900_000;
+/// Time after which a connection is reset whose answer has ended.
+const LATE_RESET: Duration = Duration::from_millis(50);
+/// An answer without a length that ends in order.
+const SHORT_ANSWER: EarlyPlan = EarlyPlan {
+    read_first: usize::MAX,
+    status: "200",
+    body: "id: 1\ndata: early\n\n",
+    has_length: false,
+    end: EarlyEnd::EndsThenReads,
+};
+
+/// A VM whose only endpoint answers as planned.
+struct EarlyFleet {
+    fleet: Fleet,
+    endpoint: EarlyEndpoint,
+    /// Number of incarnations of the endpoint.
+    count: u64,
+}
+
+impl EarlyFleet {
+    fn start(net: u8) -> Self {
+        let mut fleet = Fleet::new(net, 1);
+        for endpoint in &fleet.endpoints {
+            fleet.store.unregister(&endpoint.name());
+        }
+        fleet.start_all();
+        fleet.await_ready();
+        Self {
+            fleet,
+            endpoint: EarlyEndpoint::start(SHORT_ANSWER).unwrap(),
+            count: 0,
+        }
+    }
+
+    /// Makes a call to a new incarnation of the endpoint, which the VM has no opinion of yet.
+    fn call(&mut self, route: RouteCase, version: &str, plan: EarlyPlan, body: &[u8]) -> Received {
+        self.count += 1;
+        let service = match route.kind {
+            EndpointKind::Engine => "engines",
+            EndpointKind::Service => "booking",
+        };
+        let store = &self.fleet.store;
+        store.unregister(&format!("early-{}.", self.count - 1));
+        let name = format!("early-{}.", self.count);
+        store.register(&name, self.endpoint.entry(service, "bole", self.count));
+        wait_until("the VM knows the endpoint", || {
+            self.fleet.log(0).contains(&name)
+        });
+        self.endpoint.set_plan(plan);
+        let before = self.endpoint.arrivals();
+        let id = format!("e{}", self.count);
+        // No two calls are alike, so that none is held for what another one did to the endpoint.
+        let path = format!("{}{}", route.path, self.count);
+        let prompt = format!("{0:x}0:800,{0:x}1:100", self.count);
+        let request = CallRequest {
+            body,
+            prompt: &prompt,
+            ..CallRequest::new(&id, &path, KEYS[0])
+        };
+        let received = raw_request(self.fleet.address(0), version, &request);
+        expect_that!(self.endpoint.arrivals(), gt(before), "{route:?} {plan:?}");
+        received
+    }
+}
+
+/// An answer without a length was taken for complete although its endpoint had ended the connection
+/// before the request was written, and reset it later (MIXED).
+#[gtest]
+fn answer_that_ends_during_the_upload_and_is_reset_is_incomplete() {
+    let mut early = EarlyFleet::start(126);
+    let upload = vec![b'x'; UPLOAD_BYTES];
+    for route in ROUTES {
+        let is_stream = route.kind == EndpointKind::Engine;
+        for version in ["HTTP/1.1", "HTTP/1.0"] {
+            for end in [
+                EarlyEnd::EndsThenResets(LATE_RESET),
+                EarlyEnd::Reset(LATE_RESET),
+                EarlyEnd::Reset(Duration::ZERO),
+            ] {
+                for read_first in [0, 100_000] {
+                    let plan = EarlyPlan {
+                        read_first,
+                        end,
+                        ..SHORT_ANSWER
+                    };
+                    let received = early.call(route, version, plan, &upload);
+                    let seen = received.whole_body(is_stream);
+                    let is_believed = received.status == 200 && seen.is_some();
+                    expect_that!(is_believed, eq(false), "{route:?} {plan:?} {received:?}");
+                }
+            }
+        }
+    }
+}
+
+/// The other side: an endpoint may answer before it has read the request, and read on.
+#[gtest]
+fn answer_that_ends_during_the_upload_is_complete_if_the_request_is_read() {
+    let mut early = EarlyFleet::start(127);
+    let upload = vec![b'x'; UPLOAD_BYTES];
+    for route in ROUTES {
+        for read_first in [0, 100_000, UPLOAD_BYTES] {
+            let plan = EarlyPlan {
+                read_first,
+                ..SHORT_ANSWER
+            };
+            let received = early.call(route, "HTTP/1.1", plan, &upload);
+            let seen = received.whole_body(route.kind == EndpointKind::Engine);
+            let expected = SHORT_ANSWER.body.to_owned();
+            expect_that!(received.status, eq(200), "{route:?} {plan:?}");
+            expect_that!(seen, some(eq(&expected)), "{route:?} {plan:?}");
+        }
+    }
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -11,6 +11,7 @@
 mod call_forwarder;
 mod call_record;
 mod classification;
+mod client_stream;
 mod clock;
 mod duties;
 mod duty_client;
--- a/crates/relay/src/tcp.rs
+++ b/crates/relay/src/tcp.rs
@@ -3,6 +3,7 @@
 //! A connection may fail without a reset. Therefore keep-alive probes and a TCP user time-out are
 //! set for each connection, in addition to the time-outs of its requests.
 
+use crate::client_stream::{ClientStream, MAX_UNSENT_BYTES};
 use bytes::{Bytes, BytesMut};
 use core::{net::SocketAddr, time::Duration};
 use http::{Request, Response};
@@ -57,7 +58,7 @@
     }
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(MAX_BUFFER_BYTES)
-        .handshake(TokioIo::new(stream))
+        .handshake(TokioIo::new(ClientStream::new(stream)))
         .await
         .context(HandshakeSnafu { peer })?;
     // A request on the connection gets the error itself; the failure of an idle connection needs no
@@ -142,6 +143,7 @@
         .with_time(KEEPALIVE_INTERVAL)
         .with_interval(KEEPALIVE_INTERVAL)
         .with_retries(2);
+    socket.set_tcp_notsent_lowat(MAX_UNSENT_BYTES)?;
     socket.set_tcp_keepalive(&keepalive)?;
     socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
 }
