Take a status below 200 or above 599 for no answer

Callers got 101, 600 and 999 of an endpoint as its answer (MIXED; 24 of 48 cases on all kinds of route, with and without a length). 000, 099 and 199 became 502 already.

Cause: the parser takes any status of three digits from 100 on, and 101 ends an exchange for it; the VM checked only the signature and the statuses that promise that a call has not run.

An answer has a status of 200 to 599 (RFC 9110, section 15), at the VM that calls the endpoint and at one that passes an answer on. Any other status is a failure of an endpoint that may have run the call.

Test: status_that_is_none_is_no_answer, which fails before in 24 of 48 cases.

--- a/crates/node/tests/relay_bodies.rs
+++ b/crates/node/tests/relay_bodies.rs
@@ -349,3 +349,23 @@
         }
     }
 }
+
+/// Statuses that are none reached callers as answers: 101 without a request for it, and those above 599
+/// (MIXED).
+#[gtest]
+fn status_that_is_none_is_no_answer() {
+    let mut early = EarlyFleet::start(128);
+    for route in ROUTES {
+        for status in ["000", "099", "101", "199", "600", "999"] {
+            for has_length in [true, false] {
+                let plan = EarlyPlan {
+                    status,
+                    has_length,
+                    ..SHORT_ANSWER
+                };
+                let received = early.call(route, "HTTP/1.1", plan, b"body");
+                expect_that!(received.status, eq(502), "{route:?} {plan:?}");
+            }
+        }
+    }
+}
--- a/crates/relay/src/classification.rs
+++ b/crates/relay/src/classification.rs
@@ -11,10 +11,16 @@
     framing::framing_of,
     reply::millis_since,
 };
-use http::response;
+use http::{StatusCode, response};
 use poplarswitch_entity::Time;
 use poplarswitch_ingress::{EndpointKey, Health, Outcome};
 
+/// Whether a status is one of a final answer (RFC 9110, section 15). A switch of protocols (101) is
+/// none, because no call asks for one.
+pub(crate) fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 impl CallForwarder {
     /// Records the result of an attempt with a response.
     pub(crate) fn finish(
@@ -161,6 +167,11 @@
                 ));
             }
         }
+        if !is_final(status) {
+            self.record_failure(key);
+            let cause = format!("status {status} is no status of a final answer");
+            return Err(FailedAttempt::new(Outcome::Doubtful, cause));
+        }
         if !info.signed {
             self.record_failure(key);
             let cause = format!("status {status} without the endpoint's signature");
--- a/crates/relay/src/forwarding.rs
+++ b/crates/relay/src/forwarding.rs
@@ -11,6 +11,7 @@
 use crate::{
     attempt::{EndpointResponse, FailedExchange, MAX_BUFFERED_BYTES, exchange},
     call_forwarder::CallForwarder,
+    classification::is_final,
     clock,
     framing::framing_of,
     reply::Failure,
@@ -350,6 +351,9 @@
         };
         let (mut head, body) = response.into_parts();
         match ForwardResult::take(&mut head.headers) {
+            Some(ForwardResult::Answer) if !is_final(head.status) => {
+                return broken("the status is none of a final answer");
+            }
             Some(ForwardResult::Answer) => self.observe_forwarded(&mut head),
             Some(ForwardResult::Failed) => {
                 let code = if head.status == http::StatusCode::GATEWAY_TIMEOUT {
