Let no VM with an earlier configuration run a forwarded call

Cause: a forwarded call doesn't say by which configuration its VM decides, and the VM that takes it decides by its own.

A forwarded call carries the version; a VM with an earlier one refuses it as not run, so another VM is asked or the caller gets 503.

--- a/crates/node/tests/relay_reach.rs
+++ b/crates/node/tests/relay_reach.rs
@@ -22,6 +22,11 @@
 /// Calls of each kind that are made at a VM that is cut off.
 const ROUNDS: usize = 6;
 
+/// Time for which a VM that is cut off from the platform keeps an earlier configuration, at least.
+const EARLIER_TIME: Duration = Duration::from_millis(1_500);
+/// Pause between calls at a VM that has to forward them.
+const CALL_PAUSE: Duration = Duration::from_millis(20);
+
 /// Results of calls.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 struct Tally {
@@ -377,3 +382,35 @@
     expect_that!(start.elapsed(), lt(Duration::from_mins(1)));
     expect_allowed_runs(&fleet, &tally);
 }
+
+/// A call whose VM had shown a later configuration was run as an earlier one says, by a VM that had been
+/// cut off from the platform (CONFIG).
+#[gtest]
+fn forwarded_call_goes_to_no_vm_with_an_earlier_configuration() {
+    let fleet = Fleet::start_linked(129, 2);
+    fleet.store_proxies[1].set_mode(LinkMode::Hangs);
+    let mut configuration = Configuration::sample(2, &KEYS);
+    configuration.set_targets("seats", &[("engines", 1.0)]);
+    fleet.store.configure(&configuration);
+    wait_until("the VM has the configuration", || {
+        fleet.log(0).contains("\"version\":2,\"before\":1")
+    });
+    fleet.set_links(0, LinkMode::Resets);
+    let start = Instant::now();
+    let mut ids = Vec::new();
+    while start.elapsed() < EARLIER_TIME {
+        ids.push(fleet.call(0, "/seats/1").0);
+        thread::sleep(CALL_PAUSE);
+    }
+    let is_run_early = |id: &&String| {
+        let runs = fleet.endpoints[2..].iter().flat_map(Endpoint::runs);
+        runs.into_iter().any(|run| run.call_id == **id)
+    };
+    let early: Vec<&String> = ids.iter().filter(is_run_early).collect();
+    expect_that!(early, is_empty());
+    // The other VM gets the configuration from this one, as its view is old.
+    wait_until("calls are served", || {
+        let response = fleet.call(0, "/seats/1").1;
+        response.is_ok_and(|response| response.status == 200)
+    });
+}
--- a/crates/relay/src/forwarding.rs
+++ b/crates/relay/src/forwarding.rs
@@ -35,6 +35,9 @@
 /// Marks a request as forwarded: the remaining time in milliseconds, and the number of endpoints that may
 /// have run the call.
 const FORWARDED: HeaderName = HeaderName::from_static("poplarswitch-forwarded");
+/// Version of the configuration by which the VM that forwards a call decides. VMs of an earlier version
+/// neither send nor read it.
+const FORWARD_VERSION: HeaderName = HeaderName::from_static("poplarswitch-forward-version");
 /// Tells what the response to a forwarded call is.
 const FORWARD_RESULT: HeaderName = HeaderName::from_static("poplarswitch-forward-result");
 /// The endpoint whose answer is passed on: its start in milliseconds, and its name.
@@ -60,6 +63,8 @@
         time_left: Duration,
         /// Endpoints that may have run the call.
         maybe_run: u32,
+        /// Version of the configuration that the call may not go back behind; 0 if it is unknown.
+        version: u64,
     },
 }
 
@@ -67,10 +72,13 @@
     /// Reads how a request at the port for other VMs has arrived; none if it is no forwarded call.
     pub(crate) fn take<B>(request: &mut Request<B>) -> Option<Self> {
         let value = request.headers_mut().remove(FORWARDED)?;
+        let version = request.headers_mut().remove(FORWARD_VERSION);
+        let version = version.map_or(Some(0), |value| value.to_str().ok()?.parse().ok());
         let (time_left, maybe_run) = value.to_str().ok()?.split_once(' ')?;
         Some(Self::Vm {
             time_left: Duration::from_millis(time_left.parse().ok()?),
             maybe_run: maybe_run.parse().ok()?,
+            version: version?,
         })
     }
 
@@ -86,6 +94,14 @@
             Self::Vm { maybe_run, .. } => maybe_run,
         }
     }
+
+    /// Version of the configuration that the call may not go back behind.
+    pub(crate) const fn min_version(self) -> u64 {
+        match self {
+            Self::Caller => 0,
+            Self::Vm { version, .. } => version,
+        }
+    }
 }
 
 /// Kind of the response to a forwarded call.
@@ -451,6 +467,8 @@
         let protocol = &self.shared.protocol;
         protocol.prepare_forward(headers, call.key.as_deref(), resumed);
         headers.insert(FORWARDED, hop);
+        let version = self.shared.table.load().version();
+        headers.insert(FORWARD_VERSION, version.into());
         request
     }
 
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -185,6 +185,10 @@
     let table = shared.table.load_full();
     record.version = table.version();
     check_vm(shared, &table, clock::now())?;
+    if table.version() < hop.min_version() {
+        let failure = Failure::new(ErrorCode::StaleSet, vm);
+        return Err(failure.with_retry_after(OTHER_VM_RETRY_DELAY));
+    }
     let host = host_of(&head).unwrap_or_default();
     let route = table
         .route(&host, head.uri.path())
