Choose ports of a test process that differ, and say if it ends

Traced beside a load that holds nearly all ports: each free port was given back before the next was chosen, so two could be the same; the program then ends with "expected an address different from the others" on its standard error, which the test discards, and the test waited on. That it was so in that run is not shown; its output is gone.

The ports are chosen together, and a program that ends before it is ready fails the test at once.

--- a/crates/node/tests/process.rs
+++ b/crates/node/tests/process.rs
@@ -59,23 +59,22 @@
     }
 }
 
-/// An address whose port was free when this function returned.
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind(LOOPBACK_ADDRESS).expect("a free port");
-    listener.local_addr().expect("a local address")
+/// Addresses whose ports were free when this function returned, each with another port.
+fn free_addresses<const N: usize>() -> [SocketAddr; N] {
+    let listeners = [(); N].map(|()| TcpListener::bind(LOOPBACK_ADDRESS).expect("a free port"));
+    listeners.map(|listener| listener.local_addr().expect("a local address"))
 }
 
 /// Writes the settings file and the secret; returns the path of the settings and the address of the
 /// callers' port.
 fn write_settings(directory: &Path, platform: &Store, drain_ms: u32) -> (PathBuf, SocketAddr) {
-    let callers = free_address();
+    let [callers, operators, metrics, peers] = free_addresses();
     let secret = directory.join("secret");
     std::fs::write(&secret, OPERATORS_SECRET).expect("file is written");
     let settings = serde_json::json!({
         "vm": "vm-1", "data_centre": "ifrane", "cell": "atlas", "platform": platform.url(),
         "addresses": {
-            "callers": callers, "operators": free_address(), "metrics": free_address(),
-            "peers": free_address(),
+            "callers": callers, "operators": operators, "metrics": metrics, "peers": peers,
         },
         "secrets": {"operators": secret, "peers": secret},
         "linger_ms": 50, "drain_ms": drain_ms,
@@ -95,12 +94,15 @@
         .stderr(Stdio::null())
         .spawn()
         .expect("the program starts");
-    let program = Program {
+    let mut program = Program {
         child,
         callers,
         _directory: directory,
     };
-    wait_until("the program is ready", || program.is_ready());
+    wait_until("the program is ready", || {
+        assert_eq!(program.exit_success(), None, "the program ended");
+        program.is_ready()
+    });
     program
 }
 
