--- a/crates/node/tests/relay_bodies.rs
+++ b/crates/node/tests/relay_bodies.rs
@@ -341,8 +341,12 @@
                 read_first,
                 ..SHORT_ANSWER
             };
+            let before = early.endpoint.whole_requests();
             let received = early.call(route, "HTTP/1.1", plan, &upload);
             let seen = received.whole_body(route.kind == EndpointKind::Engine);
+            wait_until("the endpoint has the whole request", || {
+                early.endpoint.whole_requests() > before
+            });
             let expected = SHORT_ANSWER.body.to_owned();
             expect_that!(received.status, eq(200), "{route:?} {plan:?}");
             expect_that!(seen, some(eq(&expected)), "{route:?} {plan:?}");
