--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -207,7 +207,7 @@
         .deadline
         .unwrap_or(DEFAULT_TIMEOUT)
         .min(route.timeout.unwrap_or(DEFAULT_TIMEOUT));
-    check_stage(shared, route, arrived, arrived + wait)?;
+    check_stage(shared, route, &call.id, arrived, arrived + wait)?;
     let time_left = call.deadline.unwrap_or(DEFAULT_TIMEOUT);
     let body = match request_body::read(shared, body, table.limits(), time_left).await {
         Ok(body) => body,
@@ -310,18 +310,40 @@
 
 /// Checks that this VM still accepts the call if it is shutting down. Streams that can be resumed may be
 /// cut; any other call must have time to end.
-fn check_stage(shared: &Shared, route: &Route, now: Time, deadline: Time) -> Result<(), Failure> {
+fn check_stage(
+    shared: &Shared,
+    route: &Route,
+    id: &str,
+    now: Time,
+    deadline: Time,
+) -> Result<(), Failure> {
     let may_be_cut = route.kind.is_resumable();
-    let refused = match shared.stage(now) {
-        ShutdownStage::Serving => false,
-        ShutdownStage::Lingering => !may_be_cut && !shared.has_time(now, route, deadline),
-        ShutdownStage::ShortOnly => may_be_cut || !shared.has_time(now, route, deadline),
-        ShutdownStage::Closed | ShutdownStage::Finished => true,
+    let stage = shared.stage(now);
+    let is_accepted = match stage {
+        ShutdownStage::Serving => return Ok(()),
+        ShutdownStage::Lingering => may_be_cut || shared.has_time(now, route, deadline),
+        ShutdownStage::ShortOnly => !may_be_cut && shared.has_time(now, route, deadline),
+        ShutdownStage::Closed | ShutdownStage::Finished => false,
+    };
+    let (longest, answer_time) = {
+        let core = shared.core();
+        let longest = core.run_times.longest(now, &route.name);
+        (longest, core.shutdown.answer_time())
     };
-    if refused {
-        return Err(leaving_failure(shared));
+    tracing::info!(
+        event = if is_accepted { "accepted" } else { "refused" },
+        id,
+        ?stage,
+        limit_ms = deadline.since(now).as_millis() as u64,
+        longest_ms = longest.map(|longest| longest.as_millis() as u64),
+        left_ms = answer_time.map(|at| at.since(now).as_millis() as u64),
+        "shutdown"
+    );
+    if is_accepted {
+        Ok(())
+    } else {
+        Err(leaving_failure(shared))
     }
-    Ok(())
 }
 
 /// Refusal of a call for which there is no memory. It has not run.
