Accept late in the grace only calls that their own limits bound

Cause: a call was accepted if 125% of the longest call of its route that the process had seen fits before the exit. That is an estimate from few calls.

Change: a request that has arrived whole after 37% of the grace is accepted only if its own limit ends before answers are due, whatever its route's calls have taken; otherwise it is refused at once as not run. Before, the estimate holds. One that has waited is judged by when it was whole, so late bodies of streams that can be resumed are refused too.

--- a/crates/ingress/src/shutdown.rs
+++ b/crates/ingress/src/shutdown.rs
@@ -2,8 +2,12 @@
 //!
 //! Callers keep an address for some time and connections for longer, so a VM that shuts down
 //! continues to serve them. Its address is no longer given to callers, it completes short calls,
-//! and it refuses calls that can't be completed before the process is killed, as the calls of the
-//! same route lately show; refused calls have not run.
+//! and it refuses calls that can't be completed before the process is killed; refused calls have not
+//! run.
+//!
+//! Early in the grace period most callers still have the address, and a call has time to end if the
+//! calls of its route lately took no longer. That is an estimate, and a longer call is cut. Later,
+//! callers have other addresses, and a call is accepted only if its own time limit ends in time.
 
 use core::time::Duration;
 use poplarswitch_entity::Time;
@@ -26,10 +30,10 @@
 pub enum ShutdownStage {
     /// No shutdown has started.
     Serving,
-    /// The shutdown has started; streams that can be resumed are accepted, and other calls that have
-    /// time to end.
+    /// The shutdown has started; streams that can be resumed are accepted, and other calls that are
+    /// expected to end in time.
     Lingering,
-    /// Only calls that have time to end are accepted, and no streams that can be resumed.
+    /// Only calls whose time limits end in time are accepted, and no streams that can be resumed.
     ShortOnly,
     /// No calls are accepted.
     Closed,
@@ -37,9 +41,13 @@
     Finished,
 }
 
-/// What tells how long a call may take.
+/// What tells whether a call may begin during a shutdown.
 #[derive(Clone, Copy, Debug)]
 pub struct ExpectedTimes {
+    /// When its whole request had arrived.
+    pub arrived: Time,
+    /// Whether its caller can go on with it elsewhere if it is cut.
+    pub may_be_cut: bool,
     /// Longest time of the calls of its route lately; none if none was answered.
     pub longest: Option<Duration>,
     /// Objective of its route for the whole answer, if there is one.
@@ -84,19 +92,33 @@
         Some(started_at + self.grace.saturating_sub(EXIT_MARGIN + ANSWER_MARGIN))
     }
 
-    /// Whether a call that begins now ends before the process exits, as far as `times` tell.
+    /// Whether a call may begin now. One that came early in the grace period ends before the process
+    /// exits as far as `times` tell, or may be cut; a later one ends in any case.
     pub fn has_time(&self, now: Time, times: ExpectedTimes) -> bool {
         let ExpectedTimes {
+            arrived,
+            may_be_cut,
             longest,
             objective,
             limit,
         } = times;
+        let is_early = !self.refuses_long(arrived);
+        if is_early && may_be_cut {
+            return true;
+        }
         let expected = longest.map(|longest| longest * RUN_TIME_PERCENT / 100);
         let expected = expected.or_else(|| objective.map(|objective| objective * OBJECTIVE_FACTOR));
+        let expected = expected.filter(|_| is_early);
         let needed = expected.map_or(limit, |expected| expected.min(limit));
         self.answer_time().is_none_or(|at| now + needed <= at)
     }
 
+    /// Whether long calls that arrive now are refused.
+    fn refuses_long(&self, now: Time) -> bool {
+        let begins_at = |started_at| started_at + self.grace * REFUSE_LONG_PERCENT / 100;
+        self.started_at.is_some_and(|at| now >= begins_at(at))
+    }
+
     /// The current stage, given the number of calls in flight.
     pub fn stage(&self, now: Time, in_flight: usize) -> ShutdownStage {
         let Some(started_at) = self.started_at else {
@@ -107,7 +129,7 @@
             ShutdownStage::Finished
         } else if elapsed >= self.grace * REFUSE_ALL_PERCENT / 100 {
             ShutdownStage::Closed
-        } else if elapsed >= self.grace * REFUSE_LONG_PERCENT / 100 {
+        } else if self.refuses_long(now) {
             ShutdownStage::ShortOnly
         } else {
             ShutdownStage::Lingering
--- a/crates/ingress/src/shutdown_tests.rs
+++ b/crates/ingress/src/shutdown_tests.rs
@@ -72,6 +72,8 @@
     let (long, short) = (Duration::from_secs(15), Duration::from_millis(300));
     let run_time = Some(Duration::from_secs(2));
     let times = |longest, limit| ExpectedTimes {
+        arrived: Time::from_millis(1_000),
+        may_be_cut: false,
         longest,
         objective: None,
         limit,
@@ -100,3 +102,27 @@
     expect_that!(begins(5_400), eq(true));
     expect_that!(begins(5_401), eq(false));
 }
+
+/// Calls of unknown length were accepted late in the grace period, since shorter ones had been seen, and
+/// cut at its end.
+#[gtest]
+fn call_that_arrives_late_is_accepted_only_if_its_limit_ends_in_time() {
+    let may_begin = |arrived: u64, may_be_cut, limit| {
+        let arrived = Time::from_millis(1_000 + arrived);
+        let times = ExpectedTimes {
+            arrived,
+            may_be_cut,
+            longest: Some(Duration::from_millis(10)),
+            objective: Some(Duration::from_millis(10)),
+            limit,
+        };
+        shutdown().has_time(arrived.max(Time::from_millis(4_200)), times)
+    };
+    let limit = Duration::from_millis(4_200);
+    for may_be_cut in [false, true] {
+        expect_that!(may_begin(2_959, may_be_cut, Duration::MAX), eq(true));
+        expect_that!(may_begin(2_960, may_be_cut, Duration::MAX), eq(false));
+        expect_that!(may_begin(3_200, may_be_cut, limit), eq(true));
+        expect_that!(may_begin(3_201, may_be_cut, limit), eq(false));
+    }
+}
--- a/crates/relay/src/call_forwarder.rs
+++ b/crates/relay/src/call_forwarder.rs
@@ -37,6 +37,8 @@
     pub(crate) host: Box<str>,
     pub(crate) workspace: Option<Box<str>>,
     pub(crate) priority: u8,
+    /// When the whole request had arrived.
+    pub(crate) arrived: Time,
     /// Time at which the time limit of the caller or that of the route ends, whichever is earlier.
     pub(crate) deadline: Time,
     /// Software versions at which the call may run.
@@ -276,18 +278,18 @@
         }
     }
 
-    /// Whether the call has time to end before this VM exits.
+    /// Whether the call may begin although this VM may exit soon.
     fn has_time(&self, now: Time) -> bool {
         let request = &self.request;
-        self.shared.has_time(now, &request.route, request.deadline)
+        self.shared
+            .has_time(now, &request.route, request.arrived, request.deadline)
     }
 
     /// Checks again, immediately before the call is sent, that it has time to end, that the
     /// configuration is confirmed and that the call and its key are allowed: the call may have waited,
     /// or the process may have been suspended since the last check.
     pub(crate) fn recheck(&self, now: Time) -> Result<(), Failure> {
-        let is_unsent = self.attempts.maybe_run == 0 && !self.request.route.kind.is_resumable();
-        if is_unsent && !self.has_time(now) {
+        if self.attempts.maybe_run == 0 && !self.has_time(now) {
             return Err(leaving_failure(&self.shared));
         }
         let Err(code) = self.check_allowed(now) else {
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -214,6 +214,7 @@
         Err(ErrorCode::Busy) => return Err(refuse(shared, &call, time_left)),
         Err(code) => return Err(Failure::new(code, vm)),
     };
+    let body_arrived = clock::now();
     let rank = table.rank(route, workspace.as_ref());
     let workspace = workspace.map(|workspace| workspace.name);
     let caller = workspace.as_ref().map(WorkspaceName::as_str);
@@ -260,6 +261,7 @@
         host,
         workspace: caller.map(Into::into),
         priority: record.priority,
+        arrived: body_arrived,
         deadline: arrived + wait,
         id,
         hop,
@@ -308,8 +310,7 @@
     Ok(())
 }
 
-/// Checks that this VM still accepts the call if it is shutting down. Streams that can be resumed may be
-/// cut; any other call must have time to end.
+/// Checks that this VM still accepts a call that arrives now if it is shutting down.
 fn check_stage(
     shared: &Shared,
     route: &Route,
@@ -317,12 +318,12 @@
     now: Time,
     deadline: Time,
 ) -> Result<(), Failure> {
-    let may_be_cut = route.kind.is_resumable();
     let stage = shared.stage(now);
     let is_accepted = match stage {
         ShutdownStage::Serving => return Ok(()),
-        ShutdownStage::Lingering => may_be_cut || shared.has_time(now, route, deadline),
-        ShutdownStage::ShortOnly => !may_be_cut && shared.has_time(now, route, deadline),
+        ShutdownStage::Lingering | ShutdownStage::ShortOnly => {
+            shared.has_time(now, route, now, deadline)
+        }
         ShutdownStage::Closed | ShutdownStage::Finished => false,
     };
     let (longest, answer_time) = {
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -435,9 +435,9 @@
         self.core().shutdown.stage(now, self.in_flight())
     }
 
-    /// Whether a call of a route that begins now, and whose time limit ends at `deadline`, ends before
-    /// this process exits.
-    pub(crate) fn has_time(&self, now: Time, route: &Route, deadline: Time) -> bool {
+    /// Whether a call of a route, whose time limit ends at `deadline`, may begin now although this
+    /// process may exit soon. Its whole request had `arrived` earlier if it has waited.
+    pub(crate) fn has_time(&self, now: Time, route: &Route, arrived: Time, deadline: Time) -> bool {
         let core = self.core();
         if !core.shutdown.has_started() {
             return true;
@@ -445,6 +445,8 @@
         // The objective of a stream is that of its first event.
         let objective = route.objective.filter(|_| !route.kind.is_stream());
         let times = ExpectedTimes {
+            arrived,
+            may_be_cut: route.kind.is_resumable(),
             longest: core.run_times.longest(now, &route.name),
             objective,
             limit: deadline.since(now),
