--- a/crates/relay/src/call_forwarder_tests.rs
+++ b/crates/relay/src/call_forwarder_tests.rs
@@ -59,6 +59,7 @@
         host: "tours.example".into(),
         workspace: Some("guides".into()),
         priority: 0,
+        arrived: Time::ZERO,
         deadline: Time::ZERO,
         pin: VersionPin::Any,
         id: RequestId::new(&RequestParts {
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -13,13 +13,14 @@
     shared::Shared,
     stream,
 };
+use bytes::Bytes;
 use core::time::Duration;
 use http::{HeaderValue, Request, Response, StatusCode, Version, header, request, response};
 use hyper::body::{Body as _, Incoming};
 use poplarswitch_entity::{EndpointName, Time, WorkspaceName};
 use poplarswitch_ingress::{
-    Access, AttemptCounts, COVERED_BYTES, Call, EndpointGroup, Framing, Prompt, Reachability,
-    RequestId, RequestParts, Route, RoutingTable, ShutdownStage, VersionPin,
+    Access, AttemptCounts, COVERED_BYTES, Call, EndpointGroup, Framing, Limits, Prompt,
+    Reachability, RequestId, RequestParts, Route, RoutingTable, ShutdownStage, VersionPin,
 };
 use poplarswitch_wire::ErrorCode;
 use std::sync::Arc;
@@ -208,12 +209,7 @@
         .unwrap_or(DEFAULT_TIMEOUT)
         .min(route.timeout.unwrap_or(DEFAULT_TIMEOUT));
     check_stage(shared, route, &call.id, arrived, arrived + wait)?;
-    let time_left = call.deadline.unwrap_or(DEFAULT_TIMEOUT);
-    let body = match request_body::read(shared, body, table.limits(), time_left).await {
-        Ok(body) => body,
-        Err(ErrorCode::Busy) => return Err(refuse(shared, &call, time_left)),
-        Err(code) => return Err(Failure::new(code, vm)),
-    };
+    let body = read_body(shared, body, table.limits(), &call).await?;
     let body_arrived = clock::now();
     let rank = table.rank(route, workspace.as_ref());
     let workspace = workspace.map(|workspace| workspace.name);
@@ -347,6 +343,21 @@
     }
 }
 
+/// Reads the body of a call.
+async fn read_body(
+    shared: &Shared,
+    body: Incoming,
+    limits: Limits,
+    call: &Call,
+) -> Result<Bytes, Failure> {
+    let time_left = call.deadline.unwrap_or(DEFAULT_TIMEOUT);
+    let read = request_body::read(shared, body, limits, time_left).await;
+    read.map_err(|code| match code {
+        ErrorCode::Busy => refuse(shared, call, time_left),
+        code => Failure::new(code, shared.settings.vm.as_str()),
+    })
+}
+
 /// Refusal of a call for which there is no memory. It has not run.
 fn refuse(shared: &Shared, call: &Call, time_left: Duration) -> Failure {
     shared.metrics.memory_refusals.inc();
