Decide on streams without a record only with a history of versions without gaps

Cause: the only version of a service was decided by a view that is new, not by one that is whole since before the stream. A reply to a watch kept the last event of each object only, so a version that came and went within it was the removal of an unknown name. Listings, entries that are replaced between two ticks and the views of other VMs hide versions in the same way.

Change: replies report versions that have passed in them. Each VM knows since when it can have missed none, and sends that and what has passed with its view; answers say how old their view is. A gap is closed by 30 s, by another VM's history that reaches over it, and by the entries of VMs that are read after it, which a VM with a gap does. The silence of a VM closes nothing. Log lines `passed` and `gap`.

--- a/crates/ingress/src/entry.rs
+++ b/crates/ingress/src/entry.rs
@@ -3,7 +3,7 @@
 //! VMs exchange entries and removals in this form. Grace periods are sent as durations, because
 //! clocks of different VMs are never compared.
 
-use crate::revision::Revision;
+use crate::{revision::Revision, version_history::ServiceVersion};
 use core::{net::SocketAddr, time::Duration};
 use poplarswitch_entity::{DataCentre, EndpointName, ServiceName, Time};
 use serde::{Deserialize, Serialize};
@@ -78,6 +78,13 @@
     pub revision: Revision,
 }
 
+impl EndpointEntry {
+    /// Service and version of the endpoint.
+    pub fn service_version(&self) -> ServiceVersion {
+        (self.service.clone(), self.software.clone())
+    }
+}
+
 /// Removal of an entry, as sent between VMs.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Removal {
--- a/crates/ingress/src/feed.rs
+++ b/crates/ingress/src/feed.rs
@@ -17,6 +17,7 @@
     packed::Packed,
     revision::Revision,
     startup::PeerState,
+    version_history::SentHistory,
 };
 use bytes::Bytes;
 use core::{net::Ipv4Addr, time::Duration};
@@ -142,6 +143,9 @@
     /// When the platform has served VMs, as of the reply; VMs of an earlier version don't send it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub served: Option<ServedAges>,
+    /// The versions of endpoints that the replying VM has seen; VMs of an earlier version don't send it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub history: Option<SentHistory>,
 }
 
 impl FeedReply {
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -47,6 +47,7 @@
 mod startup;
 mod streams;
 mod table;
+mod version_history;
 mod version_pin;
 
 #[cfg(test)]
@@ -122,6 +123,8 @@
 #[cfg(test)]
 mod table_tests;
 #[cfg(test)]
+mod version_history_tests;
+#[cfg(test)]
 mod version_pin_tests;
 
 pub use admission::AdmissionControl;
@@ -186,4 +189,5 @@
     lacks_versions,
 };
 pub use table::{Access, Route, RoutingTable, Workspace};
+pub use version_history::{SentHistory, ServiceVersion, ToldVersions};
 pub use version_pin::{Incarnation, VersionPin};
--- a/crates/ingress/src/only_version.rs
+++ b/crates/ingress/src/only_version.rs
@@ -6,8 +6,9 @@
 
 use crate::{
     endpoints::EndpointTable,
-    entry::SoftwareVersion,
+    entry::{EndpointEntry, SoftwareVersion},
     streams::{HISTORY_TIME, StreamOrigins},
+    version_history::ToldVersions,
 };
 use poplarswitch_entity::{ServiceName, Time};
 
@@ -27,7 +28,7 @@
     /// The endpoints.
     pub endpoints: &'a EndpointTable,
     /// Versions that the service has had, as other VMs tell.
-    pub told: &'a [Vec<SoftwareVersion>],
+    pub told: &'a [ToldVersions],
 }
 
 /// Why the version of a stream without a record is not known.
@@ -37,7 +38,7 @@
     SeveralServices,
     /// The service has or had another version, or one that is unknown.
     SeveralVersions,
-    /// Nothing shows which versions the service had before this process started.
+    /// Nothing shows which versions the service had before this process started, or between two views.
     ShortHistory,
     /// The view of the endpoints may be older than the stream.
     Unconfirmed,
@@ -60,6 +61,7 @@
     ///
     /// A process hasn't seen what was before its start. Then the histories of other VMs or what VMs
     /// kept in the platform must show it, or the time of day: all endpoints must be older than that.
+    /// What was in a later gap of its views is shown by other VMs only.
     ///
     /// # Errors
     ///
@@ -70,7 +72,7 @@
         service: &ServiceName,
         view: &VersionView<'_>,
     ) -> Result<SoftwareVersion, NoVersion> {
-        let only = self.single_version(service);
+        let only = self.versions.single(service);
         let only = only
             .filter(|only| only.is_known())
             .ok_or(NoVersion::SeveralVersions)?;
@@ -79,16 +81,23 @@
             entries.filter(|entry| entry.service == *service)
         };
         let is_other = |version: Option<&SoftwareVersion>| version != Some(only);
-        if view.told.iter().flatten().any(|told| is_other(Some(told)))
+        let mut told = view.told.iter().flat_map(|told| &told.versions);
+        if told.any(|told| is_other(Some(told)))
             || of_service().any(|entry| is_other(entry.software.as_ref()))
         {
             return Err(NoVersion::SeveralVersions);
         }
-        let oldest_ms = view.unix_ms.saturating_sub(HISTORY_TIME.as_millis() as u64);
-        let is_settled = view.now.since(view.started) >= HISTORY_TIME
-            || !view.told.is_empty()
-            || self.is_settled(service);
-        if !is_settled && of_service().any(|entry| entry.start_ms > oldest_ms) {
+        let is_old = |entry: &EndpointEntry| {
+            let age_ms = view.unix_ms.saturating_sub(entry.start_ms);
+            age_ms >= HISTORY_TIME.as_millis() as u64
+        };
+        let versions = &self.versions;
+        let mut untils = view.told.iter().filter_map(|told| told.until);
+        let is_settled = versions.is_whole(view.now, view.started)
+            || untils.any(|until| versions.follows(until))
+            || versions.is_whole_since_start()
+                && (versions.is_settled(service) || of_service().all(is_old));
+        if !is_settled {
             return Err(NoVersion::ShortHistory);
         }
         if view.confirmed.is_none_or(|at| at < view.asked) {
--- a/crates/ingress/src/streams.rs
+++ b/crates/ingress/src/streams.rs
@@ -16,11 +16,12 @@
     hash::{hash_pair, hash_text},
     kept_streams::{KeptStreams, RememberedStreams, stream_keepers},
     stale_vms::VmEntry,
+    version_history::{SentHistory, ServiceVersion, VersionHistory},
 };
 use core::{net::Ipv4Addr, time::Duration};
 use poplarswitch_entity::{ServiceName, Time, VmName};
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 
 /// Time for which the origin of a stream is kept after its last event that began an answer.
 const RECORD_TTL: Duration = Duration::from_mins(1);
@@ -28,11 +29,6 @@
 const MAX_RECORDS: usize = 50_000;
 /// Time for which a service must have had one version for a stream without a record to be of it.
 pub(crate) const HISTORY_TIME: Duration = Duration::from_secs(30);
-/// Time for which no endpoint must have had a version before its end is kept; endpoints that are
-/// replaced leave gaps.
-const KEPT_GAP: Duration = Duration::from_secs(5);
-/// Maximum number of versions that a VM keeps in its entry.
-const MAX_KEPT: usize = 200;
 /// Number of other VMs that are told of an origin.
 const COPY_COUNT: usize = 2;
 /// Number of VMs up to which all of them are asked for an origin.
@@ -112,9 +108,12 @@
         serial: u32,
         /// The origin, if it is known.
         origin: Option<StreamOrigin>,
-        /// The versions that the service has had for longer than a stream lasts, if the VM has run
-        /// for as long.
+        /// The versions that the service has had for longer than a stream lasts, if the VM can have
+        /// missed none.
         versions: Option<Vec<SoftwareVersion>>,
+        /// Age in milliseconds of the view that shows them; VMs of an earlier version don't send it.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        view_age_ms: Option<u32>,
     },
 }
 
@@ -127,12 +126,7 @@
     /// Streams for this VM's entry in the platform.
     remembered: RememberedStreams,
     /// Versions of each service that were seen lately.
-    versions: BTreeMap<ServiceName, Vec<SeenVersion>>,
-    /// Change count of the endpoints when their versions were last read.
-    change_count: Option<u64>,
-    /// Services whose versions other processes had seen for longer than a stream lasts when this one
-    /// started.
-    settled: BTreeSet<ServiceName>,
+    pub(crate) versions: VersionHistory,
     /// Services with several versions of whose earlier streams the keepers have been told.
     retold: BTreeSet<ServiceName>,
 }
@@ -146,18 +140,6 @@
     is_own: bool,
 }
 
-/// A version that endpoints of a service have or had.
-#[derive(Clone, Debug)]
-struct SeenVersion {
-    software: Option<SoftwareVersion>,
-    /// When it was last seen.
-    last: Time,
-    /// Whether an endpoint has it now.
-    serves: bool,
-    /// Whether an endpoint has it now or had it a short time ago.
-    kept: bool,
-}
-
 impl StreamOrigins {
     /// Records the origin of a stream that this VM forwards.
     pub fn record(&mut self, now: Time, stream: StreamId, origin: &StreamOrigin) {
@@ -182,9 +164,9 @@
         let Self {
             versions, retold, ..
         } = self;
-        retold.retain(|service| has_several(versions, service));
+        retold.retain(|service| versions.has_several(service));
         let is_news = |origin: &StreamOrigin| {
-            has_several(versions, &origin.service) && !retold.contains(&origin.service)
+            versions.has_several(&origin.service) && !retold.contains(&origin.service)
         };
         let latest = self.order.iter().rev().filter_map(|(stream, at)| {
             let record = self.origins.get(stream)?;
@@ -193,20 +175,19 @@
         });
         let mut streams: Vec<_> = latest.take(MAX_RETOLD.div_ceil(vms.max(1))).collect();
         streams.reverse();
-        let services = self.versions.keys();
-        let several = services.filter(|service| has_several(&self.versions, service));
+        let several = self.versions.services_with_several();
         self.retold.extend(several.cloned());
         streams
     }
 
     /// Whether VMs keep the streams of a service in their entries.
     pub fn keeps(&self, service: &ServiceName) -> bool {
-        has_several(&self.versions, service)
+        self.versions.has_several(service)
     }
 
     /// Whether VMs keep the streams of any service in their entries.
     pub fn keeps_any(&self) -> bool {
-        self.versions.values().any(|versions| versions.len() > 1)
+        self.versions.services_with_several().next().is_some()
     }
 
     /// Remembers a stream for this VM's entry; returns whether the entry lacks it.
@@ -222,7 +203,7 @@
 
     /// The streams for a write of this VM's entry in the platform.
     pub fn write_streams(&mut self, now: Time) -> Vec<KeptStreams> {
-        let keeps = |service: &ServiceName| has_several(&self.versions, service);
+        let keeps = |service: &ServiceName| self.versions.has_several(service);
         self.remembered.write(now, keeps)
     }
 
@@ -273,45 +254,58 @@
 
     /// Notes which versions serve now; returns whether [`Self::kept_versions`] has changed.
     pub fn note_versions(&mut self, now: Time, endpoints: &EndpointTable) -> bool {
-        if self.change_count != Some(endpoints.change_count()) {
-            self.change_count = Some(endpoints.change_count());
-            self.read_versions(endpoints);
-        }
-        let mut is_changed = false;
-        for versions in self.versions.values_mut() {
-            for version in versions.iter_mut() {
-                if version.serves {
-                    version.last = now;
-                }
-                let kept = now.since(version.last) < KEPT_GAP;
-                is_changed |= version.kept != kept;
-                version.kept = kept;
-            }
-            versions.retain(|version| now.since(version.last) < HISTORY_TIME);
-        }
-        self.versions.retain(|_, versions| !versions.is_empty());
+        let is_changed = self.versions.note(now, endpoints);
         self.expire(now);
         is_changed
     }
 
+    /// Records versions that endpoints have now or had since the last view.
+    pub fn add_versions(&mut self, now: Time, seen: impl Iterator<Item = ServiceVersion>) {
+        self.versions.add_seen(now, seen);
+    }
+
+    /// Records a view that doesn't show what was between it and the last one. The entries of VMs can't
+    /// tell that if the platform may have lost them, too, in which case `has_entries` is false.
+    pub fn record_gap(&mut self, now: Time, has_entries: bool) {
+        self.versions.begin(now, has_entries);
+    }
+
+    /// Whether the entries of VMs may tell which versions this VM has missed.
+    pub const fn has_open_gap(&self) -> bool {
+        self.versions.has_open_gap()
+    }
+
+    /// Takes in what VMs kept in their entries, for which the platform was asked at `sent`.
+    pub fn read_entries(&mut self, now: Time, sent: Time, unix_ms: u64, vms: &[VmEntry]) {
+        self.restore_streams(now, vms);
+        self.versions.read_entries(now, sent, unix_ms, vms);
+    }
+
+    /// The history of versions for another VM whose request arrived at `arrived`.
+    pub fn sent_history(
+        &mut self,
+        arrived: Time,
+        endpoints: &EndpointTable,
+    ) -> Option<SentHistory> {
+        self.versions.sent(arrived, endpoints)
+    }
+
+    /// Takes in the history of another VM together with its view, in reply to a request that was sent at
+    /// `sent`. Its view was confirmed at `until`, the view of this VM before at `own_until`.
+    pub fn merge_history(
+        &mut self,
+        now: Time,
+        sent: Time,
+        told: &SentHistory,
+        until: Option<Time>,
+        own_until: Option<Time>,
+    ) {
+        self.versions.merge(now, sent, told, until, own_until);
+    }
+
     /// The versions for this VM's entry in the platform, all of a service or none.
     pub fn kept_versions(&self, now: Time, unix_ms: u64) -> Vec<KeptVersion> {
-        let mut kept = Vec::new();
-        for (service, versions) in &self.versions {
-            if kept.len() + versions.len() > MAX_KEPT {
-                break;
-            }
-            kept.extend(versions.iter().map(|version| {
-                KeptVersion {
-                    service: service.clone(),
-                    software: version.software.clone().unwrap_or_default(),
-                    last_ms: (!version.kept).then(|| {
-                        unix_ms.saturating_sub(now.since(version.last).as_millis() as u64)
-                    }),
-                }
-            }));
-        }
-        kept
+        self.versions.kept(now, unix_ms)
     }
 
     /// Takes in the versions and the streams that VMs kept in their entries, at the start of this
@@ -326,19 +320,7 @@
                 self.remembered.add(now, *stream, &kept.origin);
             }
         }
-        let oldest_ms = unix_ms.saturating_sub(HISTORY_TIME.as_millis() as u64);
-        for vm in vms {
-            for kept in &vm.versions {
-                if vm.start_ms <= oldest_ms {
-                    self.settled.insert(kept.service.clone());
-                }
-                let last_ms = kept.last_ms.unwrap_or(unix_ms);
-                let age = Duration::from_millis(unix_ms.saturating_sub(last_ms));
-                if age < HISTORY_TIME {
-                    self.add_version(&kept.service, &kept.software, now - age);
-                }
-            }
-        }
+        self.versions.restore(now, unix_ms, vms);
     }
 
     /// Takes in the streams that VMs kept in their entries, some of which may have ended since.
@@ -366,87 +348,18 @@
         }
     }
 
-    fn add_version(&mut self, service: &ServiceName, software: &SoftwareVersion, last: Time) {
-        let versions = self.versions.entry(service.clone()).or_default();
-        let known = versions
-            .iter_mut()
-            .find(|known| known.software.as_ref() == Some(software));
-        match known {
-            Some(known) => known.last = known.last.max(last),
-            None => versions.push(SeenVersion {
-                software: Some(software.clone()),
-                last,
-                serves: false,
-                kept: false,
-            }),
-        }
-    }
-
-    fn read_versions(&mut self, endpoints: &EndpointTable) {
-        for version in self.versions.values_mut().flatten() {
-            version.serves = false;
-        }
-        for (_, endpoint) in endpoints.iter() {
-            let entry = &endpoint.entry;
-            if !self.versions.contains_key(&entry.service) {
-                self.versions.insert(entry.service.clone(), Vec::new());
-            }
-            let Some(versions) = self.versions.get_mut(&entry.service) else {
-                continue;
-            };
-            let known = versions.iter_mut();
-            match known
-                .into_iter()
-                .find(|known| known.software == entry.software)
-            {
-                Some(known) => known.serves = true,
-                None => versions.push(SeenVersion {
-                    software: entry.software.clone(),
-                    last: Time::ZERO,
-                    serves: true,
-                    kept: false,
-                }),
-            }
-        }
-    }
-
-    /// The versions that a service has had for longer than a stream lasts; none if this process
-    /// started later than that. An unknown version is among them as an unknown one.
+    /// The versions that a service has had for longer than a stream lasts; none if some can have been
+    /// missed. An unknown version is among them as an unknown one.
     pub fn history(
         &self,
         now: Time,
         started: Time,
         service: &ServiceName,
     ) -> Option<Vec<SoftwareVersion>> {
-        if now.since(started) < HISTORY_TIME {
-            return None;
-        }
-        let versions = self.versions.get(service)?.iter();
-        let versions = versions.map(|version| version.software.clone().unwrap_or_default());
-        Some(versions.collect())
-    }
-
-    /// The version that a service has had lately, if it has had a single one.
-    pub(crate) fn single_version(&self, service: &ServiceName) -> Option<&SoftwareVersion> {
-        let [only] = self.versions.get(service)?.as_slice() else {
-            return None;
-        };
-        only.software.as_ref()
-    }
-
-    /// Whether another process has shown which versions a service had before this one started.
-    pub(crate) fn is_settled(&self, service: &ServiceName) -> bool {
-        self.settled.contains(service)
+        self.versions.whole(now, started, service)
     }
 }
 
-/// Whether a service has had several versions lately.
-fn has_several(versions: &BTreeMap<ServiceName, Vec<SeenVersion>>, service: &ServiceName) -> bool {
-    versions
-        .get(service)
-        .is_some_and(|versions| versions.len() > 1)
-}
-
 /// The VMs among `others` that are told of the origin of a stream.
 pub fn copy_holders(stream: StreamId, others: &[Ipv4Addr]) -> Vec<Ipv4Addr> {
     nearest(stream, others, COPY_COUNT)
--- a/crates/node/tests/relay_take_ups.rs
+++ b/crates/node/tests/relay_take_ups.rs
@@ -18,6 +18,9 @@
 /// Number of events of a whole stream, and the time between them.
 const EVENT_COUNT: u32 = 40;
 const EVENT_INTERVAL: Duration = Duration::from_millis(50);
+/// Number of times that callers try again to take streams up, and the time between.
+const RETRY_COUNT: usize = 10;
+const RETRY_INTERVAL: Duration = Duration::from_millis(300);
 /// Index of an engine of the second version.
 const NEWER: usize = 4;
 
@@ -129,6 +132,86 @@
     expect_that!(refused.count(), eq(broken.len()));
 }
 
+/// Plays a version that comes and goes, with `is_newer` as the second one and else as the first, while VM 1 is
+/// cut off from the platform and the other VM, which is killed; returns the streams that broke off there. If
+/// the platform `forgets`, VM 1 gets a listing in place of the changes.
+fn play_unseen_version(fleet: &mut Fleet, is_newer: bool, forgets: bool) -> Vec<(String, String)> {
+    fleet.processes[1].cut_off = true;
+    fleet.start_all();
+    for vm in 0..2 {
+        wait_until("the VM is ready", || fleet.is_ready(vm));
+    }
+    set_events(fleet);
+    thread::sleep(Duration::from_millis(500));
+    // No open watch reports what follows.
+    fleet.store_proxies[1].set_mode(LinkMode::Resets);
+    thread::sleep(Duration::from_millis(150));
+    fleet.add_endpoint("engine-3", EndpointKind::Engine);
+    set_events(fleet);
+    if is_newer {
+        fleet.endpoints[NEWER].set_software("v2".into());
+    }
+    fleet.register(NEWER, EndpointKind::Engine, 2, false);
+    thread::sleep(Duration::from_millis(300));
+    let broken = break_streams(fleet);
+    expect_that!(broken.len(), ge(12));
+    expect_that!(fleet.endpoints[NEWER].runs().len(), ge(3));
+    fleet.store.unregister(&fleet.endpoints[NEWER].name());
+    if forgets {
+        fleet.store.clear_history();
+    }
+    fleet.store_proxies[1].set_mode(LinkMode::Passes);
+    broken
+}
+
+/// Takes streams up until all have gone on or some seconds are over; returns how many have gone on, and how
+/// many of those at an engine of the other version.
+fn take_up_again(fleet: &Fleet, streams: &[(String, String)]) -> (usize, usize) {
+    let mut left = streams.to_vec();
+    let mut mixed = 0;
+    for _ in 0..RETRY_COUNT {
+        let taken_up = take_up_all(fleet, 1, &left);
+        mixed += count_mixed(fleet, &taken_up);
+        let refused = |first: &str| {
+            let mut taken_up = taken_up.iter();
+            taken_up.any(|(_, known, status)| known == first && *status != Some(200))
+        };
+        left.retain(|(first, _)| refused(first));
+        if left.is_empty() {
+            break;
+        }
+        thread::sleep(RETRY_INTERVAL);
+    }
+    (streams.len() - left.len(), mixed)
+}
+
+/// A version that came and went while a VM was cut off left no trace in its view, and streams of that version
+/// went on at the one that it knew (ORDER). The changes that the platform reports at once show it.
+#[gtest]
+fn stream_of_a_version_that_came_and_went_goes_on_nowhere_where_it_was_not_seen() {
+    let mut fleet = Fleet::new(224, 2);
+    let broken = play_unseen_version(&mut fleet, true, false);
+    expect_that!(take_up_again(&fleet, &broken).1, eq(0));
+}
+
+/// The same if the platform has lost the changes. What the other VM wrote into its entry shows it.
+#[gtest]
+fn stream_of_a_version_that_a_listing_skips_goes_on_nowhere() {
+    let mut fleet = Fleet::new(225, 2);
+    let broken = play_unseen_version(&mut fleet, true, true);
+    expect_that!(take_up_again(&fleet, &broken).1, eq(0));
+}
+
+/// Guards the mends of the above: streams of the only version go on soon after the gap.
+#[gtest]
+fn streams_of_the_only_version_go_on_after_a_gap() {
+    for (net, forgets) in [(226, false), (227, true)] {
+        let mut fleet = Fleet::new(net, 2);
+        let broken = play_unseen_version(&mut fleet, false, forgets);
+        expect_that!(take_up_again(&fleet, &broken).0, eq(broken.len()));
+    }
+}
+
 /// Guards the mend of the above: streams that no VM knows still go on at VMs that reach the platform, also
 /// at those that get the endpoints from others, while a third of the VMs is dead.
 #[gtest]
--- a/crates/relay/src/feed.rs
+++ b/crates/relay/src/feed.rs
@@ -6,7 +6,7 @@
 use crate::{
     clock,
     platform_reader::{NewConfig, apply_config},
-    shared::Shared,
+    shared::{Core, Shared},
     snapshot,
     tcp::{self, ConnectError, ExchangeError, Sender},
 };
@@ -19,8 +19,8 @@
 use http_body_util::Full;
 use poplarswitch_entity::Time;
 use poplarswitch_ingress::{
-    BODY_SILENCE_LIMIT, Cursor, EntryChanges, FEED_WAIT, FeedReply, FeedRequest, Packed, PeerState,
-    REPLY_MARGIN, Revision, UnpackError,
+    BODY_SILENCE_LIMIT, Cursor, EndpointEntry, EntryChanges, FEED_WAIT, FeedReply, FeedRequest,
+    Packed, PeerState, REPLY_MARGIN, Revision, UnpackError,
 };
 use snafu::{ResultExt as _, Snafu};
 use std::sync::Arc;
@@ -93,7 +93,11 @@
 fn reply(shared: &Shared, arrived: Time, cursor: Cursor, packs: bool) -> FeedReply {
     let table = shared.table.load_full();
     let newer = table.version() > cursor.version;
-    let core = shared.core();
+    let mut core = shared.core();
+    let Core {
+        origins, endpoints, ..
+    } = &mut *core;
+    let history = origins.sent_history(arrived, endpoints);
     let offset = |at: Time| at.0.cast_signed() - arrived.0.cast_signed();
     let config_confirmed = core.freshness.confirmed_at().map(offset);
     let endpoints_confirmed = core.endpoints_confirmed.map(offset);
@@ -127,6 +131,7 @@
         has_eras: true,
         is_checked: Some(core.startup.is_done()),
         served: core.outage.ages(clock::now()),
+        history,
     }
 }
 
@@ -282,6 +287,22 @@
         shared.record_era(revision.era, "peer");
     }
     let outdated = revision < core.endpoints.revision();
+    if !outdated {
+        let listed = entries.iter().flatten().chain(&reply.entries);
+        let seen = listed.map(EndpointEntry::service_version);
+        core.origins.add_versions(clock::now(), seen);
+        match &reply.history {
+            Some(history) => {
+                let local = |offset: i64| Time(sent.0.saturating_add_signed(offset));
+                let own_until = core.endpoints_confirmed;
+                let until = reply.endpoints_confirmed.map(local);
+                core.origins
+                    .merge_history(clock::now(), sent, history, until, own_until);
+            }
+            // A VM of an earlier version doesn't tell which versions came and went.
+            None => shared.record_listed(&mut core, clock::now(), revision),
+        }
+    }
     let held_before = core.endpoints.lapsed_names();
     core.outage.record_era(clock::now(), revision.era);
     let mut changes = match entries {
--- a/crates/relay/src/origins.rs
+++ b/crates/relay/src/origins.rs
@@ -14,8 +14,9 @@
 };
 use poplarswitch_entity::Time;
 use poplarswitch_ingress::{
-    Continuation, EndpointKey, Incarnation, NoVersion, Route, SoftwareVersion, StreamId,
-    StreamMessage, StreamOrigin, VersionPin, VersionView, asked_vms, copy_holders, stream_keepers,
+    Continuation, EndpointKey, Incarnation, NoVersion, Revision, Route, SoftwareVersion, StreamId,
+    StreamMessage, StreamOrigin, ToldVersions, VersionPin, VersionView, asked_vms, copy_holders,
+    stream_keepers,
 };
 use std::{collections::HashMap, sync::Arc};
 use tokio::{
@@ -41,6 +42,7 @@
 pub(crate) struct OriginReply {
     origin: Option<StreamOrigin>,
     versions: Option<Vec<SoftwareVersion>>,
+    view_age: Option<Duration>,
 }
 
 /// An origin that other VMs have to be told of.
@@ -57,6 +59,27 @@
     }
 }
 
+impl Shared {
+    /// Records in the history of versions that all endpoints have been listed as of a revision. Unless
+    /// nothing has changed since the last view, versions may have come and gone unseen.
+    pub(crate) fn record_listed(&self, core: &mut Core, now: Time, revision: Revision) {
+        let before = core.endpoints.revision();
+        if revision == before {
+            return;
+        }
+        core.origins.record_gap(now, revision.era == before.era);
+        if core.origins.has_open_gap() {
+            tracing::info!(
+                event = "gap",
+                before = before.number,
+                after = revision.number,
+                "stream"
+            );
+            self.versions_missed.notify_one();
+        }
+    }
+}
+
 impl Core {
     fn other_vms(&self, now: Time) -> Vec<Ipv4Addr> {
         self.membership.alive(now).map(|member| member.ip).collect()
@@ -151,7 +174,7 @@
     async fn only_origin(
         &self,
         shared: &Shared,
-        told: &[Vec<SoftwareVersion>],
+        told: &[ToldVersions],
     ) -> Result<StreamOrigin, NoVersion> {
         match self.try_only_origin(shared, told) {
             Err(NoVersion::Unconfirmed) => {
@@ -165,7 +188,7 @@
     fn try_only_origin(
         &self,
         shared: &Shared,
-        told: &[Vec<SoftwareVersion>],
+        told: &[ToldVersions],
     ) -> Result<StreamOrigin, NoVersion> {
         let [target] = &*self.route.targets else {
             return Err(NoVersion::SeveralServices);
@@ -233,7 +256,7 @@
     for ip in &peers {
         send(shared, socket, &message, *ip).await;
     }
-    let sent = Instant::now();
+    let (sent, asked_at) = (Instant::now(), clock::now());
     let deadline = sent + REPLY_TIMEOUT;
     let mut recorded = None;
     let mut told = Vec::new();
@@ -243,7 +266,10 @@
             break;
         };
         answered += 1;
-        told.extend(reply.versions);
+        told.extend(reply.versions.map(|versions| ToldVersions {
+            versions,
+            until: reply.view_age.map(|age| asked_at - age),
+        }));
         if reply.origin.is_some() {
             recorded = reply.origin;
             break;
@@ -315,6 +341,9 @@
                     serial,
                     origin: origin.cloned(),
                     versions: core.origins.history(now, shared.started, &service),
+                    view_age_ms: core
+                        .endpoints_confirmed
+                        .map(|at| now.since(at).as_millis() as u32),
                 }
             };
             send(shared, socket, &reply, from).await;
@@ -323,11 +352,16 @@
             serial,
             origin,
             versions,
+            view_age_ms,
         } => {
             let waiter = shared.core().origin_requests.get(&serial).cloned();
             if let Some(waiter) = waiter {
                 // The request may have ended.
-                let _ended = waiter.try_send(OriginReply { origin, versions });
+                let _ended = waiter.try_send(OriginReply {
+                    origin,
+                    versions,
+                    view_age: view_age_ms.map(u64::from).map(Duration::from_millis),
+                });
             }
         }
     }
--- a/crates/relay/src/platform_reader.rs
+++ b/crates/relay/src/platform_reader.rs
@@ -14,7 +14,7 @@
 use poplarswitch_entity::{EndpointName, Time};
 use poplarswitch_ingress::{
     Config, EndpointEntry, EntryChanges, LocalRemoval, Packed, Revision, RoutingTable,
-    SourceSelector,
+    ServiceVersion, SourceSelector,
 };
 use poplarswitch_platform::Backoff;
 use std::sync::{
@@ -156,11 +156,13 @@
             Some(PlatformReply::Endpoints {
                 entries,
                 removed,
+                passed,
                 errors,
                 revision,
                 ..
             }) if revision.era == after.era => {
                 log_errors(&errors);
+                self.add_versions(&entries, passed);
                 let unchanged = self.apply_changes(entries, removed, sent, revision);
                 if !unchanged {
                     sleep(CHANGE_BATCH_DELAY).await;
@@ -178,6 +180,16 @@
         }
     }
 
+    /// Records the versions in the entries of a watch, and those that have `passed` unseen.
+    fn add_versions(&self, entries: &[EndpointEntry], passed: Vec<ServiceVersion>) {
+        if !passed.is_empty() {
+            tracing::info!(event = "passed", ?passed, "stream");
+        }
+        let seen = entries.iter().map(EndpointEntry::service_version);
+        let mut core = self.shared.core();
+        core.origins.add_versions(clock::now(), seen.chain(passed));
+    }
+
     /// Applies changes of endpoints; returns whether there were none.
     fn apply_changes(
         &self,
@@ -247,6 +259,9 @@
             let era_grace = core.endpoints.era_grace(first_revision, now);
             let grace_end = core.outage.grace_end(now).max(era_grace);
             let held_before = core.endpoints.lapsed_names();
+            let seen = all.iter().map(EndpointEntry::service_version);
+            core.origins.add_versions(now, seen);
+            self.shared.record_listed(&mut core, now, first_revision);
             let changes = core.endpoints.apply_listing(all, first_revision, grace_end);
             let held = core.endpoints.lapsed_names();
             drop(core);
@@ -310,11 +325,13 @@
             PlatformReply::Endpoints {
                 entries,
                 removed,
+                passed,
                 errors,
                 revision,
                 ..
             } if revision.era == after.era => {
                 log_errors(&errors);
+                self.add_versions(&entries, passed);
                 self.apply_changes(entries, removed, sent, revision);
                 Ok(())
             }
--- a/crates/relay/src/protocol.rs
+++ b/crates/relay/src/protocol.rs
@@ -8,7 +8,8 @@
 use http::{HeaderMap, Method, StatusCode};
 use poplarswitch_entity::{DataCentre, EndpointName, ServiceName, VmName, WorkspaceName};
 use poplarswitch_ingress::{
-    Call, Config, EndpointEntry, EndpointNotice, EngineReport, NamedLimit, Revision, VmEntry,
+    Call, Config, EndpointEntry, EndpointNotice, EngineReport, NamedLimit, Revision,
+    ServiceVersion, VmEntry,
 };
 use poplarswitch_lease::Tenure;
 use poplarswitch_platform::WireRequest;
@@ -218,6 +219,8 @@
         entries: Vec<EndpointEntry>,
         /// Names whose entries have been removed or are unusable, with the revision of that change.
         removed: Vec<(EndpointName, Revision)>,
+        /// Versions in entries that were replaced or removed again within a reply to a watch.
+        passed: Vec<ServiceVersion>,
         /// Errors of unusable entries.
         errors: Vec<String>,
         /// Last name of this page, if there is another page.
--- a/crates/relay/src/registry.rs
+++ b/crates/relay/src/registry.rs
@@ -151,6 +151,7 @@
         tokio::select! {
             () = sleep(schedule.due().since(clock::now())) => {}
             () = shared.keeper_died.notified() => keeper_died = true,
+            () = shared.versions_missed.notified() => schedule.hurry(clock::now()),
         }
         let now = clock::now();
         let view = listing_view(shared, now);
@@ -208,9 +209,14 @@
     local_name: &VmName,
     view: ListingView,
 ) -> Result<(), RegistryError> {
+    let sent = clock::now();
     let listed = list(shared, client).await?;
     restore_holds(shared, &listed);
-    shared.core().origins.restore_streams(clock::now(), &listed);
+    let (now, unix_ms) = (clock::now(), clock::unix_millis());
+    shared
+        .core()
+        .origins
+        .read_entries(now, sent, unix_ms, &listed);
     add_members(shared, &listed);
     // A VM that shuts down has removed its entry itself.
     let is_leaving = shared.core().shutdown.has_started();
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -157,6 +157,8 @@
     pub(crate) holds_changed: Notify,
     /// Notified when this VM has to learn what VMs kept that have died.
     pub(crate) keeper_died: Notify,
+    /// Notified when this VM may have missed versions of endpoints.
+    pub(crate) versions_missed: Notify,
     /// Notified when the platform lacks this VM's entry.
     pub(crate) entry_missing: Notify,
     /// Notified when this VM's entry in the platform lacks a stream.
@@ -271,6 +273,7 @@
             quarantine_news: Notify::new(),
             holds_changed: Notify::new(),
             keeper_died: Notify::new(),
+            versions_missed: Notify::new(),
             entry_missing: Notify::new(),
             streams_kept: Notify::new(),
             released: watch::Sender::new(()),
