--- a/crates/fuzz/src/lib.rs
+++ b/crates/fuzz/src/lib.rs
@@ -46,6 +46,15 @@
     b"{\"a\":{\"a\":",
     b" ",
     b"\n",
+    b"NaN",
+    b"-Infinity",
+    b"0x10",
+    b"007",
+    b"None",
+    b"'a'",
+    b"},{",
+    b"}}",
+    b"\x01",
 ];
 
 /// Pieces of CBOR: lengths greater than the input, indefinite lengths, break codes, tags and single
@@ -104,6 +113,12 @@
     vec(any::<u8>(), 0..200)
 }
 
+/// Random bytes, or random pieces of JSON.
+pub fn broken_json() -> impl Strategy<Value = Vec<u8>> {
+    let pieces = vec(select(JSON_PIECES), 0..8);
+    prop_oneof![any_bytes(), pieces.prop_map(|pieces| pieces.concat())]
+}
+
 fn edited(
     valid: &[u8],
     pieces: &'static [&'static [u8]],
--- a/crates/node/tests/relay_outages.rs
+++ b/crates/node/tests/relay_outages.rs
@@ -5,7 +5,7 @@
 
 use core::time::Duration;
 use googletest::prelude::*;
-use poplarswitch_deployment::{EndpointKind, LinkMode};
+use poplarswitch_deployment::{EndpointKind, LinkMode, NOT_A_NUMBER, StoreFault};
 use relay::{Fleet, wait_until};
 use rustix::process::Signal;
 use std::{thread, time::Instant};
@@ -144,3 +144,42 @@
         expect_that!(names.map(left), eq([0, 0, 1]), "VM {vm}");
     }
 }
+
+/// Bytes of another writer that are no JSON kept all VMs from serving after a loss of all processes, and from
+/// hearing of a drain before (RECOVER, DRAIN).
+#[gtest]
+fn entry_that_is_no_json_costs_itself_only() {
+    let mut fleet = Fleet::start(228, 2);
+    let address = fleet.proxies[0].address();
+    let mut entry = fleet.endpoints[0].entry(address, "bookings", "bole", 1, false);
+    entry["cold_remaining_ms"] = NOT_A_NUMBER.into();
+    fleet.store.register("other-1", entry);
+    let name = fleet.endpoints[1].name();
+    fleet.register(1, fleet.endpoints[1].kind(), 1, true);
+    wait_until("the VMs know that the endpoint drains", || {
+        (0..2).all(|vm| line_count(&fleet, vm, &["\"draining\"", &name]) > 0)
+    });
+    for vm in 0..2 {
+        fleet.kill(vm);
+    }
+    for vm in 0..2 {
+        fleet.start_process(vm);
+    }
+    fleet.await_ready();
+    for vm in 0..2 {
+        let (_, answer) = fleet.call(vm, "/seats/1");
+        expect_that!(answer.map(|answer| answer.status), ok(eq(&200)));
+        expect_that!(line_count(&fleet, vm, &["\"unusable\"", "other-1"]), gt(0));
+    }
+}
+
+/// A reply to a watch that can't be read was asked for again for ever, so that no change was heard of.
+#[gtest]
+fn watch_that_cannot_be_read_is_followed_by_a_listing() {
+    let mut fleet = Fleet::start(229, 1);
+    fleet.store.set_fault(StoreFault::GarblesWatches);
+    fleet.add_endpoint("booking-3", EndpointKind::Service);
+    wait_until("the VM knows the endpoint", || {
+        line_count(&fleet, 0, &["\"joined\"", "booking-3"]) > 0
+    });
+}
--- a/crates/relay/src/platform_reader.rs
+++ b/crates/relay/src/platform_reader.rs
@@ -6,7 +6,8 @@
 //! the watch was sent. Endpoints are watched with longer waits.
 
 use crate::{
-    PlatformAnswer, PlatformCall, PlatformReply, clock, platform_client::PlatformClient,
+    PlatformAnswer, PlatformCall, PlatformReply, clock,
+    platform_client::{PlatformClient, PlatformError},
     shared::Shared,
 };
 use core::time::Duration;
@@ -106,7 +107,10 @@
                     apply_config(&self.shared, config, sent, "platform");
                 }
                 Some(PlatformReply::HistoryGone) => last_revision = None,
-                _ => {
+                reply => {
+                    if reply == Some(PlatformReply::Unreadable) {
+                        last_revision = None;
+                    }
                     sleep(backoff.next_wait().min(self.max_backoff())).await;
                 }
             }
@@ -176,6 +180,11 @@
                 *listed = false;
                 true
             }
+            // The same watch would bring the same reply.
+            Some(PlatformReply::Unreadable) => {
+                *listed = false;
+                false
+            }
             _ => false,
         }
     }
@@ -357,7 +366,8 @@
             Err(error) => {
                 self.shared.core().outage.record_failure(clock::now());
                 self.record_failed_call(call, in_outage, &error.to_string());
-                return None;
+                let is_unreadable = matches!(error, PlatformError::Unreadable { .. });
+                return is_unreadable.then_some(PlatformReply::Unreadable);
             }
         };
         let is_served = self.record_answer(&answer);
--- a/crates/relay/src/protocol.rs
+++ b/crates/relay/src/protocol.rs
@@ -237,6 +237,8 @@
     },
     /// The platform no longer has the changes since the revision of a watch.
     HistoryGone,
+    /// The reply can't be read.
+    Unreadable,
     /// A record as it is, which may not have met the condition of a write.
     Record(Option<SharedRecord>),
     /// The record has been written with this revision.
