--- a/crates/ingress/src/shutdown.rs
+++ b/crates/ingress/src/shutdown.rs
@@ -12,8 +12,9 @@
 use core::time::Duration;
 use poplarswitch_entity::Time;
 
-/// Percentage of the grace period after which long calls are refused.
-const REFUSE_LONG_PERCENT: u32 = 37;
+/// Percentage of the grace period after which long calls are refused. The operators count from the moment at
+/// which they send the signal and callers send their requests; both take time to arrive.
+const REFUSE_LONG_PERCENT: u32 = 35;
 /// Percentage of the grace period after which all calls are refused.
 const REFUSE_ALL_PERCENT: u32 = 80;
 /// Time before the end of the grace period at which the process exits in any case.
--- a/crates/ingress/src/shutdown_tests.rs
+++ b/crates/ingress/src/shutdown_tests.rs
@@ -120,8 +120,8 @@
     };
     let limit = Duration::from_millis(4_200);
     for may_be_cut in [false, true] {
-        expect_that!(may_begin(2_959, may_be_cut, Duration::MAX), eq(true));
-        expect_that!(may_begin(2_960, may_be_cut, Duration::MAX), eq(false));
+        expect_that!(may_begin(2_799, may_be_cut, Duration::MAX), eq(true));
+        expect_that!(may_begin(2_800, may_be_cut, Duration::MAX), eq(false));
         expect_that!(may_begin(3_200, may_be_cut, limit), eq(true));
         expect_that!(may_begin(3_201, may_be_cut, limit), eq(false));
     }
