Tell by revisions whether two views follow each other

Cause: VMs that start together have views of slightly different times and revisions, and a view that began some milliseconds after the own one ended counted as a gap that only readers of the platform can close.

Change: a history knows the revision at which it begins, and answers and views the one up to which they are complete. Views follow each other if the revisions do, or else the times. A gap within a second of the first view of a process is part of the one before it, which the same closes. Other gaps that come with another VM's view can be closed by entries as well. `passed` is logged only for versions that were not known.

--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -189,5 +189,5 @@
     lacks_versions,
 };
 pub use table::{Access, Route, RoutingTable, Workspace};
-pub use version_history::{SentHistory, ServiceVersion, ToldVersions};
+pub use version_history::{SentHistory, ServiceVersion, ToldVersions, ViewEnd};
 pub use version_pin::{Incarnation, VersionPin};
--- a/crates/ingress/src/only_version.rs
+++ b/crates/ingress/src/only_version.rs
@@ -92,9 +92,9 @@
             age_ms >= HISTORY_TIME.as_millis() as u64
         };
         let versions = &self.versions;
-        let mut untils = view.told.iter().filter_map(|told| told.until);
+        let mut ends = view.told.iter().filter_map(|told| told.until.as_ref());
         let is_settled = versions.is_whole(view.now, view.started)
-            || untils.any(|until| versions.follows(until))
+            || ends.any(|end| versions.follows(end))
             || versions.is_whole_since_start()
                 && (versions.is_settled(service) || of_service().all(is_old));
         if !is_settled {
--- a/crates/ingress/src/streams.rs
+++ b/crates/ingress/src/streams.rs
@@ -15,8 +15,9 @@
     entry::SoftwareVersion,
     hash::{hash_pair, hash_text},
     kept_streams::{KeptStreams, RememberedStreams, stream_keepers},
+    revision::Revision,
     stale_vms::VmEntry,
-    version_history::{SentHistory, ServiceVersion, VersionHistory},
+    version_history::{SentHistory, ServiceVersion, VersionHistory, ViewEnd},
 };
 use core::{net::Ipv4Addr, time::Duration};
 use poplarswitch_entity::{ServiceName, Time, VmName};
@@ -111,9 +112,13 @@
         /// The versions that the service has had for longer than a stream lasts, if the VM can have
         /// missed none.
         versions: Option<Vec<SoftwareVersion>>,
-        /// Age in milliseconds of the view that shows them; VMs of an earlier version don't send it.
+        /// Age in milliseconds of the last confirmation of the view that shows them; VMs of an earlier
+        /// version don't send it.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         view_age_ms: Option<u32>,
+        /// Revision of that view; VMs of an earlier version don't send it.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        view_revision: Option<Revision>,
     },
 }
 
@@ -264,10 +269,14 @@
         self.versions.add_seen(now, seen);
     }
 
-    /// Records a view that doesn't show what was between it and the last one. The entries of VMs can't
-    /// tell that if the platform may have lost them, too, in which case `has_entries` is false.
-    pub fn record_gap(&mut self, now: Time, has_entries: bool) {
-        self.versions.begin(now, has_entries);
+    /// Whether a version of a service was seen lately.
+    pub fn knows_version(&self, version: &ServiceVersion) -> bool {
+        self.versions.knows(version)
+    }
+
+    /// Records a listing as of a revision, which doesn't show what was between it and the last view.
+    pub fn record_gap(&mut self, now: Time, revision: Revision) {
+        self.versions.begin(now, revision);
     }
 
     /// Whether the entries of VMs may tell which versions this VM has missed.
@@ -290,17 +299,17 @@
         self.versions.sent(arrived, endpoints)
     }
 
-    /// Takes in the history of another VM together with its view, in reply to a request that was sent at
-    /// `sent`. Its view was confirmed at `until`, the view of this VM before at `own_until`.
+    /// Takes in the history of another VM together with its view up to `end`, in reply to a request that was
+    /// sent at `sent`. The view of this VM was complete up to `own_end` before.
     pub fn merge_history(
         &mut self,
         now: Time,
         sent: Time,
         told: &SentHistory,
-        until: Option<Time>,
-        own_until: Option<Time>,
+        end: &ViewEnd,
+        own_end: &ViewEnd,
     ) {
-        self.versions.merge(now, sent, told, until, own_until);
+        self.versions.merge(now, sent, told, end, own_end);
     }
 
     /// The versions for this VM's entry in the platform, all of a service or none.
--- a/crates/ingress/src/streams_tests.rs
+++ b/crates/ingress/src/streams_tests.rs
@@ -1,6 +1,6 @@
 use crate::{
     EndpointEntry, EndpointTable, KeptVersion, SoftwareVersion, StreamId, StreamOrigin,
-    StreamOrigins, ToldVersions, VersionView, VmEntry, asked_vms, copy_holders,
+    StreamOrigins, ToldVersions, VersionView, ViewEnd, VmEntry, asked_vms, copy_holders,
     endpoints_tests::{at, entry},
     lacks_versions,
 };
@@ -138,7 +138,7 @@
         let versions = versions.iter().map(|version| SoftwareVersion::new(version));
         vec![ToldVersions {
             versions: versions.collect(),
-            until: Some(Time::MAX),
+            until: Some(ViewEnd::default()),
         }]
     };
     let told_version = |versions: &[&str]| only_version_told(&[&recent], short, &told(versions));
--- a/crates/ingress/src/version_history.rs
+++ b/crates/ingress/src/version_history.rs
@@ -10,6 +10,7 @@
 use crate::{
     endpoints::EndpointTable,
     entry::SoftwareVersion,
+    revision::Revision,
     stale_vms::VmEntry,
     streams::{HISTORY_TIME, KeptVersion},
 };
@@ -29,13 +30,36 @@
 /// A service and a version that it has; an unknown version is none.
 pub type ServiceVersion = (ServiceName, Option<SoftwareVersion>);
 
+/// Up to where a view of the endpoints is complete.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ViewEnd {
+    /// When the platform was last known to have shown it as the newest.
+    pub confirmed: Option<Time>,
+    /// Revision of the platform.
+    pub revision: Revision,
+}
+
+/// Where a history begins.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct HistoryStart {
+    at: Time,
+    revision: Revision,
+}
+
+impl HistoryStart {
+    /// Whether a view reaches the beginning, so that nothing is between them.
+    fn is_reached_by(&self, end: &ViewEnd) -> bool {
+        end.revision >= self.revision || end.confirmed >= Some(self.at)
+    }
+}
+
 /// Another VM's history of a service, in reply to a question.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ToldVersions {
     /// The versions that the service has had for longer than a stream lasts.
     pub versions: Vec<SoftwareVersion>,
-    /// Until when they are known; none if the VM doesn't tell.
-    pub until: Option<Time>,
+    /// Up to where they are known; none if the VM doesn't tell.
+    pub until: Option<ViewEnd>,
 }
 
 /// A VM's history of all services as sent to another VM, with times in microseconds relative to the
@@ -44,6 +68,8 @@
 pub struct SentHistory {
     /// Since when no version has been missed.
     pub since: i64,
+    /// Revision since which no version has been missed.
+    pub from: Revision,
     /// Versions that no endpoint has now, and when they were last seen.
     pub passed: Vec<(ServiceName, SoftwareVersion, i64)>,
 }
@@ -69,12 +95,12 @@
     /// Services whose versions other processes had seen for longer than a stream lasts when this one
     /// started.
     settled: BTreeSet<ServiceName>,
-    /// When the first view was seen.
+    /// When the first view was seen, or the last one that followed a gap right after the start.
     first_view: Option<Time>,
     /// Since when no version has been missed.
-    since: Option<Time>,
+    start: Option<HistoryStart>,
     /// The same before the gaps that entries can close; none if there is no such gap.
-    before_gap: Option<Time>,
+    before_gap: Option<HistoryStart>,
 }
 
 impl VersionHistory {
@@ -85,13 +111,29 @@
         }
     }
 
-    /// Begins the history anew, unless a view has followed the last one without a gap. The entries of
-    /// VMs can't close the gap if the platform may have lost them, too.
-    pub(crate) fn begin(&mut self, now: Time, has_entries: bool) {
-        let before = self.before_gap.or(self.since);
-        self.before_gap = before.filter(|_| has_entries);
-        self.since = Some(now);
-        self.first_view.get_or_insert(now);
+    /// Whether a version was seen lately.
+    pub(crate) fn knows(&self, (service, software): &ServiceVersion) -> bool {
+        let mut versions = self.services.get(service).into_iter().flatten();
+        versions.any(|version| version.software == *software)
+    }
+
+    /// Begins the history anew, at a gap before a listing as of a revision.
+    pub(crate) fn begin(&mut self, now: Time, revision: Revision) {
+        self.begin_at(now, HistoryStart { at: now, revision });
+    }
+
+    /// Begins the history anew. Entries of VMs close the gap unless the platform may have lost them, too.
+    fn begin_at(&mut self, now: Time, start: HistoryStart) {
+        let first_view = *self.first_view.get_or_insert(now);
+        if start.at <= first_view + ENTRY_WRITE_TIME {
+            // The gap before the first view is longer by that; the same closes it.
+            self.first_view = Some(first_view.max(start.at));
+            self.before_gap = None;
+        } else {
+            let before = self.before_gap.or(self.start);
+            self.before_gap = before.filter(|before| before.revision.era == start.revision.era);
+        }
+        self.start = Some(start);
     }
 
     /// Whether the entries of VMs may close a gap.
@@ -102,12 +144,12 @@
     /// Takes in the versions in the entries of VMs, for which the platform was asked at `sent`. Nothing is
     /// taken in if there is no gap to close: an entry of a VM that has ended names what it saw last.
     pub(crate) fn read_entries(&mut self, now: Time, sent: Time, unix_ms: u64, vms: &[VmEntry]) {
-        let (Some(before), Some(since)) = (self.before_gap, self.since) else {
+        let (Some(before), Some(start)) = (self.before_gap, self.start) else {
             return;
         };
         self.add_kept(now, unix_ms, vms);
-        if sent >= since + ENTRY_WRITE_TIME {
-            self.since = Some(before);
+        if sent >= start.at + ENTRY_WRITE_TIME {
+            self.start = Some(before);
             self.before_gap = None;
         }
     }
@@ -145,41 +187,41 @@
                 (service.clone(), software, offset(version.last))
             })
         });
+        let start = self.start?;
         Some(SentHistory {
-            since: offset(self.since?),
+            since: offset(start.at),
+            from: start.revision,
             passed: passed.collect(),
         })
     }
 
-    /// Takes in the history of another VM together with its view, in reply to a request that was sent at
-    /// `sent`. Its view was confirmed at `until`, the view of this VM before at `own_until`.
+    /// Takes in the history of another VM together with its view up to `end`, in reply to a request that was
+    /// sent at `sent`. The view of this VM was complete up to `own_end` before.
     pub(crate) fn merge(
         &mut self,
         now: Time,
         sent: Time,
         told: &SentHistory,
-        until: Option<Time>,
-        own_until: Option<Time>,
+        end: &ViewEnd,
+        own_end: &ViewEnd,
     ) {
         let local = |offset: i64| Time(sent.0.saturating_add_signed(offset));
         for (service, software, last) in &told.passed {
             self.add(service, Some(software), local(*last).min(now));
         }
-        let since = local(told.since);
-        let follows = |own: Time| until.is_some_and(|until| until >= own);
-        match self.since {
-            Some(own) if !follows(own) => {}
-            Some(own) if own_until.is_some_and(|until| since <= until) => {
-                if since < own {
-                    self.since = Some(since);
-                    self.before_gap = self.before_gap.filter(|before| *before < since);
+        let start = HistoryStart {
+            at: local(told.since),
+            revision: told.from,
+        };
+        match self.start {
+            Some(own) if !own.is_reached_by(end) => {}
+            Some(own) if start.is_reached_by(own_end) => {
+                if start.at < own.at {
+                    self.start = Some(start);
+                    self.before_gap = self.before_gap.filter(|before| before.at < start.at);
                 }
             }
-            _ => {
-                self.before_gap = None;
-                self.since = Some(since);
-                self.first_view.get_or_insert(now);
-            }
+            _ => self.begin_at(now, start),
         }
     }
 
@@ -240,17 +282,18 @@
 
     /// Whether no version can have been missed for longer than a stream lasts.
     pub(crate) fn is_whole(&self, now: Time, started: Time) -> bool {
-        now.since(self.since.unwrap_or(started)) >= HISTORY_TIME
+        let since = self.start.map_or(started, |start| start.at);
+        now.since(since) >= HISTORY_TIME
     }
 
     /// Whether the history has had no gap since the first view of this process.
     pub(crate) fn is_whole_since_start(&self) -> bool {
-        self.since <= self.first_view
+        self.start.map(|start| start.at) <= self.first_view
     }
 
-    /// Whether a history that is known until a time has no gap to this one.
-    pub(crate) fn follows(&self, until: Time) -> bool {
-        self.since.is_none_or(|since| until >= since)
+    /// Whether a history that is known up to `end` has no gap to this one.
+    pub(crate) fn follows(&self, end: &ViewEnd) -> bool {
+        self.start.is_none_or(|start| start.is_reached_by(end))
     }
 
     /// The version that a service has had lately, if it has had a single one.
--- a/crates/oracle/src/streams_sim.rs
+++ b/crates/oracle/src/streams_sim.rs
@@ -10,8 +10,8 @@
 use poplarswitch_entity::{DataCentre, EndpointName, ServiceName, Time, VmName};
 use poplarswitch_ingress::{
     EndpointEntry, EndpointState, EndpointTable, NoVersion, Revision, SoftwareVersion, StreamId,
-    StreamOrigin, StreamOrigins, ToldVersions, VersionView, VmEntry, asked_vms, copy_holders,
-    stream_keepers,
+    StreamOrigin, StreamOrigins, ToldVersions, VersionView, ViewEnd, VmEntry, asked_vms,
+    copy_holders, stream_keepers,
 };
 use proptest::{prelude::*, sample::select};
 use proptest_state_machine::ReferenceStateMachine;
@@ -142,6 +142,15 @@
     entry: VmEntry,
 }
 
+impl Vm {
+    fn view_end(&self) -> ViewEnd {
+        ViewEnd {
+            confirmed: self.confirmed,
+            revision: self.endpoints.revision(),
+        }
+    }
+}
+
 #[derive(Debug)]
 struct Stream {
     id: StreamId,
@@ -336,7 +345,7 @@
         let seen = endpoints.revision();
         if seen == Revision::default() || self.rng.random_bool(GAP_SHARE) {
             if seen != self.revision {
-                origins.record_gap(self.now, true);
+                origins.record_gap(self.now, self.revision);
             }
             origins.add_versions(self.now, entries.iter().map(EndpointEntry::service_version));
         } else {
@@ -366,8 +375,12 @@
         }
         let seen = entries.iter().map(EndpointEntry::service_version);
         vm.origins.add_versions(now, seen);
-        vm.origins
-            .merge_history(now, now, &history, until, vm.confirmed);
+        let end = ViewEnd {
+            confirmed: until,
+            revision,
+        };
+        let own_end = vm.view_end();
+        vm.origins.merge_history(now, now, &history, &end, &own_end);
         vm.endpoints.apply_listing(entries, revision, None);
         vm.confirmed = vm.confirmed.max(until);
     }
@@ -520,7 +533,7 @@
             let versions = other.origins.history(now, other.started, &service);
             told.extend(versions.map(|versions| ToldVersions {
                 versions,
-                until: other.confirmed,
+                until: Some(other.view_end()),
             }));
         }
         self.confirmed_version(vm, &told)
--- a/crates/relay/src/feed.rs
+++ b/crates/relay/src/feed.rs
@@ -20,7 +20,7 @@
 use poplarswitch_entity::Time;
 use poplarswitch_ingress::{
     BODY_SILENCE_LIMIT, Cursor, EndpointEntry, EntryChanges, FEED_WAIT, FeedReply, FeedRequest,
-    Packed, PeerState, REPLY_MARGIN, Revision, UnpackError,
+    Packed, PeerState, REPLY_MARGIN, Revision, UnpackError, ViewEnd,
 };
 use snafu::{ResultExt as _, Snafu};
 use std::sync::Arc;
@@ -294,10 +294,12 @@
         match &reply.history {
             Some(history) => {
                 let local = |offset: i64| Time(sent.0.saturating_add_signed(offset));
-                let own_until = core.endpoints_confirmed;
-                let until = reply.endpoints_confirmed.map(local);
-                core.origins
-                    .merge_history(clock::now(), sent, history, until, own_until);
+                let confirmed = reply.endpoints_confirmed.map(local);
+                let end = ViewEnd {
+                    confirmed,
+                    revision,
+                };
+                shared.merge_history(&mut core, sent, history, &end);
             }
             // A VM of an earlier version doesn't tell which versions came and went.
             None => shared.record_listed(&mut core, clock::now(), revision),
--- a/crates/relay/src/origins.rs
+++ b/crates/relay/src/origins.rs
@@ -14,9 +14,9 @@
 };
 use poplarswitch_entity::Time;
 use poplarswitch_ingress::{
-    Continuation, EndpointKey, Incarnation, NoVersion, Revision, Route, SoftwareVersion, StreamId,
-    StreamMessage, StreamOrigin, ToldVersions, VersionPin, VersionView, asked_vms, copy_holders,
-    stream_keepers,
+    Continuation, EndpointKey, Incarnation, NoVersion, Revision, Route, SentHistory,
+    SoftwareVersion, StreamId, StreamMessage, StreamOrigin, ToldVersions, VersionPin, VersionView,
+    ViewEnd, asked_vms, copy_holders, stream_keepers,
 };
 use std::{collections::HashMap, sync::Arc};
 use tokio::{
@@ -43,6 +43,7 @@
     origin: Option<StreamOrigin>,
     versions: Option<Vec<SoftwareVersion>>,
     view_age: Option<Duration>,
+    view_revision: Option<Revision>,
 }
 
 /// An origin that other VMs have to be told of.
@@ -67,20 +68,47 @@
         if revision == before {
             return;
         }
-        core.origins.record_gap(now, revision.era == before.era);
-        if core.origins.has_open_gap() {
-            tracing::info!(
-                event = "gap",
-                before = before.number,
-                after = revision.number,
-                "stream"
-            );
-            self.versions_missed.notify_one();
+        core.origins.record_gap(now, revision);
+        self.announce_gap(core, before, revision);
+    }
+
+    /// Takes in the history of versions of another VM together with its view up to `end`, in reply to a
+    /// request that was sent at `sent`.
+    pub(crate) fn merge_history(
+        &self,
+        core: &mut Core,
+        sent: Time,
+        told: &SentHistory,
+        end: &ViewEnd,
+    ) {
+        let had_gap = core.origins.has_open_gap();
+        let own_end = core.view_end();
+        let now = clock::now();
+        core.origins.merge_history(now, sent, told, end, &own_end);
+        if !had_gap {
+            self.announce_gap(core, own_end.revision, end.revision);
+        }
+    }
+
+    fn announce_gap(&self, core: &Core, before: Revision, after: Revision) {
+        if !core.origins.has_open_gap() {
+            return;
         }
+        let (before, after) = (before.number, after.number);
+        tracing::info!(event = "gap", before, after, "stream");
+        self.versions_missed.notify_one();
     }
 }
 
 impl Core {
+    /// Up to where this VM's view of the endpoints is complete.
+    fn view_end(&self) -> ViewEnd {
+        ViewEnd {
+            confirmed: self.endpoints_confirmed,
+            revision: self.endpoints.revision(),
+        }
+    }
+
     fn other_vms(&self, now: Time) -> Vec<Ipv4Addr> {
         self.membership.alive(now).map(|member| member.ip).collect()
     }
@@ -268,7 +296,10 @@
         answered += 1;
         told.extend(reply.versions.map(|versions| ToldVersions {
             versions,
-            until: reply.view_age.map(|age| asked_at - age),
+            until: reply.view_revision.map(|revision| ViewEnd {
+                confirmed: reply.view_age.map(|age| asked_at - age),
+                revision,
+            }),
         }));
         if reply.origin.is_some() {
             recorded = reply.origin;
@@ -344,6 +375,7 @@
                     view_age_ms: core
                         .endpoints_confirmed
                         .map(|at| now.since(at).as_millis() as u32),
+                    view_revision: Some(core.endpoints.revision()),
                 }
             };
             send(shared, socket, &reply, from).await;
@@ -353,6 +385,7 @@
             origin,
             versions,
             view_age_ms,
+            view_revision,
         } => {
             let waiter = shared.core().origin_requests.get(&serial).cloned();
             if let Some(waiter) = waiter {
@@ -361,6 +394,7 @@
                     origin,
                     versions,
                     view_age: view_age_ms.map(u64::from).map(Duration::from_millis),
+                    view_revision,
                 });
             }
         }
--- a/crates/relay/src/platform_reader.rs
+++ b/crates/relay/src/platform_reader.rs
@@ -15,7 +15,7 @@
 use poplarswitch_entity::{EndpointName, Time};
 use poplarswitch_ingress::{
     Config, EndpointEntry, EntryChanges, LocalRemoval, Packed, Revision, RoutingTable,
-    ServiceVersion, SourceSelector,
+    ServiceVersion, SoftwareVersion, SourceSelector,
 };
 use poplarswitch_platform::Backoff;
 use std::sync::{
@@ -191,11 +191,16 @@
 
     /// Records the versions in the entries of a watch, and those that have `passed` unseen.
     fn add_versions(&self, entries: &[EndpointEntry], passed: Vec<ServiceVersion>) {
-        if !passed.is_empty() {
-            tracing::info!(event = "passed", ?passed, "stream");
-        }
         let seen = entries.iter().map(EndpointEntry::service_version);
         let mut core = self.shared.core();
+        let mut unseen = passed.iter().filter(|v| !core.origins.knows_version(v));
+        if let Some((service, software)) = unseen.next() {
+            let (service, software) = (
+                service.as_str(),
+                software.as_ref().map(SoftwareVersion::as_str),
+            );
+            tracing::info!(event = "passed", service, software, "stream");
+        }
         core.origins.add_versions(clock::now(), seen.chain(passed));
     }
 
