Let a check of an endpoint's incarnation go on when its call stops waiting

Cause: the report was dropped with its connection after 150 ms, and the next try asked anew.

A check now goes on until the report comes or 5 s have passed. Its result holds for all connections that were open before it was asked for, so calls share it. A call waits 150 ms, or three times the endpoint's usual time, asks up to two other endpoints, then waits for the first report until its deadline. A wait that runs out is neither an attempt nor evidence against the endpoint.

--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -38,6 +38,7 @@
 mod quarantine;
 mod reach;
 mod removals;
+mod report_checks;
 mod revision;
 mod run_times;
 mod service_work;
@@ -109,6 +110,8 @@
 #[cfg(test)]
 mod reach_tests;
 #[cfg(test)]
+mod report_checks_tests;
+#[cfg(test)]
 mod run_times_tests;
 #[cfg(test)]
 mod service_work_tests;
@@ -162,7 +165,8 @@
 pub use only_version::{NoVersion, VersionView};
 pub use outage::{MIN_OUTAGE, OutageTracker, ServedAges};
 pub use outcome::{
-    AttemptCounts, NextStep, Obstacle, Outcome, Verdict, next_step, obstacle, verdict,
+    AttemptCounts, NextStep, Obstacle, Outcome, Verdict, longest_report_wait, next_step, obstacle,
+    verdict,
 };
 pub use packed::{Packed, UnpackError};
 pub use placement::{GroupLoad, Placement, PlacementDecision, PlacementReason, PlacementRequest};
@@ -175,6 +179,7 @@
     TrialMessage, TrialOutcome, TrialReply, TrialTarget, TrialVerdict,
 };
 pub use reach::{Reach, Reachability};
+pub use report_checks::{CheckState, ReportChecks};
 pub use revision::Revision;
 pub use run_times::RunTimes;
 pub use service_work::{ServiceDemand, ServiceWork, service_part};
--- a/crates/ingress/src/outcome.rs
+++ b/crates/ingress/src/outcome.rs
@@ -165,6 +165,11 @@
     }
 }
 
+/// Longest time for which a call with `time_left` waits for a report before it is sent or refused.
+pub const fn longest_report_wait(time_left: Duration) -> Duration {
+    time_left.saturating_sub(MIN_RETRY_TIME)
+}
+
 /// Result that is reported to the caller if no further attempt is made.
 pub const fn verdict(counts: AttemptCounts, outcome: Outcome) -> Verdict {
     match outcome {
--- a/crates/node/tests/relay_take_ups.rs
+++ b/crates/node/tests/relay_take_ups.rs
@@ -404,3 +404,26 @@
     let ran = taken_up.iter().filter(|(id, _, _)| fleet.run_count(id) > 0);
     expect_that!(ran.count(), eq(0));
 }
+
+/// Endpoints that reported late got no streams that were taken up, though they got new ones (LOST).
+#[gtest]
+fn streams_go_on_at_endpoints_that_report_late() {
+    let mut fleet = start_two_versions(223);
+    let broken = break_streams(&mut fleet);
+    expect_that!(broken.len(), ge(12));
+    let delays = [250, 600, 1_200].map(Duration::from_millis);
+    let groups = broken.chunks(broken.len().div_ceil(delays.len()));
+    for (delay, streams) in delays.into_iter().zip(groups) {
+        for endpoint in &fleet.endpoints {
+            endpoint.update_behaviour(|b| b.report_delay = delay);
+        }
+        let (_, new) = fleet.call(1, BRIEF);
+        expect_that!(new.map(|r| r.status), ok(eq(&200)));
+        let taken_up = take_up_all(&fleet, 1, streams);
+        let served = taken_up
+            .iter()
+            .filter(|(_, _, status)| *status == Some(200));
+        expect_that!(served.count(), eq(streams.len()), "{delay:?}");
+        expect_that!(count_mixed(&fleet, &taken_up), eq(0));
+    }
+}
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -4,6 +4,7 @@
     ForwardMetadata,
     call_forwarder::CallForwarder,
     clock,
+    endpoint_checks::EndpointCheck,
     forwarding::ForwardedResponse,
     handover::{Awaited, Handover},
     late_answers::Exchange,
@@ -260,25 +261,30 @@
         let new_connection = new_connection
             || is_trial
             || !self.request.route.kind.is_idempotent() && !self.request.route.kind.is_stream();
-        let connection = self.shared.acquire(key, address, new_connection).await;
-        let connection = connection.map_err(|error| {
-            self.record_health(key, Health::record_unreachable);
-            self.shared.mark_in_doubt(key);
-            self.unconnected = true;
-            FailedAttempt::new(Outcome::NotSent, error.to_string())
-        })?;
         let is_reported = is_checked || is_trial && self.is_model_call();
-        if is_reported && self.endpoint_address(key).is_none() {
-            self.shared.return_connection(key, connection.sender, None);
-            let cause = "the endpoint changed while the connection was opened";
-            return Err(FailedAttempt::new(Outcome::NotSent, cause));
-        }
-        let checked = if is_reported {
-            self.check_incarnation(key, address, connection).await
-        } else if is_trial {
-            check_open(connection).await
+        let checked = if let Some(check) = self.take_late_check(key) {
+            self.check_incarnation(placement, check).await
         } else {
-            Ok(connection)
+            let connection = self.shared.acquire(key, address, new_connection).await;
+            let connection = connection.map_err(|error| {
+                self.record_health(key, Health::record_unreachable);
+                self.shared.mark_in_doubt(key);
+                self.unconnected = true;
+                FailedAttempt::new(Outcome::NotSent, error.to_string())
+            })?;
+            if is_reported && self.endpoint_address(key).is_none() {
+                self.shared.return_connection(key, connection.sender, None);
+                let cause = "the endpoint changed while the connection was opened";
+                return Err(FailedAttempt::new(Outcome::NotSent, cause));
+            }
+            if is_reported {
+                let check = EndpointCheck::of(key, connection);
+                self.check_incarnation(placement, check).await
+            } else if is_trial {
+                check_open(connection).await
+            } else {
+                Ok(connection)
+            }
         };
         let connection = checked.map_err(|cause| FailedAttempt::new(Outcome::NotSent, cause))?;
         if is_trial {
@@ -325,7 +331,7 @@
         let cache_source = cache_source.map(|(_, address)| address);
         let time_left = self.request.deadline.since(now);
         let request = self.build_request(&info.endpoint, time_left, cache_source, last_event_id);
-        let Connection { sender, reused } = connection;
+        let Connection { sender, reused, .. } = connection;
         self.attempts.maybe_run += 1;
         self.record_trial(TrialOutcome::Cut);
         Ok(PendingAttempt {
--- a/crates/relay/src/call_forwarder.rs
+++ b/crates/relay/src/call_forwarder.rs
@@ -5,6 +5,7 @@
     attempt::{EndpointResponse, FailedAttempt},
     call_record::CallRecord,
     clock,
+    endpoint_checks::LateCheck,
     forwarding::{Forwarded, Hop},
     reply::Failure,
     serve::leaving_failure,
@@ -80,6 +81,10 @@
     pub(crate) unconnected: bool,
     /// Whether the next attempt is a retry that has not been charged to the retry budget.
     pub(crate) is_uncharged: bool,
+    /// Endpoints whose reports the call has stopped waiting for, for the time being.
+    pub(crate) late_checks: Vec<LateCheck>,
+    /// When the first event of the stream arrived.
+    pub(crate) began: Option<Time>,
     /// Whether the head of a response has been forwarded.
     pub(crate) has_begun: bool,
     /// The trial of a held subject that the call is.
@@ -142,14 +147,16 @@
                 response,
                 cause,
             } = failed;
+            let is_late = self.awaits_report(placement.endpoint);
             // A reused connection that was closed doesn't show that its endpoint failed.
             stale_connection = outcome == Outcome::NotSent
                 && !stale_connection
+                && !is_late
                 && !self.is_ejected(placement.endpoint);
             if !stale_connection {
                 self.tried.push(placement.endpoint);
             }
-            self.attempts.total += 1;
+            self.attempts.total += u32::from(!is_late);
             let now = clock::now();
             let time_left = self.request.deadline.since(now);
             let next = next_step(
--- a/crates/relay/src/incarnations.rs
+++ b/crates/relay/src/incarnations.rs
@@ -4,20 +4,19 @@
 use crate::{
     call_forwarder::CallForwarder,
     clock,
+    endpoint_checks::{CheckEnd, EndpointCheck},
     origins::UntoldOrigin,
-    placement::fetch_report,
-    pool::Connection,
     shared::Shared,
-    tcp::{self, Sender},
 };
-use core::{net::SocketAddr, time::Duration};
+use core::time::Duration;
 use poplarswitch_entity::Time;
-use poplarswitch_ingress::{EndpointKey, EngineReport, Incarnation, SoftwareVersion};
+use poplarswitch_ingress::{EndpointKey, Incarnation, SoftwareVersion};
 use std::{collections::HashMap, sync::Arc};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep};
 
-/// Time limit for the report that shows which incarnation of an endpoint serves.
-const CHECK_TIMEOUT: Duration = Duration::from_millis(150);
+/// Time for which the first event of a stream, or a handover, waits for a report. One that comes later
+/// proves the version as well.
+const PROOF_WAIT: Duration = Duration::from_millis(150);
 /// Age of the view of the endpoints above which an endpoint may have been started again without an
 /// entry that tells of it.
 const MAX_TRUSTED_AGE: Duration = Duration::from_millis(1_500);
@@ -68,41 +67,39 @@
         }
     }
 
-    /// Asks an endpoint on a new connection whether it is the incarnation that this VM knows. A result
-    /// holds for all streams that it began before.
-    async fn find_incarnation(&self, key: EndpointKey) -> Incarnation {
-        let asked = clock::now();
-        let endpoint = self.core().endpoints.get(key).cloned();
-        let found = match endpoint {
-            None => Incarnation::Other,
-            // A report would be a request too.
-            Some(endpoint) if endpoint.pause.holds(asked) => Incarnation::Undecided,
-            Some(endpoint) => {
-                let report = self.request_report(endpoint.entry.address).await;
-                Incarnation::of(report.as_ref(), endpoint.entry.start_ms)
+    /// Finds out by a report that is asked for at `since` or later whether an endpoint is the incarnation
+    /// that this VM knows; waits for it until `limit`.
+    async fn find_incarnation(
+        self: &Arc<Self>,
+        key: EndpointKey,
+        since: Time,
+        limit: Instant,
+    ) -> Incarnation {
+        let known = {
+            let core = self.core();
+            match core.endpoints.get(key) {
+                None => Incarnation::Other,
+                Some(endpoint) => match core.checks.found_since(key, since) {
+                    // A report would be a request too.
+                    Incarnation::Undecided if endpoint.pause.holds(clock::now()) => {
+                        return Incarnation::Undecided;
+                    }
+                    found => found,
+                },
             }
         };
-        self.settle_streams(key, asked, found);
-        found
-    }
-
-    async fn request_report(&self, address: SocketAddr) -> Option<EngineReport> {
-        self.metrics.probes.inc();
-        self.metrics.connections.inc();
-        let check = async {
-            let sender = tcp::open(address, CHECK_TIMEOUT).await.ok()?;
-            let connection = Connection {
-                sender,
-                reused: false,
-            };
-            fetch_report(self, connection, address).await.ok()
-        };
-        let report = timeout(CHECK_TIMEOUT, check).await.ok().flatten();
-        report.map(|(report, _)| report)
+        if known != Incarnation::Undecided {
+            return known;
+        }
+        match EndpointCheck::since(key, since).wait(self, limit).await {
+            CheckEnd::Known(_) => Incarnation::Known,
+            CheckEnd::Other => Incarnation::Other,
+            CheckEnd::Failed(_) | CheckEnd::Late => Incarnation::Undecided,
+        }
     }
 
     /// Takes in the result of a check that was made at `asked`.
-    fn settle_streams(&self, key: EndpointKey, asked: Time, found: Incarnation) {
+    pub(crate) fn settle_streams(&self, key: EndpointKey, asked: Time, found: Incarnation) {
         if found == Incarnation::Undecided {
             return;
         }
@@ -140,32 +137,31 @@
         }
     }
 
-    /// Whether streams wait for a report of an endpoint; forgets those that have waited for too long.
-    fn is_awaited(&self, key: EndpointKey) -> bool {
+    /// When the latest of the streams that wait for a report of an endpoint began; forgets those that have
+    /// waited for too long.
+    fn latest_unproved(&self, key: EndpointKey) -> Option<Time> {
         let now = clock::now();
         let mut core = self.core();
-        let Some(waiting) = core.unproved.get_mut(&key) else {
-            return false;
-        };
+        let waiting = core.unproved.get_mut(&key)?;
         waiting.retain(|stream| now.since(stream.began) < MAX_WAIT);
-        let is_awaited = !waiting.is_empty();
-        if !is_awaited {
+        let latest = waiting.iter().map(|stream| stream.began).max();
+        if latest.is_none() {
             core.unproved.remove(&key);
         }
-        is_awaited
+        latest
     }
 }
 
 /// Checks an endpoint until no stream waits for its report.
 async fn check_repeatedly(shared: Arc<Shared>, key: EndpointKey) {
     let mut interval = MIN_CHECK_INTERVAL;
-    loop {
-        sleep(interval).await;
-        if !shared.is_awaited(key) {
-            return;
+    while let Some(began) = shared.latest_unproved(key) {
+        let limit = Instant::now() + MAX_WAIT;
+        shared.find_incarnation(key, began, limit).await;
+        if shared.latest_unproved(key).is_some() {
+            sleep(interval).await;
+            interval = MAX_CHECK_INTERVAL.min(interval * 2);
         }
-        shared.find_incarnation(key).await;
-        interval = MAX_CHECK_INTERVAL.min(interval * 2);
     }
 }
 
@@ -174,6 +170,7 @@
     pub(crate) async fn check_answering(
         &self,
         key: EndpointKey,
+        began: Time,
         software: &SoftwareVersion,
     ) -> Incarnation {
         let is_doubted = {
@@ -187,46 +184,20 @@
         if !is_doubted {
             return Incarnation::Known;
         }
-        self.shared.find_incarnation(key).await
+        let limit = Instant::now() + PROOF_WAIT;
+        self.shared.find_incarnation(key, began, limit).await
     }
 
-    /// Checks the endpoint that began the stream once more, if its version is not proved.
+    /// Looks once more for a proof of the version of the endpoint that began the stream, if there is none.
     pub(crate) async fn prove_version(&mut self, key: EndpointKey) {
-        if !self.request.pin.is_unproved() {
+        let Some(began) = self.began.filter(|_| self.request.pin.is_unproved()) else {
             return;
-        }
-        let found = self.shared.find_incarnation(key).await;
+        };
+        let limit = Instant::now() + PROOF_WAIT;
+        let found = self.shared.find_incarnation(key, began, limit).await;
         self.request.pin.settle(found);
         if self.request.pin.proved().is_some() {
             self.record_origin();
         }
     }
-
-    /// Checks on a connection that its endpoint is the incarnation that this VM knows; returns the
-    /// connection if so.
-    pub(crate) async fn check_incarnation(
-        &self,
-        key: EndpointKey,
-        address: SocketAddr,
-        connection: Connection,
-    ) -> Result<Connection, String> {
-        let start_ms = {
-            let core = self.shared.core();
-            let endpoint = core.endpoints.get(key);
-            endpoint.map(|endpoint| endpoint.entry.start_ms)
-        };
-        let start_ms = start_ms.ok_or("the endpoint was removed")?;
-        let reused = connection.reused;
-        self.shared.metrics.probes.inc();
-        let report = fetch_report(&self.shared, connection, address);
-        let report = timeout(CHECK_TIMEOUT, report).await;
-        let (report, sender): (EngineReport, Sender) =
-            report.map_err(|_elapsed| "no report in time".to_owned())??;
-        match Incarnation::of(Some(&report), start_ms) {
-            Incarnation::Known => Ok(Connection { sender, reused }),
-            Incarnation::Other | Incarnation::Undecided => {
-                Err("another incarnation serves under the endpoint's name".to_owned())
-            }
-        }
-    }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -17,6 +17,7 @@
 mod duty_client;
 mod duty_view;
 mod endpoint_changes;
+mod endpoint_checks;
 mod events;
 mod feed;
 mod forwarded_stream;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -74,6 +74,7 @@
     pub(crate) connects_failed: Counter,
     pub(crate) calls_forwarded: Counter,
     pub(crate) probes: Counter,
+    pub(crate) late_reports: Counter,
     pub(crate) retries_denied: Counter,
     pub(crate) memory_refusals: Counter,
     pub(crate) platform_calls: Counter,
@@ -122,6 +123,7 @@
             connects_failed: Counter::default(),
             calls_forwarded: Counter::default(),
             probes: Counter::default(),
+            late_reports: Counter::default(),
             retries_denied: Counter::default(),
             memory_refusals: Counter::default(),
             platform_calls: Counter::default(),
@@ -192,6 +194,11 @@
                 &self.calls_forwarded,
             ),
             ("reports", "Reports asked of engines", &self.probes),
+            (
+                "late_reports",
+                "Reports of incarnations that came late or not at all",
+                &self.late_reports,
+            ),
             (
                 "repeats_unpaid",
                 "Repeats that the budget forbade",
--- a/crates/relay/src/origins.rs
+++ b/crates/relay/src/origins.rs
@@ -483,9 +483,10 @@
     pub(crate) async fn pin_version(&mut self, key: EndpointKey) {
         if !self.request.pin.is_begun() {
             let began = clock::now();
+            self.began = Some(began);
             let software = self.record.software.clone();
             let found = match &software {
-                Some(software) => self.check_answering(key, software).await,
+                Some(software) => self.check_answering(key, began, software).await,
                 None => Incarnation::Undecided,
             };
             self.request.pin = VersionPin::begin(software, found);
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -18,7 +18,7 @@
 use poplarswitch_entity::Time;
 use poplarswitch_ingress::{
     EndpointGroup, EndpointKey, EngineReport, Health, Placement, PlacementDecision,
-    PlacementReason, PlacementRequest,
+    PlacementReason, PlacementRequest, ReportChecks,
 };
 use poplarswitch_room::{CallTimes, StartLimits};
 use poplarswitch_wire::ErrorCode;
@@ -34,10 +34,27 @@
 const MAX_REPORT_BYTES: usize = 64 << 10;
 
 impl CallForwarder {
-    /// Selects an endpoint for the call, or refuses the call.
+    /// Selects an endpoint for the call, or refuses the call. A call that awaits reports of several
+    /// endpoints, or finds no other one, takes the endpoint whose report comes first.
     pub(crate) async fn choose(&mut self) -> Result<Placement, Failure> {
-        let selected = self.select_endpoint().await;
-        selected.map_err(|code| self.refusal(clock::now(), code))
+        loop {
+            if ReportChecks::may_ask_another(self.late_checks.len()) {
+                match self.select_endpoint().await {
+                    Ok(placement) => return Ok(placement),
+                    Err(code) if self.late_checks.is_empty() => {
+                        return Err(self.refusal(clock::now(), code));
+                    }
+                    Err(_) => {}
+                }
+            }
+            let Some(placement) = self.await_late_report().await else {
+                continue;
+            };
+            if self.reserve(placement.endpoint).await {
+                return Ok(placement);
+            }
+            self.take_late_check(placement.endpoint);
+        }
     }
 
     /// Selects an endpoint whose limit on the rate of requests allows the call; requests reports
@@ -49,15 +66,9 @@
             let decision = self.place(now);
             match decision {
                 PlacementDecision::Send(placement) => {
-                    self.slot = match self.take_slot(placement.endpoint).await {
-                        Slot::Unlimited => None,
-                        Slot::Taken(guard) => Some(guard),
-                        Slot::Denied => continue,
-                    };
-                    if self.take_permit(placement.endpoint).await {
+                    if self.reserve(placement.endpoint).await {
                         return Ok(placement);
                     }
-                    self.slot = None;
                 }
                 PlacementDecision::Probe(key) => {
                     probes += 1;
@@ -82,6 +93,20 @@
         Err(ErrorCode::Overload)
     }
 
+    /// Takes a slot and a permit of an endpoint, as far as it needs them.
+    async fn reserve(&mut self, key: EndpointKey) -> bool {
+        self.slot = match self.take_slot(key).await {
+            Slot::Unlimited => None,
+            Slot::Taken(guard) => Some(guard),
+            Slot::Denied => return false,
+        };
+        let has_permit = self.take_permit(key).await;
+        if !has_permit {
+            self.slot = None;
+        }
+        has_permit
+    }
+
     fn place(&self, now: Time) -> PlacementDecision {
         let excluded = [&*self.tried, &*self.skipped].concat();
         let core = self.shared.core();
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -25,6 +25,7 @@
 #[derive(Debug)]
 struct IdleConnection {
     sender: Sender,
+    released: Time,
     expires: Time,
 }
 
@@ -39,6 +40,8 @@
 pub(crate) struct Connection {
     pub(crate) sender: Sender,
     pub(crate) reused: bool,
+    /// A time at which it was open.
+    pub(crate) open: Time,
 }
 
 impl Pool {
@@ -51,16 +54,18 @@
         address: SocketAddr,
         new_connection: bool,
     ) -> Result<Connection, ConnectError> {
-        if !new_connection && let Some(sender) = self.take_idle(key) {
+        if !new_connection && let Some(idle) = self.take_idle(key) {
             return Ok(Connection {
-                sender,
+                sender: idle.sender,
                 reused: true,
+                open: idle.released,
             });
         }
         let sender = tcp::open(address, CONNECT_TIMEOUT).await?;
         Ok(Connection {
             sender,
             reused: false,
+            open: clock::now(),
         })
     }
 
@@ -84,6 +89,7 @@
         if connections.len() < max_idle {
             connections.push(IdleConnection {
                 sender,
+                released: now,
                 expires: now + idle_time,
             });
         }
@@ -117,7 +123,7 @@
             .is_some_and(|connections| remove_closed(connections, now))
     }
 
-    fn take_idle(&self, key: EndpointKey) -> Option<Sender> {
+    fn take_idle(&self, key: EndpointKey) -> Option<IdleConnection> {
         let now = clock::now();
         let mut idle = self.lock();
         let connections = idle.get_mut(&key)?;
@@ -125,7 +131,7 @@
         let index = connections
             .iter()
             .rposition(|connection| connection.sender.is_ready())?;
-        Some(connections.swap_remove(index).sender)
+        Some(connections.swap_remove(index))
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<EndpointKey, Vec<IdleConnection>>> {
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -225,6 +225,7 @@
         let connection = Connection {
             sender,
             reused: false,
+            open: clock::now(),
         };
         if !is_engine {
             return check_open(connection).await.is_err();
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -82,6 +82,8 @@
                 slot_wait_end: None,
                 unconnected: false,
                 is_uncharged: hop.maybe_run() > 0,
+                late_checks: Vec::new(),
+                began: None,
                 has_begun: false,
                 trial: None,
                 record,
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -7,6 +7,7 @@
     Protocol, clock,
     duties::DutyState,
     duty_view::DutyView,
+    endpoint_checks::CheckEnds,
     incarnations::UnprovedStreams,
     limits::TokenRequests,
     memory::CallMemory,
@@ -29,8 +30,8 @@
 use poplarswitch_ingress::{
     AdmissionControl, Cursor, Demand, EndpointKey, EndpointTable, ExpectedTimes, Freshness,
     GroupSplit, Helpers, Membership, OutageTracker, Phase, Quarantine, RateLimits, Rates, Reach,
-    RetryBudget, RetryLimit, Route, RoutingTable, RunTimes, ServiceDemand, Shutdown, ShutdownStage,
-    SourceSelector, StartupCheck, StepTime, StreamOrigins, hash_pair,
+    ReportChecks, RetryBudget, RetryLimit, Route, RoutingTable, RunTimes, ServiceDemand, Shutdown,
+    ShutdownStage, SourceSelector, StartupCheck, StepTime, StreamOrigins, hash_pair,
 };
 use poplarswitch_lease::Tenure;
 use rand::{Rng as _, SeedableRng as _};
@@ -98,6 +99,8 @@
     pub(crate) untold_origins: Vec<UntoldOrigin>,
     /// Streams whose versions are not proved.
     pub(crate) unproved: UnprovedStreams,
+    pub(crate) checks: ReportChecks,
+    pub(crate) check_ends: CheckEnds,
     /// Whether this VM kept streams in its entry at the last periodic work.
     pub(crate) kept_streams: bool,
     /// Requests for origins whose replies are awaited.
@@ -248,6 +251,8 @@
             origins: StreamOrigins::default(),
             untold_origins: Vec::new(),
             unproved: UnprovedStreams::new(),
+            checks: ReportChecks::default(),
+            check_ends: CheckEnds::new(),
             kept_streams: false,
             origin_requests: OriginRequests::new(),
             origin_serial: 0,
