Close a connection in order once the kernel has all of the answer

Cause: when a connection was dropped, the VM reset it unless its caller had closed it. After SIGKILL, which runs no code of the VM, the same answers arrived whole, so the reset was the VM's own.

`EndMark` now says how far an answer is whose end is the end of its connection, in place of four flags. The connection is set to be reset, also against SIGKILL, until the kernel has all of the answer. From then on it ends in order. Bytes that the caller has sent are read before the close, since the kernel resets a connection with unread bytes.

--- a/crates/node/tests/relay_bodies.rs
+++ b/crates/node/tests/relay_bodies.rs
@@ -10,9 +10,11 @@
     EarlyEndpoint, EarlyPlan, EndpointKind, SIGNATURE_HEADER, body_parts,
 };
 use relay::{Fleet, KEYS, wait_until};
+use rustix::process::Signal;
 use std::{
     io::{ErrorKind, Read as _, Write as _},
     net::TcpStream,
+    thread,
 };
 
 /// Time limit for a response.
@@ -373,3 +375,47 @@
         }
     }
 }
+
+/// Size of an answer that a caller doesn't read for long; its kernel takes a part of it.
+const LARGE_BYTES: usize = 600_000;
+/// Time in which a VM passes such an answer on to its kernel.
+const PASS_TIME: Duration = Duration::from_secs(1);
+
+/// A VM that exited reset the connection of a caller that had not read all of an answer without a length,
+/// though the kernel had all of it (LOST).
+#[gtest]
+fn whole_answer_without_length_outlives_its_vm() {
+    let body: &'static str = Box::leak("x".repeat(LARGE_BYTES).into_boxed_str());
+    let mut early = EarlyFleet::start(227);
+    early.endpoint.set_plan(EarlyPlan {
+        body,
+        ..SHORT_ANSWER
+    });
+    let entry = early.endpoint.entry("booking", "bole", 1);
+    early.fleet.store.register("early-1.", entry);
+    wait_until("the VM knows the endpoint", || {
+        early.fleet.log(0).contains("early-1.")
+    });
+    for signal in [Signal::TERM, Signal::KILL] {
+        let address = early.fleet.address(0);
+        let streams = ["HTTP/1.1", "HTTP/1.0"].map(|version| {
+            let request = CallRequest::new("whole", "/seats/1", KEYS[0]);
+            let mut stream = TcpStream::connect(address).unwrap();
+            let bytes = request.to_bytes(Configuration::host(), version);
+            stream.write_all(&bytes).unwrap();
+            stream
+        });
+        thread::sleep(PASS_TIME);
+        early.fleet.signal(0, signal);
+        early.fleet.await_exit(0);
+        for mut stream in streams {
+            let mut answer = String::new();
+            let end = stream.read_to_string(&mut answer);
+            let end = end.map_err(|error| error.kind());
+            expect_that!(end, ok(gt(LARGE_BYTES)), "{signal:?}");
+            expect_that!(answer.contains(" 200 "), eq(true), "{signal:?}");
+        }
+        early.fleet.start_process(0);
+        early.fleet.await_ready();
+    }
+}
--- a/crates/relay/src/activity.rs
+++ b/crates/relay/src/activity.rs
@@ -6,10 +6,8 @@
 //! byte.
 //!
 //! `hyper` drops the body of an answer when it has buffered the last bytes. The call stays in flight
-//! until they have been written to the socket. The end of the connection may be the end of the answer.
-//! Then the connection is closed in order only after all of the answer has been written, and the call
-//! stays in flight until the caller has closed the connection as well. If the process exits before, the
-//! connection is reset.
+//! until they have been written to the socket. The end of the connection may be the end of the answer; see
+//! [`EndMark`]. Then the call stays in flight until the caller has closed the connection as well.
 
 use crate::{clock, shared::InFlight};
 use bytes::Bytes;
@@ -36,6 +34,39 @@
 /// Size of the buffer for bytes that a caller sends after the end of its last answer.
 const DISCARD_BYTES: usize = 1 << 10;
 
+/// Progress of a response to the caller, as far as the end of the connection marks its end.
+///
+/// Until the kernel has all of the response, the connection is set to be reset when it is closed, also by
+/// the end of this process. From then on it ends in order: the kernel sends the rest and the end, however
+/// slowly the caller reads.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum EndMark {
+    /// The end of the connection marks nothing.
+    #[default]
+    None,
+    /// A part of the response is still to come.
+    Unfinished,
+    /// `hyper` has all of the response.
+    Buffered,
+    /// The kernel has all of the response.
+    Written,
+}
+
+impl EndMark {
+    /// The progress after `hyper` has written all that it has been given.
+    const fn flush(self) -> Self {
+        match self {
+            Self::Buffered => Self::Written,
+            Self::None | Self::Unfinished | Self::Written => self,
+        }
+    }
+
+    /// Whether the end of the connection would cut the response off, and must not look like its end.
+    const fn must_reset(self) -> bool {
+        matches!(self, Self::Unfinished | Self::Buffered)
+    }
+}
+
 /// Activity on a connection.
 #[derive(Debug, Default)]
 pub(crate) struct Activity {
@@ -47,15 +78,7 @@
     head_start: AtomicU64,
     /// Number of requests whose response has not ended.
     active_requests: AtomicUsize,
-    /// Whether the connection must end with a reset, because an orderly close would mark the end of
-    /// a response that is not complete.
-    reset_on_close: AtomicBool,
-    /// Whether an orderly close marks the end of the current response.
-    close_framed: AtomicBool,
-    /// Whether `hyper` has the whole current response, if an orderly close marks its end.
-    body_ended: AtomicBool,
-    /// Whether the connection ends because it has timed out.
-    timed_out: AtomicBool,
+    end_mark: Mutex<EndMark>,
     /// Whether a part of a response may not be written yet.
     unflushed: AtomicBool,
     /// Whether a part of a request may not have been read; its bytes must not pass for a head.
@@ -108,7 +131,6 @@
             let deadline = self.deadline(limits(), idle_timeout);
             if deadline <= now {
                 if confirmed {
-                    self.timed_out.store(true, Ordering::Relaxed);
                     return;
                 }
                 // After a suspension of the process, the connection has to read what has arrived.
@@ -152,7 +174,7 @@
         let is_busy = self.active_requests.load(Ordering::Relaxed) > 0
             || self.unflushed.load(Ordering::Relaxed)
             || self.unread.load(Ordering::Relaxed)
-            || self.close_framed.load(Ordering::Relaxed);
+            || self.end_mark() != EndMark::None;
         !is_busy
     }
 
@@ -161,10 +183,10 @@
         if self.active_requests.load(Ordering::Relaxed) == 0 {
             self.unflushed.store(false, Ordering::Relaxed);
         }
-        if !self.close_framed.load(Ordering::Relaxed) {
+        let mark = self.end_mark();
+        self.set_end_mark(mark.flush());
+        if mark == EndMark::None {
             self.release_calls();
-        } else if self.body_ended.load(Ordering::Relaxed) {
-            self.reset_on_close.store(false, Ordering::Relaxed);
         }
     }
 
@@ -177,9 +199,12 @@
         unwritten.clear();
     }
 
-    /// Whether the connection is being closed to mark the end of a response.
-    fn ends_response(&self) -> bool {
-        self.close_framed.load(Ordering::Relaxed) && !self.reset_on_close.load(Ordering::Relaxed)
+    fn end_mark(&self) -> EndMark {
+        *self.end_mark.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn set_end_mark(&self, mark: EndMark) {
+        *self.end_mark.lock().unwrap_or_else(PoisonError::into_inner) = mark;
     }
 }
 
@@ -190,13 +215,12 @@
 impl ActivityGuard {
     /// Records the start of a response whose end is marked by an orderly close.
     pub(crate) fn begin_close_framed(&self) {
-        self.0.close_framed.store(true, Ordering::Relaxed);
-        self.0.reset_on_close.store(true, Ordering::Relaxed);
+        self.0.set_end_mark(EndMark::Unfinished);
     }
 
     /// Records the end of a response whose end is marked by an orderly close.
     pub(crate) fn end_close_framed(&self) {
-        self.0.body_ended.store(true, Ordering::Relaxed);
+        self.0.set_end_mark(EndMark::Buffered);
     }
 
     /// Records that the request may not have been read to its end.
@@ -221,7 +245,7 @@
 
 /// A TCP stream that records when bytes arrive.
 ///
-/// While [`Activity`] says that the connection must end with a reset, the socket is set so that the
+/// While [`EndMark`] says that the connection must end with a reset, the socket is set so that the
 /// kernel resets it when it is closed, also if this process is killed.
 #[derive(Debug)]
 pub(crate) struct MonitoredStream {
@@ -254,12 +278,9 @@
         self
     }
 
+    /// Sets how the kernel ends the connection.
     fn update_close_mode(&mut self) {
-        let reset = self.activity.reset_on_close.load(Ordering::Relaxed);
-        self.set_close_mode(reset);
-    }
-
-    fn set_close_mode(&mut self, reset: bool) {
+        let reset = self.activity.end_mark().must_reset();
         if reset != self.resets {
             let linger = reset.then_some(Duration::ZERO);
             match SockRef::from(&self.stream).set_linger(linger) {
@@ -279,16 +300,21 @@
         }
         Poll::Ready(())
     }
+
+    /// Discards what the caller has sent: the kernel resets a connection that is closed with unread bytes.
+    fn discard_received(&self) {
+        let mut bytes = [MaybeUninit::uninit(); DISCARD_BYTES];
+        let socket = SockRef::from(&self.stream);
+        while matches!(socket.recv(&mut bytes), Ok(count) if count > 0) {}
+    }
 }
 
 impl Drop for MonitoredStream {
     fn drop(&mut self) {
-        let activity = &self.activity;
-        let is_unfinished = activity.ends_response() && !self.caller_closed;
-        // A connection that has timed out has all of the response in the buffer of its socket.
-        let exits = is_unfinished && !activity.timed_out.load(Ordering::Relaxed);
-        let is_incomplete = activity.reset_on_close.load(Ordering::Relaxed);
-        self.set_close_mode(is_incomplete || exits);
+        self.update_close_mode();
+        if self.activity.end_mark() == EndMark::Written {
+            self.discard_received();
+        }
     }
 }
 
@@ -327,6 +353,7 @@
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         ready!(Pin::new(&mut self.stream).poll_flush(cx))?;
         self.activity.record_flushed();
+        self.update_close_mode();
         Poll::Ready(Ok(()))
     }
 
@@ -336,7 +363,7 @@
             ready!(Pin::new(&mut self.stream).poll_shutdown(cx))?;
             self.sent_end = true;
         }
-        if self.activity.ends_response() {
+        if self.activity.end_mark() == EndMark::Written {
             ready!(self.poll_caller_closed(cx));
             self.activity.release_calls();
         }
--- a/crates/relay/src/activity_tests.rs
+++ b/crates/relay/src/activity_tests.rs
@@ -36,6 +36,8 @@
 const MEMORY: u64 = 160 << 20;
 /// Size of the answer; more than the sockets' buffers hold, by less than `hyper` buffers.
 const ANSWER_BYTES: usize = 16 << 10;
+/// Size of an answer of which the caller's kernel takes a small part.
+const LARGE_BYTES: usize = 48 << 10;
 /// Size of the sockets' buffers, of which the kernel uses a multiple.
 const BUFFER_BYTES: usize = 1 << 10;
 /// Time within which the connections make progress.
@@ -50,12 +52,15 @@
 
 impl Answering {
     async fn start(length: Option<u64>, size: usize) -> Self {
+        Self::start_with(length, size, BUFFER_BYTES).await
+    }
+
+    /// Starts with a buffer of a size for what is sent.
+    async fn start_with(length: Option<u64>, size: usize, buffer: usize) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let caller = connect(listener.local_addr().unwrap());
         let (stream, _) = listener.accept().await.unwrap();
-        SockRef::from(&stream)
-            .set_send_buffer_size(BUFFER_BYTES)
-            .unwrap();
+        SockRef::from(&stream).set_send_buffer_size(buffer).unwrap();
         let in_flight = Arc::new(AtomicUsize::new(0));
         let count = Arc::clone(&in_flight);
         let activity = Activity::start(clock::now());
@@ -160,6 +165,28 @@
     }
 }
 
+/// A VM that exited reset the connection of a caller that read slowly, though the kernel had all of the
+/// answer (LOST).
+#[gtest]
+fn exit_doesn_t_cut_off_an_answer_without_length_that_the_kernel_has() {
+    for size in [0, 1, ANSWER_BYTES, LARGE_BYTES] {
+        block_on(async {
+            let answering = Answering::start_with(None, size, 4 * LARGE_BYTES).await;
+            sleep(PROGRESS_TIME).await;
+            answering
+                .caller
+                .try_clone()
+                .unwrap()
+                .write_all(b"GET")
+                .unwrap();
+            answering.task.abort();
+            sleep(PROGRESS_TIME).await;
+            let (bytes, is_reset) = answering.read().await;
+            expect_that!((bytes > size, is_reset), eq((true, false)), "{size}");
+        });
+    }
+}
+
 /// A caller that doesn't close its connection may not have received the end of the answer.
 #[gtest]
 fn call_is_in_flight_until_its_caller_closes_the_connection_that_ends_the_answer() {
