Log and count how each trial of a held subject ends

Nothing told why a trial was given back, so that refusals of sound calls could not be traced: whether endpoints were down, no home had replied, or the caller had left. The line `trial_ended` names the subject, the call, the outcome and the cause, and `relay_trials_total{outcome}` counts them.

--- a/crates/relay/src/call_forwarder.rs
+++ b/crates/relay/src/call_forwarder.rs
@@ -147,6 +147,9 @@
                 response,
                 cause,
             } = failed;
+            if outcome == Outcome::NotSent {
+                self.record_trial_cause(&cause);
+            }
             let is_late = self.awaits_report(placement.endpoint);
             // A reused connection that was closed doesn't show that its endpoint failed.
             stale_connection = outcome == Outcome::NotSent
--- a/crates/relay/src/classification.rs
+++ b/crates/relay/src/classification.rs
@@ -61,7 +61,7 @@
             && !failed.outcome.may_have_run()
         {
             self.attempts.maybe_run -= 1;
-            self.end_unrun_trial(failed.outcome);
+            self.end_unrun_trial(failed.outcome, &failed.cause);
         }
         accepted
     }
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -34,6 +34,12 @@
     pub(crate) origin: &'static str,
 }
 
+/// Label of trials of held subjects: how they ended.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct TrialLabel {
+    outcome: &'static str,
+}
+
 /// Labels of calls refused for lack of room: the rank, and whether the caller was refused before.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct RefusalLabel {
@@ -68,6 +74,7 @@
     registry: Registry,
     calls: Family<OutcomeLabel, Counter>,
     pub(crate) take_ups: Family<OriginLabel, Counter>,
+    trials: Family<TrialLabel, Counter>,
     first_byte: Histograms,
     duration: Histograms,
     pub(crate) connections: Counter,
@@ -117,6 +124,7 @@
             registry: Registry::with_prefix("relay"),
             calls: Family::default(),
             take_ups: Family::default(),
+            trials: Family::default(),
             first_byte: Histograms::new_with_constructor(buckets),
             duration: Histograms::new_with_constructor(buckets),
             connections: Counter::default(),
@@ -166,6 +174,11 @@
             "Streams that callers took up, by what decided on their versions",
             self.take_ups.clone(),
         );
+        registry.register(
+            "trials",
+            "Trials of held subjects, by how they ended",
+            self.trials.clone(),
+        );
         registry.register(
             "refusals",
             "Calls refused because no engine could start them soon enough",
@@ -416,6 +429,11 @@
         self.refusals.get_or_create(&label).inc();
     }
 
+    /// Records how a trial of a held subject ended.
+    pub(crate) fn record_trial(&self, outcome: &'static str) {
+        self.trials.get_or_create(&TrialLabel { outcome }).inc();
+    }
+
     /// Response with all metrics in the `OpenMetrics` text format.
     pub(crate) fn response(&self) -> Response<Full<Bytes>> {
         let mut text = String::new();
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -78,6 +78,16 @@
     }
 }
 
+/// Logs how a trial of a subject ended.
+pub(crate) fn log_trial(subject: Subject, outcome: &str, id: Option<&str>, cause: &str) {
+    let event = "trial_ended";
+    let name = hex(subject);
+    match subject {
+        Subject::Section(_) => tracing::info!(event, section = name, id, outcome, cause, "section"),
+        Subject::Request(_) => tracing::info!(event, request = name, id, outcome, cause, "request"),
+    }
+}
+
 impl CallForwarder {
     /// Records that an answer that began at `began` is complete or has survived. The rest of a stream
     /// doesn't show that its request is sound, nor does a failure that its prompt is.
@@ -184,7 +194,7 @@
     // A broken connection to an endpoint that lives tells nothing of the subject.
     if !crashed {
         let trials = cuts.iter_mut().filter_map(|cut| cut.trial.as_mut());
-        trials.for_each(|trial| trial.outcome = TrialOutcome::Undecided);
+        trials.for_each(Trial::survive);
     }
     tracing::info!(
         event = if crashed {
--- a/crates/relay/src/trials.rs
+++ b/crates/relay/src/trials.rs
@@ -7,7 +7,7 @@
 use crate::{
     call_forwarder::CallForwarder,
     clock,
-    quarantine::{held_failure, log_changes, log_subject, subjects},
+    quarantine::{held_failure, log_changes, log_subject, log_trial, subjects},
     reply::Failure,
     shared::{Core, Shared},
 };
@@ -47,7 +47,18 @@
     id: TrialId,
     /// The VM that granted it, if it was another one.
     home: Option<Ipv4Addr>,
+    call_id: Box<str>,
     pub(crate) outcome: TrialOutcome,
+    /// What led to the outcome.
+    cause: Box<str>,
+}
+
+impl Trial {
+    /// Records that the connection of the trial broke, and its endpoint lives.
+    pub(crate) fn survive(&mut self) {
+        self.outcome = TrialOutcome::Undecided;
+        self.cause = "the endpoint lives".into();
+    }
 }
 
 impl Drop for Trial {
@@ -58,12 +69,32 @@
             subject,
             outcome: self.outcome,
         };
-        end(&self.shared, self.home, &ended);
+        let call = Some(&*self.call_id);
+        end(&self.shared, self.home, &ended, call, &self.cause);
+    }
+}
+
+/// Name of an outcome in logs and metrics.
+const fn outcome_name(outcome: TrialOutcome) -> &'static str {
+    match outcome {
+        TrialOutcome::Answered => "answered",
+        TrialOutcome::Cut => "cut",
+        TrialOutcome::Unsent => "unsent",
+        TrialOutcome::Undecided => "undecided",
     }
 }
 
 /// Tells the home of a trial how the trial has ended.
-fn end(shared: &Shared, home: Option<Ipv4Addr>, ended: &TrialEnded) {
+fn end(
+    shared: &Shared,
+    home: Option<Ipv4Addr>,
+    ended: &TrialEnded,
+    call_id: Option<&str>,
+    cause: &str,
+) {
+    let outcome = outcome_name(ended.outcome);
+    shared.metrics.record_trial(outcome);
+    log_trial(ended.subject, outcome, call_id, cause);
     // The end also changes what this VM knows of the subject.
     let changes = shared
         .core()
@@ -137,7 +168,8 @@
                 subject,
                 outcome: TrialOutcome::Unsent,
             };
-            end(self.shared, Some(self.home), &ended);
+            let cause = "the caller left";
+            end(self.shared, Some(self.home), &ended, None, cause);
         }
     }
 }
@@ -223,7 +255,9 @@
                         subject: request.subject,
                         outcome: TrialOutcome::Unsent,
                     };
-                    end(&self.shared, Some(home), &ended);
+                    let cause = "no reply of the VM that grants trials";
+                    let call = Some(&*self.request.call.id);
+                    end(&self.shared, Some(home), &ended, call, cause);
                 }
                 passage
             }
@@ -235,7 +269,9 @@
                 shared: Arc::clone(&self.shared),
                 id,
                 home,
+                call_id: self.request.call.id.clone(),
                 outcome: TrialOutcome::Unsent,
+                cause: "the call ended before it was sent".into(),
             });
         }
         passage
@@ -285,7 +321,8 @@
 
     /// Takes in that no endpoint ran the call, which may be a trial. One that has reached an endpoint
     /// is over.
-    pub(crate) fn end_unrun_trial(&mut self, outcome: Outcome) {
+    pub(crate) fn end_unrun_trial(&mut self, outcome: Outcome, cause: &str) {
+        self.record_trial_cause(cause);
         if outcome == Outcome::NotSent {
             self.record_trial(TrialOutcome::Unsent);
         } else {
@@ -294,10 +331,20 @@
         }
     }
 
+    /// Records why the call's trial, if it is one, was not run.
+    pub(crate) fn record_trial_cause(&mut self, cause: &str) {
+        if let Some(trial) = &mut self.trial {
+            trial.cause = cause.into();
+        }
+    }
+
     /// Records the outcome of the call's trial, if it is one.
     pub(crate) fn record_trial(&mut self, outcome: TrialOutcome) {
         if let Some(trial) = &mut self.trial {
             trial.outcome = outcome;
+            if matches!(outcome, TrialOutcome::Answered | TrialOutcome::Cut) {
+                trial.cause = Box::default();
+            }
         }
     }
 }
