--- a/crates/ingress/src/table.rs
+++ b/crates/ingress/src/table.rs
@@ -121,13 +121,17 @@
         longest_prefix(routes, path)
     }
 
-    /// Checks whether a caller with this key may use a route.
+    /// Checks whether a caller with this key may use a route. An unknown key is denied on a public route
+    /// too, on which no key is needed.
     pub fn access(&self, route: &Route, key: Option<&str>) -> Access {
-        let known = key.and_then(|key| self.keys.get(key));
+        if self.config.workspaces.is_none() {
+            return Access::Open;
+        }
+        let known = key.map(|key| self.keys.get(key));
         match known {
-            Some(workspace) => Access::Granted(workspace.clone()),
-            None if route.public || self.config.workspaces.is_none() => Access::Open,
-            None => Access::Denied,
+            Some(Some(workspace)) => Access::Granted(workspace.clone()),
+            None if route.public => Access::Open,
+            None | Some(None) => Access::Denied,
         }
     }
 
--- a/crates/ingress/src/table_tests.rs
+++ b/crates/ingress/src/table_tests.rs
@@ -106,6 +106,23 @@
     expect_that!(table.access(route, None), eq(&Access::Denied));
 }
 
+/// A request with a key that was taken away, or that no workspace ever had, ran on a public route (ROUTE,
+/// CONFIG).
+#[gtest]
+fn public_route_needs_no_key_and_denies_an_unknown_one() {
+    let mut public = route("all", "/", 0);
+    public.public = true;
+    let table = RoutingTable::new(Config {
+        version: 1,
+        routes: shared([public]),
+        workspaces: Some([].into()),
+        ..Config::default()
+    });
+    let route = table.route("tours.example", "/x").unwrap();
+    expect_that!(table.access(route, None), eq(&Access::Open));
+    expect_that!(table.access(route, Some("k9")), eq(&Access::Denied));
+}
+
 #[gtest]
 fn no_key_is_needed_without_workspaces() {
     let table = RoutingTable::new(Config {
