Forget the wake-ups of checks for which nobody waits

The entry of an endpoint whose check had ended with calls waiting stayed until the endpoint's next check, or for good if it was removed.

--- a/crates/relay/src/endpoint_checks.rs
+++ b/crates/relay/src/endpoint_checks.rs
@@ -268,10 +268,8 @@
         let mut core = self.shared.core();
         if let Some(ends) = core.check_ends.get(&self.key) {
             ends.send_replace(());
-            if ends.receiver_count() == 0 {
-                core.check_ends.remove(&self.key);
-            }
         }
+        core.check_ends.retain(|_, ends| ends.receiver_count() > 0);
     }
 }
 
