Let held calls wait for a VM that has just started to find the home of trials

Without contact with more than half of the VMs, or when the VM that was asked had none either, a call was refused at once, where calls with a home wait up to 1.5 s. It now waits too.

--- a/crates/ingress/src/quarantine/trials.rs
+++ b/crates/ingress/src/quarantine/trials.rs
@@ -221,9 +221,10 @@
         let serial = self.serial;
         match home {
             TrialHome::Alone if are_untried => self.grant(now, subject, also, serial, target),
-            TrialHome::Nobody | TrialHome::Alone => Passage::Held {
+            // A VM that has just started soon finds a home.
+            TrialHome::Nobody | TrialHome::Alone => Passage::Wait {
                 subject,
-                retry_after: UNANSWERED_DELAY,
+                until: now + RUNNING_DELAY,
             },
             TrialHome::Other => {
                 hold.pause = Some((now + TRIAL_REPLY_TIMEOUT, Pause::Outcome));
@@ -536,6 +537,8 @@
 fn hold_back(now: Time, subject: Subject, until: Time, pause: Pause) -> Passage {
     match pause {
         Pause::Outcome => Passage::Wait { subject, until },
+        // As after the reply of a VM that isn't the home, which another one soon is.
+        Pause::Due(due) if due.since(now) <= UNANSWERED_DELAY => Passage::Wait { subject, until },
         Pause::Due(due) => Passage::Held {
             subject,
             retry_after: due.since(now),
