Send a call without a report of load if no engine reports in time

Evidence: five `silent` lines within 0.5 s and `overload` without an attempt.

A call that gets none of five reports in time is now sent to the engine that would have been asked next. One report is enough for a refusal, as before.

--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -60,7 +60,7 @@
     /// Selects an endpoint whose limit on the rate of requests allows the call; requests reports
     /// from engines if the decision depends on their load.
     pub(crate) async fn select_endpoint(&mut self) -> Result<Placement, ErrorCode> {
-        let mut probes = 0;
+        let (mut probes, mut silent) = (0, 0);
         for _ in 0..MAX_DECISIONS {
             let now = clock::now();
             let decision = self.place(now);
@@ -71,11 +71,21 @@
                     }
                 }
                 PlacementDecision::Probe(key) => {
-                    probes += 1;
-                    if probes > MAX_PROBES {
-                        break;
+                    if probes < MAX_PROBES {
+                        probes += 1;
+                        silent += usize::from(!self.probe(key).await);
+                        continue;
                     }
-                    self.probe(key).await;
+                    // Without any report, a refusal would say nothing of the load.
+                    if silent == probes && self.reserve(key).await {
+                        return Ok(Placement {
+                            endpoint: key,
+                            reason: PlacementReason::LeastLoaded,
+                            expected: None,
+                            cache_source: None,
+                        });
+                    }
+                    break;
                 }
                 PlacementDecision::Refuse { expected } => {
                     self.record.expected = Some(expected);
@@ -148,11 +158,12 @@
             .with_retry_after(self.retry_after(now))
     }
 
-    /// Requests the report of an engine; an engine without a timely report counts as full.
-    async fn probe(&self, key: EndpointKey) {
+    /// Requests the report of an engine; an engine without a timely report counts as full. Returns
+    /// whether the report has come.
+    async fn probe(&self, key: EndpointKey) -> bool {
         self.shared.metrics.probes.inc();
         let Some((name, address)) = self.endpoint_address(key) else {
-            return;
+            return false;
         };
         let report = timeout(PROBE_TIMEOUT, self.fetch_report(key, address)).await;
         match report.unwrap_or_else(|_elapsed| Err("no report in time".to_owned())) {
@@ -161,6 +172,7 @@
                 let mut core = self.shared.core();
                 core.endpoints
                     .record_report(clock::now(), key, group, report);
+                true
             }
             Err(cause) => {
                 tracing::info!(
@@ -170,6 +182,7 @@
                     "endpoint"
                 );
                 self.record_health(key, Health::record_full);
+                false
             }
         }
     }
