Let a call whose trial is due at once ask again after a millisecond

A home tells that time in whole milliseconds, rounded down, so it may be 0, and the call asked again without a wait until the millisecond was over. A VM now asks again after 1 ms at least.

The new test fails before (the wait ends when it begins).

--- a/crates/ingress/src/quarantine/trials.rs
+++ b/crates/ingress/src/quarantine/trials.rs
@@ -60,6 +60,8 @@
 pub const TRIAL_WAIT: Duration = Duration::from_millis(1_500);
 /// Time after which a VM asks again while a trial is running, or without a reply.
 const RUNNING_DELAY: Duration = Duration::from_millis(100);
+/// Shortest time after which a VM asks again; a home tells the time left in whole milliseconds.
+const MIN_ASK_DELAY: Duration = Duration::from_millis(1);
 /// Longest time after which a VM asks again.
 const MAX_ASK_DELAY: Duration = Duration::from_secs(1);
 /// Time after which a caller may come back if there is no home, or another one.
@@ -287,7 +289,7 @@
                 (RUNNING_DELAY, Pause::Outcome)
             }
             Some(TrialVerdict::Later(wait)) => {
-                let wait = Duration::from_millis(u64::from(wait));
+                let wait = Duration::from_millis(u64::from(wait)).max(MIN_ASK_DELAY);
                 (wait.min(MAX_ASK_DELAY), Pause::Due(now + wait))
             }
             Some(TrialVerdict::Answered(_)) => {
--- a/crates/ingress/src/quarantine_trials_tests.rs
+++ b/crates/ingress/src/quarantine_trials_tests.rs
@@ -330,6 +330,24 @@
     expect_that!(passage, matches_pattern!(Passage::Ask(_)));
 }
 
+/// A trial that was due in less than a millisecond made its call ask again without any wait; in the oracle,
+/// for ever.
+#[gtest]
+fn call_whose_trial_is_due_at_once_asks_again_later() {
+    let mut quarantine = holding();
+    let subjects = [SUBJECT].into_iter();
+    let Passage::Ask(ask) = quarantine.check(time(300), subjects, TrialHome::Other, TARGET) else {
+        panic!("the home isn't asked");
+    };
+    let verdict = Some(TrialVerdict::Later(0));
+    let (passage, _) = quarantine.finish_ask(time(320), ask.id(), verdict);
+    let wait = Passage::Wait {
+        subject: SUBJECT,
+        until: time(321),
+    };
+    expect_that!(passage, eq(wait));
+}
+
 #[gtest]
 fn vm_asks_the_home_once_at_a_time() {
     let mut quarantine = holding();
