Let calls that wait for reports go through another VM if the service is lost

At a VM whose links hang, idle connections take requests for reports, and none comes.

Cause: the wait ended with a report or the deadline only, and an idle connection shows no loss of its link, so nothing led to the other VMs.

A report that is late now has one new connection opened to its endpoint, unless one to the service was tried meanwhile, and a call stops waiting as soon as its service is lost and another VM can take it.

--- a/crates/node/tests/relay_take_ups.rs
+++ b/crates/node/tests/relay_take_ups.rs
@@ -427,3 +427,28 @@
         expect_that!(count_mixed(&fleet, &taken_up), eq(0));
     }
 }
+
+/// A VM whose links hung kept streams waiting for reports on idle connections, and refused them in the end,
+/// though another VM reached the endpoints.
+#[gtest]
+fn streams_go_on_through_another_vm_while_links_hang() {
+    let mut fleet = Fleet::start_linked(230, 3);
+    set_events(&fleet);
+    // Leaves idle connections.
+    for _ in 0..2 {
+        thread::scope(|scope| {
+            let fleet = &fleet;
+            for _ in 0..STREAM_COUNT {
+                scope.spawn(move || fleet.call(1, "/chat/1"));
+            }
+        });
+    }
+    let broken = break_streams(&mut fleet);
+    expect_that!(broken.len(), ge(12));
+    fleet.set_links(1, LinkMode::Hangs);
+    let taken_up = take_up_all(&fleet, 1, &broken);
+    let served = taken_up
+        .iter()
+        .filter(|(_, _, status)| *status == Some(200));
+    expect_that!(served.count(), eq(broken.len()));
+}
--- a/crates/relay/src/call_forwarder.rs
+++ b/crates/relay/src/call_forwarder.rs
@@ -130,7 +130,9 @@
                 return Err(self.verdict_failure(now, Verdict::InDoubt));
             }
             self.is_uncharged = false;
-            let placement = self.choose().await?;
+            let Some(placement) = self.choose().await? else {
+                continue;
+            };
             if self.pass_quarantine().await? {
                 // The wait may have outlasted the placement.
                 continue;
@@ -147,9 +149,7 @@
                 response,
                 cause,
             } = failed;
-            if outcome == Outcome::NotSent {
-                self.record_trial_cause(&cause);
-            }
+            self.record_trial_cause(&cause);
             let is_late = self.awaits_report(placement.endpoint);
             // A reused connection that was closed doesn't show that its endpoint failed.
             stale_connection = outcome == Outcome::NotSent
--- a/crates/relay/src/endpoint_checks.rs
+++ b/crates/relay/src/endpoint_checks.rs
@@ -283,7 +283,8 @@
         mut check: EndpointCheck,
     ) -> Result<Connection, String> {
         let key = placement.endpoint;
-        let time_left = self.request.deadline.since(clock::now());
+        let asked = clock::now();
+        let time_left = self.request.deadline.since(asked);
         let awaited = self.late_checks.len();
         let patience = self.shared.core().checks.patience(key, time_left, awaited);
         match check.wait(&self.shared, Instant::now() + patience).await {
@@ -292,6 +293,8 @@
             CheckEnd::Other => Err(OTHER.to_owned()),
             CheckEnd::Failed(cause) => Err(cause),
             CheckEnd::Late => {
+                // A link that was lost shows on a new connection only.
+                self.shared.spawn_link_check(key, asked);
                 if ReportChecks::may_ask_another(awaited) && !self.is_unsent_trial() {
                     self.late_checks.push(LateCheck { placement, check });
                 }
@@ -313,18 +316,23 @@
         late.any(|late| late.placement.endpoint == key)
     }
 
-    /// Waits for the first of the late reports until the deadline of the call; returns the placement at
-    /// its endpoint.
+    /// Waits for the first of the late reports until the deadline of the call, or until another VM can take
+    /// the call because this one has lost its service; returns the placement at its endpoint.
     pub(crate) async fn await_late_report(&mut self) -> Option<Placement> {
         let time_left = self.request.deadline.since(clock::now());
         let limit = Instant::now() + longest_report_wait(time_left);
-        while !self.late_checks.is_empty() {
+        let mut losses = self.shared.losses.subscribe();
+        while !self.late_checks.is_empty() && !self.can_forward() {
             let waits = self
                 .late_checks
                 .iter_mut()
                 .map(|late| Box::pin(late.check.wait(&self.shared, limit)));
-            let (end, index, others) = select_all(waits).await;
-            drop(others);
+            let (end, index) = tokio::select! {
+                biased;
+                (end, index, _others) = select_all(waits) => (end, index),
+                // The sender is not dropped during the wait.
+                _changed = losses.changed() => continue,
+            };
             let LateCheck { placement, check } = self.late_checks.swap_remove(index);
             match end {
                 CheckEnd::Known(Some(connection)) => {
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -35,12 +35,13 @@
 
 impl CallForwarder {
     /// Selects an endpoint for the call, or refuses the call. A call that awaits reports of several
-    /// endpoints, or finds no other one, takes the endpoint whose report comes first.
-    pub(crate) async fn choose(&mut self) -> Result<Placement, Failure> {
+    /// endpoints, or finds no other one, takes the endpoint whose report comes first. Returns none if the
+    /// call should go through another VM instead.
+    pub(crate) async fn choose(&mut self) -> Result<Option<Placement>, Failure> {
         loop {
             if ReportChecks::may_ask_another(self.late_checks.len()) {
                 match self.select_endpoint().await {
-                    Ok(placement) => return Ok(placement),
+                    Ok(placement) => return Ok(Some(placement)),
                     Err(code) if self.late_checks.is_empty() => {
                         return Err(self.refusal(clock::now(), code));
                     }
@@ -48,10 +49,13 @@
                 }
             }
             let Some(placement) = self.await_late_report().await else {
+                if !self.late_checks.is_empty() && self.can_forward() {
+                    return Ok(None);
+                }
                 continue;
             };
             if self.reserve(placement.endpoint).await {
-                return Ok(placement);
+                return Ok(Some(placement));
             }
             self.take_late_check(placement.endpoint);
         }
--- a/crates/relay/src/reach.rs
+++ b/crates/relay/src/reach.rs
@@ -178,6 +178,19 @@
         true
     }
 
+    /// Checks a link in the background unless a connection to the service has been tried since a time.
+    pub(crate) fn spawn_link_check(self: &Arc<Self>, key: EndpointKey, since: Time) {
+        let is_tried = {
+            let core = self.core();
+            let service = core.endpoints.get(key).map(|e| &e.entry.service);
+            service.is_none_or(|service| core.reach.is_tried_since(since, service))
+        };
+        if !is_tried {
+            let shared = Arc::clone(self);
+            tokio::spawn(async move { shared.check_link(key).await });
+        }
+    }
+
     /// Opens a connection to an endpoint that was lost, and ends its ejection if that succeeds.
     async fn restore_link(self: &Arc<Self>, key: EndpointKey) {
         if self.check_link(key).await
