Limit what is read of a caller whose connection is being closed

The bytes that a caller has sent after its last answer are read before its connection is closed, until there are none; a caller that sends without end could keep the process busy.

--- a/crates/relay/src/activity.rs
+++ b/crates/relay/src/activity.rs
@@ -33,6 +33,8 @@
 
 /// Size of the buffer for bytes that a caller sends after the end of its last answer.
 const DISCARD_BYTES: usize = 1 << 10;
+/// Maximum number of reads of such bytes when a connection is closed.
+const MAX_DISCARDS: usize = 64;
 
 /// Progress of a response to the caller, as far as the end of the connection marks its end.
 ///
@@ -301,11 +303,16 @@
         Poll::Ready(())
     }
 
-    /// Discards what the caller has sent: the kernel resets a connection that is closed with unread bytes.
+    /// Discards what the caller has sent: the kernel resets a connection that is closed with unread bytes. A
+    /// caller that sends without end is not read for ever.
     fn discard_received(&self) {
         let mut bytes = [MaybeUninit::uninit(); DISCARD_BYTES];
         let socket = SockRef::from(&self.stream);
-        while matches!(socket.recv(&mut bytes), Ok(count) if count > 0) {}
+        for _ in 0..MAX_DISCARDS {
+            if !matches!(socket.recv(&mut bytes), Ok(count) if count > 0) {
+                return;
+            }
+        }
     }
 }
 
